Start with the kernel, error kinds, options, declarations and admission

Cause: an empty repository. The first decisions need a frame to stand in. Change: the micro-kernel, the table of error kinds, the tables of options, the declarations with their checks, and the fair queue of one stage.

--- /dev/null
+++ b/core/admit/admit_test.go
@@ -0,0 +1,210 @@
+package admit_test
+
+import (
+	"fmt"
+	"math"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"chervilpath/core/admit"
+	"chervilpath/core/declare"
+	"chervilpath/core/fault"
+)
+
+var start = time.Unix(1_700_000_000, 0)
+
+func item(org string, share float64, p declare.Priority, cost float64) *admit.Item {
+	return &admit.Item{
+		Organisation: org, Share: share, Priority: p, Cost: cost,
+		Deadline: start.Add(time.Hour), Wake: func(error) {},
+	}
+}
+
+func push(t testing.TB, q *admit.Queue, it *admit.Item) {
+	t.Helper()
+	if err := q.Push(start, it); err != nil {
+		t.Fatal(err)
+	}
+}
+
+func TestSharesFollowWeights(t *testing.T) {
+	q := admit.New(10000)
+	for range 1000 {
+		push(t, q, item("small", 1, declare.Normal, 2))
+		push(t, q, item("large", 3, declare.Normal, 2))
+	}
+	got := map[string]int{}
+	for range 400 {
+		got[q.Pop(start).Organisation]++
+	}
+	if got["large"] < 298 || got["large"] > 302 {
+		t.Errorf("of 400 grants the organisation of share 3 got %d, want 300", got["large"])
+	}
+}
+
+func TestPriorityGoesFirstWithinTheShare(t *testing.T) {
+	q := admit.New(100)
+	push(t, q, item("a", 1, declare.Low, 1))
+	push(t, q, item("b", 1, declare.Normal, 1))
+	push(t, q, item("c", 1, declare.High, 1))
+	for _, want := range []string{"c", "b", "a"} {
+		if got := q.Pop(start).Organisation; got != want {
+			t.Errorf("Pop() = %q, want %q", got, want)
+		}
+	}
+}
+
+func TestPriorityCannotTakeOthersShare(t *testing.T) {
+	q := admit.New(10000)
+	for range 1000 {
+		push(t, q, item("greedy", 1, declare.High, 1))
+	}
+	for range 100 {
+		push(t, q, item("modest", 1, declare.Low, 1))
+	}
+	modest := 0
+	for range 200 {
+		if q.Pop(start).Organisation == "modest" {
+			modest++
+		}
+	}
+	if modest < 94 {
+		t.Errorf("of 200 grants the modest organisation got %d, want its half less the allowance", modest)
+	}
+}
+
+func TestPopRefusesWhatCannotFinish(t *testing.T) {
+	q := admit.New(10)
+	var refused error
+	late := item("a", 1, declare.Normal, 1)
+	late.Deadline = start.Add(time.Second)
+	late.Need = 900 * time.Millisecond
+	late.Wake = func(err error) { refused = err }
+	push(t, q, late)
+	push(t, q, item("a", 1, declare.Normal, 1))
+	got := q.Pop(start.Add(200 * time.Millisecond))
+	if got == nil || got == late {
+		t.Errorf("Pop() = %v, want the item that can finish", got)
+	}
+	if fault.From(refused).Kind() != fault.DeadlineTooShort {
+		t.Errorf("the late item was woken with %v", refused)
+	}
+	if err := q.Push(start.Add(time.Second), late); fault.From(err).Kind() != fault.DeadlineTooShort {
+		t.Errorf("Push() of a late item = %v", err)
+	}
+}
+
+func TestOneOrganisationCannotFillTheQueue(t *testing.T) {
+	q := admit.New(10)
+	var err error
+	for range 10 {
+		err = q.Push(start, item("greedy", 1, declare.Normal, 1))
+	}
+	if fault.From(err).Kind() != fault.Overloaded {
+		t.Errorf("the tenth Push() of one organisation = %v, want overloaded", err)
+	}
+	push(t, q, item("modest", 1, declare.Normal, 1))
+}
+
+func TestWaitOfAnotherOrganisationStaysShort(t *testing.T) {
+	q := admit.New(1000)
+	for range 100 {
+		q.Announce("greedy", 1, 1)
+	}
+	if got := q.Wait("greedy", 1, 10); got != 10*time.Second {
+		t.Errorf("Wait(greedy) = %v, want 10s", got)
+	}
+	if got := q.Wait("modest", 1, 10); got != 0 {
+		t.Errorf("Wait(modest) = %v, want 0", got)
+	}
+	q.Announce("modest", 1, 5)
+	if got := q.Wait("modest", 1, 10); got != time.Second {
+		t.Errorf("Wait(modest) = %v, want its own work at half the rate", got)
+	}
+}
+
+// TestQueueStaysConsistent drives random operations and checks that every item
+// leaves exactly once and that an empty queue keeps no organisations.
+func TestQueueStaysConsistent(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		q := admit.New(50)
+		waiting := map[*admit.Item]bool{}
+		steps := rapid.SliceOfN(rapid.IntRange(0, 9), 1, 300).Draw(t, "steps")
+		for i, step := range steps {
+			switch {
+			case step < 5:
+				org := fmt.Sprint("o", rapid.IntRange(0, 5).Draw(t, "org"))
+				it := item(org, 1, declare.Priority(step%3), float64(1+step))
+				if q.Push(start, it) == nil {
+					waiting[it] = true
+				}
+			case step < 8:
+				it := q.Pop(start.Add(time.Duration(i)))
+				if (it == nil) != (len(waiting) == 0) {
+					t.Fatalf("Pop() = %v with %d waiting", it, len(waiting))
+				}
+				if it != nil && !waiting[it] {
+					t.Fatal("an item was granted twice")
+				}
+				delete(waiting, it)
+			default:
+				for it := range waiting {
+					if !q.Remove(it) || q.Remove(it) {
+						t.Fatal("Remove() does not report what it did")
+					}
+					delete(waiting, it)
+					break
+				}
+			}
+			if q.Len() != len(waiting) {
+				t.Fatalf("Len() = %d, want %d", q.Len(), len(waiting))
+			}
+		}
+		for q.Pop(start) != nil {
+		}
+		if w := q.Wait("new", 1, 1); w != 0 {
+			t.Fatalf("Wait() of an empty queue = %v", w)
+		}
+	})
+}
+
+func TestStateFollowsActiveOrganisations(t *testing.T) {
+	q := admit.New(100)
+	for i := range 30000 {
+		org := fmt.Sprint("o", i)
+		push(t, q, item(org, 1, declare.Normal, 1))
+		q.Pop(start)
+	}
+	if n := q.Organisations(); n > 8192 {
+		t.Errorf("state is held for %d idle organisations", n)
+	}
+}
+
+func BenchmarkAdmission1000Active(b *testing.B) {
+	q := admit.New(math.MaxInt)
+	names := make([]string, 30000)
+	for i := range names {
+		names[i] = fmt.Sprint("organisation-", i)
+	}
+	items := make([]admit.Item, 2000)
+	next := 0
+	refill := func() {
+		it := &items[next%len(items)]
+		*it = *item(names[(next*7919)%len(names)], 1, declare.Priority(next%3), 1)
+		push(b, q, it)
+		next++
+	}
+	for range 1000 {
+		refill()
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		it := q.Pop(start)
+		if it == nil {
+			b.Fatal("the queue is empty")
+		}
+		refill()
+	}
+}
--- /dev/null
+++ b/core/declare/combine.go
@@ -0,0 +1,308 @@
+package declare
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+
+	"chervilpath/core/option"
+)
+
+const (
+	// MaxFragmentBytes is the largest file that can be published, since one
+	// value of the platform holds at most 1 MB.
+	MaxFragmentBytes = 1_000_000
+
+	keyHashPrefix = "sha256:"
+)
+
+// builder collects blocks of all fragments and the problems found in them.
+type builder struct {
+	set       *Set
+	pipelines map[string]*option.Block
+	kinds     map[string]*option.Block
+	stages    map[string]*option.Block
+	endpoints map[string]*option.Block
+	seen      map[string]*option.Block
+	problems  option.Problems
+}
+
+// Parse reads one fragment by the table. It returns every problem found; the
+// result is of use only if there is none.
+func Parse(f Fragment) (*Parsed, option.Problems) {
+	if len(f.Data) > MaxFragmentBytes {
+		msg := fmt.Sprintf("it has %d bytes; split it into files of at most %d", len(f.Data), MaxFragmentBytes)
+		return nil, option.Problems{{File: f.Name, Line: 1, Section: "file", Message: msg}}
+	}
+	blocks, problems := Table.Parse(f.Name, f.Data)
+	return &Parsed{name: f.Name, blocks: blocks}, problems
+}
+
+// Build parses all fragments and combines them. The Set is nil if there is any
+// problem.
+func Build(fragments []Fragment) (*Set, option.Problems) {
+	var problems option.Problems
+	parsed := make([]*Parsed, 0, len(fragments))
+	for _, f := range fragments {
+		p, found := Parse(f)
+		problems = append(problems, found...)
+		if p != nil {
+			parsed = append(parsed, p)
+		}
+	}
+	set, found := Combine(parsed)
+	problems = append(problems, found...)
+	if len(problems) > 0 {
+		return nil, problems
+	}
+	return set, nil
+}
+
+// Combine makes a Set of parsed fragments and checks it as a whole. It returns
+// every problem found; the Set is nil if there is any.
+func Combine(parsed []*Parsed) (*Set, option.Problems) {
+	b := &builder{
+		set: &Set{
+			stages:        make(map[string]*Stage),
+			endpoints:     make(map[string]*Endpoint),
+			kinds:         make(map[string]*Kind),
+			organisations: make(map[string]*Organisation),
+			byKey:         make(map[[sha256.Size]byte]*Organisation),
+		},
+		pipelines: make(map[string]*option.Block),
+		kinds:     make(map[string]*option.Block),
+		stages:    make(map[string]*option.Block),
+		endpoints: make(map[string]*option.Block),
+		seen:      make(map[string]*option.Block),
+	}
+	for _, p := range parsed {
+		for _, block := range p.blocks {
+			b.add(block)
+		}
+	}
+	b.linkEndpoints()
+	b.linkKinds()
+	b.checkPipelines()
+	if len(b.problems) > 0 {
+		return nil, b.problems
+	}
+	return b.set, nil
+}
+
+func (b *builder) report(block *option.Block, key, format string, args ...any) {
+	b.problems = append(b.problems, block.Problem(key, format, args...))
+}
+
+func (b *builder) add(block *option.Block) {
+	id := block.Kind() + " " + block.Name()
+	if first, ok := b.seen[id]; ok {
+		at := first.Problem("", "")
+		b.report(block, "", "it stands already in %s:%d; keep one of the two", at.File, at.Line)
+		return
+	}
+	b.seen[id] = block
+	switch block.Kind() {
+	case pipelineSection:
+		b.pipelines[block.Name()] = block
+	case kindSection:
+		b.kinds[block.Name()] = block
+	case stageSection:
+		b.addStage(block)
+	case endpointSection:
+		b.addEndpoint(block)
+	case organisationSection:
+		b.addOrganisation(block)
+	}
+}
+
+func (b *builder) addStage(block *option.Block) {
+	s := &Stage{
+		name:       block.Name(),
+		unit:       block.Text("unit"),
+		price:      block.Number("price"),
+		idempotent: block.Flag("idempotent"),
+		retries:    block.Int("retries"),
+		hedge:      block.Flag("hedge"),
+		queue:      block.Int("queue"),
+		model:      block.Text("model"),
+		affinity:   block.Flag("affinity"),
+	}
+	if !s.idempotent {
+		if block.Has("retries") && s.retries > 0 {
+			b.report(block, "retries", "a stage that is not idempotent is never sent again; write retries = 0 or leave it out")
+		}
+		if s.hedge {
+			b.report(block, "hedge", "a stage that is not idempotent is never sent twice; write hedge = no")
+		}
+		s.retries = 0
+	}
+	b.stages[s.name] = block
+	b.set.stages[s.name] = s
+}
+
+func (b *builder) addEndpoint(block *option.Block) {
+	e := &Endpoint{
+		name:            block.Name(),
+		address:         strings.TrimSuffix(block.Text("address"), "/"),
+		kind:            block.Text("kind"),
+		failureDomain:   block.Text("failureDomain"),
+		slots:           block.Int("slots"),
+		reportsLoad:     block.Flag("reportsLoad"),
+		checksCaller:    block.Flag("checksCaller"),
+		refusesOldFence: block.Flag("refusesOldFence"),
+		resumes:         block.Flag("resumes"),
+		models:          block.List("models"),
+	}
+	if e.kind != "engine" && len(e.models) > 0 {
+		b.report(block, "models", "a %s loads no models; leave it out or write kind = engine", e.kind)
+	}
+	b.endpoints[e.name] = block
+	b.set.endpoints[e.name] = e
+}
+
+func (b *builder) addOrganisation(block *option.Block) {
+	o := &Organisation{name: block.Name(), share: block.Number("share"), concurrent: block.Int("concurrent")}
+	for _, text := range block.List("keyHashes") {
+		digest, err := parseKeyHash(text)
+		if err != nil {
+			b.report(block, "keyHashes", "%v", err)
+			continue
+		}
+		if other, ok := b.set.byKey[digest]; ok {
+			b.report(block, "keyHashes", "the key belongs to organisation %q already; give each organisation its own key", other.name)
+			continue
+		}
+		b.set.byKey[digest] = o
+		o.keys = append(o.keys, digest)
+	}
+	b.set.organisations[o.name] = o
+}
+
+// parseKeyHash does not repeat the value in its error: a key written there by
+// mistake must not reach a log.
+func parseKeyHash(text string) ([sha256.Size]byte, error) {
+	var digest [sha256.Size]byte
+	hexText, ok := strings.CutPrefix(text, keyHashPrefix)
+	raw, err := hex.DecodeString(hexText)
+	if !ok || err != nil || len(raw) != sha256.Size {
+		return digest, fmt.Errorf("a value is not a key hash; write sha256: and 64 hex digits, as `chervilpath hash-key` prints them")
+	}
+	copy(digest[:], raw)
+	return digest, nil
+}
+
+func (b *builder) linkEndpoints() {
+	for _, name := range sortedKeys(b.endpoints) {
+		block := b.endpoints[name]
+		e := b.set.endpoints[name]
+		for _, stageName := range block.List("stages") {
+			s, ok := b.set.stages[stageName]
+			if !ok {
+				b.report(block, "stages", "stage %q is not declared; declared are %s", stageName, listNames(b.set.stages))
+				continue
+			}
+			if s.model != "" && e.kind != "engine" {
+				b.report(block, "stages", "stage %q needs model %q; only an engine can load it", stageName, s.model)
+			}
+			s.endpoints = append(s.endpoints, e)
+		}
+	}
+	for _, name := range sortedKeys(b.set.stages) {
+		if len(b.set.stages[name].endpoints) == 0 {
+			b.report(b.stages[name], "", "no endpoint serves the stage; name it in the stages of an [endpoint]")
+		}
+	}
+}
+
+func (b *builder) linkKinds() {
+	for _, name := range sortedKeys(b.kinds) {
+		block := b.kinds[name]
+		k := &Kind{
+			name:       name,
+			priority:   priorityNames[block.Text("priority")],
+			idempotent: block.Flag("idempotent"),
+			deadline:   block.Duration("deadline"),
+			retries:    block.Int("retries"),
+		}
+		pipeline := block.Text("pipeline")
+		if _, ok := b.pipelines[pipeline]; !ok {
+			b.report(block, "pipeline", "pipeline %q is not declared; declared are %s", pipeline, listNames(b.pipelines))
+			continue
+		}
+		k.stages, _ = b.expand(pipeline, nil)
+		b.checkKind(block, k)
+		b.set.kinds[name] = k
+	}
+}
+
+func (b *builder) checkKind(block *option.Block, k *Kind) {
+	if !k.idempotent && k.retries > 0 {
+		b.report(block, "retries", "a kind that is not idempotent is never repeated; write retries = 0 or leave it out")
+	}
+	once := 0
+	for _, s := range k.stages {
+		if !s.idempotent {
+			once++
+		}
+	}
+	if k.idempotent && once > 0 {
+		b.report(block, "idempotent", "its pipeline has a stage that is not idempotent; write idempotent = no")
+	}
+	if once > 1 {
+		b.report(block, "pipeline", "its pipeline has %d stages that are not idempotent; one request can hold one", once)
+	}
+}
+
+// checkPipelines reports dangling stages and cycles in every pipeline, also in
+// those that no kind uses.
+func (b *builder) checkPipelines() {
+	for _, name := range sortedKeys(b.pipelines) {
+		if _, err := b.expand(name, nil); err != nil {
+			b.report(b.pipelines[name], "stages", "%v", err)
+		}
+	}
+}
+
+// expand returns the stages of a pipeline with pipelines in it expanded.
+func (b *builder) expand(name string, path []string) ([]*Stage, error) {
+	if slices.Contains(path, name) {
+		return nil, fmt.Errorf("pipelines contain each other: %s; remove one of them", strings.Join(append(path, name), ", "))
+	}
+	path = append(path, name)
+	var out []*Stage
+	for _, part := range b.pipelines[name].List("stages") {
+		if s, ok := b.set.stages[part]; ok {
+			if slices.Contains(out, s) {
+				return nil, fmt.Errorf("stage %q stands twice; a request passes a stage once", part)
+			}
+			out = append(out, s)
+			continue
+		}
+		if _, ok := b.pipelines[part]; !ok {
+			return nil, fmt.Errorf("%q is neither a stage nor a pipeline; declared stages are %s", part, listNames(b.set.stages))
+		}
+		inner, err := b.expand(part, path)
+		if err != nil {
+			return nil, err
+		}
+		out = append(out, inner...)
+	}
+	if len(out) == 0 {
+		return nil, fmt.Errorf("the pipeline has no stages; name at least one")
+	}
+	return out, nil
+}
+
+func listNames[V any](m map[string]V) string {
+	if len(m) == 0 {
+		return "none"
+	}
+	return strings.Join(sortedKeys(m), ", ")
+}
+
+func sortedKeys[V any](m map[string]V) []string {
+	return slices.Sorted(maps.Keys(m))
+}
--- /dev/null
+++ b/core/declare/declare.go
@@ -0,0 +1,249 @@
+// Package declare owns the declarations: pipelines, stages, endpoints, kinds
+// of requests and organisations, and the checks that a set of them must pass.
+//
+// A Set is immutable: readers keep the one they took and a change replaces it
+// whole. The package reads no files and must not decide how requests are served.
+package declare
+
+import (
+	"crypto/sha256"
+	"crypto/subtle"
+	"encoding/hex"
+	"time"
+
+	"chervilpath/core/option"
+)
+
+// Priority is the class in which a request waits. Lower values go first.
+type Priority uint8
+
+// The classes.
+const (
+	High Priority = iota
+	Normal
+	Low
+	Priorities
+)
+
+type (
+	// Fragment is the file of one service.
+	Fragment struct {
+		Name string `json:"name"`
+		Data []byte `json:"data"`
+	}
+
+	// Parsed is a fragment whose sections have been read by the table.
+	Parsed struct {
+		name   string
+		blocks []*option.Block
+	}
+
+	// Stage is one step of a pipeline.
+	Stage struct {
+		name       string
+		unit       string
+		price      float64
+		idempotent bool
+		retries    int
+		hedge      bool
+		queue      int
+		model      string
+		affinity   bool
+		endpoints  []*Endpoint
+	}
+
+	// Endpoint is one server behind stages.
+	Endpoint struct {
+		name            string
+		address         string
+		kind            string
+		failureDomain   string
+		slots           int
+		reportsLoad     bool
+		checksCaller    bool
+		refusesOldFence bool
+		resumes         bool
+		models          []string
+	}
+
+	// Kind is one kind of request.
+	Kind struct {
+		name       string
+		priority   Priority
+		idempotent bool
+		deadline   time.Duration
+		retries    int
+		stages     []*Stage
+	}
+
+	// Organisation is one organisation whose callers are served.
+	Organisation struct {
+		name       string
+		share      float64
+		concurrent int
+		keys       [][sha256.Size]byte
+	}
+
+	// Set is a checked, immutable whole of declarations.
+	Set struct {
+		stages        map[string]*Stage
+		endpoints     map[string]*Endpoint
+		kinds         map[string]*Kind
+		organisations map[string]*Organisation
+		byKey         map[[sha256.Size]byte]*Organisation
+	}
+)
+
+var priorityNames = map[string]Priority{"high": High, "normal": Normal, "low": Low}
+
+// PriorityNamed returns the class with the given name.
+func PriorityNamed(name string) (Priority, bool) {
+	p, ok := priorityNames[name]
+	return p, ok
+}
+
+// Name returns the stage's name.
+func (s *Stage) Name() string { return s.name }
+
+// Unit returns what the stage's cost is counted in.
+func (s *Stage) Unit() string { return s.unit }
+
+// Price returns the cost of one unit in millionths of the operator's currency.
+func (s *Stage) Price() float64 { return s.price }
+
+// Idempotent reports whether a call may be sent again.
+func (s *Stage) Idempotent() bool { return s.idempotent }
+
+// Retries returns how often a failed call may be sent again.
+func (s *Stage) Retries() int { return s.retries }
+
+// Hedge reports whether a slow call is sent to a second endpoint.
+func (s *Stage) Hedge() bool { return s.hedge }
+
+// Queue returns how many requests may wait for the stage at one instance.
+func (s *Stage) Queue() int { return s.queue }
+
+// Model returns the model that an endpoint has to have loaded, or "".
+func (s *Stage) Model() string { return s.model }
+
+// Affinity reports whether requests with the same prefix prefer one endpoint.
+func (s *Stage) Affinity() bool { return s.affinity }
+
+// Endpoints returns the endpoints that serve the stage, ordered by name. The
+// caller must not change the slice.
+func (s *Stage) Endpoints() []*Endpoint { return s.endpoints }
+
+// Name returns the endpoint's name.
+func (e *Endpoint) Name() string { return e.name }
+
+// Address returns the endpoint's URL.
+func (e *Endpoint) Address() string { return e.address }
+
+// Kind returns "engine", "pool" or "service".
+func (e *Endpoint) Kind() string { return e.kind }
+
+// FailureDomain returns the failure domain in which the endpoint runs.
+func (e *Endpoint) FailureDomain() string { return e.failureDomain }
+
+// Slots returns how many calls the endpoint works on at once.
+func (e *Endpoint) Slots() int { return e.slots }
+
+// ReportsLoad reports whether the endpoint reports its load.
+func (e *Endpoint) ReportsLoad() bool { return e.reportsLoad }
+
+// ChecksCaller reports whether the endpoint checks who gives it an order.
+func (e *Endpoint) ChecksCaller() bool { return e.checksCaller }
+
+// RefusesOldFence reports whether the endpoint refuses old fencing numbers.
+func (e *Endpoint) RefusesOldFence() bool { return e.refusesOldFence }
+
+// Resumes reports whether the endpoint resumes broken streams.
+func (e *Endpoint) Resumes() bool { return e.resumes }
+
+// Models returns the models that an engine is to have loaded.
+func (e *Endpoint) Models() []string { return e.models }
+
+// Name returns the kind's name.
+func (k *Kind) Name() string { return k.name }
+
+// Priority returns the class in which requests of the kind wait.
+func (k *Kind) Priority() Priority { return k.priority }
+
+// Idempotent reports whether a request of the kind may run more than once.
+func (k *Kind) Idempotent() bool { return k.idempotent }
+
+// Deadline returns the longest deadline of the kind.
+func (k *Kind) Deadline() time.Duration { return k.deadline }
+
+// Retries returns the most repeats over the whole pipeline.
+func (k *Kind) Retries() int { return k.retries }
+
+// Stages returns the stages in order. The caller must not change the slice.
+func (k *Kind) Stages() []*Stage { return k.stages }
+
+// Name returns the organisation's name.
+func (o *Organisation) Name() string { return o.name }
+
+// Share returns the organisation's weight when a stage is full.
+func (o *Organisation) Share() float64 { return o.share }
+
+// Concurrent returns the most requests in flight at one instance.
+func (o *Organisation) Concurrent() int { return o.concurrent }
+
+// Stage returns the stage with the given name.
+func (s *Set) Stage(name string) (*Stage, bool) {
+	st, ok := s.stages[name]
+	return st, ok
+}
+
+// Kind returns the kind with the given name.
+func (s *Set) Kind(name string) (*Kind, bool) {
+	k, ok := s.kinds[name]
+	return k, ok
+}
+
+// Endpoint returns the endpoint with the given name.
+func (s *Set) Endpoint(name string) (*Endpoint, bool) {
+	e, ok := s.endpoints[name]
+	return e, ok
+}
+
+// Organisation returns the organisation with the given name.
+func (s *Set) Organisation(name string) (*Organisation, bool) {
+	o, ok := s.organisations[name]
+	return o, ok
+}
+
+// Stages returns the names of all stages, sorted.
+func (s *Set) Stages() []string { return sortedKeys(s.stages) }
+
+// Endpoints returns the names of all endpoints, sorted.
+func (s *Set) Endpoints() []string { return sortedKeys(s.endpoints) }
+
+// Kinds returns the names of all kinds, sorted.
+func (s *Set) Kinds() []string { return sortedKeys(s.kinds) }
+
+// Organisations returns the number of organisations.
+func (s *Set) Organisations() int { return len(s.organisations) }
+
+// Authenticate returns the organisation to which the key belongs. Keys are
+// looked up by their digest and the digests are compared in constant time.
+func (s *Set) Authenticate(key string) (*Organisation, bool) {
+	digest := sha256.Sum256([]byte(key))
+	o, ok := s.byKey[digest]
+	if !ok {
+		return nil, false
+	}
+	for _, k := range o.keys {
+		if subtle.ConstantTimeCompare(k[:], digest[:]) == 1 {
+			return o, true
+		}
+	}
+	return nil, false
+}
+
+// HashKey returns the form in which a key stands in a declaration.
+func HashKey(key string) string {
+	digest := sha256.Sum256([]byte(key))
+	return keyHashPrefix + hex.EncodeToString(digest[:])
+}
--- /dev/null
+++ b/core/option/parse.go
@@ -0,0 +1,230 @@
+package option
+
+import (
+	"fmt"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"gopkg.in/ini.v1"
+)
+
+type (
+	// Problem is one fault of a file, with the place at which it stands.
+	Problem struct {
+		File    string
+		Line    int
+		Section string
+		Key     string
+		Message string
+	}
+
+	// Problems is every fault that was found. A nil Problems is no error.
+	Problems []Problem
+
+	// Block is one parsed section. Its values have been checked.
+	Block struct {
+		kind, name string
+		file       string
+		line       int
+		section    *Section
+		values     map[string]entry
+	}
+
+	entry struct {
+		text string
+		line int
+	}
+)
+
+// maxValueBytes bounds one value, since it has to fit in an object of 1 MB.
+const maxValueBytes = 1 << 20
+
+// String returns "file:line: section key: message".
+func (p Problem) String() string {
+	place := strings.TrimSpace(p.Section + " " + p.Key)
+	return fmt.Sprintf("%s:%d: %s: %s", p.File, p.Line, place, p.Message)
+}
+
+// Error returns every problem, one on a line.
+func (p Problems) Error() string {
+	lines := make([]string, len(p))
+	for i, problem := range p {
+		lines[i] = problem.String()
+	}
+	return strings.Join(lines, "\n")
+}
+
+// Err returns p as an error, or nil if there is no problem.
+func (p Problems) Err() error {
+	if len(p) == 0 {
+		return nil
+	}
+	return p
+}
+
+// Parse reads an INI file by the table and returns its blocks in the order of
+// the file, and every problem found. Blocks with problems are left out.
+func (t *Table) Parse(file string, data []byte) ([]*Block, Problems) {
+	opts := ini.LoadOptions{
+		IgnoreContinuation:  true,
+		IgnoreInlineComment: false,
+		AllowShadows:        true,
+		KeyValueDelimiters:  "=",
+	}
+	loaded, err := ini.LoadSources(opts, data)
+	if err != nil {
+		return nil, Problems{{File: file, Line: 1, Section: "file", Message: fmt.Sprintf("it is not INI: %v; write [section] lines and key = value lines", err)}}
+	}
+	places := locate(data)
+	var blocks []*Block
+	problems := places.repeated(file)
+	for _, sec := range loaded.Sections() {
+		if sec.Name() == ini.DefaultSection && len(sec.Keys()) == 0 {
+			continue
+		}
+		b, found := t.parseSection(file, sec, places)
+		problems = append(problems, found...)
+		if len(found) == 0 {
+			blocks = append(blocks, b)
+		}
+	}
+	slices.SortStableFunc(problems, func(a, b Problem) int { return a.Line - b.Line })
+	slices.SortStableFunc(blocks, func(a, b *Block) int { return a.line - b.line })
+	return blocks, problems
+}
+
+func (t *Table) parseSection(file string, sec *ini.Section, places places) (*Block, Problems) {
+	kind, name, _ := strings.Cut(sec.Name(), " ")
+	name = strings.TrimSpace(name)
+	b := &Block{kind: kind, name: name, file: file, line: places.section(sec.Name()), values: make(map[string]entry)}
+	section, ok := t.section(kind)
+	if !ok {
+		return nil, Problems{b.problemAt(b.line, "", "the section is not known; write one of "+strings.Join(t.kinds(), ", "))}
+	}
+	b.section = section
+	var problems Problems
+	if section.Named {
+		if err := checkName(name); err != nil {
+			problems = append(problems, b.problemAt(b.line, "", fmt.Sprintf("the section's name %v", err)))
+		}
+	} else if name != "" {
+		problems = append(problems, b.problemAt(b.line, "", "the section takes no name; write ["+kind+"]"))
+	}
+	for _, key := range sec.Keys() {
+		line := places.key(sec.Name(), key.Name())
+		if msg := b.set(key.Name(), strings.TrimSpace(key.String()), line); msg != "" {
+			problems = append(problems, b.problemAt(line, key.Name(), msg))
+		}
+	}
+	for _, o := range section.Options {
+		if _, ok := b.values[o.Key]; !ok && o.Required && !sec.HasKey(o.Key) {
+			problems = append(problems, b.problemAt(b.line, o.Key, "the key is missing; write "+o.allowed()))
+		}
+	}
+	return b, problems
+}
+
+// set stores a checked value. It returns what is wrong, or "".
+func (b *Block) set(key, value string, line int) string {
+	o, ok := b.section.option(key)
+	if !ok {
+		return "the key is not known; write one of " + strings.Join(b.section.keys(), ", ")
+	}
+	if len(value) > maxValueBytes {
+		return fmt.Sprintf("the value has %d bytes; write at most %d", len(value), maxValueBytes)
+	}
+	if err := o.check(value); err != nil {
+		return err.Error()
+	}
+	b.values[key] = entry{text: value, line: line}
+	return ""
+}
+
+func (t *Table) kinds() []string {
+	out := make([]string, len(t.Sections))
+	for i, s := range t.Sections {
+		out[i] = s.Kind
+	}
+	return out
+}
+
+func (s *Section) keys() []string {
+	out := make([]string, len(s.Options))
+	for i, o := range s.Options {
+		out[i] = o.Key
+	}
+	return out
+}
+
+// Kind returns the section's kind, the first word of its head.
+func (b *Block) Kind() string { return b.kind }
+
+// Name returns the section's name, or "".
+func (b *Block) Name() string { return b.name }
+
+// Line returns the line of the section's head.
+func (b *Block) Line() int { return b.line }
+
+// Has reports whether the file sets the key.
+func (b *Block) Has(key string) bool {
+	_, ok := b.values[key]
+	return ok
+}
+
+// Problem returns a problem at the key's line, or at the section's if the key
+// is not set or is "".
+func (b *Block) Problem(key, format string, args ...any) Problem {
+	line := b.line
+	if v, ok := b.values[key]; ok {
+		line = v.line
+	}
+	return b.problemAt(line, key, fmt.Sprintf(format, args...))
+}
+
+// Text returns the key's value, or its default.
+func (b *Block) Text(key string) string {
+	if v, ok := b.values[key]; ok {
+		return v.text
+	}
+	if o, ok := b.section.option(key); ok {
+		return o.Default
+	}
+	panic("option: key " + key + " is not in the table")
+}
+
+// List returns the parts of a list value.
+func (b *Block) List(key string) []string { return splitList(b.Text(key)) }
+
+// Flag reports whether the value is yes.
+func (b *Block) Flag(key string) bool { return b.Text(key) == "yes" }
+
+// Number returns a number value, or 0 if it is not set and has no default.
+func (b *Block) Number(key string) float64 {
+	n, _ := strconv.ParseFloat(b.Text(key), 64)
+	return n
+}
+
+// Int returns a number value without its fraction.
+func (b *Block) Int(key string) int { return int(b.Number(key)) }
+
+// Duration returns a duration value, or 0 if it is not set and has no default.
+func (b *Block) Duration(key string) time.Duration {
+	d, _ := time.ParseDuration(b.Text(key))
+	return d
+}
+
+// Bytes returns a size value in bytes.
+func (b *Block) Bytes(key string) int64 {
+	n, _ := parseSize(b.Text(key))
+	return int64(n)
+}
+
+func (b *Block) problemAt(line int, key, message string) Problem {
+	section := b.kind
+	if b.name != "" {
+		section += " " + b.name
+	}
+	return Problem{File: b.file, Line: line, Section: section, Key: key, Message: message}
+}
