Take requests through their stages under one deadline

Cause: nothing decided yet who is served, where and how often. Found on the way: attempts were limited by the first guess of 100 ms before any call had been observed, so the first second of traffic failed.

--- /dev/null
+++ b/core/balance/balance.go
@@ -0,0 +1,352 @@
+// Package balance owns what one instance knows of the endpoints of a stage and
+// the choice among them.
+//
+// It must not call endpoints or read a clock, and it is not safe for concurrent
+// use. The choice takes the better of two random endpoints (Mitzenmacher, "The
+// Power of Two Choices in Randomized Load Balancing", 2001); the estimate of
+// load from requests in flight and latency follows Prequal (Wydrowski et al.,
+// NSDI 2024), without its probes, since the endpoints report their load.
+package balance
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"chervilpath/core/declare"
+)
+
+const (
+	// slowEject is the ratio of observed to expected time at which an endpoint
+	// is ejected, and minSlowSamples the calls that this needs.
+	slowEject      = 3.0
+	minSlowSamples = 3
+
+	// failEject is the number of failures in a row at which one is ejected.
+	failEject = 3
+
+	// Ejection lasts minEject, doubles each time in a row, up to maxEject.
+	minEject = 100 * time.Millisecond
+	maxEject = 2 * time.Second
+
+	// ejectable is the part of a stage's endpoints that slowness may eject.
+	ejectable = 0.5
+
+	// slownessWeight is the weight of the newest call in an endpoint's slowness.
+	slownessWeight = 0.2
+
+	// reportHalfLife is the age at which a load report counts half.
+	reportHalfLife = 2 * time.Second
+
+	// affinityBound is the load, as a ratio to the mean, above which an
+	// endpoint is passed over although it has the prefix (Mirrokni, Thorup and
+	// Zadimoghaddam, "Consistent Hashing with Bounded Loads", 2016).
+	affinityBound = 1.25
+
+	// backOff is the factor on an endpoint's limit when it says it is full.
+	backOff = 0.75
+)
+
+// Reason says why an endpoint was chosen, for the log.
+type Reason uint8
+
+// The reasons.
+const (
+	NoneFree Reason = iota
+	LessLoaded
+	PrefixHome
+	Probe
+	OnlyOne
+	Baseline
+)
+
+var reasonNames = [...]string{NoneFree: "noneFree", LessLoaded: "lessLoaded", PrefixHome: "prefixHome", Probe: "probe", OnlyOne: "onlyOne", Baseline: "baseline"}
+
+type (
+	// Group is the endpoints of one stage as one instance sees them. Use New.
+	Group struct {
+		members []*member
+		byName  map[string]int
+		rng     *rand.Rand
+		policy  Policy
+		last    int
+		// instances is the number of entry instances that share the endpoints.
+		instances int
+
+		// hashes holds the members' hashes side by side, since every choice by
+		// prefix reads all of them.
+		hashes []uint64
+		// slots, inFlight and ejected are sums over the members.
+		slots, inFlight, ejected int
+	}
+
+	// Policy chooses how endpoints are picked. The zero Policy is the product's;
+	// the others are baselines to measure it against.
+	Policy uint8
+
+	// Member is a copy of what is known of one endpoint.
+	Member struct {
+		Name     string
+		InFlight int
+		Limit    float64
+		Slowness float64
+		Reported float64
+		Ejected  bool
+		Leaving  bool
+	}
+
+	// Query describes the call for which an endpoint is sought.
+	Query struct {
+		// Prefix is the hash of the prompt's prefix, or 0 for no affinity.
+		Prefix uint64
+		// Exclude is the index of an endpoint not to choose, or -1.
+		Exclude int
+		// Model is the model that the endpoint has to have loaded, or "".
+		Model string
+		// Fresh forbids probing a failed endpoint with this call.
+		Fresh bool
+	}
+
+	// Call is one call in flight at an endpoint.
+	Call struct {
+		member   *member
+		started  time.Time
+		expected time.Duration
+	}
+)
+
+// Policies.
+const (
+	Adaptive Policy = iota
+	RoundRobin
+	Random
+	LeastReported
+)
+
+// String returns the reason's name in logs.
+func (r Reason) String() string { return reasonNames[r] }
+
+// New returns a group of the given endpoints, shared by a number of instances.
+func New(endpoints []*declare.Endpoint, instances int, policy Policy, rng *rand.Rand) *Group {
+	g := &Group{rng: rng, policy: policy, byName: make(map[string]int), instances: max(1, instances)}
+	for _, e := range endpoints {
+		g.byName[e.Name()] = len(g.members)
+		g.members = append(g.members, newMember(e, g.instances))
+	}
+	g.recount()
+	return g
+}
+
+// Replace takes a new list of endpoints and keeps what is known of those that
+// stay. Endpoints that are new start slowly.
+func (g *Group) Replace(endpoints []*declare.Endpoint) {
+	members := make([]*member, 0, len(endpoints))
+	byName := make(map[string]int, len(endpoints))
+	for _, e := range endpoints {
+		byName[e.Name()] = len(members)
+		members = append(members, g.keepOrMake(e))
+	}
+	g.members, g.byName = members, byName
+	g.recount()
+}
+
+// recount brings the sums over the members up to date.
+func (g *Group) recount() {
+	g.slots, g.ejected = 0, 0
+	g.hashes = g.hashes[:0]
+	for _, m := range g.members {
+		g.hashes = append(g.hashes, m.hash)
+		if !m.leaving {
+			g.slots += m.decl.Slots()
+		}
+		if m.ejections > 0 {
+			g.ejected++
+		}
+	}
+}
+
+func (g *Group) keepOrMake(e *declare.Endpoint) *member {
+	i, ok := g.byName[e.Name()]
+	if !ok || g.members[i].decl.Address() != e.Address() {
+		m := newMember(e, g.instances)
+		m.warm()
+		return m
+	}
+	m := g.members[i]
+	if m.decl.Slots() != e.Slots() {
+		m.limit = startLimit(e.Slots(), g.instances)
+	}
+	m.decl, m.loaded = e, e.Models()
+	return m
+}
+
+// Len returns the number of endpoints.
+func (g *Group) Len() int { return len(g.members) }
+
+// Endpoint returns the declaration of the endpoint with the given index.
+func (g *Group) Endpoint(i int) *declare.Endpoint { return g.members[i].decl }
+
+// SetLeaving marks exactly the named endpoints as leaving.
+func (g *Group) SetLeaving(leaving map[string]bool) {
+	for _, m := range g.members {
+		was := m.leaving
+		m.leaving = leaving[m.decl.Name()]
+		if was && !m.leaving {
+			m.warm()
+		}
+	}
+	g.recount()
+}
+
+// Report notes an endpoint's own report of its load, which was true at the
+// given time.
+func (g *Group) Report(name string, load float64, at time.Time) {
+	if i, ok := g.byName[name]; ok && at.After(g.members[i].reportedAt) {
+		m := g.members[i]
+		m.reported, m.reportedAt, m.reportedOwn = load, at, m.inFlight
+	}
+}
+
+// SetInstances notes how many entry instances share the endpoints now.
+func (g *Group) SetInstances(n int) {
+	if n = max(1, n); n == g.instances {
+		return
+	}
+	old := g.instances
+	g.instances = n
+	for _, m := range g.members {
+		scaled := m.limit * startLimit(m.decl.Slots(), n) / startLimit(m.decl.Slots(), old)
+		m.limit = min(max(1, scaled), float64(m.decl.Slots()))
+	}
+}
+
+// Capacity returns how many calls the group takes at once, leaving and ejected
+// endpoints not counted.
+func (g *Group) Capacity() float64 {
+	sum := 0.0
+	for _, m := range g.members {
+		if !m.leaving && m.ejections == 0 {
+			sum += m.room()
+		}
+	}
+	return sum
+}
+
+// Usable reports whether any endpoint can be called now, as a probe if need be.
+func (g *Group) Usable(now time.Time) bool {
+	for _, m := range g.members {
+		if !m.leaving && !now.Before(m.ejectedUntil) {
+			return true
+		}
+	}
+	return false
+}
+
+// NextProbe returns when the first ejected endpoint may be probed, or the zero
+// time if there is none.
+func (g *Group) NextProbe() time.Time {
+	var first time.Time
+	for _, m := range g.members {
+		if m.ejections > 0 && !m.leaving && (first.IsZero() || m.ejectedUntil.Before(first)) {
+			first = m.ejectedUntil
+		}
+	}
+	return first
+}
+
+// Begin notes a call to the endpoint with the given index.
+func (g *Group) Begin(now time.Time, i int, expected time.Duration) Call {
+	m := g.members[i]
+	if m.inFlight == 0 {
+		m.base, m.startSum, m.expectSum = now, 0, 0
+	}
+	m.inFlight++
+	g.inFlight++
+	m.startSum += now.Sub(m.base).Seconds()
+	m.expectSum += expected.Seconds()
+	return Call{member: m, started: now, expected: expected}
+}
+
+// Outcome says how a call ended, as far as it speaks for the endpoint.
+type Outcome uint8
+
+// The outcomes.
+const (
+	// Succeeded is a whole answer.
+	Succeeded Outcome = iota
+	// Failed is an error, no answer or an answer that is not whole.
+	Failed
+	// Full is an answer that the endpoint takes no more work.
+	Full
+	// Abandoned is a call that this side gave up, which says nothing.
+	Abandoned
+)
+
+// End notes the end of a call.
+func (g *Group) End(now time.Time, c Call, outcome Outcome) {
+	m := c.member
+	m.inFlight--
+	g.inFlight--
+	m.startSum -= c.started.Sub(m.base).Seconds()
+	m.expectSum -= c.expected.Seconds()
+	took := now.Sub(c.started)
+	switch outcome {
+	case Succeeded:
+		if m.succeed(ratio(took, c.expected)) {
+			g.ejected--
+		}
+	case Failed:
+		m.failures++
+		if m.failures >= failEject || m.ejections > 0 {
+			g.eject(now, m)
+		}
+		return
+	case Full:
+		m.limit = max(1, m.limit*backOff)
+		return
+	case Abandoned:
+		if r := ratio(took, c.expected); r > slowEject {
+			m.observe(r)
+		}
+	}
+	g.checkSlow(now, m)
+}
+
+func (g *Group) eject(now time.Time, m *member) {
+	d := min(maxEject, minEject<<min(m.ejections, 10))
+	// Half of the time is random, so that instances do not probe together.
+	d = d/2 + time.Duration(g.rng.Int64N(int64(d/2)+1))
+	if m.ejections == 0 {
+		g.ejected++
+	}
+	m.ejections++
+	m.ejectedUntil = now.Add(d)
+}
+
+// checkSlow ejects a member that is much slower than expected, unless too many
+// are ejected already.
+func (g *Group) checkSlow(now time.Time, m *member) {
+	if m.ejections > 0 {
+		if m.slowness > slowEject && !now.Before(m.ejectedUntil) {
+			g.eject(now, m)
+		}
+		return
+	}
+	if m.samples < minSlowSamples || m.slowness < slowEject {
+		return
+	}
+	if float64(g.ejected+1) <= ejectable*float64(len(g.members)) {
+		g.eject(now, m)
+	}
+}
+
+// Members returns a copy of what is known of every endpoint.
+func (g *Group) Members(now time.Time) []Member {
+	out := make([]Member, len(g.members))
+	for i, m := range g.members {
+		out[i] = Member{
+			Name: m.decl.Name(), InFlight: m.inFlight, Limit: m.limit, Slowness: max(m.slowness, m.ageRatio(now)),
+			Reported: m.reported, Ejected: m.ejections > 0, Leaving: m.leaving,
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/core/balance/balance_test.go
@@ -0,0 +1,236 @@
+package balance_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"testing"
+	"time"
+
+	"chervilpath/core/balance"
+	"chervilpath/core/declare"
+)
+
+const callTime = 100 * time.Millisecond
+
+var start = time.Unix(1_700_000_000, 0)
+
+func endpoints(t testing.TB, n, slots int) []*declare.Endpoint {
+	t.Helper()
+	var b strings.Builder
+	b.WriteString("[stage s]\n[pipeline p]\nstages = s\n")
+	for i := range n {
+		fmt.Fprintf(&b, "[endpoint e%03d]\naddress = http://127.0.0.1:%d\nkind = engine\nstages = s\nfailureDomain = d%d\nslots = %d\n", i, 1000+i, i%3, slots)
+	}
+	set, problems := declare.Build([]declare.Fragment{{Name: "t.ini", Data: []byte(b.String())}})
+	if set == nil {
+		t.Fatal(problems)
+	}
+	s, _ := set.Stage("s")
+	return s.Endpoints()
+}
+
+func newGroup(t testing.TB, n, slots int) *balance.Group {
+	return balance.New(endpoints(t, n, slots), 1, balance.Adaptive, rand.New(rand.NewPCG(1, 2)))
+}
+
+func anyQuery() balance.Query { return balance.Query{Exclude: -1} }
+
+// call runs one call that takes the given time, with no other in flight.
+func call(g *balance.Group, now time.Time, i int, took time.Duration, o balance.Outcome) {
+	g.End(now.Add(took), g.Begin(now, i, callTime), o)
+}
+
+func TestCallsSpreadEvenly(t *testing.T) {
+	g := newGroup(t, 10, 100)
+	for range 500 {
+		i, _ := g.Pick(start, anyQuery())
+		g.Begin(start, i, callTime)
+	}
+	for _, m := range g.Members(start) {
+		if m.InFlight < 45 || m.InFlight > 55 {
+			t.Errorf("%s has %d of 500 calls over ten endpoints", m.Name, m.InFlight)
+		}
+	}
+}
+
+func TestLimitBoundsCalls(t *testing.T) {
+	g := newGroup(t, 2, 3)
+	for range 6 {
+		i, _ := g.Pick(start, anyQuery())
+		g.Begin(start, i, callTime)
+	}
+	if i, reason := g.Pick(start, anyQuery()); i != -1 || reason != balance.NoneFree {
+		t.Errorf("Pick() with all slots taken = %d, %v", i, reason)
+	}
+}
+
+func TestFailingEndpointIsEjectedProbedAndReturns(t *testing.T) {
+	g := newGroup(t, 2, 4)
+	for range 3 {
+		call(g, start, 0, time.Millisecond, balance.Failed)
+	}
+	for range 50 {
+		if i, _ := g.Pick(start, anyQuery()); i != 1 {
+			t.Fatalf("Pick() = %d, want the healthy endpoint", i)
+		}
+	}
+	now := start.Add(200 * time.Millisecond)
+	i, reason := g.Pick(now, anyQuery())
+	if i != 0 || reason != balance.Probe {
+		t.Fatalf("Pick() when the probe is due = %d, %v", i, reason)
+	}
+	probe := g.Begin(now, i, callTime)
+	if i, _ := g.Pick(now, anyQuery()); i != 1 {
+		t.Errorf("a second probe went out at once")
+	}
+	g.End(now.Add(callTime), probe, balance.Succeeded)
+	if m := g.Members(now)[0]; m.Ejected || m.Limit > 2 {
+		t.Errorf("after its probe the endpoint is %+v, want it back with a low limit", m)
+	}
+}
+
+func TestProbesBackOff(t *testing.T) {
+	g := newGroup(t, 1, 4)
+	now := start
+	for range 3 {
+		call(g, now, 0, 0, balance.Failed)
+	}
+	probes := 0
+	for ; now.Before(start.Add(10 * time.Second)); now = now.Add(10 * time.Millisecond) {
+		if i, _ := g.Pick(now, anyQuery()); i == 0 {
+			probes++
+			call(g, now, 0, 0, balance.Failed)
+		}
+	}
+	if probes < 5 || probes > 20 {
+		t.Errorf("%d probes in 10s to an endpoint that is down", probes)
+	}
+}
+
+func TestSlownessEjectsOnlyHalf(t *testing.T) {
+	g := newGroup(t, 4, 4)
+	for range 20 {
+		for i := range 4 {
+			call(g, start, i, 10*callTime, balance.Succeeded)
+		}
+	}
+	ejected := 0
+	for _, m := range g.Members(start.Add(time.Minute)) {
+		if m.Ejected {
+			ejected++
+		}
+	}
+	if ejected != 2 {
+		t.Errorf("%d of 4 slow endpoints are ejected, want 2", ejected)
+	}
+}
+
+func TestStalledEndpointIsPassedOverBeforeItsCallsEnd(t *testing.T) {
+	g := newGroup(t, 2, 10)
+	g.Begin(start, 0, callTime)
+	for range 5 {
+		g.Begin(start.Add(9*callTime), 1, callTime)
+	}
+	for range 20 {
+		if i, _ := g.Pick(start.Add(9*callTime), anyQuery()); i != 1 {
+			t.Fatal("a call went to the endpoint whose call is overdue")
+		}
+	}
+}
+
+func TestLeavingEndpointGetsNoNewCall(t *testing.T) {
+	g := newGroup(t, 2, 4)
+	g.SetLeaving(map[string]bool{"e000": true})
+	for range 50 {
+		if i, _ := g.Pick(start, anyQuery()); i != 1 {
+			t.Fatal("a call went to the leaving endpoint")
+		}
+	}
+	g.SetLeaving(nil)
+	if m := g.Members(start)[0]; m.Leaving || m.Limit != 1 {
+		t.Errorf("a returned endpoint is %+v, want limit 1", m)
+	}
+}
+
+func TestFullAnswerLowersTheLimit(t *testing.T) {
+	g := newGroup(t, 1, 8)
+	call(g, start, 0, callTime, balance.Full)
+	if m := g.Members(start)[0]; m.Limit != 6 || m.Ejected {
+		t.Errorf("after a full answer: %+v", m)
+	}
+}
+
+func TestReportedLoadFades(t *testing.T) {
+	g := newGroup(t, 2, 100)
+	g.Report("e000", 50, start)
+	count := func(now time.Time) (first int) {
+		for range 200 {
+			if i, _ := g.Pick(now, anyQuery()); i == 0 {
+				first++
+			}
+		}
+		return first
+	}
+	if n := count(start); n > 0 {
+		t.Errorf("%d of 200 calls went to the endpoint that just reported load", n)
+	}
+	g.Begin(start.Add(time.Minute), 1, callTime)
+	if n := count(start.Add(time.Minute)); n < 150 {
+		t.Errorf("%d of 200 calls went to the endpoint whose report is a minute old", n)
+	}
+}
+
+func TestPrefixGoesHomeUnderTheBound(t *testing.T) {
+	g := newGroup(t, 8, 100)
+	q := balance.Query{Prefix: balance.Hash("org", "prompt"), Exclude: -1}
+	home, reason := g.Pick(start, q)
+	if reason != balance.PrefixHome {
+		t.Fatalf("reason = %v", reason)
+	}
+	if again, _ := newGroup(t, 8, 100).Pick(start, q); again != home {
+		t.Errorf("two instances chose %d and %d for one prefix", home, again)
+	}
+	for range 400 {
+		i, _ := g.Pick(start, q)
+		g.Begin(start, i, callTime)
+	}
+	most := 0
+	for _, m := range g.Members(start) {
+		most = max(most, m.InFlight)
+	}
+	if most > 400/8*5/4+2 {
+		t.Errorf("one prefix put %d of 400 calls on one of 8 endpoints", most)
+	}
+}
+
+func TestReplaceKeepsCallsInFlight(t *testing.T) {
+	g := newGroup(t, 3, 4)
+	c := g.Begin(start, 2, callTime)
+	all := endpoints(t, 3, 4)
+	g.Replace(all[1:])
+	if m := g.Members(start)[1]; m.Name != "e002" || m.InFlight != 1 {
+		t.Errorf("after Replace: %+v", m)
+	}
+	g.End(start, c, balance.Succeeded)
+	if m := g.Members(start)[1]; m.InFlight != 0 {
+		t.Errorf("after the call's end: %+v", m)
+	}
+	g.Replace(all)
+	if m := g.Members(start)[0]; m.Limit != 1 {
+		t.Errorf("a new endpoint starts with limit %v, want 1", m.Limit)
+	}
+}
+
+func BenchmarkPick650(b *testing.B) {
+	for name, prefix := range map[string]uint64{"load": 0, "prefix": 42} {
+		b.Run(name, func(b *testing.B) {
+			g := newGroup(b, 650, 8)
+			b.ReportAllocs()
+			for b.Loop() {
+				i, _ := g.Pick(start, balance.Query{Prefix: prefix, Exclude: -1})
+				g.End(start, g.Begin(start, i, callTime), balance.Succeeded)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/core/balance/member.go
@@ -0,0 +1,138 @@
+package balance
+
+import (
+	"math"
+	"slices"
+	"time"
+
+	"chervilpath/core/declare"
+)
+
+// member is what is known of one endpoint.
+type member struct {
+	decl    *declare.Endpoint
+	hash    uint64
+	leaving bool
+	loaded  []string
+
+	inFlight int
+	// startSum is the sum of the start times of calls in flight, in seconds
+	// since base, and expectSum the sum of their expected seconds.
+	base      time.Time
+	startSum  float64
+	expectSum float64
+	limit     float64
+	slowness  float64
+	samples   int
+	failures  int
+
+	reported     float64
+	reportedOwn  int
+	reportedAt   time.Time
+	ejectedUntil time.Time
+	ejections    int
+	warming      bool
+}
+
+func newMember(e *declare.Endpoint, instances int) *member {
+	return &member{
+		decl:     e,
+		hash:     hashName(e.Name()),
+		limit:    startLimit(e.Slots(), instances),
+		slowness: 1,
+		loaded:   e.Models(),
+	}
+}
+
+// startLimit gives an instance its part of the slots and half as much again,
+// since instances are not equally busy.
+func startLimit(slots, instances int) float64 {
+	if instances <= 1 {
+		return float64(slots)
+	}
+	return min(float64(slots), math.Ceil(1.5*float64(slots)/float64(instances)))
+}
+
+// succeed notes a whole answer and reports whether it ended an ejection.
+func (m *member) succeed(r float64) bool {
+	m.failures = 0
+	m.observe(r)
+	if m.ejections > 0 {
+		if r > slowEject {
+			return false
+		}
+		m.ejections = 0
+		m.ejectedUntil = time.Time{}
+		m.slowness = r
+		m.samples = 1
+		m.warm()
+		return true
+	}
+	m.raise(r)
+	return false
+}
+
+// raise lifts the limit: by one for each answer after a return, and else by one
+// for each round of answers at the limit.
+func (m *member) raise(r float64) {
+	full := float64(m.decl.Slots())
+	switch {
+	case m.warming:
+		m.limit = min(full, m.limit+1)
+		m.warming = m.limit < full
+	case float64(m.inFlight+1) >= m.limit && r < 1.5:
+		m.limit = min(full, m.limit+1/m.limit)
+	}
+}
+
+func (m *member) observe(r float64) {
+	m.samples++
+	m.slowness += slownessWeight * (min(r, 100) - m.slowness)
+}
+
+// warm makes a new or returned endpoint start with one call at a time.
+func (m *member) warm() {
+	m.limit = 1
+	m.warming = true
+}
+
+// room returns how many calls the member takes at once.
+func (m *member) room() float64 { return max(1, math.Floor(m.limit)) }
+
+func (m *member) has(model string) bool {
+	return model == "" || slices.Contains(m.loaded, model)
+}
+
+// free reports whether the member takes one more ordinary call.
+func (m *member) free() bool {
+	return !m.leaving && m.ejections == 0 && float64(m.inFlight) < m.room()
+}
+
+// score is the expected time until a new call ends, in units of an expected call.
+func (m *member) score(now time.Time) float64 {
+	load := float64(m.inFlight)
+	if !m.reportedAt.IsZero() {
+		others := max(0, m.reported-float64(m.reportedOwn))
+		age := now.Sub(m.reportedAt)
+		load += others * math.Exp2(-float64(age)/float64(reportHalfLife))
+	}
+	return (1 + load) / float64(m.decl.Slots()) * max(m.slowness, m.ageRatio(now))
+}
+
+// ageRatio is how long the calls in flight have run on average, compared with
+// how long they were expected to. It shows a stalled endpoint before any of
+// its calls ends.
+func (m *member) ageRatio(now time.Time) float64 {
+	if m.inFlight == 0 || m.expectSum <= 0 {
+		return 0
+	}
+	age := now.Sub(m.base).Seconds()*float64(m.inFlight) - m.startSum
+	return age / m.expectSum
+}
+
+func ratio(took, expected time.Duration) float64 {
+	if expected <= 0 {
+		return 1
+	}
+	return float64(took) / float64(expected)
+}
--- /dev/null
+++ b/core/balance/pick.go
@@ -0,0 +1,172 @@
+package balance
+
+import (
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+const (
+	// sampleTries bounds the random draws for two free endpoints before all
+	// are looked at.
+	sampleTries = 8
+
+	// stalled is the age of the calls in flight, as a ratio to what was
+	// expected, above which an endpoint gets no new call while others are free.
+	stalled = 4.0
+)
+
+// hashName returns the hash of an endpoint's name for rendezvous hashing.
+func hashName(name string) uint64 { return xxhash.Sum64String(name) }
+
+// Hash returns the hash of a prompt's prefix for Query. It is never 0.
+func Hash(parts ...string) uint64 {
+	d := xxhash.New()
+	for _, p := range parts {
+		_, _ = d.WriteString(p)
+		_, _ = d.Write([]byte{0})
+	}
+	return max(1, d.Sum64())
+}
+
+// mix combines two hashes; it is the finaliser of MurmurHash3 by Appleby.
+func mix(a, b uint64) uint64 {
+	x := a ^ b
+	x ^= x >> 33
+	x *= 0xff51afd7ed558ccd
+	x ^= x >> 33
+	x *= 0xc4ceb9fe1a85ec53
+	return x ^ x>>33
+}
+
+// Pick returns the index of the endpoint for a call, or -1 with NoneFree.
+func (g *Group) Pick(now time.Time, q Query) (int, Reason) {
+	if g.policy != Adaptive {
+		return g.pickBaseline(q)
+	}
+	if !q.Fresh {
+		if i := g.dueProbe(now, q); i >= 0 {
+			return i, Probe
+		}
+	}
+	if q.Prefix != 0 {
+		if i := g.pickHome(now, q); i >= 0 {
+			return i, PrefixHome
+		}
+	}
+	return g.pickLessLoaded(now, q)
+}
+
+// dueProbe returns an ejected endpoint whose probe is due and that has no call
+// in flight.
+func (g *Group) dueProbe(now time.Time, q Query) int {
+	if g.ejected == 0 {
+		return -1
+	}
+	for i, m := range g.members {
+		if m.ejections > 0 && m.inFlight == 0 && !m.leaving && i != q.Exclude && !now.Before(m.ejectedUntil) && m.has(q.Model) {
+			return i
+		}
+	}
+	return -1
+}
+
+// pickHome returns the free endpoint that ranks first for the prefix among
+// those whose load is below the bound. Every instance ranks them alike.
+func (g *Group) pickHome(now time.Time, q Query) int {
+	if g.slots == 0 {
+		return -1
+	}
+	perSlot := affinityBound * float64(g.inFlight+1) / float64(g.slots)
+	best, bestRank := -1, uint64(0)
+	for i, h := range g.hashes {
+		rank := mix(h, q.Prefix)
+		if rank < bestRank || i == q.Exclude {
+			continue
+		}
+		if m := g.members[i]; m.free() && m.has(q.Model) && m.underBound(now, perSlot) {
+			best, bestRank = i, rank
+		}
+	}
+	return best
+}
+
+// underBound reports whether the member may take one more call for its prefix,
+// when the mean load by slot times the bound is perSlot.
+func (m *member) underBound(now time.Time, perSlot float64) bool {
+	return float64(m.inFlight) < max(1, perSlot*float64(m.decl.Slots())) && m.ageRatio(now) <= stalled
+}
+
+func (g *Group) pickLessLoaded(now time.Time, q Query) (int, Reason) {
+	a := g.sample(q, -1)
+	if a < 0 {
+		return g.pickAny(now, q)
+	}
+	b := g.sample(q, a)
+	if b < 0 {
+		return g.pickAny(now, q)
+	}
+	best := a
+	if g.members[b].score(now) < g.members[a].score(now) {
+		best = b
+	}
+	if g.members[best].ageRatio(now) > stalled {
+		return g.pickAny(now, q)
+	}
+	return best, LessLoaded
+}
+
+func (g *Group) sample(q Query, other int) int {
+	n := len(g.members)
+	for range min(sampleTries, 2*n) {
+		i := g.rng.IntN(n)
+		if i != other && i != q.Exclude && g.members[i].free() && g.members[i].has(q.Model) {
+			return i
+		}
+	}
+	return -1
+}
+
+// pickAny looks at every endpoint and returns the free one of lowest score.
+func (g *Group) pickAny(now time.Time, q Query) (int, Reason) {
+	best, bestScore := -1, 0.0
+	n := 0
+	for i, m := range g.members {
+		if i == q.Exclude || !m.free() || !m.has(q.Model) {
+			continue
+		}
+		n++
+		if s := m.score(now); best < 0 || s < bestScore {
+			best, bestScore = i, s
+		}
+	}
+	switch n {
+	case 0:
+		return -1, NoneFree
+	case 1:
+		return best, OnlyOne
+	}
+	return best, LessLoaded
+}
+
+// pickBaseline chooses without looking at limits, failures or latency.
+func (g *Group) pickBaseline(q Query) (int, Reason) {
+	n := len(g.members)
+	if n == 0 {
+		return -1, NoneFree
+	}
+	switch g.policy {
+	case Random:
+		return g.rng.IntN(n), Baseline
+	case LeastReported:
+		best := 0
+		for i := range g.members {
+			if g.members[i].reported < g.members[best].reported {
+				best = i
+			}
+		}
+		return best, Baseline
+	}
+	g.last = (g.last + 1) % n
+	return g.last, Baseline
+}
--- a/core/estimate/estimate.go
+++ b/core/estimate/estimate.go
@@ -87,7 +87,7 @@
 // Expect returns the time that a call of the given cost takes. It scales the
 // mean by cost, but for a fixed part of a quarter.
 func (s *Stage) Expect(cost float64) time.Duration {
-	if s.count < minSamples || s.meanCost <= 0 {
+	if !s.Known() || s.meanCost <= 0 {
 		return s.guess
 	}
 	seconds := s.meanSeconds * (0.25 + 0.75*cost/s.meanCost)
@@ -96,14 +96,15 @@
 
 // SecondsPerCost returns the mean time of a call for one unit of cost.
 func (s *Stage) SecondsPerCost(typical float64) float64 {
-	if s.count < minSamples || s.meanCost <= 0 {
+	if !s.Known() || s.meanCost <= 0 {
 		return s.guess.Seconds() / max(typical, 1)
 	}
 	return s.meanSeconds / s.meanCost
 }
 
-// Count returns the number of calls observed.
-func (s *Stage) Count() int { return s.count }
+// Known reports whether enough calls have been observed for the quantiles to
+// be more than the initial guess.
+func (s *Stage) Known() bool { return s.count >= minSamples }
 
 func (s *Stage) rotate(now time.Time) {
 	if now.Sub(s.rotated) < window {
@@ -119,7 +120,7 @@
 
 // refresh recomputes the quantiles after the count grew by an eighth.
 func (s *Stage) refresh() {
-	if s.count < minSamples || s.count < s.cachedCount+max(1, min(s.cachedCount/8, 64)) {
+	if !s.Known() || s.count < s.cachedCount+max(1, min(s.cachedCount/8, 64)) {
 		return
 	}
 	s.cachedCount = s.count
--- /dev/null
+++ b/core/pipeline/attempt.go
@@ -0,0 +1,237 @@
+package pipeline
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"chervilpath/core/balance"
+	"chervilpath/core/fault"
+)
+
+var errHedged = errors.New("the other call of the pair answered first")
+
+// stream passes one attempt's text on to the caller and watches that it flows.
+type stream struct {
+	call  *stageCall
+	clock Clock
+	stop  func() bool
+
+	mu     sync.Mutex
+	closed bool
+	limit  time.Duration
+	cancel context.CancelCauseFunc
+	excess int
+}
+
+// send makes one call in its own goroutine and puts its end into done. The
+// first attempt of a pair that succeeds cancels the other by cancel.
+func (c *stageCall) send(ctx context.Context, cancel context.CancelCauseFunc, g grant, hedge bool, done chan<- ended) {
+	r := c.run
+	a := c.describe(g)
+	r.runner.seams.Decide(c.decision(a, g, hedge))
+	if c.counts() {
+		r.open++
+	}
+	go func() {
+		callCtx, stop := c.limit(ctx)
+		defer stop()
+		result, err := c.call(callCtx, a)
+		if err != nil && ctx.Err() == nil && errors.Is(callCtx.Err(), context.DeadlineExceeded) {
+			err = &CallError{Err: fault.Errorf(fault.EndpointFailed, "endpoint %q gave no answer in time for a repeat", a.Endpoint.Name())}
+		}
+		c.settle(ctx, g, result, err)
+		done <- ended{grant: g, result: result, err: err}
+		if err == nil {
+			cancel(errHedged)
+		}
+	}()
+}
+
+func (c *stageCall) describe(g grant) Attempt {
+	r := c.run
+	return Attempt{
+		ID:           r.runner.seams.NewID(),
+		RequestID:    r.req.ID,
+		Organisation: r.req.Organisation.Name(),
+		Stage:        c.decl,
+		Endpoint:     g.endpoint,
+		Priority:     r.req.Kind.Priority(),
+		Input:        c.input,
+		Resume:       c.text.String(),
+		ResumeAfter:  c.tokens,
+	}
+}
+
+func (c *stageCall) decision(a Attempt, g grant, hedge bool) Decision {
+	return Decision{
+		RequestID:    a.RequestID,
+		Organisation: a.Organisation,
+		Kind:         c.run.req.Kind.Name(),
+		Stage:        c.decl.Name(),
+		AttemptID:    a.ID,
+		Attempt:      c.attempts,
+		Endpoint:     g.endpoint.Name(),
+		Domain:       g.endpoint.FailureDomain(),
+		Reason:       g.reason.String(),
+		Hedge:        hedge,
+		Waited:       g.waited,
+		Remaining:    c.run.req.Deadline.Sub(g.began),
+	}
+}
+
+// limit bounds an attempt that may be repeated, so that time for a repeat is
+// left. Others have until the end of the request, since giving up early would
+// leave their outcome unknown.
+func (c *stageCall) limit(ctx context.Context) (context.Context, context.CancelFunc) {
+	if !c.decl.Idempotent() || c.decl.Retries() == 0 || c.streams() {
+		return context.WithCancel(ctx)
+	}
+	high, known := c.stage.high(c.run.plan.cost[c.index])
+	if !known {
+		return context.WithCancel(ctx)
+	}
+	return context.WithTimeout(ctx, max(minAttempt, attemptFactor*high))
+}
+
+// call makes the call and passes its text on if the caller streams.
+func (c *stageCall) call(ctx context.Context, a Attempt) (Result, error) {
+	seams := c.run.runner.seams
+	if !c.streams() {
+		return seams.Call(ctx, a, func(string) {})
+	}
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	s := &stream{
+		call:   c,
+		clock:  seams.Clock,
+		limit:  max(minStall, stallFactor*c.stage.expect(c.run.plan.cost[c.index])),
+		cancel: cancel,
+	}
+	s.watch()
+	result, err := seams.Call(ctx, a, s.emit)
+	s.close()
+	if err != nil && errors.Is(context.Cause(ctx), errStalled) {
+		return result, &CallError{Err: fault.Errorf(fault.EndpointFailed, "endpoint %q: %w", a.Endpoint.Name(), errStalled), Units: float64(c.tokens - a.ResumeAfter)}
+	}
+	if err == nil && a.ResumeAfter > 0 {
+		result.Text = c.text.String()
+	}
+	return result, c.resumable(a, err)
+}
+
+// resumable makes the error of a stream that has begun final, unless the
+// endpoint resumes streams.
+func (c *stageCall) resumable(a Attempt, err error) error {
+	if err == nil || c.tokens == 0 || a.Endpoint.Resumes() {
+		return err
+	}
+	return fault.Errorf(fault.AnswerIncomplete, "the stream broke after %d tokens: %w", c.tokens, err)
+}
+
+func (s *stream) watch() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.closed {
+		return
+	}
+	if s.stop != nil {
+		s.stop()
+	}
+	s.stop = s.clock.AfterFunc(s.limit, func() { s.cancel(errStalled) })
+}
+
+func (s *stream) close() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.closed = true
+	s.stop()
+}
+
+// emit passes one token on. A token that comes after the attempt has been
+// given up is dropped.
+func (s *stream) emit(text string) {
+	s.mu.Lock()
+	if s.closed {
+		s.mu.Unlock()
+		return
+	}
+	s.mu.Unlock()
+	c := s.call
+	c.tokens++
+	c.text.WriteString(text)
+	c.run.req.Emit(Token{Sequence: c.tokens, Text: text})
+	s.watch()
+	if over := c.tokens - int(c.run.plan.cost[c.index]) - s.excess; over >= correctTokens && c.decl.Unit() == "tokens" {
+		s.excess += over
+		c.stage.correct(c.run.req.Organisation, float64(over))
+	}
+}
+
+// settle notes the end of an attempt with the stage, and its cost.
+func (c *stageCall) settle(ctx context.Context, g grant, result Result, err error) {
+	r := c.run
+	now := r.runner.seams.Clock.Now()
+	charge := Charge{
+		Organisation: r.req.Organisation.Name(),
+		Stage:        c.decl.Name(),
+		Units:        result.Units,
+		Known:        true,
+		Busy:         now.Sub(g.began),
+	}
+	if err == nil {
+		c.settleWhole(ctx, g, result, &charge)
+	} else if !c.settleError(ctx, g, err, &charge) {
+		return
+	}
+	charge.Cost = charge.Units * c.decl.Price()
+	r.runner.seams.Charge(charge)
+}
+
+func (c *stageCall) settleWhole(ctx context.Context, g grant, result Result, charge *Charge) {
+	cost := c.run.plan.cost[c.index]
+	c.stage.finish(c.run.req.Organisation, g, result.Units, askedCost(c.decl, c.input), cost)
+	switch {
+	case errors.Is(context.Cause(ctx), errHedged):
+		charge.Waste = Hedged
+	case ctx.Err() != nil:
+		charge.Waste = wasteOf(ctx)
+	}
+}
+
+// settleError notes a failed attempt. It reports whether there is a charge.
+func (c *stageCall) settleError(ctx context.Context, g grant, err error, charge *Charge) bool {
+	var call *CallError
+	isCall := errors.As(err, &call)
+	outcome := balance.Failed
+	switch {
+	case isCall && call.Full:
+		outcome = balance.Full
+	case ctx.Err() != nil:
+		outcome = balance.Abandoned
+	}
+	c.stage.release(g, outcome)
+	if isCall && call.NotRun {
+		return false
+	}
+	charge.Known = isCall && call.Units > 0
+	if isCall {
+		charge.Units = call.Units
+	}
+	charge.Waste = Failed
+	if ctx.Err() != nil {
+		charge.Waste = wasteOf(ctx)
+	}
+	return true
+}
+
+func wasteOf(ctx context.Context) Waste {
+	switch {
+	case errors.Is(context.Cause(ctx), errHedged):
+		return Hedged
+	case errors.Is(ctx.Err(), context.DeadlineExceeded):
+		return Late
+	}
+	return Cancelled
+}
--- /dev/null
+++ b/core/pipeline/run.go
@@ -0,0 +1,315 @@
+package pipeline
+
+import (
+	"context"
+	"errors"
+	"strings"
+	"time"
+
+	"chervilpath/core/balance"
+	"chervilpath/core/declare"
+	"chervilpath/core/fault"
+)
+
+const (
+	// An attempt that may be repeated is given up after attemptFactor times the
+	// time that 95 of 100 calls stay below, but not before minAttempt.
+	attemptFactor = 3
+	minAttempt    = 50 * time.Millisecond
+
+	// A stream is stalled if no token comes for stallFactor times the expected
+	// time of the call, but not before minStall.
+	stallFactor = 2
+	minStall    = 500 * time.Millisecond
+
+	// correctTokens is the number of tokens beyond the expected after which the
+	// organisation's account is corrected while the call runs.
+	correctTokens = 64
+)
+
+type (
+	// run is one request on its way.
+	run struct {
+		runner  *Runner
+		req     Request
+		plan    *plan
+		repeats int
+		// open is the number of calls that count for the answer to "has it
+		// run?" and that are not known to have done nothing; done is set once
+		// one of them gave a whole answer.
+		open    int
+		done    bool
+		reports []StageReport
+	}
+
+	// stageCall is one stage of a run with all its attempts.
+	stageCall struct {
+		run      *run
+		index    int
+		stage    *stage
+		decl     *declare.Stage
+		input    Payload
+		attempts int
+		last     bool
+		// text and tokens are what has been streamed to the caller.
+		text   strings.Builder
+		tokens int
+		waited time.Duration
+	}
+
+	// ended is the end of one attempt.
+	ended struct {
+		grant  grant
+		result Result
+		err    error
+	}
+)
+
+var errStalled = errors.New("no token came for too long")
+
+// all runs the stages in order.
+func (r *run) all(ctx context.Context) (Answer, error) {
+	input := r.req.Input
+	var result Result
+	for i, s := range r.plan.stages {
+		r.plan.arrive(r.req.Organisation, i)
+		c := &stageCall{run: r, index: i, stage: s, decl: r.req.Kind.Stages()[i], input: input, last: i == len(r.plan.stages)-1}
+		var err error
+		if result, err = c.run1(ctx); err != nil {
+			return Answer{}, r.explain(ctx, c, err)
+		}
+		input = next(input, result)
+	}
+	if result.Documents == nil {
+		result.Documents = input.Documents
+	}
+	return Answer{Text: result.Text, Documents: result.Documents, Stages: r.reports}, nil
+}
+
+// next returns the input of the stage after one that gave the result.
+func next(in Payload, r Result) Payload {
+	out := in
+	if r.Documents != nil {
+		out.Documents = r.Documents
+	}
+	if r.Text != "" && r.Documents == nil {
+		out.Documents = append(append([]string{}, in.Documents...), r.Text)
+	}
+	return out
+}
+
+// explain makes the error of a stage the error of the request.
+func (r *run) explain(ctx context.Context, c *stageCall, err error) error {
+	e := fault.From(err)
+	if ctx.Err() != nil && e.Kind() != fault.DeadlineTooShort && e.Kind() != fault.Overloaded {
+		e = fault.From(ctx.Err())
+	}
+	return e.At(c.decl.Name()).WithRan(r.ran())
+}
+
+func (r *run) ran() fault.Ran {
+	switch {
+	case r.done:
+		return fault.RanYes
+	case r.open > 0:
+		return fault.RanUnknown
+	}
+	return fault.RanNo
+}
+
+// run1 runs the stage until an attempt gives a whole answer or no further
+// attempt is allowed.
+func (c *stageCall) run1(ctx context.Context) (Result, error) {
+	began := c.run.runner.seams.Clock.Now()
+	c.stage.countCall(c.run.req.Organisation.Name())
+	exclude := -1
+	for {
+		end := c.attempt(ctx, exclude)
+		c.account(end)
+		if end.err == nil {
+			c.report(began, end)
+			return end.result, nil
+		}
+		if !c.mayRepeat(ctx, end) {
+			c.observe(began, end.err)
+			return Result{}, end.err
+		}
+		exclude = end.grant.index
+		if err := sleep(ctx, c.run.runner.seams.Clock, c.stage.delay(c.attempts)); err != nil {
+			c.observe(began, err)
+			return Result{}, end.err
+		}
+	}
+}
+
+// counts reports whether the stage's calls count for the answer to "has it run?".
+func (c *stageCall) counts() bool {
+	return !c.decl.Idempotent() || c.run.req.Kind.Idempotent()
+}
+
+// account notes what the end of an attempt says of whether work ran.
+func (c *stageCall) account(end ended) {
+	switch {
+	case !c.counts():
+	case end.err == nil:
+		c.run.done = true
+	case end.grant.endpoint != nil && provablyNotRun(end.err):
+		c.run.open--
+	}
+}
+
+func provablyNotRun(err error) bool {
+	call, ok := errors.AsType[*CallError](err)
+	return ok && call.NotRun
+}
+
+func (c *stageCall) report(began time.Time, end ended) {
+	now := c.run.runner.seams.Clock.Now()
+	c.run.reports = append(c.run.reports, StageReport{
+		Stage:    c.decl.Name(),
+		Endpoint: end.grant.endpoint.Name(),
+		Unit:     c.decl.Unit(),
+		Units:    end.result.Units,
+		Cost:     end.result.Units * c.decl.Price(),
+		Attempts: c.attempts,
+		WaitedMs: milliseconds(c.waited),
+		TookMs:   milliseconds(now.Sub(began)),
+	})
+	c.observe(began, nil)
+}
+
+func (c *stageCall) observe(began time.Time, err error) {
+	now := c.run.runner.seams.Clock.Now()
+	c.run.runner.seams.Observe(c.decl.Name(), c.waited, now.Sub(began), err)
+}
+
+// attempt waits for the stage, calls one endpoint, and a second one if the
+// first is slow and a hedge is allowed.
+func (c *stageCall) attempt(ctx context.Context, exclude int) ended {
+	w := c.want(exclude)
+	g, err := c.stage.acquire(ctx, w)
+	if err != nil {
+		return ended{err: err, grant: grant{index: -1}}
+	}
+	c.waited += g.waited
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	done := make(chan ended, 2)
+	c.attempts++
+	c.send(ctx, cancel, g, false, done)
+	if !c.mayHedge() {
+		return <-done
+	}
+	return c.hedge(ctx, cancel, g, done)
+}
+
+func (c *stageCall) want(exclude int) want {
+	r := c.run
+	cost := r.plan.cost[c.index]
+	if asked := askedCost(c.decl, c.input); asked != r.plan.asked[c.index] {
+		// An earlier stage changed the size of the input.
+		cost *= asked / r.plan.asked[c.index]
+	}
+	q := balance.Query{Exclude: exclude, Model: c.decl.Model(), Fresh: !c.decl.Idempotent()}
+	if c.decl.Affinity() {
+		q.Prefix = balance.Hash(r.req.Organisation.Name(), c.decl.Name(), c.input.Text[:min(prefixBytes, len(c.input.Text))])
+	}
+	return want{
+		organisation: r.req.Organisation,
+		priority:     r.req.Kind.Priority(),
+		cost:         cost,
+		deadline:     r.req.Deadline,
+		need:         c.stage.expect(cost) + r.plan.after(c.index),
+		query:        q,
+		arrived:      r.runner.seams.Clock.Now(),
+	}
+}
+
+// mayRepeat decides whether the stage is called again after a failed attempt.
+func (c *stageCall) mayRepeat(ctx context.Context, end ended) bool {
+	r := c.run
+	if ctx.Err() != nil || c.attempts == 0 {
+		return false
+	}
+	notRun := provablyNotRun(end.err)
+	if !c.decl.Idempotent() && !notRun {
+		return false
+	}
+	if c.tokens > 0 && !end.grant.endpoint.Resumes() {
+		return false
+	}
+	limit := c.decl.Retries()
+	if notRun {
+		limit = max(1, limit)
+	}
+	if r.runner.policy.UnlimitedRetries {
+		return true
+	}
+	if c.attempts > limit {
+		return false
+	}
+	if r.req.Kind.Idempotent() && r.repeats >= max(r.req.Kind.Retries(), limit) {
+		return false
+	}
+	if !c.stage.allowRepeat(r.req.Organisation.Name()) {
+		return false
+	}
+	r.repeats++
+	return true
+}
+
+func (c *stageCall) mayHedge() bool {
+	r := c.run
+	return c.decl.Hedge() && c.decl.Idempotent() && !r.runner.policy.NoHedges && !c.streams() && c.attempts == 1
+}
+
+// streams reports whether the stage's text goes to the caller as it comes.
+func (c *stageCall) streams() bool { return c.last && c.run.req.Emit != nil }
+
+// hedge waits for the first call and sends a second one when the first has
+// taken longer than 95 of 100 calls do.
+func (c *stageCall) hedge(ctx context.Context, cancel context.CancelCauseFunc, g grant, done chan ended) ended {
+	high, known := c.stage.high(c.run.plan.cost[c.index])
+	if !known {
+		return <-done
+	}
+	slow := make(chan struct{})
+	stop := c.run.runner.seams.Clock.AfterFunc(high, func() { close(slow) })
+	defer stop()
+	select {
+	case end := <-done:
+		return end
+	case <-slow:
+	}
+	w := c.want(g.index)
+	if !c.stage.allowRepeat(c.run.req.Organisation.Name()) {
+		return <-done
+	}
+	second, ok := c.stage.tryAcquire(w)
+	if !ok {
+		return <-done
+	}
+	c.attempts++
+	c.send(ctx, cancel, second, true, done)
+	first := <-done
+	if first.err != nil {
+		return <-done
+	}
+	return first
+}
+
+// sleep waits for d or until ctx is done.
+func sleep(ctx context.Context, clock Clock, d time.Duration) error {
+	if d <= 0 {
+		return ctx.Err()
+	}
+	done := make(chan struct{})
+	stop := clock.AfterFunc(d, func() { close(done) })
+	defer stop()
+	select {
+	case <-done:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
--- /dev/null
+++ b/core/pipeline/runner.go
@@ -0,0 +1,222 @@
+package pipeline
+
+import (
+	"context"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"chervilpath/core/declare"
+	"chervilpath/core/fault"
+)
+
+const (
+	// prefixBytes is how much of a prompt counts as its prefix.
+	prefixBytes = 256
+
+	// answerMargin is kept free at the end of a deadline to give the answer.
+	answerMargin = 5 * time.Millisecond
+)
+
+type (
+	// Runner takes requests through their stages. Use New. It is safe for
+	// concurrent use.
+	Runner struct {
+		seams  Seams
+		policy Policy
+
+		mu        sync.RWMutex
+		stages    map[string]*stage
+		leaving   map[string]bool
+		instances int
+		rng       *rand.Rand
+	}
+
+	// plan is a request's stages with their announced cost.
+	plan struct {
+		stages []*stage
+		// asked is the cost as the request states it, cost the corrected one.
+		asked []float64
+		cost  []float64
+		take  []time.Duration
+		// arrived is the number of stages whose announcement has been withdrawn.
+		arrived int
+	}
+)
+
+// New returns a runner without stages; Replace gives it some.
+func New(seams Seams, policy Policy, rng *rand.Rand) *Runner {
+	return &Runner{seams: seams, policy: policy, stages: make(map[string]*stage), instances: 1, rng: rng}
+}
+
+// Replace puts a set of declarations in force. Requests that run keep the
+// declarations with which they began.
+func (r *Runner) Replace(set *declare.Set) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	stages := make(map[string]*stage)
+	for _, name := range set.Stages() {
+		decl, _ := set.Stage(name)
+		s, ok := r.stages[name]
+		if ok {
+			s.replace(decl)
+		} else {
+			rng := rand.New(rand.NewPCG(r.rng.Uint64(), r.rng.Uint64()))
+			s = newStage(decl, r.instances, r.seams.Clock, rng, r.policy)
+		}
+		stages[name] = s
+	}
+	r.stages = stages
+	r.shareStages()
+}
+
+// SetLeaving shuts exactly the named endpoints out from new calls.
+func (r *Runner) SetLeaving(names []string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.leaving = make(map[string]bool, len(names))
+	for _, name := range names {
+		r.leaving[name] = true
+	}
+	r.shareStages()
+}
+
+// SetInstances notes how many entry instances share the endpoints.
+func (r *Runner) SetInstances(n int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.instances = max(1, n)
+	r.shareStages()
+}
+
+// Report notes an endpoint's report of its load at a given time.
+func (r *Runner) Report(endpoint string, load float64, at time.Time) {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	for _, s := range r.stages {
+		s.mu.Lock()
+		s.group.Report(endpoint, load, at)
+		s.mu.Unlock()
+	}
+}
+
+// Status returns the state of every stage, ordered by name.
+func (r *Runner) Status() []StageStatus {
+	now := r.seams.Clock.Now()
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	out := make([]StageStatus, 0, len(r.stages))
+	for _, s := range r.stages {
+		out = append(out, s.status(now))
+	}
+	slices.SortFunc(out, func(a, b StageStatus) int {
+		if a.Name < b.Name {
+			return -1
+		}
+		return 1
+	})
+	return out
+}
+
+// shareStages tells every stage what holds for all. The caller holds mu.
+func (r *Runner) shareStages() {
+	for _, s := range r.stages {
+		s.mu.Lock()
+		s.group.SetLeaving(r.leaving)
+		s.group.SetInstances(r.instances)
+		s.dispatch(r.seams.Clock.Now())
+		s.mu.Unlock()
+	}
+}
+
+// Run takes a request through its stages. The error is a *fault.Error that
+// names the stage and says whether non-idempotent work ran; for a request that
+// is idempotent, whether any call was sent.
+func (r *Runner) Run(ctx context.Context, req Request) (Answer, error) {
+	now := r.seams.Clock.Now()
+	left := req.Deadline.Sub(now)
+	if left <= 0 {
+		return Answer{}, fault.Errorf(fault.DeadlineTooShort, "the deadline has passed")
+	}
+	p, err := r.plan(now, req)
+	if err != nil {
+		return Answer{}, fault.From(err).WithRan(fault.RanNo)
+	}
+	defer p.withdrawRest(req.Organisation)
+	ctx, cancel := context.WithTimeout(ctx, left)
+	defer cancel()
+	run := &run{runner: r, req: req, plan: p}
+	return run.all(ctx)
+}
+
+// plan looks at the whole pipeline before anything is sent. It refuses a
+// request that cannot finish in time and announces the others to every stage.
+func (r *Runner) plan(now time.Time, req Request) (*plan, error) {
+	p := &plan{}
+	until := time.Duration(0)
+	slowest, longest := "", time.Duration(-1)
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	for _, decl := range req.Kind.Stages() {
+		s, ok := r.stages[decl.Name()]
+		if !ok {
+			return nil, fault.Errorf(fault.Draining, "the stage is no longer declared").At(decl.Name())
+		}
+		asked := askedCost(decl, req.Input)
+		wait, take, cost, err := s.forecast(now, req.Organisation, asked, until)
+		if err != nil {
+			return nil, err
+		}
+		if wait > longest {
+			slowest, longest = decl.Name(), wait
+		}
+		until += wait + take
+		p.stages = append(p.stages, s)
+		p.asked = append(p.asked, asked)
+		p.cost = append(p.cost, cost)
+		p.take = append(p.take, take)
+	}
+	if left := req.Deadline.Sub(now); !r.policy.NoAdmission && until+answerMargin > left {
+		kind := fault.DeadlineTooShort
+		if longest > 0 {
+			kind = fault.Overloaded
+		}
+		return nil, fault.Errorf(kind, "the pipeline needs %v, of which %v is the wait for stage %q, and %v remain", until.Round(time.Millisecond), longest.Round(time.Millisecond), slowest, left.Round(time.Millisecond)).At(slowest)
+	}
+	for i, s := range p.stages {
+		s.announce(req.Organisation, p.cost[i])
+	}
+	return p, nil
+}
+
+// arrive withdraws the announcement of the stage with the given index.
+func (p *plan) arrive(org *declare.Organisation, i int) {
+	for ; p.arrived <= i; p.arrived++ {
+		p.stages[p.arrived].withdraw(org, p.cost[p.arrived])
+	}
+}
+
+func (p *plan) withdrawRest(org *declare.Organisation) { p.arrive(org, len(p.stages)-1) }
+
+// after returns the time that the stages after the given one take.
+func (p *plan) after(i int) time.Duration {
+	sum := answerMargin
+	for _, d := range p.take[i+1:] {
+		sum += d
+	}
+	return sum
+}
+
+// askedCost returns the cost in the stage's unit that a request states.
+func askedCost(decl *declare.Stage, in Payload) float64 {
+	switch decl.Unit() {
+	case "images":
+		return float64(max(1, len(in.Images)))
+	case "documents":
+		return float64(max(1, len(in.Documents)))
+	case "tokens":
+		return float64(max(1, in.MaxTokens))
+	}
+	return 1
+}
