--- /dev/null
+++ b/cmd/cmd.go
@@ -0,0 +1,135 @@
+// Package cmd owns the command line: one file and one type for each subcommand.
+//
+// It must not hold decisions: a subcommand reads its options, calls the
+// packages that do the work and prints what they return.
+package cmd
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/jessevdk/go-flags"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+
+	"chervilpath/core/fault"
+)
+
+// Exit codes.
+const (
+	exitOK = iota
+	exitFailed
+	exitUsage
+	exitConflict
+	exitInvalid
+	exitBroken
+	exitUnavailable
+)
+
+type (
+	// program is what every subcommand gets.
+	program struct {
+		out, err io.Writer
+		ctx      context.Context
+	}
+
+	// exitError is an error with the exit code that it leads to.
+	exitError struct {
+		code int
+		err  error
+	}
+
+	// subcommand is a subcommand's entry in the command line.
+	subcommand struct {
+		name, short, long string
+		data              flags.Commander
+	}
+)
+
+const exitHelp = `
+
+Exit codes: 0 done, 1 failed, 2 wrong usage, 3 conflict with another operator,
+4 declarations or settings are invalid, 5 a promise was broken, 6 the platform
+or an instance does not answer.`
+
+// Error returns the cause's message.
+func (e *exitError) Error() string { return e.err.Error() }
+
+// Unwrap returns the cause.
+func (e *exitError) Unwrap() error { return e.err }
+
+// Main runs the command line and returns the exit code.
+func Main(args []string, out, errOut io.Writer) int {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	p := &program{out: out, err: errOut, ctx: ctx}
+	parser := flags.NewNamedParser("chervilpath", flags.HelpFlag|flags.PassDoubleDash)
+	parser.LongDescription = "Serves multi-stage model pipelines under one deadline for each request." + exitHelp
+	for _, s := range p.subcommands() {
+		if _, err := parser.AddCommand(s.name, s.short, s.long, s.data); err != nil {
+			_, _ = fmt.Fprintln(errOut, err)
+			return exitFailed
+		}
+	}
+	_, err := parser.ParseArgs(args)
+	return p.exitCode(err)
+}
+
+func (p *program) subcommands() []subcommand {
+	return []subcommand{
+		p.newEntry(), p.newCheck(), p.newPublish(), p.newHistory(), p.newRollback(), p.newStatus(),
+		p.newCost(), p.newDemo(), p.newStandin(), p.newHashKey(), p.newVersion(),
+	}
+}
+
+// exitCode prints an error and returns its exit code.
+func (p *program) exitCode(err error) int {
+	if err == nil {
+		return exitOK
+	}
+	if fe, ok := errors.AsType[*flags.Error](err); ok {
+		if fe.Type == flags.ErrHelp {
+			_, _ = fmt.Fprintln(p.out, fe.Message)
+			return exitOK
+		}
+		_, _ = fmt.Fprintln(p.err, "chervilpath:", fe.Message)
+		return exitUsage
+	}
+	_, _ = fmt.Fprintln(p.err, "chervilpath:", err)
+	if ee, ok := errors.AsType[*exitError](err); ok {
+		return ee.code
+	}
+	return codeOf(err)
+}
+
+// codeOf returns the exit code for a kind of error.
+func codeOf(err error) int {
+	switch fault.From(err).Kind() {
+	case fault.Conflict:
+		return exitConflict
+	case fault.BadRequest:
+		return exitInvalid
+	case fault.StoreUnavailable:
+		return exitUnavailable
+	}
+	return exitFailed
+}
+
+func newLogger(w io.Writer, level string) (*zap.Logger, error) {
+	l, err := zapcore.ParseLevel(level)
+	if err != nil {
+		return nil, fmt.Errorf("making the log: %w", err)
+	}
+	cfg := zap.NewProductionEncoderConfig()
+	cfg.TimeKey = "time"
+	cfg.MessageKey = "message"
+	cfg.EncodeTime = zapcore.RFC3339NanoTimeEncoder
+	cfg.EncodeDuration = zapcore.StringDurationEncoder
+	core := zapcore.NewCore(zapcore.NewJSONEncoder(cfg), zapcore.Lock(zapcore.AddSync(w)), l)
+	return zap.New(core), nil
+}
--- /dev/null
+++ b/cmd/cost.go
@@ -0,0 +1,77 @@
+package cmd
+
+import (
+	"encoding/csv"
+	"encoding/json"
+	"fmt"
+	"text/tabwriter"
+	"time"
+
+	"chervilpath/core/cost"
+	"chervilpath/core/fault"
+)
+
+type costCommand struct {
+	*program
+	platformOptions
+	Day    string `long:"day" value-name:"YYYY-MM-DD" description:"Day in UTC, today if left out"`
+	Hour   int    `long:"hour" default:"-1" description:"Hour of the day in UTC, all if left out"`
+	Format string `long:"format" choice:"text" choice:"csv" choice:"json" default:"text" description:"Form of the output"`
+}
+
+func (p *program) newCost() subcommand {
+	return subcommand{
+		name: "cost", short: "Show cost by organisation and stage",
+		long: `Adds up the recorded cost of a day or an hour. Each class of cost stands on
+its own line: useful, failed, hedged, cancelled, late.
+
+Examples:
+  chervilpath cost --platform http://10.0.0.5:9000
+  chervilpath cost --platform http://10.0.0.5:9000 --day 2026-12-04 --hour 9 --format csv`,
+		data: &costCommand{program: p},
+	}
+}
+
+// Execute implements flags.Commander.
+func (c *costCommand) Execute([]string) error {
+	day := time.Now()
+	if c.Day != "" {
+		var err error
+		if day, err = time.Parse(time.DateOnly, c.Day); err != nil {
+			return &exitError{exitUsage, fmt.Errorf("--day is %q; write a date such as 2026-12-04", c.Day)}
+		}
+	}
+	if c.Hour < -1 || c.Hour > 23 {
+		return &exitError{exitUsage, fmt.Errorf("--hour is %d; write a number from 0 to 23", c.Hour)}
+	}
+	windows, err := cost.Read(c.ctx, c.client().Store(), day, c.Hour)
+	if err != nil {
+		return fault.Errorf(fault.StoreUnavailable, "%w", err)
+	}
+	return c.print(cost.Sum(windows))
+}
+
+func (c *costCommand) print(lines []cost.Line) error {
+	switch c.Format {
+	case "json":
+		return json.NewEncoder(c.out).Encode(lines)
+	case "csv":
+		return c.printCSV(lines)
+	}
+	w := tabwriter.NewWriter(c.out, 0, 8, 2, ' ', 0)
+	_, _ = fmt.Fprintln(w, "ORGANISATION\tSTAGE\tCLASS\tCALLS\tUNKNOWN\tUNITS\tCOST\tBUSY")
+	for _, l := range lines {
+		_, _ = fmt.Fprintf(w, "%s\t%s\t%s\t%d\t%d\t%.0f\t%.6f\t%.1fs\n", l.Organisation, l.Stage, l.Waste, l.Calls, l.Unknown, l.Units, l.Cost/1e6, l.BusyMs/1000)
+	}
+	return w.Flush()
+}
+
+func (c *costCommand) printCSV(lines []cost.Line) error {
+	w := csv.NewWriter(c.out)
+	_ = w.Write([]string{"organisation", "stage", "class", "calls", "unknown", "units", "costMillionths", "busyMs"})
+	for _, l := range lines {
+		_ = w.Write([]string{l.Organisation, l.Stage, l.Waste, fmt.Sprint(l.Calls), fmt.Sprint(l.Unknown), fmt.Sprint(l.Units), fmt.Sprint(l.Cost), fmt.Sprint(l.BusyMs)})
+	}
+	w.Flush()
+	return w.Error()
+}
--- /dev/null
+++ b/cmd/demo.go
@@ -0,0 +1,70 @@
+package cmd
+
+import (
+	"fmt"
+	"io"
+	"os"
+	"time"
+
+	"chervilpath/demo"
+)
+
+type demoCommand struct {
+	*program
+	Deployment []string      `long:"deployment" choice:"kgotso" choice:"darbgalds" description:"Which to serve, both if left out; may be repeated"`
+	Instances  int           `long:"instances" default:"4" description:"Entry instances of each deployment"`
+	Duration   time.Duration `long:"duration" default:"10s" description:"Time under load for each deployment"`
+	Rate       float64       `long:"rate" default:"60" description:"Requests a second"`
+	Seed       uint64        `long:"seed" default:"1" description:"Seed of the load"`
+	Calm       bool          `long:"calm" description:"Lose no endpoint and no instance"`
+	Log        string        `long:"log" value-name:"FILE" description:"Write the instances' log there"`
+}
+
+func (p *program) newDemo() subcommand {
+	return subcommand{
+		name: "demo", short: "Serve the examples on embedded stand-ins under load",
+		long: `Hosts the deployments of examples/ in this process, on loopback: stand-ins for
+the platform and the endpoints, and several entry instances. Sends requests,
+streams and bookings, loses an endpoint and an instance midway, checks every
+promise and prints a report. Exit code 5 means that a promise was broken.
+
+Examples:
+  chervilpath demo
+  chervilpath demo --deployment kgotso --duration 30s --rate 120 --seed 7`,
+		data: &demoCommand{program: p},
+	}
+}
+
+// Execute implements flags.Commander.
+func (c *demoCommand) Execute([]string) error {
+	if c.Instances < 2 || c.Rate <= 0 || c.Duration <= 0 {
+		return &exitError{exitUsage, fmt.Errorf("give at least 2 instances, and a rate and a duration above 0")}
+	}
+	logTo := io.Discard
+	if c.Log != "" {
+		f, err := os.Create(c.Log)
+		if err != nil {
+			return fmt.Errorf("making the log: %w", err)
+		}
+		defer func() { _ = f.Close() }()
+		logTo = f
+	}
+	log, err := newLogger(logTo, "info")
+	if err != nil {
+		return err
+	}
+	names := c.Deployment
+	if len(names) == 0 {
+		names = []string{"kgotso", "darbgalds"}
+	}
+	broken, err := demo.Run(c.ctx, demo.Options{
+		Deployments: names, Instances: c.Instances, Duration: c.Duration, Rate: c.Rate, Seed: c.Seed, Calm: c.Calm, Log: log, Out: c.out,
+	})
+	if err != nil {
+		return err
+	}
+	if len(broken) > 0 {
+		return &exitError{exitBroken, fmt.Errorf("%d promises were broken", len(broken))}
+	}
+	return nil
+}
--- /dev/null
+++ b/cmd/files.go
@@ -0,0 +1,59 @@
+package cmd
+
+import (
+	"fmt"
+	"io/fs"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+
+	"chervilpath/core/declare"
+)
+
+// declarationSuffix marks the files that are collected from a tree.
+const declarationSuffix = ".ini"
+
+// collect reads the declaration files that paths name: files as they are, and
+// of a directory every file below it that ends in .ini. A fragment is named by
+// its path below the path given.
+func collect(paths []string) ([]declare.Fragment, error) {
+	var out []declare.Fragment
+	for _, root := range paths {
+		err := filepath.WalkDir(root, func(path string, d fs.DirEntry, err error) error {
+			if err != nil {
+				return err
+			}
+			if d.IsDir() || (path != root && !strings.HasSuffix(path, declarationSuffix)) {
+				return nil
+			}
+			data, err := os.ReadFile(path)
+			if err != nil {
+				return err
+			}
+			out = append(out, declare.Fragment{Name: fragmentName(root, path), Data: data})
+			return nil
+		})
+		if err != nil {
+			return nil, fmt.Errorf("collecting declarations: %w", err)
+		}
+	}
+	slices.SortFunc(out, func(a, b declare.Fragment) int { return strings.Compare(a.Name, b.Name) })
+	for i := 1; i < len(out); i++ {
+		if out[i].Name == out[i-1].Name {
+			return nil, fmt.Errorf("collecting declarations: two files are named %q below the paths given", out[i].Name)
+		}
+	}
+	if len(out) == 0 {
+		return nil, fmt.Errorf("collecting declarations: no file ends in %s below %s", declarationSuffix, strings.Join(paths, ", "))
+	}
+	return out, nil
+}
+
+func fragmentName(root, path string) string {
+	name, err := filepath.Rel(root, path)
+	if err != nil || name == "." {
+		return filepath.Base(path)
+	}
+	return filepath.ToSlash(name)
+}
--- /dev/null
+++ b/cmd/publish.go
@@ -0,0 +1,224 @@
+package cmd
+
+import (
+	"bytes"
+	"context"
+	"crypto/rand"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"os/user"
+	"time"
+
+	"github.com/pmezard/go-difflib/difflib"
+
+	"chervilpath/core/fault"
+	"chervilpath/core/publish"
+	"chervilpath/io/operator"
+	"chervilpath/io/platform"
+)
+
+const (
+	// operatorRate is the calls a second that an operator's command makes.
+	operatorRate = 50
+
+	waitPoll    = 250 * time.Millisecond
+	diffContext = 3
+)
+
+type (
+	// platformOptions are the options of commands that use the platform.
+	platformOptions struct {
+		Platform string `long:"platform" value-name:"URL" required:"yes" env:"CHERVILPATH_PLATFORM" description:"Where the platform listens"`
+	}
+
+	publishCommand struct {
+		*program
+		platformOptions
+		DryRun   bool          `long:"dry-run" description:"Show what would change and write nothing"`
+		Remove   []string      `long:"remove" value-name:"NAME" description:"Take away a file that is in force; may be repeated"`
+		Base     int64         `long:"base" value-name:"REVISION" description:"Refuse if another operator changed one of the files after this revision"`
+		Note     string        `long:"note" description:"Why, for the history"`
+		Operator []string      `long:"operator" value-name:"ADDRESS" description:"Operators' address of an instance, for --wait; may be repeated"`
+		Wait     time.Duration `long:"wait" value-name:"TIME" description:"Wait until every live instance has the revision in force"`
+		Args     struct {
+			Paths []string `positional-arg-name:"PATH" description:"Files, or directories with .ini files"`
+		} `positional-args:"yes"`
+	}
+
+	historyCommand struct {
+		*program
+		platformOptions
+		Number int    `long:"number" short:"n" default:"20" description:"Most revisions to show"`
+		Format string `long:"format" choice:"text" choice:"json" default:"text" description:"Form of the output"`
+	}
+
+	rollbackCommand struct {
+		*program
+		platformOptions
+		Args struct {
+			Revision int64 `positional-arg-name:"REVISION" required:"yes" description:"Revision whose files to bring back"`
+		} `positional-args:"yes"`
+	}
+)
+
+func (p *program) newPublish() subcommand {
+	return subcommand{
+		name: "publish", short: "Put declaration files in force",
+		long: `Collects declaration files, shows what changes, checks the whole that would
+result, and puts it in force as a new revision. Files in force that are not
+named stay. If another operator changes one of the same files meanwhile, the
+command fails with exit code 3 and names that revision.
+
+Examples:
+  chervilpath publish --platform http://10.0.0.5:9000 --dry-run services/
+  chervilpath publish --platform http://10.0.0.5:9000 --wait 10s --operator 10.0.1.1:8082 services/`,
+		data: &publishCommand{program: p},
+	}
+}
+
+func (p *program) newHistory() subcommand {
+	return subcommand{
+		name: "history", short: "Show the revisions that were in force",
+		long: "Shows revisions, the newest first.\n\nExample:\n  chervilpath history --platform http://10.0.0.5:9000 -n 5",
+		data: &historyCommand{program: p},
+	}
+}
+
+func (p *program) newRollback() subcommand {
+	return subcommand{
+		name: "rollback", short: "Bring back the files of an earlier revision",
+		long: "Publishes the files of an earlier revision as a new one.\n\nExample:\n  chervilpath rollback --platform http://10.0.0.5:9000 41",
+		data: &rollbackCommand{program: p},
+	}
+}
+
+func (o platformOptions) client() *platform.Client {
+	return platform.New(platform.Config{URL: o.Platform, ReadsPerSecond: operatorRate, WritesPerSecond: operatorRate}, http.DefaultClient)
+}
+
+func (o platformOptions) publisher() *publish.Publisher {
+	return publish.New(o.client().Store(), time.Now)
+}
+
+func operatorName() string {
+	u, err := user.Current()
+	if err != nil {
+		return "unknown"
+	}
+	return u.Username
+}
+
+// Execute implements flags.Commander.
+func (c *publishCommand) Execute([]string) error {
+	change := publish.Change{Remove: c.Remove, Base: c.Base, By: operatorName(), Note: c.Note, ID: rand.Text()}
+	if len(c.Args.Paths) > 0 {
+		fragments, err := collect(c.Args.Paths)
+		if err != nil {
+			return err
+		}
+		change.Fragments = fragments
+	}
+	diffs, err := c.publisher().Plan(c.ctx, change)
+	c.show(diffs)
+	if err != nil {
+		return err
+	}
+	if c.DryRun || len(diffs) == 0 {
+		_, _ = fmt.Fprintf(c.out, "%d files would change\n", len(diffs))
+		return nil
+	}
+	root, err := c.publisher().Publish(c.ctx, change)
+	if err != nil {
+		return err
+	}
+	_, _ = fmt.Fprintf(c.out, "revision %d is in force\n", root.Revision)
+	if c.Wait > 0 {
+		return waitInForce(c.ctx, c.program, c.Operator, root.Revision, c.Wait)
+	}
+	return nil
+}
+
+func (c *publishCommand) show(diffs []publish.Difference) {
+	for _, d := range diffs {
+		text, err := difflib.GetUnifiedDiffString(difflib.UnifiedDiff{
+			A: difflib.SplitLines(string(d.Old)), B: difflib.SplitLines(string(d.New)),
+			FromFile: "in force/" + d.Name, ToFile: "new/" + d.Name, Context: diffContext,
+		})
+		if err == nil {
+			_, _ = fmt.Fprint(c.out, text)
+		}
+	}
+}
+
+// waitInForce asks instances until every live one has the revision.
+func waitInForce(ctx context.Context, p *program, addresses []string, revision int64, limit time.Duration) error {
+	ctx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+	var late []string
+	for {
+		late = stragglers(ctx, addresses, revision)
+		if len(late) == 0 {
+			_, _ = fmt.Fprintf(p.out, "every live instance has revision %d in force\n", revision)
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return &exitError{exitUnavailable, fmt.Errorf("after %v revision %d is not in force at: %v", limit, revision, late)}
+		case <-time.After(waitPoll):
+		}
+	}
+}
+
+// stragglers returns the live instances that do not have the revision, as any
+// of the instances asked sees them.
+func stragglers(ctx context.Context, addresses []string, revision int64) []string {
+	var last error
+	for _, a := range addresses {
+		s, err := operator.Fetch(ctx, a)
+		if err != nil {
+			last = err
+			continue
+		}
+		var late []string
+		for _, m := range s.Members {
+			if m.State == "live" && m.Revision < revision {
+				late = append(late, fmt.Sprintf("%s (%d)", m.Name, m.Revision))
+			}
+		}
+		return late
+	}
+	return []string{fmt.Sprintf("unknown: no instance answers (%v)", last)}
+}
+
+// Execute implements flags.Commander.
+func (c *historyCommand) Execute([]string) error {
+	roots, err := publish.History(c.ctx, c.client().Store(), c.Number)
+	if err != nil {
+		return fault.Errorf(fault.StoreUnavailable, "reading the history: %w", err)
+	}
+	if c.Format == "json" {
+		return json.NewEncoder(c.out).Encode(roots)
+	}
+	var b bytes.Buffer
+	for _, r := range roots {
+		_, _ = fmt.Fprintf(&b, "%6d  %s  %-12s %3d files  %s\n", r.Revision, r.At.Format(time.RFC3339), r.By, len(r.Fragments), r.Note)
+	}
+	_, err = c.out.Write(b.Bytes())
+	return err
+}
+
+// Execute implements flags.Commander.
+func (c *rollbackCommand) Execute([]string) error {
+	p := c.publisher()
+	change, err := p.Rollback(c.ctx, c.Args.Revision, operatorName(), rand.Text())
+	if err != nil {
+		return err
+	}
+	root, err := p.Publish(c.ctx, change)
+	if err != nil {
+		return err
+	}
+	_, _ = fmt.Fprintf(c.out, "revision %d is in force with the files of revision %d\n", root.Revision, c.Args.Revision)
+	return nil
+}
--- /dev/null
+++ b/cmd/standin.go
@@ -0,0 +1,77 @@
+package cmd
+
+import (
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"time"
+
+	"chervilpath/io/standin"
+)
+
+type standinCommand struct {
+	*program
+	Listen string        `long:"listen" value-name:"ADDRESS" default:"127.0.0.1:0" description:"Where to listen, on loopback"`
+	Slots  int           `long:"slots" default:"8" description:"Calls worked on at once"`
+	Time   time.Duration `long:"time" default:"15ms" description:"Time of one unit of work, or of the first token"`
+	Token  time.Duration `long:"token" default:"2ms" description:"Time between two tokens of an engine"`
+	Lag    time.Duration `long:"lag" default:"300ms" description:"Age of reports"`
+	Fenced bool          `long:"fenced" description:"Whether an engine refuses old fencing numbers"`
+	Args   struct {
+		Kind string `positional-arg-name:"KIND" required:"yes" choice:"platform" choice:"engine" choice:"service" description:"platform, engine, or service (also for pools)"`
+	} `positional-args:"yes"`
+}
+
+func (p *program) newStandin() subcommand {
+	return subcommand{
+		name: "standin", short: "Stand in for the platform, an engine or a service",
+		long: `Serves a stand-in for development and tests. Its faults are switched by PUT
+/control and what it did is read by GET /counts.
+
+Examples:
+  chervilpath standin platform --listen 127.0.0.1:9000
+  chervilpath standin engine --listen 127.0.0.1:21001 --slots 8`,
+		data: &standinCommand{program: p},
+	}
+}
+
+// Execute implements flags.Commander.
+func (c *standinCommand) Execute([]string) error {
+	h, err := c.handler()
+	if err != nil {
+		return err
+	}
+	l, err := net.Listen("tcp", c.Listen)
+	if err != nil {
+		return fmt.Errorf("starting the stand-in: %w", err)
+	}
+	if a, ok := l.Addr().(*net.TCPAddr); !ok || !a.IP.IsLoopback() {
+		_ = l.Close()
+		return &exitError{exitUsage, fmt.Errorf("--listen is %s; a stand-in listens on loopback only", c.Listen)}
+	}
+	_, _ = fmt.Fprintf(c.out, "%s listens at http://%s\n", c.Args.Kind, l.Addr())
+	server := &http.Server{Handler: h}
+	go func() {
+		<-c.ctx.Done()
+		_ = server.Close()
+	}()
+	if err := server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+		return err
+	}
+	return nil
+}
+
+func (c *standinCommand) handler() (http.Handler, error) {
+	switch c.Args.Kind {
+	case "platform":
+		return standin.NewPlatform(c.Lag).Handler(), nil
+	case "engine":
+		return standin.NewEngine(standin.EngineConfig{
+			Slots: c.Slots, FirstToken: c.Time, Token: c.Token, Lag: c.Lag, CachedPrefixes: 64, ChecksFence: c.Fenced,
+		}).Handler(), nil
+	case "service":
+		return standin.NewStage(standin.StageConfig{Slots: c.Slots, Time: c.Time, Lag: c.Lag}).Handler(), nil
+	}
+	return nil, &exitError{exitUsage, fmt.Errorf("%q is no stand-in; write platform, engine or service", c.Args.Kind)}
+}
--- /dev/null
+++ b/cmd/status.go
@@ -0,0 +1,105 @@
+package cmd
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"text/tabwriter"
+
+	"chervilpath/core/status"
+	"chervilpath/io/operator"
+)
+
+type statusCommand struct {
+	*program
+	Format string `long:"format" choice:"text" choice:"json" default:"text" description:"Form of the output"`
+	Args   struct {
+		Addresses []string `positional-arg-name:"ADDRESS" required:"1" description:"Operators' addresses of instances"`
+	} `positional-args:"yes"`
+}
+
+func (p *program) newStatus() subcommand {
+	return subcommand{
+		name: "status", short: "Show instances, revisions, endpoints, load and attainment",
+		long: "Asks instances for their state.\n\nExample:\n  chervilpath status 10.0.1.1:8082 10.0.1.2:8082",
+		data: &statusCommand{program: p},
+	}
+}
+
+// Execute implements flags.Commander.
+func (c *statusCommand) Execute([]string) error {
+	var all []status.Instance
+	var failed error
+	for _, a := range c.Args.Addresses {
+		s, err := operator.Fetch(c.ctx, a)
+		if err != nil {
+			failed = errors.Join(failed, err)
+			continue
+		}
+		all = append(all, s)
+	}
+	if err := c.print(all); err != nil {
+		return err
+	}
+	if failed != nil {
+		return &exitError{exitUnavailable, failed}
+	}
+	return nil
+}
+
+func (c *statusCommand) print(all []status.Instance) error {
+	if c.Format == "json" {
+		return json.NewEncoder(c.out).Encode(all)
+	}
+	w := tabwriter.NewWriter(c.out, 0, 8, 2, ' ', 0)
+	printInstances(w, all)
+	printAttainment(w, all)
+	printStages(w, all)
+	return w.Flush()
+}
+
+func printInstances(w io.Writer, all []status.Instance) {
+	_, _ = fmt.Fprintln(w, "INSTANCE\tDOMAIN\tREADY\tREVISION\tREFUSED\tIN FLIGHT\tMEMBERS\tKEYS\tPLATFORM CALLS")
+	for _, s := range all {
+		live := 0
+		for _, m := range s.Members {
+			if m.State == "live" {
+				live++
+			}
+		}
+		refused := "-"
+		if s.RefusedRevision > 0 {
+			refused = fmt.Sprintf("%d: %s", s.RefusedRevision, s.RefusedReason)
+		}
+		p := s.Platform
+		_, _ = fmt.Fprintf(w, "%s\t%s\t%v\t%d\t%s\t%d\t%d of %d\t%d\t%d\n", s.Name, s.FailureDomain, s.Ready, s.Revision, refused, s.InFlight, live, len(s.Members), s.KeysHeld, p.Reads+p.Writes+p.Watches)
+	}
+}
+
+func printAttainment(w io.Writer, all []status.Instance) {
+	_, _ = fmt.Fprintln(w, "\nINSTANCE\tKIND\tREQUESTS IN A MINUTE\tIN TIME")
+	for _, s := range all {
+		for _, a := range s.Attainment {
+			_, _ = fmt.Fprintf(w, "%s\t%s\t%d\t%.2f%%\n", s.Name, a.Kind, a.Requests, 100*a.Attained)
+		}
+	}
+}
+
+func printStages(w io.Writer, all []status.Instance) {
+	_, _ = fmt.Fprintln(w, "\nINSTANCE\tSTAGE\tWAITING\tMEDIAN MS\tENDPOINT\tIN FLIGHT\tLIMIT\tSLOWNESS\tSTATE")
+	for _, s := range all {
+		for _, stage := range s.Stages {
+			for _, e := range stage.Endpoints {
+				state := "in use"
+				switch {
+				case e.Leaving:
+					state = "leaving"
+				case e.Ejected:
+					state = "ejected"
+				}
+				_, _ = fmt.Fprintf(w, "%s\t%s\t%d\t%.1f\t%s\t%d\t%.1f\t%.2f\t%s\n", s.Name, stage.Name, stage.Waiting, stage.MedianMs, e.Name, e.InFlight, e.Limit, e.Slowness, state)
+			}
+		}
+	}
+}
--- /dev/null
+++ b/core/cost/cost_test.go
@@ -0,0 +1,105 @@
+package cost_test
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"chervilpath/core/cost"
+	"chervilpath/core/pipeline"
+	"chervilpath/io/standin"
+)
+
+var (
+	ctx   = context.Background()
+	start = time.Date(2026, 12, 4, 8, 0, 0, 0, time.UTC)
+)
+
+func charge(org string, units float64) pipeline.Charge {
+	return pipeline.Charge{Organisation: org, Stage: "generate", Units: units, Known: true, Cost: 2 * units, Busy: time.Second}
+}
+
+func total(t *testing.T, objects *standin.Objects) (units float64, calls int64) {
+	t.Helper()
+	windows, err := cost.Read(ctx, objects.Store(), start, -1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, line := range cost.Sum(windows) {
+		units += line.Units
+		calls += line.Calls
+	}
+	return units, calls
+}
+
+func TestRepeatedWriteIsTheSameRecord(t *testing.T) {
+	objects := standin.NewObjects(func() time.Time { return start })
+	l := cost.New(start, "entry-1", "i1")
+	for i := range 5 {
+		l.Charge(charge("roofs", 10))
+		if i%2 == 0 {
+			objects.SetFaults(standin.ObjectFaults{LoseAnswers: 1})
+		}
+		_ = l.Flush(ctx, start.Add(time.Duration(i+1)*time.Second), objects.Store())
+	}
+	if err := l.Flush(ctx, start.Add(time.Minute), objects.Store()); err != nil {
+		t.Fatal(err)
+	}
+	if err := l.Flush(ctx, start.Add(2*time.Minute), objects.Store()); err != nil {
+		t.Fatal(err)
+	}
+	if units, calls := total(t, objects); units != 50 || calls != 5 {
+		t.Errorf("the store has %v units of %d calls, want 50 of 5", units, calls)
+	}
+}
+
+func TestOutageKeepsAllInBoundedMemory(t *testing.T) {
+	objects := standin.NewObjects(func() time.Time { return start })
+	objects.SetFaults(standin.ObjectFaults{Down: true})
+	l := cost.New(start, "entry-1", "i1")
+	for hour := range 5 {
+		for i := range 1000 {
+			l.Charge(charge(fmt.Sprint("o", i%10), 1))
+		}
+		if err := l.Flush(ctx, start.Add(time.Duration(hour)*time.Hour), objects.Store()); err == nil {
+			t.Fatal("Flush() in an outage succeeded")
+		}
+	}
+	if n, _ := l.Waiting(start); n != 1 || len(l.Lines()) != 10 {
+		t.Errorf("%d objects and %d lines wait", n, len(l.Lines()))
+	}
+	objects.SetFaults(standin.ObjectFaults{})
+	for range 2 {
+		if err := l.Flush(ctx, start.Add(6*time.Hour), objects.Store()); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if units, _ := total(t, objects); units != 5000 {
+		t.Errorf("the store has %v units, want 5000", units)
+	}
+}
+
+func TestManyOrganisationsAreSplit(t *testing.T) {
+	objects := standin.NewObjects(func() time.Time { return start })
+	l := cost.New(start, "entry-1", "i1")
+	for i := range 30000 {
+		l.Charge(charge(fmt.Sprint("organisation-", i), 1))
+	}
+	if err := l.Flush(ctx, start.Add(time.Minute), objects.Store()); err != nil {
+		t.Fatal(err)
+	}
+	if units, _ := total(t, objects); units != 30000 {
+		t.Errorf("the store has %v units, want 30000", units)
+	}
+}
+
+func TestWasteAndUnknownCostAreApart(t *testing.T) {
+	l := cost.New(start, "entry-1", "i1")
+	l.Charge(charge("roofs", 3))
+	l.Charge(pipeline.Charge{Organisation: "roofs", Stage: "generate", Waste: pipeline.Failed})
+	lines := l.Lines()
+	if len(lines) != 2 || lines[0].Waste != "failed" || lines[0].Unknown != 1 || lines[1].Units != 3 {
+		t.Errorf("lines: %+v", lines)
+	}
+}
--- a/core/once/keeper.go
+++ b/core/once/keeper.go
@@ -420,3 +420,10 @@
 		Ran: fault.RanUnknown.String(),
 	}
 }
+
+// RequestID returns the id under which a request with a key runs. It is the
+// same for every attempt, so that an endpoint can tell by itself that it has
+// seen the request, and it does not show the key.
+func RequestID(organisation, key string) string {
+	return "once-" + claimName(organisation, key)[:24]
+}
--- a/core/option/parse.go
+++ b/core/option/parse.go
@@ -228,3 +228,20 @@
 	}
 	return Problem{File: b.file, Line: line, Section: section, Key: key, Message: message}
 }
+
+// Default returns the block of a section that the file does not have, and the
+// problems of keys that are required in it.
+func (t *Table) Default(file, kind string) (*Block, Problems) {
+	section, ok := t.section(kind)
+	if !ok {
+		panic("option: section " + kind + " is not in the table")
+	}
+	b := &Block{kind: kind, file: file, line: 1, section: section, values: make(map[string]entry)}
+	var problems Problems
+	for _, o := range section.Options {
+		if o.Required {
+			problems = append(problems, b.problemAt(1, o.Key, "the section or key is missing; write "+o.allowed()))
+		}
+	}
+	return b, problems
+}
--- /dev/null
+++ b/core/publish/publish.go
@@ -0,0 +1,323 @@
+package publish
+
+import (
+	"cmp"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"slices"
+	"time"
+
+	"chervilpath/core/declare"
+	"chervilpath/core/fault"
+	"chervilpath/core/object"
+)
+
+const (
+	// maxTries bounds how often a publication is merged again after a conflict
+	// or sent again after a write without an answer.
+	maxTries = 20
+
+	// maxHistory bounds the revisions that a roll back can reach.
+	maxHistory = 1000
+)
+
+type (
+	// Change is what an operator wants to be in force.
+	Change struct {
+		// Fragments replace those of the same names or are added.
+		Fragments []declare.Fragment
+		// Remove lists names of fragments to take away.
+		Remove []string
+		// Base is the revision that the operator has seen. Fragments of this
+		// change that others changed since are a conflict. 0 means the newest
+		// revision at the start.
+		Base int64
+		By   string
+		Note string
+		// ID is unique to the publication.
+		ID string
+
+		// at is the time of the publication and base the revision that it builds
+		// on; each try has the same.
+		at   time.Time
+		base int64
+	}
+
+	// Difference is a fragment that a change would touch.
+	Difference struct {
+		Name string
+		// Old and New are the bytes; nil means that there is none.
+		Old, New []byte
+	}
+
+	// Publisher puts changes in force. Use New.
+	Publisher struct {
+		store object.Store
+		now   func() time.Time
+		// parsed keeps fragments that were read, by hash.
+		parsed map[string][]byte
+	}
+)
+
+// New returns a publisher for a store.
+func New(store object.Store, now func() time.Time) *Publisher {
+	return &Publisher{store: store, now: now, parsed: make(map[string][]byte)}
+}
+
+// Plan returns what the change would touch, and the problems of the whole that
+// would result. Nothing is written.
+func (p *Publisher) Plan(ctx context.Context, c Change) ([]Difference, error) {
+	base, err := p.newest(ctx)
+	if err != nil {
+		return nil, err
+	}
+	_, diffs, err := p.merge(ctx, base.root, p.begin(c, base.root))
+	return diffs, err
+}
+
+// Publish puts a change in force and returns the new root. If nothing changes
+// it returns the root in force. Errors are of kind Conflict if another operator
+// changed the same fragment, BadRequest if the whole would be invalid, and
+// StoreUnavailable if the store does not answer; only then can the change still
+// come in force.
+func (p *Publisher) Publish(ctx context.Context, c Change) (Root, error) {
+	first, err := p.newest(ctx)
+	if err != nil {
+		return Root{}, err
+	}
+	c = p.begin(c, first.root)
+	current := first
+	for range maxTries {
+		if current.root.PublishID == c.ID {
+			return current.root, nil
+		}
+		root, diffs, err := p.merge(ctx, current.root, c)
+		if err != nil {
+			return Root{}, err
+		}
+		if len(diffs) == 0 {
+			return current.root, nil
+		}
+		if err := p.writeParts(ctx, root, c); err != nil {
+			return Root{}, err
+		}
+		err = p.move(ctx, root, current.version)
+		if err == nil {
+			return root, nil
+		}
+		if !errors.Is(err, object.ErrConflict) && !errors.Is(err, object.ErrUncertain) {
+			return Root{}, fault.Errorf(fault.StoreUnavailable, "moving the root: %w", err)
+		}
+		// The write lost a race, or its answer was lost. What the store holds
+		// now decides; the root is written again only over the same version.
+		if current, err = p.newest(ctx); err != nil {
+			return Root{}, err
+		}
+		if in, root, err := p.inForce(ctx, current.root, c.ID); err != nil || in {
+			return root, err
+		}
+	}
+	return Root{}, fault.Errorf(fault.StoreUnavailable, "other publications came first %d times; try again", maxTries)
+}
+
+// begin fixes what all tries of a publication have in common.
+func (p *Publisher) begin(c Change, newest Root) Change {
+	c.at = p.now().UTC()
+	c.base = c.Base
+	if c.Base == 0 {
+		c.base = newest.Revision
+	}
+	return c
+}
+
+// Rollback returns the change that brings back the fragments of a revision. It
+// is published as a new revision.
+func (p *Publisher) Rollback(ctx context.Context, revision int64, by, id string) (Change, error) {
+	roots, err := History(ctx, p.store, maxHistory)
+	if err != nil {
+		return Change{}, fault.Errorf(fault.StoreUnavailable, "reading the history: %w", err)
+	}
+	i := slices.IndexFunc(roots, func(r Root) bool { return r.Revision == revision })
+	if i < 0 {
+		return Change{}, fault.Errorf(fault.NotFound, "revision %d was not in force; see chervilpath history", revision)
+	}
+	c := Change{By: by, ID: id, Base: roots[0].Revision, Note: fmt.Sprintf("roll back to revision %d", revision)}
+	for _, e := range roots[i].Fragments {
+		data, err := p.fragment(ctx, e.Hash)
+		if err != nil {
+			return Change{}, fault.Errorf(fault.StoreUnavailable, "reading fragment %q: %w", e.Name, err)
+		}
+		c.Fragments = append(c.Fragments, declare.Fragment{Name: e.Name, Data: data})
+	}
+	for _, e := range roots[0].Fragments {
+		if _, ok := roots[i].Entry(e.Name); !ok {
+			c.Remove = append(c.Remove, e.Name)
+		}
+	}
+	return c, nil
+}
+
+// newest returns the root in the store, an empty one if there is none.
+func (p *Publisher) newest(ctx context.Context) (stored, error) {
+	s, err := readRoot(ctx, p.store)
+	if err == nil || errors.Is(err, object.ErrNotFound) {
+		return s, nil
+	}
+	return s, fault.Errorf(fault.StoreUnavailable, "reading the root: %w", err)
+}
+
+// inForce looks for a publication among the revisions up to the current one.
+func (p *Publisher) inForce(ctx context.Context, current Root, id string) (bool, Root, error) {
+	if current.PublishID == id {
+		return true, current, nil
+	}
+	roots, err := History(ctx, p.store, maxTries)
+	if err != nil {
+		return false, Root{}, fault.Errorf(fault.StoreUnavailable, "reading the history: %w", err)
+	}
+	for _, r := range roots {
+		if r.PublishID == id {
+			return true, r, nil
+		}
+	}
+	return false, Root{}, nil
+}
+
+// merge makes the root that a change leads to and checks the whole.
+func (p *Publisher) merge(ctx context.Context, base Root, c Change) (Root, []Difference, error) {
+	changed, diffs, err := p.touch(ctx, base, c)
+	if err != nil {
+		return Root{}, nil, err
+	}
+	root := Root{
+		Revision: base.Revision + 1, PublishID: c.ID, Previous: base.PublishID,
+		By: c.By, Note: c.Note, At: c.at,
+	}
+	whole := make([]declare.Fragment, 0, len(base.Fragments)+len(c.Fragments))
+	for _, e := range base.Fragments {
+		if _, ok := changed[e.Name]; ok {
+			continue
+		}
+		data, err := p.fragment(ctx, e.Hash)
+		if err != nil {
+			return Root{}, nil, fault.Errorf(fault.StoreUnavailable, "reading fragment %q: %w", e.Name, err)
+		}
+		root.Fragments = append(root.Fragments, e)
+		whole = append(whole, declare.Fragment{Name: e.Name, Data: data})
+	}
+	for name, data := range changed {
+		if data == nil {
+			continue
+		}
+		root.Fragments = append(root.Fragments, Entry{Name: name, Hash: HashFragment(data), Bytes: len(data), Revision: root.Revision, By: c.By})
+		whole = append(whole, declare.Fragment{Name: name, Data: data})
+	}
+	slices.SortFunc(root.Fragments, func(a, b Entry) int { return cmp.Compare(a.Name, b.Name) })
+	slices.SortFunc(whole, func(a, b declare.Fragment) int { return cmp.Compare(a.Name, b.Name) })
+	if len(root.Fragments) > MaxFragments {
+		return Root{}, nil, fault.Errorf(fault.BadRequest, "the revision would have %d files; it holds at most %d", len(root.Fragments), MaxFragments)
+	}
+	if _, problems := declare.Build(whole); problems.Err() != nil {
+		return Root{}, diffs, fault.Errorf(fault.BadRequest, "%w", problems)
+	}
+	return root, diffs, nil
+}
+
+// touch returns the fragments that the change alters, nil bytes for a removed
+// one, and refuses those that another operator changed since the base.
+func (p *Publisher) touch(ctx context.Context, base Root, c Change) (map[string][]byte, []Difference, error) {
+	changed := make(map[string][]byte)
+	var diffs []Difference
+	note := func(name string, data []byte) error {
+		e, ok := base.Entry(name)
+		if ok && data != nil && e.Hash == HashFragment(data) {
+			return nil
+		}
+		if !ok && data == nil {
+			return nil
+		}
+		if ok && e.Revision > c.base {
+			return fault.Errorf(fault.Conflict, "file %q was changed in revision %d by %s, after revision %d that this change builds on; look at it and publish again", name, e.Revision, e.By, c.base)
+		}
+		d := Difference{Name: name, New: data}
+		if ok {
+			old, err := p.fragment(ctx, e.Hash)
+			if err != nil {
+				return fault.Errorf(fault.StoreUnavailable, "reading fragment %q: %w", name, err)
+			}
+			d.Old = old
+		}
+		changed[name] = data
+		diffs = append(diffs, d)
+		return nil
+	}
+	for _, f := range c.Fragments {
+		if err := note(f.Name, f.Data); err != nil {
+			return nil, nil, err
+		}
+	}
+	for _, name := range c.Remove {
+		if err := note(name, nil); err != nil {
+			return nil, nil, err
+		}
+	}
+	return changed, diffs, nil
+}
+
+// writeParts stores everything that the root names, before the root itself.
+func (p *Publisher) writeParts(ctx context.Context, root Root, c Change) error {
+	for _, f := range c.Fragments {
+		obj := object.Object{Kind: fragmentKind, Name: HashFragment(f.Data), Data: f.Data}
+		if err := p.putOnce(ctx, obj); err != nil {
+			return fault.Errorf(fault.StoreUnavailable, "storing fragment %q: %w", f.Name, err)
+		}
+	}
+	data, err := json.Marshal(root)
+	if err != nil {
+		return fmt.Errorf("encoding a root: %w", err)
+	}
+	obj := object.Object{Kind: historyKind, Name: historyName(root.Revision, root.PublishID), Data: data}
+	if err := p.putOnce(ctx, obj); err != nil {
+		return fault.Errorf(fault.StoreUnavailable, "storing the revision: %w", err)
+	}
+	return nil
+}
+
+// putOnce stores an object whose name fixes its bytes, so that one that exists
+// is as good as a new one.
+func (p *Publisher) putOnce(ctx context.Context, obj object.Object) error {
+	var err error
+	for range maxTries {
+		_, err = p.store.Put(ctx, obj)
+		if err == nil || errors.Is(err, object.ErrConflict) {
+			return nil
+		}
+		if !errors.Is(err, object.ErrUncertain) {
+			return err
+		}
+	}
+	return err
+}
+
+func (p *Publisher) move(ctx context.Context, root Root, over int64) error {
+	data, err := json.Marshal(root)
+	if err != nil {
+		return fmt.Errorf("encoding a root: %w", err)
+	}
+	_, err = p.store.Put(ctx, object.Object{Kind: rootKind, Name: rootName, Version: over, Data: data})
+	return err
+}
+
+func (p *Publisher) fragment(ctx context.Context, hash string) ([]byte, error) {
+	if data, ok := p.parsed[hash]; ok {
+		return data, nil
+	}
+	data, err := ReadFragment(ctx, p.store, hash)
+	if err != nil {
+		return nil, err
+	}
+	p.parsed[hash] = data
+	return data, nil
+}
--- /dev/null
+++ b/core/settings/settings.go
@@ -0,0 +1,207 @@
+// Package settings owns the settings of an entry instance: what differs from
+// one process to the next. What is common to all stands in the declarations.
+package settings
+
+import (
+	"fmt"
+	"os"
+	"strings"
+	"time"
+
+	"chervilpath/core/option"
+)
+
+// Entry is the settings of an entry instance.
+type Entry struct {
+	name            string
+	failureDomain   string
+	callerAddress   string
+	peerAddress     string
+	operatorAddress string
+	platformURL     string
+	reads, writes   float64
+	seeds           []string
+	secret          string
+	maxBody         int64
+	maxHeader       int64
+	maxConnections  int
+	drain           time.Duration
+	ticketLife      time.Duration
+	remember        time.Duration
+	keys            int
+	costWindow      time.Duration
+	logLevel        string
+}
+
+// Table is the table of every setting.
+var Table = option.Table{
+	Title: "Settings of an entry instance",
+	Doc:   "The settings file of one process, given to `chervilpath entry --settings FILE`.",
+	Sections: []option.Section{
+		{
+			Kind: "instance",
+			Doc:  "Who the instance is and where it listens.",
+			Options: []option.Option{
+				{Key: "name", Kind: option.Name, Required: true, Doc: "Name of the instance, unique in the fleet."},
+				{Key: "failureDomain", Kind: option.Name, Required: true, Doc: "Failure domain in which the instance runs."},
+				{Key: "callerAddress", Kind: option.Address, Required: true, Doc: "Where callers are served."},
+				{Key: "peerAddress", Kind: option.Address, Required: true, Doc: "Where other instances are served. They reach the instance at this very address."},
+				{Key: "operatorAddress", Kind: option.Address, Required: true, Doc: "Where health, metrics, status and profiles are served."},
+				{Key: "logLevel", Kind: option.Choice, Choices: []string{"debug", "info", "warn", "error"}, Default: "info", Doc: "Lowest level that is logged."},
+			},
+		},
+		{
+			Kind: "platform",
+			Doc:  "The platform's object API and instance list.",
+			Options: []option.Option{
+				{Key: "url", Kind: option.URL, Required: true, Doc: "Where the platform listens."},
+				{Key: "readsPerSecond", Kind: option.Number, Default: "20", Min: 0.1, Max: 2000, Doc: "This instance's part of the platform's rate of reads."},
+				{Key: "writesPerSecond", Kind: option.Number, Default: "20", Min: 0.1, Max: 500, Doc: "This instance's part of the platform's rate of writes."},
+			},
+		},
+		{
+			Kind: "peers",
+			Doc:  "The other entry instances.",
+			Options: []option.Option{
+				{Key: "seeds", Kind: option.TextList, Doc: "Peer addresses of some other instances, by which all are found."},
+				{Key: "secretFile", Kind: option.Text, Required: true, Doc: "File with the secret that all instances share, at least 16 bytes."},
+			},
+		},
+		{
+			Kind: "limits",
+			Doc:  "Bounds on what the instance takes and keeps.",
+			Options: []option.Option{
+				{Key: "maxBody", Kind: option.Size, Default: "8MB", Min: 1 << 10, Max: 64 << 20, Doc: "Largest body of a request."},
+				{Key: "maxHeader", Kind: option.Size, Default: "32KB", Min: 1 << 10, Max: 1 << 20, Doc: "Largest header of a request."},
+				{Key: "maxConnections", Kind: option.Number, Default: "10000", Min: 1, Max: 1000000, Doc: "Most connections of callers at once."},
+				{Key: "drain", Kind: option.Duration, Default: "60s", Min: 0.1, Max: 3600, Doc: "Longest time for requests in flight to end when the instance stops."},
+				{Key: "ticketLife", Kind: option.Duration, Default: "10m", Min: 1, Max: 86400, Doc: "How long a ticket can be used."},
+				{Key: "remember", Kind: option.Duration, Default: "30m", Min: 1, Max: 86400, Doc: "How long the outcome of a request that runs at most once is held in memory."},
+				{Key: "keys", Kind: option.Number, Default: "50000", Min: 1, Max: 10000000, Doc: "Most such requests that are remembered at once."},
+				{Key: "costWindow", Kind: option.Duration, Default: "10s", Min: 0.1, Max: 3600, Doc: "Time between two records of cost. A crash loses at most two."},
+			},
+		},
+	},
+}
+
+const minSecretBytes = 16
+
+// ParseEntry reads the settings of an entry instance. The secret is read with
+// readFile, usually os.ReadFile.
+func ParseEntry(file string, data []byte, readFile func(string) ([]byte, error)) (Entry, error) {
+	blocks, problems := Table.Parse(file, data)
+	found := make(map[string]*option.Block)
+	for _, b := range blocks {
+		found[b.Kind()] = b
+	}
+	for _, s := range Table.Sections {
+		if found[s.Kind] != nil || len(problems) > 0 {
+			continue
+		}
+		b, missing := Table.Default(file, s.Kind)
+		problems = append(problems, missing...)
+		found[s.Kind] = b
+	}
+	if err := problems.Err(); err != nil {
+		return Entry{}, err
+	}
+	secret, err := readFile(found["peers"].Text("secretFile"))
+	if err != nil {
+		return Entry{}, fmt.Errorf("reading the peers' secret: %w", err)
+	}
+	if len(strings.TrimSpace(string(secret))) < minSecretBytes {
+		return Entry{}, option.Problems{found["peers"].Problem("secretFile", "the secret in the file is shorter than %d bytes; write a longer one", minSecretBytes)}
+	}
+	return newEntry(found, strings.TrimSpace(string(secret))), nil
+}
+
+// ReadEntry reads the settings file of an entry instance.
+func ReadEntry(file string) (Entry, error) {
+	data, err := os.ReadFile(file)
+	if err != nil {
+		return Entry{}, fmt.Errorf("reading settings: %w", err)
+	}
+	return ParseEntry(file, data, os.ReadFile)
+}
+
+func newEntry(b map[string]*option.Block, secret string) Entry {
+	instance, platform, limits := b["instance"], b["platform"], b["limits"]
+	return Entry{
+		name:            instance.Text("name"),
+		failureDomain:   instance.Text("failureDomain"),
+		callerAddress:   instance.Text("callerAddress"),
+		peerAddress:     instance.Text("peerAddress"),
+		operatorAddress: instance.Text("operatorAddress"),
+		logLevel:        instance.Text("logLevel"),
+		platformURL:     platform.Text("url"),
+		reads:           platform.Number("readsPerSecond"),
+		writes:          platform.Number("writesPerSecond"),
+		seeds:           b["peers"].List("seeds"),
+		secret:          secret,
+		maxBody:         limits.Bytes("maxBody"),
+		maxHeader:       limits.Bytes("maxHeader"),
+		maxConnections:  limits.Int("maxConnections"),
+		drain:           limits.Duration("drain"),
+		ticketLife:      limits.Duration("ticketLife"),
+		remember:        limits.Duration("remember"),
+		keys:            limits.Int("keys"),
+		costWindow:      limits.Duration("costWindow"),
+	}
+}
+
+// Name returns the instance's name.
+func (e Entry) Name() string { return e.name }
+
+// FailureDomain returns the failure domain in which the instance runs.
+func (e Entry) FailureDomain() string { return e.failureDomain }
+
+// CallerAddress returns where callers are served.
+func (e Entry) CallerAddress() string { return e.callerAddress }
+
+// PeerAddress returns where other instances are served.
+func (e Entry) PeerAddress() string { return e.peerAddress }
+
+// OperatorAddress returns where operators are served.
+func (e Entry) OperatorAddress() string { return e.operatorAddress }
+
+// PlatformURL returns where the platform listens.
+func (e Entry) PlatformURL() string { return e.platformURL }
+
+// Reads returns the instance's part of the platform's rate of reads, a second.
+func (e Entry) Reads() float64 { return e.reads }
+
+// Writes returns the instance's part of the platform's rate of writes, a second.
+func (e Entry) Writes() float64 { return e.writes }
+
+// Seeds returns the peer addresses by which other instances are found.
+func (e Entry) Seeds() []string { return e.seeds }
+
+// Secret returns the secret that all instances share.
+func (e Entry) Secret() string { return e.secret }
+
+// MaxBody returns the largest body in bytes.
+func (e Entry) MaxBody() int64 { return e.maxBody }
+
+// MaxHeader returns the largest header in bytes.
+func (e Entry) MaxHeader() int64 { return e.maxHeader }
+
+// MaxConnections returns the most connections of callers at once.
+func (e Entry) MaxConnections() int { return e.maxConnections }
+
+// Drain returns the longest time for requests to end when the instance stops.
+func (e Entry) Drain() time.Duration { return e.drain }
+
+// TicketLife returns how long a ticket can be used.
+func (e Entry) TicketLife() time.Duration { return e.ticketLife }
+
+// Remember returns how long outcomes are held in memory.
+func (e Entry) Remember() time.Duration { return e.remember }
+
+// Keys returns the most outcomes held in memory.
+func (e Entry) Keys() int { return e.keys }
+
+// CostWindow returns the time between two records of cost.
+func (e Entry) CostWindow() time.Duration { return e.costWindow }
+
+// LogLevel returns the lowest level that is logged.
+func (e Entry) LogLevel() string { return e.logLevel }
--- /dev/null
+++ b/core/status/status.go
@@ -0,0 +1,51 @@
+// Package status owns the form in which an instance tells operators its state.
+package status
+
+import "chervilpath/core/pipeline"
+
+type (
+	// Instance is the state of one instance.
+	Instance struct {
+		Name            string                 `json:"name"`
+		Incarnation     string                 `json:"incarnation"`
+		FailureDomain   string                 `json:"failureDomain"`
+		Ready           bool                   `json:"ready"`
+		Draining        bool                   `json:"draining"`
+		Revision        int64                  `json:"revision"`
+		RefusedRevision int64                  `json:"refusedRevision"`
+		RefusedReason   string                 `json:"refusedReason,omitempty"`
+		InFlight        int                    `json:"inFlight"`
+		Attainment      []Attainment           `json:"attainment"`
+		Members         []Member               `json:"members"`
+		Stages          []pipeline.StageStatus `json:"stages"`
+		Platform        Calls                  `json:"platform"`
+		KeysHeld        int                    `json:"keysHeld"`
+		KeysRunning     int                    `json:"keysRunning"`
+		CostsWaiting    int                    `json:"costsWaiting"`
+	}
+
+	// Member is another instance as this one sees it.
+	Member struct {
+		Name          string `json:"name"`
+		Incarnation   string `json:"incarnation"`
+		FailureDomain string `json:"failureDomain"`
+		State         string `json:"state"`
+		Revision      int64  `json:"revision"`
+	}
+
+	// Attainment is the part of a kind's requests that were answered in time
+	// during the last minute.
+	Attainment struct {
+		Kind     string  `json:"kind"`
+		Requests int     `json:"requests"`
+		Attained float64 `json:"attained"`
+	}
+
+	// Calls are the calls of the platform that an instance has made.
+	Calls struct {
+		Reads   int64 `json:"reads"`
+		Writes  int64 `json:"writes"`
+		Watches int64 `json:"watches"`
+		Failed  int64 `json:"failed"`
+	}
+)
--- /dev/null
+++ b/io/operator/operator.go
@@ -0,0 +1,82 @@
+// Package operator speaks to operators and their tools: health, readiness,
+// metrics, status and profiles, on an address apart from the callers'.
+package operator
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/http/pprof"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+
+	"chervilpath/core/status"
+)
+
+type (
+	// Seams are what a Server shows.
+	Seams struct {
+		// Ready returns why the instance takes no new requests, or nil.
+		Ready func() error
+		// Status returns the instance's state.
+		Status   func() status.Instance
+		Registry *prometheus.Registry
+	}
+
+	// Server answers operators. Use New.
+	Server struct {
+		seams Seams
+	}
+)
+
+// New returns a server for operators.
+func New(seams Seams) *Server { return &Server{seams: seams} }
+
+// Handler returns the interface for operators.
+func (s *Server) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, r *http.Request) { _, _ = w.Write([]byte("ok\n")) })
+	mux.HandleFunc("GET /readyz", s.ready)
+	mux.HandleFunc("GET /status", s.status)
+	mux.Handle("GET /metrics", promhttp.HandlerFor(s.seams.Registry, promhttp.HandlerOpts{}))
+	mux.HandleFunc("GET /debug/pprof/", pprof.Index)
+	mux.HandleFunc("GET /debug/pprof/profile", pprof.Profile)
+	mux.HandleFunc("GET /debug/pprof/trace", pprof.Trace)
+	return mux
+}
+
+func (s *Server) ready(w http.ResponseWriter, r *http.Request) {
+	if err := s.seams.Ready(); err != nil {
+		http.Error(w, err.Error(), http.StatusServiceUnavailable)
+		return
+	}
+	_, _ = w.Write([]byte("ready\n"))
+}
+
+func (s *Server) status(w http.ResponseWriter, r *http.Request) {
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(s.seams.Status())
+}
+
+// Fetch returns the state of the instance whose operators' address is given.
+func Fetch(ctx context.Context, address string) (status.Instance, error) {
+	var out status.Instance
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+"/status", nil)
+	if err != nil {
+		return out, fmt.Errorf("asking %s for its status: %w", address, err)
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return out, fmt.Errorf("asking %s for its status: %w", address, err)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	if resp.StatusCode != http.StatusOK {
+		return out, fmt.Errorf("asking %s for its status: status code %d", address, resp.StatusCode)
+	}
+	if err := json.NewDecoder(resp.Body).Decode(&out); err != nil {
+		return out, fmt.Errorf("reading the status of %s: %w", address, err)
+	}
+	return out, nil
+}
--- /dev/null
+++ b/io/peer/peer.go
@@ -0,0 +1,252 @@
+// Package peer speaks to the other entry instances by twirp.
+//
+// It owns the protocol between instances and how they prove to each other who
+// they are, and it carries membership, declarations and attempts at requests
+// that another instance owns. It must not decide any of those: core/member,
+// core/publish and core/once do.
+package peer
+
+import (
+	"context"
+	"crypto/subtle"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/twitchtv/twirp"
+
+	"chervilpath/core/fault"
+	"chervilpath/core/member"
+	"chervilpath/core/once"
+	"chervilpath/io/peer/peerpb"
+)
+
+const (
+	// pingTimeout bounds a ping, probeTimeout one by way of another instance,
+	// and callTimeout any other call but Serve.
+	pingTimeout  = 500 * time.Millisecond
+	probeTimeout = 2 * pingTimeout
+	callTimeout  = 5 * time.Second
+
+	maxAttemptBytes = 16 << 20
+	bearer          = "Bearer "
+)
+
+type (
+	// Clients holds a client for each address. Use NewClients.
+	Clients struct {
+		http *http.Client
+
+		mu    sync.Mutex
+		known map[string]peerpb.Peer
+	}
+
+	// Server answers the other instances. Its fields are set before Handler is
+	// called.
+	Server struct {
+		Members *Members
+		Keeper  *once.Keeper
+		// ReadRoot returns the JSON of the root in force, or nil.
+		ReadRoot func() []byte
+		// ReadFragment returns the bytes of a fragment in force.
+		ReadFragment func(hash string) ([]byte, bool)
+		// HandedOver is called when another instance's keys were taken over.
+		HandedOver func(from once.Owner)
+		Now        func() time.Time
+	}
+
+	// authorised adds the secret to requests.
+	authorised struct {
+		secret string
+		next   http.RoundTripper
+	}
+)
+
+// NewClients returns clients that prove themselves by the shared secret.
+func NewClients(secret string, transport http.RoundTripper) *Clients {
+	return &Clients{
+		http:  &http.Client{Transport: authorised{secret: secret, next: transport}},
+		known: make(map[string]peerpb.Peer),
+	}
+}
+
+// RoundTrip implements http.RoundTripper.
+func (a authorised) RoundTrip(r *http.Request) (*http.Response, error) {
+	r = r.Clone(r.Context())
+	r.Header.Set("Authorization", bearer+a.secret)
+	return a.next.RoundTrip(r)
+}
+
+// At returns the client for an address.
+func (c *Clients) At(address string) peerpb.Peer {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	p, ok := c.known[address]
+	if !ok {
+		p = peerpb.NewPeerProtobufClient("http://"+address, c.http)
+		c.known[address] = p
+	}
+	return p
+}
+
+// Keep forgets the clients of all other addresses than the given ones.
+func (c *Clients) Keep(addresses map[string]bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for a := range c.known {
+		if !addresses[a] {
+			delete(c.known, a)
+		}
+	}
+}
+
+// Forward sends an attempt to the owner of its key. It returns
+// once.ErrOwnerGone if the owner's process does not answer, or no longer exists.
+func (c *Clients) Forward(ctx context.Context, owner once.Owner, a once.Attempt) (once.Outcome, error) {
+	reply, err := c.At(owner.Address).Serve(ctx, &peerpb.ServeRequest{
+		OwnerIncarnation: owner.Incarnation,
+		OwnerAddress:     owner.Address,
+		Organisation:     a.Organisation,
+		Kind:             a.Kind,
+		Key:              a.Key,
+		Body:             a.Body,
+		DeadlineMillis:   a.Deadline.UnixMilli(),
+	})
+	if err != nil {
+		return once.Outcome{}, forwardError(owner, err)
+	}
+	var o once.Outcome
+	if err := json.Unmarshal(reply.Outcome, &o); err != nil {
+		return o, fault.Errorf(fault.Internal, "reading the outcome from instance %s: %w", owner.Address, err)
+	}
+	return o, nil
+}
+
+// forwardError turns an answer of the owner back into its kind. Without an
+// answer the owner may have run the request, which is never run elsewhere.
+func forwardError(owner once.Owner, err error) error {
+	te, ok := errors.AsType[twirp.Error](err)
+	if ok && te.Meta("kind") != "" {
+		kind := fault.KindNamed(te.Meta("kind"))
+		return fault.Errorf(kind, "%s", te.Msg()).WithRan(fault.RanNamed(te.Meta("ran")))
+	}
+	return fmt.Errorf("forwarding to %s: %w: %w", owner.Address, err, once.ErrOwnerGone)
+}
+
+// Handler returns the interface for peers. A request without the secret is
+// refused before it is read.
+func (s *Server) Handler(secret string) http.Handler {
+	h := peerpb.NewPeerServer(s)
+	mux := http.NewServeMux()
+	mux.HandleFunc(h.PathPrefix(), func(w http.ResponseWriter, r *http.Request) {
+		got := strings.TrimPrefix(r.Header.Get("Authorization"), bearer)
+		if subtle.ConstantTimeCompare([]byte(got), []byte(secret)) != 1 {
+			_ = twirp.WriteError(w, twirp.NewError(twirp.Unauthenticated, "the peer secret is missing or wrong"))
+			return
+		}
+		r.Body = http.MaxBytesReader(w, r.Body, maxAttemptBytes)
+		h.ServeHTTP(w, r)
+	})
+	return mux
+}
+
+// Ping implements peerpb.Peer.
+func (s *Server) Ping(ctx context.Context, req *peerpb.PingRequest) (*peerpb.PingReply, error) {
+	s.Members.learn(append(req.News, req.From))
+	self, news := s.Members.tell()
+	return &peerpb.PingReply{From: self, News: news}, nil
+}
+
+// Probe implements peerpb.Peer.
+func (s *Server) Probe(ctx context.Context, req *peerpb.ProbeRequest) (*peerpb.ProbeReply, error) {
+	return &peerpb.ProbeReply{Answered: s.Members.ping(ctx, req.Address, req.Id) == nil}, nil
+}
+
+// Sync implements peerpb.Peer.
+func (s *Server) Sync(ctx context.Context, req *peerpb.SyncRequest) (*peerpb.SyncReply, error) {
+	s.Members.learn([]*peerpb.Member{req.From})
+	out := &peerpb.SyncReply{}
+	for _, m := range s.Members.List() {
+		out.Members = append(out.Members, toWire(m))
+	}
+	return out, nil
+}
+
+// Serve implements peerpb.Peer.
+func (s *Server) Serve(ctx context.Context, req *peerpb.ServeRequest) (*peerpb.ServeReply, error) {
+	owner := once.Owner{Incarnation: req.OwnerIncarnation, Address: req.OwnerAddress}
+	deadline := time.UnixMilli(req.DeadlineMillis)
+	ctx, cancel := context.WithDeadline(ctx, deadline)
+	defer cancel()
+	o, err := s.Keeper.ServePeer(ctx, owner, once.Attempt{
+		Organisation: req.Organisation, Kind: req.Kind, Key: req.Key, Body: req.Body, Deadline: deadline,
+	})
+	if errors.Is(err, once.ErrOwnerGone) {
+		return nil, twirp.NewError(twirp.NotFound, "this process does not own the key")
+	}
+	if err != nil {
+		return nil, toTwirp(err)
+	}
+	data, err := json.Marshal(o)
+	if err != nil {
+		return nil, toTwirp(fault.Errorf(fault.Internal, "encoding an outcome: %w", err))
+	}
+	return &peerpb.ServeReply{Outcome: data}, nil
+}
+
+// Root implements peerpb.Peer.
+func (s *Server) Root(context.Context, *peerpb.RootRequest) (*peerpb.RootReply, error) {
+	return &peerpb.RootReply{Root: s.ReadRoot()}, nil
+}
+
+// Fragment implements peerpb.Peer.
+func (s *Server) Fragment(_ context.Context, req *peerpb.FragmentRequest) (*peerpb.FragmentReply, error) {
+	data, ok := s.ReadFragment(req.Hash)
+	if !ok {
+		return nil, toTwirp(fault.Errorf(fault.NotFound, "fragment %.12s is not in force here", req.Hash))
+	}
+	return &peerpb.FragmentReply{Data: data}, nil
+}
+
+// HandOver implements peerpb.Peer.
+func (s *Server) HandOver(_ context.Context, req *peerpb.HandOverRequest) (*peerpb.HandOverReply, error) {
+	var records []once.Record
+	if err := json.Unmarshal(req.Records, &records); err != nil {
+		return nil, toTwirp(fault.Errorf(fault.BadRequest, "reading records: %w", err))
+	}
+	from := once.Owner{Incarnation: req.FromIncarnation, Address: req.FromAddress}
+	s.Keeper.Adopt(from, records)
+	s.HandedOver(from)
+	return &peerpb.HandOverReply{}, nil
+}
+
+// toTwirp gives an error its twirp code by the table of kinds.
+func toTwirp(err error) error {
+	e := fault.From(err)
+	return twirp.NewError(e.Kind().Answer().Twirp, e.Error()).WithMeta("kind", e.Kind().String()).WithMeta("ran", e.Ran().String())
+}
+
+func toWire(m member.Member) *peerpb.Member {
+	return &peerpb.Member{
+		Id: m.ID, Name: m.Name, Address: m.Address, FailureDomain: m.FailureDomain,
+		State: uint32(m.State), Sequence: m.Sequence, Revision: m.Revision, Successor: m.Successor,
+	}
+}
+
+func fromWire(m *peerpb.Member) (member.Member, error) {
+	if m == nil || m.Id == "" || m.State > uint32(member.Gone) {
+		return member.Member{}, errors.New("a member has no id or an unknown state")
+	}
+	if _, _, err := net.SplitHostPort(m.Address); err != nil {
+		return member.Member{}, fmt.Errorf("member %q: %w", m.Id, err)
+	}
+	return member.Member{
+		ID: m.Id, Name: m.Name, Address: m.Address, FailureDomain: m.FailureDomain,
+		State: member.State(m.State), Sequence: m.Sequence, Revision: m.Revision, Successor: m.Successor,
+	}, nil
+}
--- /dev/null
+++ b/node/node.go
@@ -0,0 +1,315 @@
+// Package node puts an entry instance together: it makes the services of one
+// instance from its settings and gives them to a kernel.
+//
+// It owns the instance's loops and the order in which it drains. It must not
+// hold decisions of its own: those are in core.
+package node
+
+import (
+	"context"
+	"crypto/rand"
+	"fmt"
+	mathrand "math/rand/v2"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"go.uber.org/zap"
+	"golang.org/x/net/netutil"
+
+	"chervilpath/core/cost"
+	"chervilpath/core/declare"
+	"chervilpath/core/fault"
+	"chervilpath/core/kernel"
+	"chervilpath/core/member"
+	"chervilpath/core/once"
+	"chervilpath/core/pipeline"
+	"chervilpath/core/publish"
+	"chervilpath/core/settings"
+	"chervilpath/io/caller"
+	"chervilpath/io/endpoint"
+	"chervilpath/io/operator"
+	"chervilpath/io/peer"
+	"chervilpath/io/platform"
+)
+
+// Names of the services of one instance, after the instance's own name.
+const (
+	PlatformService     = "/platform"
+	StagesService       = "/stages"
+	DeclarationsService = "/declarations"
+	MembersService      = "/members"
+	OnceService         = "/once"
+	CostService         = "/cost"
+	EndpointsService    = "/endpoints"
+	PeerService         = "/peer"
+	OperatorService     = "/operator"
+	CallerService       = "/caller"
+)
+
+const (
+	readHeaderTimeout = 5 * time.Second
+	readTimeout       = 30 * time.Second
+	idleTimeout       = 2 * time.Minute
+
+	// noticeDelay is how long a leaving instance still takes new requests,
+	// with its readiness failing, until the balancer has noticed.
+	noticeDelay = 1 * time.Second
+)
+
+// Instance is one entry instance. Use New; the kernel starts and stops it.
+type Instance struct {
+	cfg   settings.Entry
+	log   *zap.Logger
+	owner once.Owner
+
+	platform  *platform.Client
+	runner    *pipeline.Runner
+	holder    *publish.Holder
+	members   *peer.Members
+	clients   *peer.Clients
+	keeper    *once.Keeper
+	ledger    *cost.Ledger
+	endpoints *endpoint.Client
+	callers   *caller.Server
+	metrics   *metrics
+	registry  *prometheus.Registry
+	score     *score
+
+	servers  []*http.Server
+	draining atomic.Bool
+	behind   chan behind
+	notice   time.Duration
+
+	// loops ends the background loops; running counts them.
+	stopLoops context.CancelFunc
+	loopCtx   context.Context
+	running   sync.WaitGroup
+}
+
+// New returns an instance whose services have been added to the kernel.
+func New(k *kernel.Kernel, cfg settings.Entry, log *zap.Logger) (*Instance, error) {
+	n := &Instance{
+		cfg:       cfg,
+		log:       log.With(zap.String("instance", cfg.Name())),
+		owner:     once.Owner{Incarnation: cfg.Name() + "-" + rand.Text()[:10], Address: cfg.PeerAddress()},
+		holder:    publish.NewHolder(),
+		registry:  prometheus.NewRegistry(),
+		score:     newScore(),
+		behind:    make(chan behind, 1),
+		endpoints: endpoint.New(&http.Client{Transport: endpoint.Transport()}),
+		notice:    noticeDelay,
+	}
+	n.loopCtx, n.stopLoops = context.WithCancel(context.Background())
+	n.platform = platform.New(platform.Config{URL: cfg.PlatformURL(), ReadsPerSecond: cfg.Reads(), WritesPerSecond: cfg.Writes()}, &http.Client{Transport: endpoint.Transport()})
+	n.ledger = cost.New(time.Now(), cfg.Name(), n.owner.Incarnation)
+	n.metrics = newMetrics(n)
+	n.runner = pipeline.New(n.pipelineSeams(), pipeline.Policy{}, newRand())
+	n.clients = peer.NewClients(cfg.Secret(), endpoint.Transport())
+	n.members = peer.NewMembers(n.self(), cfg.Seeds(), n.clients, time.Now, newRand(), n.noteBehind, n.noteServing)
+	n.keeper = once.New(once.Config{
+		Owner: n.owner, Secret: []byte(cfg.Secret()), TicketLife: cfg.TicketLife(), Remember: cfg.Remember(), Limit: cfg.Keys(),
+	}, once.Seams{
+		Now: time.Now, NewID: rand.Text, Store: n.platform.Store(), Run: n.runOnce,
+		Go: func(f func()) { go f() }, Forward: n.clients.Forward,
+	})
+	n.callers = caller.New(caller.Config{MaxBodyBytes: cfg.MaxBody()}, caller.Seams{
+		Now: time.Now, NewID: rand.Text, Declarations: n.declarations, Run: n.runner.Run,
+		Observe: n.observe, Keeper: n.keeper, Log: n.log,
+	})
+	return n, n.addServices(k)
+}
+
+func newRand() *mathrand.Rand {
+	var seed [32]byte
+	_, _ = rand.Read(seed[:])
+	return mathrand.New(mathrand.NewChaCha8(seed))
+}
+
+func (n *Instance) self() member.Member {
+	return member.Member{ID: n.owner.Incarnation, Name: n.cfg.Name(), Address: n.cfg.PeerAddress(), FailureDomain: n.cfg.FailureDomain()}
+}
+
+// Name returns the instance's name.
+func (n *Instance) Name() string { return n.cfg.Name() }
+
+// CallerAddress returns where the instance serves callers.
+func (n *Instance) CallerAddress() string { return n.cfg.CallerAddress() }
+
+// OperatorAddress returns where the instance serves operators.
+func (n *Instance) OperatorAddress() string { return n.cfg.OperatorAddress() }
+
+// ServiceName returns the name in the kernel of one of the instance's services.
+func (n *Instance) ServiceName(service string) string { return n.cfg.Name() + service }
+
+func (n *Instance) addServices(k *kernel.Kernel) error {
+	peers := &peer.Server{
+		Members: n.members, Keeper: n.keeper, Now: time.Now,
+		ReadRoot: n.holder.RootJSON, ReadFragment: n.holder.Fragment,
+		HandedOver: func(from once.Owner) {
+			n.log.Info("keys taken over", zap.String("from", from.Incarnation))
+		},
+	}
+	ops := operator.New(operator.Seams{Ready: n.ready, Status: n.Status, Registry: n.registry})
+	services := []kernel.Service{
+		{Name: PlatformService, Value: n.platform},
+		{Name: StagesService, Value: n.runner},
+		{Name: PeerService, Needs: []string{PlatformService}, Value: peers},
+		{Name: MembersService, Needs: []string{PeerService}, Value: n.members, Start: n.loop(n.members.Run), Drain: n.announceLeave},
+		{Name: DeclarationsService, Needs: []string{PlatformService, StagesService, MembersService}, Value: n.holder, Start: n.startDeclarations},
+		{Name: OnceService, Needs: []string{PlatformService, MembersService, StagesService, CostService}, Value: n.keeper, Start: n.loop(n.flushOutcomes), Drain: n.handOver},
+		{Name: CostService, Needs: []string{PlatformService}, Value: n.ledger, Start: n.loop(n.flushCosts), Drain: n.flushAll, Stop: n.endLoops},
+		{Name: EndpointsService, Needs: []string{StagesService, DeclarationsService}, Value: n.endpoints, Start: n.startWatching},
+		{Name: OperatorService, Needs: []string{DeclarationsService, CostService}, Value: ops},
+		{Name: CallerService, Needs: []string{OperatorService, OnceService, CostService, EndpointsService}, Value: n.callers, Drain: n.drainCallers},
+	}
+	n.serveHTTP(&services[2], n.cfg.PeerAddress(), peers.Handler(n.cfg.Secret()), 0)
+	n.serveHTTP(&services[8], n.cfg.OperatorAddress(), ops.Handler(), 0)
+	n.serveHTTP(&services[9], n.cfg.CallerAddress(), n.callers.Handler(), n.cfg.MaxConnections())
+	for _, s := range services {
+		s.Name = n.ServiceName(s.Name)
+		for i, need := range s.Needs {
+			s.Needs[i] = n.ServiceName(need)
+		}
+		if err := k.Add(s); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// serveHTTP gives a service an HTTP server. Its drain waits until requests in
+// flight have ended.
+func (n *Instance) serveHTTP(s *kernel.Service, address string, h http.Handler, connections int) {
+	server := &http.Server{
+		Handler:           h,
+		ReadHeaderTimeout: readHeaderTimeout,
+		ReadTimeout:       readTimeout,
+		IdleTimeout:       idleTimeout,
+		MaxHeaderBytes:    int(n.cfg.MaxHeader()),
+		ErrorLog:          zap.NewStdLog(n.log.Named("http")),
+	}
+	n.servers = append(n.servers, server)
+	s.Start = func(context.Context) error {
+		l, err := net.Listen("tcp", address)
+		if err != nil {
+			return fmt.Errorf("listening for %s: %w", s.Name, err)
+		}
+		if connections > 0 {
+			l = netutil.LimitListener(l, connections)
+		}
+		go func() { _ = server.Serve(l) }()
+		return nil
+	}
+	before := s.Drain
+	shutdown := func(ctx context.Context) error {
+		if before != nil {
+			if err := before(ctx); err != nil {
+				return err
+			}
+		}
+		return server.Shutdown(ctx)
+	}
+	// Operators and peers are served to the end; only callers are drained.
+	if connections > 0 {
+		s.Drain = shutdown
+	} else {
+		s.Stop = func(ctx context.Context) error {
+			if err := server.Shutdown(ctx); err != nil {
+				return server.Close()
+			}
+			return nil
+		}
+		return
+	}
+	s.Stop = func(context.Context) error { return server.Close() }
+}
+
+// loop returns a start function that runs f in the background until the
+// instance stops.
+func (n *Instance) loop(f func(context.Context)) func(context.Context) error {
+	return func(context.Context) error {
+		n.running.Go(func() { f(n.loopCtx) })
+		return nil
+	}
+}
+
+func (n *Instance) endLoops(context.Context) error {
+	n.stopLoops()
+	n.running.Wait()
+	return nil
+}
+
+func (n *Instance) declarations() *declare.Set {
+	if s := n.holder.Current(); s != nil {
+		return s.Set()
+	}
+	return nil
+}
+
+func (n *Instance) ready() error {
+	switch {
+	case n.draining.Load():
+		return fault.Errorf(fault.Draining, "the instance is leaving")
+	case n.holder.Current() == nil:
+		return fault.Errorf(fault.Draining, "the instance has no declarations yet")
+	}
+	return nil
+}
+
+func (n *Instance) pipelineSeams() pipeline.Seams {
+	return pipeline.Seams{
+		Clock: pipeline.Clock{
+			Now:       time.Now,
+			AfterFunc: func(d time.Duration, f func()) func() bool { return time.AfterFunc(d, f).Stop },
+		},
+		Call:    n.endpoints.Call,
+		Decide:  n.logDecision,
+		Charge:  n.charge,
+		Observe: n.metrics.observeStage,
+		NewID:   rand.Text,
+	}
+}
+
+// logDecision writes the one line of a routing decision.
+func (n *Instance) logDecision(d pipeline.Decision) {
+	n.log.Info("call routed",
+		zap.String("requestId", d.RequestID),
+		zap.String("organisation", d.Organisation),
+		zap.String("kind", d.Kind),
+		zap.String("stage", d.Stage),
+		zap.String("attemptId", d.AttemptID),
+		zap.Int("attempt", d.Attempt),
+		zap.String("endpoint", d.Endpoint),
+		zap.String("failureDomain", d.Domain),
+		zap.String("reason", d.Reason),
+		zap.Bool("hedge", d.Hedge),
+		zap.Duration("waited", d.Waited),
+		zap.Duration("remaining", d.Remaining),
+	)
+}
+
+func (n *Instance) charge(c pipeline.Charge) {
+	n.ledger.Charge(c)
+	n.metrics.calls.WithLabelValues(c.Stage, c.Waste.String()).Inc()
+}
+
+func (n *Instance) observe(e caller.End) {
+	n.metrics.observeRequest(e)
+	n.score.add(time.Now(), e)
+}
+
+func (n *Instance) noteServing(serving int) { n.runner.SetInstances(serving) }
+
+// Crash ends the instance as the loss of its process would: connections break
+// and nothing is handed over or stored. It is for demos and tests.
+func (n *Instance) Crash() {
+	for _, s := range n.servers {
+		_ = s.Close()
+	}
+	n.stopLoops()
+	n.running.Wait()
+}
--- /dev/null
+++ b/node/once.go
@@ -0,0 +1,163 @@
+package node
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net"
+	"time"
+
+	"go.uber.org/zap"
+
+	"chervilpath/core/fault"
+	"chervilpath/core/member"
+	"chervilpath/core/once"
+	"chervilpath/core/pipeline"
+	"chervilpath/io/caller"
+	"chervilpath/io/peer/peerpb"
+)
+
+const (
+	outcomeFlush   = time.Second
+	handOverTries  = 3
+	handOverWait   = 2 * time.Second
+	runningRecheck = 50 * time.Millisecond
+)
+
+// runOnce takes a request that runs at most once through its pipeline.
+func (n *Instance) runOnce(ctx context.Context, a once.Attempt) once.Outcome {
+	req, refused := n.onceRequest(a)
+	if refused != nil {
+		return outcomeOf(refused)
+	}
+	answer, err := n.runner.Run(ctx, req)
+	if err != nil {
+		return outcomeOf(fault.From(err))
+	}
+	data, err := json.Marshal(answer)
+	if err != nil {
+		return outcomeOf(fault.Errorf(fault.Internal, "encoding an answer: %w", err).WithRan(fault.RanYes))
+	}
+	return once.Outcome{State: once.Done, Answer: data, Ran: fault.RanYes.String()}
+}
+
+func (n *Instance) onceRequest(a once.Attempt) (pipeline.Request, *fault.Error) {
+	set := n.declarations()
+	if set == nil {
+		return pipeline.Request{}, fault.Errorf(fault.Draining, "the instance has no declarations yet")
+	}
+	org, ok := set.Organisation(a.Organisation)
+	if !ok {
+		return pipeline.Request{}, fault.Errorf(fault.Unauthenticated, "the organisation is no longer declared")
+	}
+	kind, ok := set.Kind(a.Kind)
+	if !ok {
+		return pipeline.Request{}, fault.Errorf(fault.NotFound, "the kind %q is no longer declared", a.Kind)
+	}
+	body, err := caller.Decode(a.Body)
+	if err != nil {
+		return pipeline.Request{}, fault.From(err)
+	}
+	return pipeline.Request{ID: once.RequestID(a.Organisation, a.Key), Organisation: org, Kind: kind, Deadline: a.Deadline, Input: body.Payload()}, nil
+}
+
+// outcomeOf stores an error as it was answered. Work that ran and then failed
+// is done, so that it never runs again.
+func outcomeOf(err *fault.Error) once.Outcome {
+	state := once.Unknown
+	switch err.Ran() {
+	case fault.RanNo:
+		state = once.NotRun
+	case fault.RanYes:
+		state = once.Done
+	}
+	return once.Outcome{State: state, Error: err.Kind().String(), Stage: err.Stage(), Message: err.Error(), Ran: err.Ran().String()}
+}
+
+// flushOutcomes stores outcomes in groups.
+func (n *Instance) flushOutcomes(ctx context.Context) {
+	for n.every(ctx, outcomeFlush) {
+		n.flushOnce(ctx)
+	}
+}
+
+func (n *Instance) flushOnce(ctx context.Context) {
+	for {
+		written, err := n.keeper.Flush(ctx)
+		if err != nil {
+			n.log.Warn("outcomes not stored", zap.Error(err))
+			return
+		}
+		if written == 0 {
+			return
+		}
+	}
+}
+
+// handOver gives this instance's keys to another one, so that tickets that it
+// issued can still be used and outcomes asked for.
+func (n *Instance) handOver(ctx context.Context) error {
+	records, err := n.closeTable(ctx)
+	if err != nil {
+		return err
+	}
+	data, err := json.Marshal(records)
+	if err != nil {
+		return fault.Errorf(fault.Internal, "encoding records: %w", err)
+	}
+	for _, m := range n.members.Live(handOverTries) {
+		err := n.handOverTo(ctx, m, data)
+		if notSent(err) {
+			continue
+		}
+		if err != nil {
+			// It may have taken over. No other instance is asked, since two
+			// that hold the same keys could run a request twice.
+			n.log.Warn("keys may not have been taken over", zap.String("by", m.Name), zap.Error(err))
+			return nil
+		}
+		n.log.Info("keys handed over", zap.String("to", m.Name), zap.Int("records", len(records)))
+		return nil
+	}
+	n.log.Warn("keys not handed over: no other instance is live")
+	return nil
+}
+
+func (n *Instance) handOverTo(ctx context.Context, m member.Member, records []byte) error {
+	callCtx, cancel := context.WithTimeout(ctx, handOverWait)
+	defer cancel()
+	_, err := n.clients.At(m.Address).HandOver(callCtx, &peerpb.HandOverRequest{
+		FromIncarnation: n.owner.Incarnation, FromAddress: n.owner.Address, Records: records,
+	})
+	if err != nil {
+		return fmt.Errorf("handing keys over to %s: %w", m.Address, err)
+	}
+	to := once.Owner{Incarnation: m.ID, Address: m.Address}
+	n.keeper.NoteMove(n.owner.Incarnation, to)
+	if err := n.keeper.StoreMove(ctx, to); err != nil {
+		n.log.Warn("hand-over not stored; members tell it", zap.Error(err))
+	}
+	n.members.Leave(ctx, m.Address)
+	return nil
+}
+
+// notSent reports whether a call provably did not reach its peer.
+func notSent(err error) bool {
+	op, ok := errors.AsType[*net.OpError](err)
+	return ok && op.Op == "dial"
+}
+
+// closeTable waits until no request runs and then closes the table.
+func (n *Instance) closeTable(ctx context.Context) ([]once.Record, error) {
+	for {
+		if records, ok := n.keeper.Table().Close(); ok {
+			return records, nil
+		}
+		select {
+		case <-ctx.Done():
+			return nil, errors.New("requests that run at most once still run; their outcome will be unknown")
+		case <-time.After(runningRecheck):
+		}
+	}
+}
--- /dev/null
+++ b/node/watch.go
@@ -0,0 +1,153 @@
+package node
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"go.uber.org/zap"
+
+	"chervilpath/core/object"
+)
+
+const (
+	// listPeriod is the time between two reads of the platform's list of
+	// instances. An endpoint that leaves gets no new work soon after.
+	listPeriod = time.Second
+
+	// loadPeriod is the least time between two reads of one endpoint's load,
+	// and loadsPerSecond bounds the reads of one instance.
+	loadPeriod     = 250 * time.Millisecond
+	loadsPerSecond = 100
+	loadTimeout    = 200 * time.Millisecond
+
+	leavingState = "leaving"
+)
+
+// startWatching begins to follow the endpoints' loads and the list of instances.
+func (n *Instance) startWatching(context.Context) error {
+	n.running.Go(func() { n.followList(n.loopCtx) })
+	n.running.Go(func() { n.followLoads(n.loopCtx) })
+	return nil
+}
+
+// followList shuts out the endpoints that the platform lists as leaving. While
+// the platform does not answer, the last list stays.
+func (n *Instance) followList(ctx context.Context) {
+	var last string
+	for n.every(ctx, listPeriod) {
+		listed, err := n.platform.Instances(ctx)
+		if err != nil {
+			n.log.Debug("list of instances not read", zap.Error(err))
+			continue
+		}
+		var leaving []string
+		for _, i := range listed {
+			if i.State == leavingState {
+				leaving = append(leaving, i.Name)
+			}
+		}
+		if now := fmt.Sprint(leaving); now != last {
+			last = now
+			n.runner.SetLeaving(leaving)
+			n.log.Info("leaving endpoints shut out", zap.Strings("endpoints", leaving))
+		}
+	}
+}
+
+// followLoads asks the endpoints that report their load, one after the other.
+func (n *Instance) followLoads(ctx context.Context) {
+	next := 0
+	for {
+		set := n.declarations()
+		wait := loadPeriod
+		if set != nil {
+			names := set.Endpoints()
+			if next >= len(names) {
+				next = 0
+			}
+			wait = max(loadPeriod/time.Duration(max(1, len(names))), time.Second/loadsPerSecond)
+			if e, ok := set.Endpoint(names[next]); ok && e.ReportsLoad() {
+				callCtx, cancel := context.WithTimeout(ctx, loadTimeout)
+				if load, err := n.endpoints.Load(callCtx, e); err == nil {
+					n.runner.Report(e.Name(), load.Load, load.At)
+				}
+				cancel()
+			}
+			next++
+		}
+		if !n.sleep(ctx, wait) {
+			return
+		}
+	}
+}
+
+// flushCosts stores the cost of each window.
+func (n *Instance) flushCosts(ctx context.Context) {
+	for n.every(ctx, n.cfg.CostWindow()) {
+		if err := n.ledger.Flush(ctx, time.Now(), n.platform.Store()); err != nil {
+			n.log.Warn("costs wait for the store", zap.Error(err))
+		}
+	}
+}
+
+// flushAll stores what a leaving instance still holds.
+func (n *Instance) flushAll(ctx context.Context) error {
+	n.flushOnce(ctx)
+	var err error
+	for range 2 {
+		err = n.ledger.Flush(ctx, time.Now(), n.platform.Store())
+	}
+	if err != nil {
+		n.log.Error("costs are lost", zap.Any("lines", n.ledger.Lines()), zap.Error(err))
+	}
+	return nil
+}
+
+// drainCallers fails the readiness, waits until the balancer has noticed, and
+// says what it would cut before it does.
+func (n *Instance) drainCallers(ctx context.Context) error {
+	n.draining.Store(true)
+	n.log.Info("draining", zap.Int("inFlight", n.callers.InFlight()))
+	n.sleep(ctx, n.notice)
+	go n.warnBeforeCut(ctx)
+	return nil
+}
+
+// warnBeforeCut logs the requests that are still in flight shortly before the
+// drain's time is over.
+func (n *Instance) warnBeforeCut(ctx context.Context) {
+	deadline, ok := ctx.Deadline()
+	if !ok {
+		return
+	}
+	left := time.Until(deadline)
+	if n.sleep(ctx, left-left/10) && n.callers.InFlight() > 0 {
+		n.log.Warn("requests will be cut", zap.Int("inFlight", n.callers.InFlight()), zap.Duration("in", time.Until(deadline)))
+	}
+}
+
+// sleep waits for d and reports whether ctx is still in force.
+func (n *Instance) sleep(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// jitter returns a random time between a half of d and d.
+func jitter(d time.Duration) time.Duration { return d/2 + rand.N(d/2+1) }
+
+// every waits for d, a quarter more or less, and reports whether ctx is still
+// in force.
+func (n *Instance) every(ctx context.Context, d time.Duration) bool {
+	return n.sleep(ctx, d/4+jitter(d))
+}
+
+func isUnchanged(err error) bool { return errors.Is(err, object.ErrUnchanged) }
