Repeat refused connections without a budget; test the policy

Cause: in the demo, requests sent to a lost endpoint failed with endpointUnavailable although other endpoints were free. A young instance had no budget for repeats, and a refused connection was counted as if it added load. Ruled out: ejection (it worked, after three failures) and the limits. Change: a call that was provably not sent is repeated up to four times without the budget; budgets start with a small reserve. The judge counts runs by stage, and the engine's stand-in counts the tokens of cancelled streams.

--- a/core/pipeline/run.go
+++ b/core/pipeline/run.go
@@ -17,6 +17,9 @@
 	attemptFactor = 3
 	minAttempt    = 50 * time.Millisecond
 
+	// maxUnsent bounds the attempts of a stage of which nothing was sent.
+	maxUnsent = 4
+
 	// A stream is stalled if no token comes for stallFactor times the expected
 	// time of the call, but not before minStall.
 	stallFactor = 2
@@ -158,6 +161,11 @@
 	}
 }
 
+func provablyNotSent(err error) bool {
+	call, ok := errors.AsType[*CallError](err)
+	return ok && call.NotSent
+}
+
 func provablyNotRun(err error) bool {
 	call, ok := errors.AsType[*CallError](err)
 	return ok && call.NotRun
@@ -245,6 +253,9 @@
 	if r.runner.policy.UnlimitedRetries {
 		return true
 	}
+	if provablyNotSent(end.err) && c.attempts < maxUnsent {
+		return true
+	}
 	if c.attempts > limit {
 		return false
 	}
--- a/core/pipeline/stage.go
+++ b/core/pipeline/stage.go
@@ -34,7 +34,7 @@
 		queue  *admit.Queue
 		group  *balance.Group
 		est    *estimate.Stage
-		budget retry.Budget
+		budget *retry.Budget
 		// callers holds a budget for each organisation with recent calls.
 		callers map[string]*retry.Budget
 		rng     *rand.Rand
@@ -91,6 +91,7 @@
 		queue:   admit.New(decl.Queue()),
 		group:   balance.New(decl.Endpoints(), instances, policy.Balance, rng),
 		est:     estimate.New(clock.Now(), firstGuess),
+		budget:  retry.ForStage(),
 		callers: make(map[string]*retry.Budget),
 		rng:     rng,
 		policy:  policy,
@@ -328,7 +329,7 @@
 		if len(s.callers) >= maxCallerBudgets {
 			clear(s.callers)
 		}
-		b = &retry.Budget{}
+		b = retry.ForCaller()
 		s.callers[org] = b
 	}
 	b.Call()
@@ -342,7 +343,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	b, ok := s.callers[org]
-	return ok && b.Allow() && s.budget.Allow()
+	return ok && s.budget.Left() && b.Allow() && s.budget.Allow()
 }
 
 func (s *stage) delay(repeat int) time.Duration {
--- a/core/pipeline/types.go
+++ b/core/pipeline/types.go
@@ -94,6 +94,9 @@
 		Err *fault.Error
 		// NotRun is set if the endpoint provably did no work.
 		NotRun bool
+		// NotSent is set if the endpoint provably got nothing, so that a repeat
+		// adds no load to the stage.
+		NotSent bool
 		// Full is set if the endpoint said that it takes no more work.
 		Full bool
 		// Units is the cost that the endpoint is known to have had.
--- a/core/retry/retry.go
+++ b/core/retry/retry.go
@@ -17,12 +17,15 @@
 	// few calls can repeat one.
 	reserve = 10.0
 
+	// callerStart is the repeats that an organisation has before its first calls.
+	callerStart = 2.0
+
 	baseDelay = 10 * time.Millisecond
 	maxDelay  = 500 * time.Millisecond
 )
 
-// Budget allows repeats in proportion to first calls. The zero Budget allows
-// none until calls have been made. It is not safe for concurrent use.
+// Budget allows repeats in proportion to first calls. Use ForStage or
+// ForCaller. It is not safe for concurrent use.
 type Budget struct {
 	tokens  float64
 	calls   int64
@@ -30,6 +33,13 @@
 	refused int64
 }
 
+// ForStage returns a budget with a full reserve.
+func ForStage() *Budget { return &Budget{tokens: reserve} }
+
+// ForCaller returns the budget of one organisation at a stage. It has a small
+// reserve, so that an organisation with few calls can repeat one.
+func ForCaller() *Budget { return &Budget{tokens: callerStart} }
+
 // Call notes a first call.
 func (b *Budget) Call() {
 	b.calls++
@@ -47,6 +57,9 @@
 	return true
 }
 
+// Left reports whether Allow would allow a repeat, without taking it.
+func (b *Budget) Left() bool { return b.tokens >= 1 }
+
 // Counts returns the number of first calls, of repeats, and of refused repeats.
 func (b *Budget) Counts() (calls, repeats, refused int64) {
 	return b.calls, b.repeats, b.refused
--- a/demo/judge.go
+++ b/demo/judge.go
@@ -29,7 +29,7 @@
 	for _, s := range all {
 		out = append(out, judgeAnswer(s)...)
 		if s.runID != "" {
-			out = append(out, judgeOnce(s, runs[s.runID])...)
+			out = append(out, judgeOnce(s, runs[s.onceStage+" "+s.runID])...)
 		}
 	}
 	return out
--- a/demo/load.go
+++ b/demo/load.go
@@ -38,6 +38,8 @@
 		failed errorDetail
 		// runID is the id under which a request that runs at most once runs.
 		runID string
+		// onceStage is the stage of such a request that is not idempotent.
+		onceStage string
 	}
 
 	token struct {
@@ -173,6 +175,12 @@
 			return
 		}
 	}
+	k, _ := l.deployment.set.Kind(s.kind)
+	for _, stage := range k.Stages() {
+		if !stage.Idempotent() {
+			s.onceStage = stage.Name()
+		}
+	}
 	s.runID = once.RequestID(s.organisation, key)
 	data := body(*s, false, 0)
 	for range bookingTries {
--- a/demo/run.go
+++ b/demo/run.go
@@ -196,7 +196,7 @@
 		if s.runID == "" {
 			continue
 		}
-		most = max(most, r.runs[s.runID])
+		most = max(most, r.runs[s.onceStage+" "+s.runID])
 		switch {
 		case s.answered:
 			done++
--- a/io/standin/engine.go
+++ b/io/standin/engine.go
@@ -238,6 +238,8 @@
 
 func (e *Engine) answerStream(w http.ResponseWriter, r *http.Request, f ServerFaults, id, subject string, skip, n int, req chatRequest, usage *chatUsage) {
 	w.Header().Set(headerType, "text/event-stream")
+	made := 0
+	defer func() { e.finish(r, req, made) }()
 	send := func(a chatAnswer) {
 		a.ID, a.Object = id, "chat.completion.chunk"
 		data, _ := json.Marshal(a)
@@ -258,9 +260,9 @@
 		if e.cfg.Token > 0 && !pause(r.Context(), f.times(e.cfg.Token)) {
 			return
 		}
+		made++
 		send(chatAnswer{Choices: []chatChoice{{Delta: &chatMessage{Content: token(subject, i)}}}})
 	}
-	e.finish(r, req, n-skip)
 	reason := "stop"
 	send(chatAnswer{Choices: []chatChoice{{Delta: &chatMessage{}, FinishReason: &reason}}})
 	usage.CompletionTokens = n - skip
--- a/io/standin/stage.go
+++ b/io/standin/stage.go
@@ -33,7 +33,7 @@
 
 	// ServerCounts is what a server did.
 	ServerCounts struct {
-		// Runs counts the calls that did their work, by request.
+		// Runs counts the calls that did their work, by stage and request.
 		Runs map[string]int `json:"runs"`
 		// Units sums the cost of the work, by organisation and stage.
 		Units map[string]float64 `json:"units"`
@@ -221,7 +221,7 @@
 func (s *server) ran(requestID, organisation, stage string, units float64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.counts.Runs[requestID]++
+	s.counts.Runs[stage+" "+requestID]++
 	s.counts.Units[organisation+" "+stage] += units
 }
 
