Prove promises by scripted scenarios; retry refused revisions

Cause: the promises had been tested in parts only. Found on the way: a revision whose fragments could not be read whole was not read again until the next one, so one damaged read kept it out of force for good.

--- a/core/option/option.go
+++ b/core/option/option.go
@@ -237,7 +237,7 @@
 // Markdown returns the page that documents the table.
 func (t *Table) Markdown() string {
 	var b strings.Builder
-	fmt.Fprintf(&b, "# %s\n\n<!-- Made from the table of options by `go generate ./...`; do not edit. -->\n\n%s\n", t.Title, t.Doc)
+	fmt.Fprintf(&b, "# %s\n\n<!-- Made from the table of options by `go test ./docs -update`; do not edit. -->\n\n%s\n", t.Title, t.Doc)
 	for _, s := range t.Sections {
 		head := s.Kind
 		if s.Named {
--- a/core/publish/publish.go
+++ b/core/publish/publish.go
@@ -56,14 +56,14 @@
 	Publisher struct {
 		store object.Store
 		now   func() time.Time
-		// parsed keeps fragments that were read, by hash.
-		parsed map[string][]byte
+		// known keeps fragments that were read or written, by hash.
+		known map[string][]byte
 	}
 )
 
 // New returns a publisher for a store.
 func New(store object.Store, now func() time.Time) *Publisher {
-	return &Publisher{store: store, now: now, parsed: make(map[string][]byte)}
+	return &Publisher{store: store, now: now, known: make(map[string][]byte)}
 }
 
 // Plan returns what the change would touch, and the problems of the whole that
@@ -273,6 +273,7 @@
 		if err := p.putOnce(ctx, obj); err != nil {
 			return fault.Errorf(fault.StoreUnavailable, "storing fragment %q: %w", f.Name, err)
 		}
+		p.known[obj.Name] = f.Data
 	}
 	data, err := json.Marshal(root)
 	if err != nil {
@@ -311,13 +312,13 @@
 }
 
 func (p *Publisher) fragment(ctx context.Context, hash string) ([]byte, error) {
-	if data, ok := p.parsed[hash]; ok {
+	if data, ok := p.known[hash]; ok {
 		return data, nil
 	}
 	data, err := ReadFragment(ctx, p.store, hash)
 	if err != nil {
 		return nil, err
 	}
-	p.parsed[hash] = data
+	p.known[hash] = data
 	return data, nil
 }
--- a/demo/load.go
+++ b/demo/load.go
@@ -67,6 +67,8 @@
 		client     *http.Client
 		rate       float64
 		rng        *mathrand.Rand
+		// via is the instance to send to, or negative for the balancer's choice.
+		via int
 
 		mu   sync.Mutex
 		all  []sent
@@ -76,7 +78,7 @@
 
 func newLoad(d *Deployment, rate float64, seed uint64) *load {
 	return &load{
-		deployment: d, rate: rate, rng: mathrand.New(mathrand.NewPCG(seed, 7)),
+		deployment: d, rate: rate, via: -1, rng: mathrand.New(mathrand.NewPCG(seed, 7)),
 		client: &http.Client{Timeout: slowCaller, Transport: &http.Transport{MaxIdleConnsPerHost: 64}},
 	}
 }
@@ -139,9 +141,15 @@
 // address stands in for the platform's balancer: it gives the instances in
 // turn, without those that are lost or not ready.
 func (l *load) address() string {
+	if l.via >= 0 {
+		return "http://" + l.deployment.entries[l.via].CallerAddress()
+	}
 	live := l.deployment.live()
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if len(live) == 0 {
+		return "http://" + l.deployment.entries[0].CallerAddress()
+	}
 	l.next++
 	return "http://" + live[l.next%len(live)].CallerAddress()
 }
--- /dev/null
+++ b/demo/remote.go
@@ -0,0 +1,135 @@
+package demo
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"time"
+
+	"chervilpath/core/declare"
+	"chervilpath/core/publish"
+	"chervilpath/io/standin"
+)
+
+// Reply is what a caller got for one request, for scenarios.
+type Reply struct {
+	Answered bool
+	Kind     string
+	Ran      string
+	Text     string
+	Tokens   int
+	Took     time.Duration
+}
+
+// Send sends one request of a kind by way of an entry instance, the first
+// having number 0, or of one that the balancer chooses if it is negative. The
+// key may be "".
+func (d *Deployment) Send(kind, organisation, key, subject string, stream bool, tokens, via int) Reply {
+	l := newLoad(d, 1, 1)
+	l.via = via
+	s := sent{kind: kind, organisation: organisation, subject: subject}
+	began := time.Now()
+	l.ask(&s, body(s, stream, tokens), key, stream)
+	for _, b := range judgeAnswer(s) {
+		return Reply{Kind: "broken", Text: b.String()}
+	}
+	return Reply{Answered: s.answered, Kind: s.failed.Kind, Ran: s.ran(), Text: s.text, Tokens: len(s.tokens), Took: time.Since(began)}
+}
+
+func (s *sent) ran() string {
+	if s.answered {
+		return "yes"
+	}
+	return s.failed.Ran
+}
+
+// Ticket gets a ticket from an entry instance.
+func (d *Deployment) Ticket(organisation string, via int) string {
+	l := newLoad(d, 1, 1)
+	l.via = via
+	return l.ticket(organisation)
+}
+
+// Runs returns how often requests ran at a stage, summed over all requests.
+func (d *Deployment) Runs(stage string) (total, most int) {
+	for id, n := range d.runs() {
+		if len(id) > len(stage) && id[:len(stage)+1] == stage+" " {
+			total += n
+			most = max(most, n)
+		}
+	}
+	return total, most
+}
+
+// Calls returns the calls that an endpoint has had.
+func (d *Deployment) Calls(endpoint string) int64 { return d.servers[endpoint].counts().Calls }
+
+// EndpointsOf returns the names of the endpoints of a stage.
+func (d *Deployment) EndpointsOf(stage string) ([]string, error) {
+	s, ok := d.set.Stage(stage)
+	if !ok {
+		return nil, fmt.Errorf("stage %q is not declared", stage)
+	}
+	var out []string
+	for _, e := range s.Endpoints() {
+		out = append(out, e.Name())
+	}
+	return out, nil
+}
+
+// SetEndpointFaults switches the faults of an endpoint by their JSON.
+func (d *Deployment) SetEndpointFaults(endpoint, text string) error {
+	s, ok := d.servers[endpoint]
+	if !ok {
+		return fmt.Errorf("endpoint %q is not declared", endpoint)
+	}
+	var f standin.ServerFaults
+	if err := json.Unmarshal([]byte(text), &f); err != nil {
+		return fmt.Errorf("reading faults: %w", err)
+	}
+	s.faults(f)
+	return nil
+}
+
+// SetPlatformFaults switches the faults of the object API by their JSON.
+func (d *Deployment) SetPlatformFaults(text string) error {
+	var f standin.ObjectFaults
+	if err := json.Unmarshal([]byte(text), &f); err != nil {
+		return fmt.Errorf("reading faults: %w", err)
+	}
+	d.platform.Objects().SetFaults(f)
+	return nil
+}
+
+// SetEndpointState lists an endpoint as live or leaving.
+func (d *Deployment) SetEndpointState(endpoint, state string) {
+	d.platform.SetInstance(standin.Instance{Name: endpoint, State: state})
+}
+
+// Publish puts one declaration file in force.
+func (d *Deployment) Publish(ctx context.Context, name string, data []byte) (int64, error) {
+	root, err := d.publisher.Publish(ctx, publish.Change{Fragments: []declare.Fragment{{Name: name, Data: data}}, By: "scenario", ID: fmt.Sprint(time.Now().UnixNano())})
+	return root.Revision, err
+}
+
+// Revisions returns the revision in force at each instance that is not gone.
+func (d *Deployment) Revisions() []int64 {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	var out []int64
+	for _, e := range d.entries {
+		if !e.gone {
+			out = append(out, e.Status().Revision)
+		}
+	}
+	return out
+}
+
+// PlatformURL returns where the platform's stand-in listens.
+func (d *Deployment) PlatformURL() string { return "http://" + d.platformAddress }
+
+// OperatorAddress returns where an instance serves operators.
+func (d *Deployment) OperatorAddress(i int) string { return d.entries[i].OperatorAddress() }
+
+// Size returns the number of entry instances, gone ones included.
+func (d *Deployment) Size() int { return len(d.entries) }
--- a/demo/world.go
+++ b/demo/world.go
@@ -13,9 +13,11 @@
 	"io/fs"
 	"net"
 	"net/http"
+	"os"
 	"path"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -35,24 +37,41 @@
 	stageTime  = 15 * time.Millisecond
 	reportLag  = 300 * time.Millisecond
 	listLag    = 500 * time.Millisecond
+	peerPort   = "8081"
 
 	// peerSecret is known to everybody; a demo listens on loopback only.
 	peerSecret = "the demo's secret is no secret"
 )
 
+// hosted counts the instances that this process has made.
+var hosted atomic.Int64
+
 type (
 	// Deployment is one operator's declarations with all that serves them.
 	Deployment struct {
 		name     string
 		set      *declare.Set
-		kernel   *kernel.Kernel
 		platform *standin.Platform
-		servers  map[string]*endpointServer
-		entries  []*node.Instance
-		closers  []func()
+		// publisher keeps what it published, so that it can also publish while
+		// reads are damaged.
+		publisher *publish.Publisher
+		servers   map[string]*endpointServer
+		log       *zap.Logger
+		// platformAddress is where the platform's stand-in listens.
+		platformAddress string
+		closers         []func()
 
 		mu      sync.Mutex
-		crashed map[string]bool
+		entries []*entry
+	}
+
+	// entry is one entry instance in a kernel of its own, as it would be in a
+	// process of its own.
+	entry struct {
+		*node.Instance
+		kernel *kernel.Kernel
+		peer   string
+		gone   bool
 	}
 
 	// endpointServer is the stand-in behind one declared endpoint.
@@ -68,10 +87,9 @@
 func New(ctx context.Context, files fs.FS, dir string, instances int, log *zap.Logger) (*Deployment, error) {
 	d := &Deployment{
 		name:     path.Base(dir),
-		kernel:   kernel.New(),
+		log:      log,
 		platform: standin.NewPlatform(listLag),
 		servers:  make(map[string]*endpointServer),
-		crashed:  make(map[string]bool),
 	}
 	fragments, err := readFragments(files, dir)
 	if err != nil {
@@ -80,15 +98,20 @@
 	if fragments, err = d.startEndpoints(fragments); err != nil {
 		return nil, err
 	}
-	platformAddress, err := d.serve(d.platform.Handler())
+	d.platformAddress, err = d.serve(d.platform.Handler())
 	if err != nil {
 		return nil, err
 	}
-	p := publish.New(d.platform.Objects().Store(), time.Now)
-	if _, err := p.Publish(ctx, publish.Change{Fragments: fragments, By: "demo", ID: "demo-1"}); err != nil {
+	d.publisher = publish.New(d.platform.Objects().Store(), time.Now)
+	if _, err := d.publisher.Publish(ctx, publish.Change{Fragments: fragments, By: "demo", ID: "demo-1"}); err != nil {
 		return nil, fmt.Errorf("publishing the declarations of %s: %w", d.name, err)
 	}
-	return d, d.addEntries(instances, platformAddress, log)
+	for range instances {
+		if _, err := d.addEntry(); err != nil {
+			return nil, err
+		}
+	}
+	return d, nil
 }
 
 func readFragments(files fs.FS, dir string) ([]declare.Fragment, error) {
@@ -169,91 +192,128 @@
 	return l.Addr().String(), nil
 }
 
-func (d *Deployment) addEntries(n int, platformAddress string, log *zap.Logger) error {
-	ports, err := freeAddresses(3 * n)
-	if err != nil {
-		return err
-	}
-	domains := []string{}
-	for _, name := range d.set.Endpoints() {
-		e, _ := d.set.Endpoint(name)
-		domains = append(domains, e.FailureDomain())
+// addEntry makes one more entry instance and does not start it.
+func (d *Deployment) addEntry() (*entry, error) {
+	ip := instanceIP()
+	peer := net.JoinHostPort(ip, peerPort)
+	first, _ := d.set.Endpoint(d.set.Endpoints()[len(d.entries)%3])
+	var seeds []string
+	for _, e := range d.entries {
+		if !e.gone {
+			seeds = append(seeds, e.peer)
+		}
 	}
-	for i := range n {
-		text := fmt.Sprintf(`[instance]
+	text := fmt.Sprintf(`[instance]
 name = %s-entry-%d
 failureDomain = %s
-callerAddress = %s
+callerAddress = %s:8080
 peerAddress = %s
-operatorAddress = %s
+operatorAddress = %s:8082
 [platform]
 url = http://%s
 [peers]
-seeds = %s, %s
+seeds = %s
 secretFile = secret
 [limits]
 drain = 10s
 costWindow = 1s
-`, d.name, i+1, domains[i%len(domains)], ports[3*i], ports[3*i+1], ports[3*i+2], platformAddress, ports[1], ports[(3*n)-2])
-		cfg, err := settings.ParseEntry("demo.ini", []byte(text), func(string) ([]byte, error) { return []byte(peerSecret), nil })
-		if err != nil {
-			return err
-		}
-		entry, err := node.New(d.kernel, cfg, log)
-		if err != nil {
+`, d.name, len(d.entries)+1, first.FailureDomain(), ip, peer, ip, d.platformAddress, strings.Join(seeds, ", "))
+	cfg, err := settings.ParseEntry("demo.ini", []byte(text), func(string) ([]byte, error) { return []byte(peerSecret), nil })
+	if err != nil {
+		return nil, err
+	}
+	e := &entry{kernel: kernel.New(), peer: peer}
+	if e.Instance, err = node.New(e.kernel, cfg, d.log); err != nil {
+		return nil, err
+	}
+	d.entries = append(d.entries, e)
+	return e, nil
+}
+
+// instanceIP returns an address of loopback that no other instance on this
+// machine has, so that instances can listen on fixed ports.
+func instanceIP() string {
+	n := hosted.Add(1)
+	return fmt.Sprintf("127.%d.%d.%d", 16+os.Getpid()%200, n/250%250, 1+n%250)
+}
+
+// Start starts the entry instances and waits until they are ready.
+func (d *Deployment) Start(ctx context.Context) error {
+	for _, e := range d.entries {
+		if err := e.start(ctx); err != nil {
 			return err
 		}
-		d.entries = append(d.entries, entry)
 	}
 	return nil
 }
 
-// freeAddresses returns addresses of loopback on which nothing listens.
-func freeAddresses(n int) ([]string, error) {
-	var out []string
-	for range n {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			return nil, err
+func (e *entry) start(ctx context.Context) error {
+	if err := e.kernel.Start(ctx); err != nil {
+		return err
+	}
+	for !e.Status().Ready {
+		select {
+		case <-ctx.Done():
+			return fmt.Errorf("instance %s did not become ready: %w", e.Name(), ctx.Err())
+		case <-time.After(10 * time.Millisecond):
 		}
-		defer func() { _ = l.Close() }()
-		out = append(out, l.Addr().String())
 	}
-	return out, nil
+	return nil
 }
 
-// Start starts the entry instances and waits until they are ready.
-func (d *Deployment) Start(ctx context.Context) error {
-	if err := d.kernel.Start(ctx); err != nil {
+// AddEntry starts one more entry instance.
+func (d *Deployment) AddEntry(ctx context.Context) error {
+	d.mu.Lock()
+	e, err := d.addEntry()
+	d.mu.Unlock()
+	if err != nil {
 		return err
 	}
-	for _, e := range d.entries {
-		for !e.Status().Ready {
-			select {
-			case <-ctx.Done():
-				return fmt.Errorf("instance %s did not become ready: %w", e.Name(), ctx.Err())
-			case <-time.After(10 * time.Millisecond):
-			}
-		}
-	}
+	return e.start(ctx)
+}
+
+// StopEntry drains and stops an entry instance, the first having number 0.
+func (d *Deployment) StopEntry(ctx context.Context, i int) error {
+	e := d.entries[i]
+	return errors.Join(e.kernel.Drain(ctx), d.leave(e), e.kernel.Stop(ctx))
+}
+
+// leave takes an instance out of the balancer.
+func (d *Deployment) leave(e *entry) error {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	e.gone = true
 	return nil
 }
 
 // Stop drains and stops everything.
 func (d *Deployment) Stop(ctx context.Context) error {
-	err := errors.Join(d.kernel.Drain(ctx), d.kernel.Stop(ctx))
+	var errs []error
+	var wg sync.WaitGroup
+	var mu sync.Mutex
+	for i, e := range d.entries {
+		if e.gone {
+			continue
+		}
+		wg.Go(func() {
+			err := d.StopEntry(ctx, i)
+			mu.Lock()
+			defer mu.Unlock()
+			errs = append(errs, err)
+		})
+	}
+	wg.Wait()
 	for _, f := range d.closers {
 		f()
 	}
-	return err
+	return errors.Join(errs...)
 }
 
-// CrashEntry ends an entry instance as the loss of its process would.
+// CrashEntry ends an entry instance as the loss of its process would, and
+// returns its name.
 func (d *Deployment) CrashEntry(i int) string {
-	e := d.entries[i%len(d.entries)]
-	d.mu.Lock()
-	d.crashed[e.Name()] = true
-	d.mu.Unlock()
+	e := d.entries[i]
+	_ = d.leave(e)
 	e.Crash()
 	return e.Name()
 }
@@ -263,13 +323,14 @@
 	_ = d.servers[name].server.Close()
 }
 
-// live returns the entry instances that were not crashed.
-func (d *Deployment) live() []*node.Instance {
+// live returns the entry instances that the balancer gives to callers: those
+// that are not lost and are ready.
+func (d *Deployment) live() []*entry {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	var out []*node.Instance
+	var out []*entry
 	for _, e := range d.entries {
-		if !d.crashed[e.Name()] {
+		if !e.gone && e.Ready() {
 			out = append(out, e)
 		}
 	}
--- /dev/null
+++ b/docs/docs_test.go
@@ -0,0 +1,80 @@
+// Package docs_test keeps the pages that are made from tables true.
+package docs_test
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"regexp"
+	"strings"
+	"testing"
+
+	"chervilpath/core/declare"
+	"chervilpath/core/fault"
+	"chervilpath/core/settings"
+)
+
+var update = flag.Bool("update", false, "write the pages anew")
+
+func TestPagesAreMadeFromTheirTables(t *testing.T) {
+	pages := map[string]string{
+		"DECLARATIONS.md": declare.Table.Markdown(),
+		"SETTINGS.md":     settings.Table.Markdown(),
+		"ERRORS.md":       errorsPage(),
+	}
+	for name, want := range pages {
+		if *update {
+			if err := os.WriteFile(name, []byte(want), 0o644); err != nil {
+				t.Fatal(err)
+			}
+			continue
+		}
+		got, err := os.ReadFile(name)
+		if err != nil || string(got) != want {
+			t.Errorf("docs/%s is stale (%v); run go test ./docs -update", name, err)
+		}
+	}
+}
+
+func errorsPage() string {
+	var b strings.Builder
+	b.WriteString("# Errors\n\n<!-- Made from the table of error kinds by `go test ./docs -update`; do not edit. -->\n\n")
+	b.WriteString("Every error that a caller, a peer or an operator gets is of one of these kinds. \"Ran\" is what is said if nothing\nmore is known of the request; \"retry\" says whether the same request may be sent again. A request of a kind that is\nnot idempotent needs a new key then, since a refusal is final for its key.\n\n")
+	b.WriteString("| kind | HTTP | twirp | log level | ran | retry |\n| --- | --- | --- | --- | --- | --- |\n")
+	for _, k := range fault.Kinds() {
+		a := k.Answer()
+		fmt.Fprintf(&b, "| `%s` | %d | %s | %s | %s | %v |\n", a.Name, a.HTTP, a.Twirp, a.Level, a.Ran, a.Retry)
+	}
+	return b.String()
+}
+
+var link = regexp.MustCompile(`\]\(([^)#]+)\)`)
+
+func TestLinksOfPagesExist(t *testing.T) {
+	entries, err := os.ReadDir(".")
+	if err != nil {
+		t.Fatal(err)
+	}
+	pages := []string{"../README.md", "../CONTRIBUTING.md"}
+	for _, e := range entries {
+		if strings.HasSuffix(e.Name(), ".md") {
+			pages = append(pages, e.Name())
+		}
+	}
+	for _, page := range pages {
+		data, err := os.ReadFile(page)
+		if err != nil {
+			t.Error(err)
+			continue
+		}
+		dir := page[:strings.LastIndex(page, "/")+1]
+		for _, m := range link.FindAllStringSubmatch(string(data), -1) {
+			if strings.HasPrefix(m[1], "http") {
+				continue
+			}
+			if _, err := os.Stat(dir + m[1]); err != nil {
+				t.Errorf("%s links to %s, which does not exist", page, m[1])
+			}
+		}
+	}
+}
--- a/node/follow.go
+++ b/node/follow.go
@@ -29,6 +29,9 @@
 	bootWait   = 2 * time.Second
 	retryFirst = 200 * time.Millisecond
 	retryMost  = 15 * time.Second
+
+	// retryRefused is the longest wait before a refused root is read again.
+	retryRefused = 2 * time.Second
 )
 
 // behind tells of a member that has a higher revision.
@@ -92,9 +95,12 @@
 		}
 		root, v, err := publish.WatchRoot(ctx, n.platform.Store(), version)
 		switch {
-		case err == nil:
+		case err == nil && n.offer(ctx, root, n.storeFragment):
 			version, retry = v, retryFirst
-			n.offer(ctx, root, n.storeFragment)
+		case err == nil:
+			// What was refused is read again: a read may have been damaged.
+			n.sleep(ctx, jitter(retry))
+			retry = min(retryRefused, 2*retry)
 		case isUnchanged(err):
 			retry = retryFirst
 		default:
@@ -152,10 +158,13 @@
 	})
 }
 
-func (n *Instance) offer(ctx context.Context, root publish.Root, fetch publish.Fetch) {
+// offer offers a root to the holder and reports whether it was not refused.
+func (n *Instance) offer(ctx context.Context, root publish.Root, fetch publish.Fetch) bool {
 	if _, err := n.holder.Offer(ctx, root, fetch); err != nil {
 		n.log.Error("declarations refused", zap.Int64("revision", root.Revision), zap.Int64("inForce", n.holder.Revision()), zap.Error(err))
+		return false
 	}
+	return true
 }
 
 // announceLeave tells the members that this instance leaves.
--- a/node/node.go
+++ b/node/node.go
@@ -142,6 +142,9 @@
 // OperatorAddress returns where the instance serves operators.
 func (n *Instance) OperatorAddress() string { return n.cfg.OperatorAddress() }
 
+// Ready reports whether the instance takes new requests.
+func (n *Instance) Ready() bool { return n.ready() == nil }
+
 // ServiceName returns the name in the kernel of one of the instance's services.
 func (n *Instance) ServiceName(service string) string { return n.cfg.Name() + service }
 
