--- a/core/status/status.go
+++ b/core/status/status.go
@@ -19,9 +19,11 @@
 		Members         []Member               `json:"members"`
 		Stages          []pipeline.StageStatus `json:"stages"`
 		Platform        Calls                  `json:"platform"`
-		KeysHeld        int                    `json:"keysHeld"`
-		KeysRunning     int                    `json:"keysRunning"`
-		CostsWaiting    int                    `json:"costsWaiting"`
+		// PeerBytes is what this instance's calls to peers sent and received.
+		PeerBytes    int64 `json:"peerBytes"`
+		KeysHeld     int   `json:"keysHeld"`
+		KeysRunning  int   `json:"keysRunning"`
+		CostsWaiting int   `json:"costsWaiting"`
 	}
 
 	// Member is another instance as this one sees it.
--- a/io/peer/peer.go
+++ b/io/peer/peer.go
@@ -16,6 +16,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/twitchtv/twirp"
@@ -40,7 +41,8 @@
 type (
 	// Clients holds a client for each address. Use NewClients.
 	Clients struct {
-		http *http.Client
+		http  *http.Client
+		bytes atomic.Int64
 
 		mu    sync.Mutex
 		known map[string]peerpb.Peer
@@ -60,6 +62,12 @@
 		Now        func() time.Time
 	}
 
+	// countedConn counts the bytes of a connection.
+	countedConn struct {
+		net.Conn
+		bytes *atomic.Int64
+	}
+
 	// authorised adds the secret to requests.
 	authorised struct {
 		secret string
@@ -67,12 +75,38 @@
 	}
 )
 
-// NewClients returns clients that prove themselves by the shared secret.
-func NewClients(secret string, transport http.RoundTripper) *Clients {
-	return &Clients{
-		http:  &http.Client{Transport: authorised{secret: secret, next: transport}},
-		known: make(map[string]peerpb.Peer),
+// NewClients returns clients that prove themselves by the shared secret. The
+// transport's connections are counted.
+func NewClients(secret string, transport *http.Transport) *Clients {
+	c := &Clients{known: make(map[string]peerpb.Peer)}
+	dial := transport.DialContext
+	transport.DialContext = func(ctx context.Context, network, address string) (net.Conn, error) {
+		conn, err := dial(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		return &countedConn{Conn: conn, bytes: &c.bytes}, nil
 	}
+	c.http = &http.Client{Transport: authorised{secret: secret, next: transport}}
+	return c
+}
+
+// Bytes returns the bytes sent and received by calls to peers. What peers call
+// here is counted at them.
+func (c *Clients) Bytes() int64 { return c.bytes.Load() }
+
+// Read implements net.Conn.
+func (c *countedConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	c.bytes.Add(int64(n))
+	return n, err
+}
+
+// Write implements net.Conn.
+func (c *countedConn) Write(b []byte) (int, error) {
+	n, err := c.Conn.Write(b)
+	c.bytes.Add(int64(n))
+	return n, err
 }
 
 // RoundTrip implements http.RoundTripper.
--- a/node/metrics.go
+++ b/node/metrics.go
@@ -27,7 +27,7 @@
 	gauges struct {
 		instance *Instance
 
-		waiting, inFlight, limit, ejected, revision, refused, members, platform, keys, costs, draining *prometheus.Desc
+		waiting, inFlight, limit, ejected, revision, refused, members, platform, peerBytes, keys, costs, draining *prometheus.Desc
 	}
 )
 
@@ -73,24 +73,25 @@
 		return prometheus.NewDesc(prometheus.BuildFQName(namespace, "", name), help, labels, nil)
 	}
 	return &gauges{
-		instance: n,
-		waiting:  desc("stage_waiting", "Requests that wait for a stage.", "stage"),
-		inFlight: desc("endpoint_in_flight", "Calls of this instance in flight at an endpoint.", "stage", "endpoint"),
-		limit:    desc("endpoint_limit", "Calls that this instance sends to an endpoint at once.", "stage", "endpoint"),
-		ejected:  desc("endpoint_ejected", "1 while an endpoint gets probes only.", "stage", "endpoint"),
-		revision: desc("revision", "Revision of the declarations in force."),
-		refused:  desc("revision_refused", "Revision that was offered and refused, 0 if none."),
-		members:  desc("members", "Entry instances as this one sees them.", "state"),
-		platform: desc("platform_calls_total", "Calls of the platform.", "op"),
-		keys:     desc("once_keys", "Keys of requests that run at most once, by state.", "state"),
-		costs:    desc("cost_objects_waiting", "Records of cost that wait to be stored."),
-		draining: desc("draining", "1 while the instance is leaving."),
+		instance:  n,
+		waiting:   desc("stage_waiting", "Requests that wait for a stage.", "stage"),
+		inFlight:  desc("endpoint_in_flight", "Calls of this instance in flight at an endpoint.", "stage", "endpoint"),
+		limit:     desc("endpoint_limit", "Calls that this instance sends to an endpoint at once.", "stage", "endpoint"),
+		ejected:   desc("endpoint_ejected", "1 while an endpoint gets probes only.", "stage", "endpoint"),
+		revision:  desc("revision", "Revision of the declarations in force."),
+		refused:   desc("revision_refused", "Revision that was offered and refused, 0 if none."),
+		members:   desc("members", "Entry instances as this one sees them.", "state"),
+		platform:  desc("platform_calls_total", "Calls of the platform.", "op"),
+		peerBytes: desc("peer_bytes_total", "Bytes sent and received by calls to peers."),
+		keys:      desc("once_keys", "Keys of requests that run at most once, by state.", "state"),
+		costs:     desc("cost_objects_waiting", "Records of cost that wait to be stored."),
+		draining:  desc("draining", "1 while the instance is leaving."),
 	}
 }
 
 // Describe implements prometheus.Collector.
 func (g *gauges) Describe(ch chan<- *prometheus.Desc) {
-	for _, d := range []*prometheus.Desc{g.waiting, g.inFlight, g.limit, g.ejected, g.revision, g.refused, g.members, g.platform, g.keys, g.costs, g.draining} {
+	for _, d := range []*prometheus.Desc{g.waiting, g.inFlight, g.limit, g.ejected, g.revision, g.refused, g.members, g.platform, g.peerBytes, g.keys, g.costs, g.draining} {
 		ch <- d
 	}
 }
@@ -118,6 +119,7 @@
 	for state, count := range states {
 		gauge(g.members, count, state)
 	}
+	ch <- prometheus.MustNewConstMetric(g.peerBytes, prometheus.CounterValue, float64(s.PeerBytes))
 	count := func(op string, v int64) {
 		ch <- prometheus.MustNewConstMetric(g.platform, prometheus.CounterValue, float64(v), op)
 	}
--- a/node/node.go
+++ b/node/node.go
@@ -142,6 +142,9 @@
 // OperatorAddress returns where the instance serves operators.
 func (n *Instance) OperatorAddress() string { return n.cfg.OperatorAddress() }
 
+// Revision returns the revision of the declarations in force, or 0.
+func (n *Instance) Revision() int64 { return n.holder.Revision() }
+
 // Ready reports whether the instance takes new requests.
 func (n *Instance) Ready() bool { return n.ready() == nil }
 
--- a/node/status.go
+++ b/node/status.go
@@ -90,6 +90,7 @@
 		InFlight:      n.callers.InFlight(),
 		Attainment:    n.score.attainment(time.Now()),
 		Stages:        n.runner.Status(),
+		PeerBytes:     n.clients.Bytes(),
 		Platform:      status.Calls(n.platform.Counts()),
 	}
 	if r := n.holder.Refused(); r != nil {
