Give orders to engines under a lease

Cause: leases and placement were not wired to engines. Change: node/orders steps the leases of the shards for which an instance ranks, reads the engines' state, and gives the orders that the placement asks for, each under a lease checked at that moment. Engines report their models with their load.

--- a/core/balance/balance.go
+++ b/core/balance/balance.go
@@ -175,13 +175,19 @@
 	if m.decl.Slots() != e.Slots() {
 		m.limit = startLimit(e.Slots(), g.instances)
 	}
-	m.decl, m.loaded = e, e.Models()
+	m.decl = e
+	if !m.told {
+		m.loaded = e.Models()
+	}
 	return m
 }
 
 // Len returns the number of endpoints.
 func (g *Group) Len() int { return len(g.members) }
 
+// InFlight returns the number of calls in flight.
+func (g *Group) InFlight() int { return g.inFlight }
+
 // Endpoint returns the declaration of the endpoint with the given index.
 func (g *Group) Endpoint(i int) *declare.Endpoint { return g.members[i].decl }
 
@@ -206,6 +212,13 @@
 	}
 }
 
+// SetLoaded notes the models that an engine reports to have loaded.
+func (g *Group) SetLoaded(name string, models []string) {
+	if i, ok := g.byName[name]; ok {
+		g.members[i].loaded, g.members[i].told = models, true
+	}
+}
+
 // SetInstances notes how many entry instances share the endpoints now.
 func (g *Group) SetInstances(n int) {
 	if n = max(1, n); n == g.instances {
--- a/core/balance/member.go
+++ b/core/balance/member.go
@@ -13,7 +13,10 @@
 	decl    *declare.Endpoint
 	hash    uint64
 	leaving bool
-	loaded  []string
+	// loaded is the engine's models as it reported them, or as declared.
+	loaded []string
+	// told is set once the engine reported its models.
+	told bool
 
 	inFlight int
 	// startSum is the sum of the start times of calls in flight, in seconds
--- a/core/declare/combine.go
+++ b/core/declare/combine.go
@@ -155,6 +155,10 @@
 		refusesOldFence: block.Flag("refusesOldFence"),
 		resumes:         block.Flag("resumes"),
 		models:          block.List("models"),
+		modelSlots:      block.Int("modelSlots"),
+	}
+	if e.modelSlots == 0 || e.modelSlots > len(e.models) {
+		e.modelSlots = len(e.models)
 	}
 	if e.kind != "engine" && len(e.models) > 0 {
 		b.report(block, "models", "a %s loads no models; leave it out or write kind = engine", e.kind)
--- a/core/declare/declare.go
+++ b/core/declare/declare.go
@@ -64,6 +64,7 @@
 		refusesOldFence bool
 		resumes         bool
 		models          []string
+		modelSlots      int
 	}
 
 	// Kind is one kind of request.
@@ -160,9 +161,12 @@
 // Resumes reports whether the endpoint resumes broken streams.
 func (e *Endpoint) Resumes() bool { return e.resumes }
 
-// Models returns the models that an engine is to have loaded.
+// Models returns the models that an engine may load.
 func (e *Endpoint) Models() []string { return e.models }
 
+// ModelSlots returns how many models an engine loads at once.
+func (e *Endpoint) ModelSlots() int { return e.modelSlots }
+
 // Name returns the kind's name.
 func (k *Kind) Name() string { return k.name }
 
--- a/core/pipeline/runner.go
+++ b/core/pipeline/runner.go
@@ -90,17 +90,36 @@
 	r.shareStages()
 }
 
-// Report notes an endpoint's report of its load at a given time.
-func (r *Runner) Report(endpoint string, load float64, at time.Time) {
+// Report notes an endpoint's report of its load at a given time, and of the
+// models that it has loaded; nil means that it does not say.
+func (r *Runner) Report(endpoint string, load float64, models []string, at time.Time) {
 	r.mu.RLock()
 	defer r.mu.RUnlock()
 	for _, s := range r.stages {
 		s.mu.Lock()
 		s.group.Report(endpoint, load, at)
+		if models != nil {
+			s.group.SetLoaded(endpoint, models)
+		}
 		s.mu.Unlock()
 	}
 }
 
+// Demand returns the calls of this instance that are at work or waiting, by model.
+func (r *Runner) Demand() map[string]float64 {
+	out := make(map[string]float64)
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	for _, s := range r.stages {
+		s.mu.Lock()
+		if model := s.decl.Model(); model != "" {
+			out[model] += float64(s.queue.Len() + s.group.InFlight())
+		}
+		s.mu.Unlock()
+	}
+	return out
+}
+
 // Status returns the state of every stage, ordered by name.
 func (r *Runner) Status() []StageStatus {
 	now := r.seams.Clock.Now()
--- a/demo/remote.go
+++ b/demo/remote.go
@@ -133,3 +133,34 @@
 
 // Size returns the number of entry instances, gone ones included.
 func (d *Deployment) Size() int { return len(d.entries) }
+
+// SetModels changes what an engine has loaded behind the system's back.
+func (d *Deployment) SetModels(engine string, models []string) {
+	d.servers[engine].engine.SetModels(models)
+}
+
+// Models returns what an engine has loaded, and the highest fencing number
+// that it has seen.
+func (d *Deployment) Models(engine string) ([]string, int64) {
+	s := d.servers[engine].engine.State()
+	return s.Models, s.Fence
+}
+
+// LeaseHolder returns the number of the instance that holds the lease for the
+// first shard of engines, or -1.
+func (d *Deployment) LeaseHolder(ctx context.Context) int {
+	obj, err := d.platform.Objects().Get(ctx, "leases", "engines-000")
+	if err != nil {
+		return -1
+	}
+	var l struct {
+		Holder string `json:"holder"`
+	}
+	_ = json.Unmarshal(obj.Data, &l)
+	for i, e := range d.entries {
+		if e.Status().Incarnation == l.Holder {
+			return i
+		}
+	}
+	return -1
+}
--- a/demo/world.go
+++ b/demo/world.go
@@ -79,6 +79,8 @@
 		counts func() standin.ServerCounts
 		faults func(standin.ServerFaults)
 		server *http.Server
+		// engine is nil if the endpoint is none.
+		engine *standin.Engine
 	}
 )
 
@@ -163,6 +165,7 @@
 			Name: e.Name(), Slots: e.Slots(), FirstToken: firstToken, Token: tokenTime, Lag: reportLag,
 			CachedPrefixes: 64, Models: e.Models(), ChecksFence: e.RefusesOldFence(),
 		})
+		s.engine = engine
 		h, s.counts, s.faults = engine.Handler(), engine.Counts, engine.SetFaults
 	} else {
 		stage := standin.NewStage(standin.StageConfig{Name: e.Name(), Slots: e.Slots(), Time: stageTime, Lag: reportLag})
--- a/io/endpoint/endpoint.go
+++ b/io/endpoint/endpoint.go
@@ -42,6 +42,8 @@
 	Load struct {
 		Load float64   `json:"load"`
 		At   time.Time `json:"at"`
+		// Models lists what an engine has loaded; nil if it does not say.
+		Models []string `json:"models"`
 	}
 )
 
--- /dev/null
+++ b/io/endpoint/order.go
@@ -0,0 +1,80 @@
+package endpoint
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+
+	"chervilpath/core/declare"
+)
+
+type (
+	// Order tells an engine what to have loaded.
+	Order struct {
+		// Fence is the fencing number of the lease under which the order is given.
+		Fence  int64    `json:"fence"`
+		Models []string `json:"models"`
+	}
+
+	// State is what an engine has loaded.
+	State struct {
+		// Fence is the highest fencing number that the engine has seen.
+		Fence  int64    `json:"fence"`
+		Models []string `json:"models"`
+	}
+)
+
+// ErrFenced means that an engine refused an order since it had seen a higher
+// fencing number.
+var ErrFenced = errors.New("the engine has seen a higher fencing number")
+
+// State asks an engine what it has loaded.
+func (c *Client) State(ctx context.Context, e *declare.Endpoint) (State, error) {
+	var out State
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, e.Address()+"/state", nil)
+	if err != nil {
+		return out, fmt.Errorf("asking engine %q for its state: %w", e.Name(), err)
+	}
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return out, fmt.Errorf("asking engine %q for its state: %w", e.Name(), err)
+	}
+	defer closeBody(resp)
+	if resp.StatusCode != http.StatusOK {
+		return out, fmt.Errorf("asking engine %q for its state: status %d", e.Name(), resp.StatusCode)
+	}
+	if err := json.NewDecoder(io.LimitReader(resp.Body, maxErrorBytes)).Decode(&out); err != nil {
+		return out, fmt.Errorf("reading the state of engine %q: %w", e.Name(), err)
+	}
+	return out, nil
+}
+
+// Order gives an engine an order. Errors: ErrFenced if the engine refused it;
+// any other error leaves open whether the order took effect.
+func (c *Client) Order(ctx context.Context, e *declare.Endpoint, o Order) error {
+	data, err := json.Marshal(o)
+	if err != nil {
+		return fmt.Errorf("encoding an order: %w", err)
+	}
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, e.Address()+"/orders", bytes.NewReader(data))
+	if err != nil {
+		return fmt.Errorf("ordering engine %q: %w", e.Name(), err)
+	}
+	req.Header.Set("Content-Type", contentJSON)
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return fmt.Errorf("ordering engine %q: %w", e.Name(), err)
+	}
+	defer closeBody(resp)
+	switch {
+	case resp.StatusCode == http.StatusConflict:
+		return fmt.Errorf("ordering engine %q with fence %d: %w", e.Name(), o.Fence, ErrFenced)
+	case resp.StatusCode >= http.StatusMultipleChoices:
+		return fmt.Errorf("ordering engine %q: status %d", e.Name(), resp.StatusCode)
+	}
+	return nil
+}
--- a/io/standin/engine.go
+++ b/io/standin/engine.go
@@ -116,6 +116,11 @@
 func (e *Engine) Handler() http.Handler {
 	mux := http.NewServeMux()
 	e.control(mux)
+	mux.HandleFunc("GET "+pathLoad, func(w http.ResponseWriter, r *http.Request) {
+		load := e.load(time.Now())
+		load.Models = e.State().Models
+		writeJSON(w, load)
+	})
 	mux.HandleFunc("POST /v1/chat/completions", e.serve)
 	mux.HandleFunc("GET /cache-events", e.serveEvents)
 	mux.HandleFunc("POST /orders", e.serveOrder)
@@ -130,6 +135,14 @@
 	return EngineState{Fence: e.fence, Models: slices.Clone(e.models), Orders: e.orders}
 }
 
+// SetModels changes what the engine has loaded, as an operator's hand or an
+// order that comes late would.
+func (e *Engine) SetModels(models []string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.models = models
+}
+
 func (e *Engine) serveOrder(w http.ResponseWriter, r *http.Request) {
 	var o Order
 	if err := json.NewDecoder(r.Body).Decode(&o); err != nil {
--- a/io/standin/objects.go
+++ b/io/standin/objects.go
@@ -120,6 +120,13 @@
 	}
 }
 
+// countRead counts a read of the list of instances.
+func (o *Objects) countRead() {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.counts.Reads++
+}
+
 // Get returns an object.
 func (o *Objects) Get(ctx context.Context, kind, name string) (object.Object, error) {
 	if err := o.admit(ctx, o.reads, &o.counts.Reads); err != nil {
--- a/io/standin/platform.go
+++ b/io/standin/platform.go
@@ -98,7 +98,10 @@
 	mux.HandleFunc("PUT /objects/{kind}/{name}", p.put)
 	mux.HandleFunc("DELETE /objects/{kind}/{name}", p.remove)
 	mux.HandleFunc("GET /objects/{kind}", p.list)
-	mux.HandleFunc("GET /instances", func(w http.ResponseWriter, r *http.Request) { writeJSON(w, p.Instances()) })
+	mux.HandleFunc("GET /instances", func(w http.ResponseWriter, r *http.Request) {
+		p.objects.countRead()
+		writeJSON(w, p.Instances())
+	})
 	mux.HandleFunc("PUT /instances/{name}", p.putInstance)
 	mux.HandleFunc("DELETE /instances/{name}", func(w http.ResponseWriter, r *http.Request) { p.RemoveInstance(r.PathValue("name")) })
 	mux.HandleFunc("GET "+pathCounts, func(w http.ResponseWriter, r *http.Request) { writeJSON(w, p.objects.Counts()) })
--- a/io/standin/stage.go
+++ b/io/standin/stage.go
@@ -44,8 +44,9 @@
 
 	// Load is a server's report of its load.
 	Load struct {
-		Load float64   `json:"load"`
-		At   time.Time `json:"at"`
+		Load   float64   `json:"load"`
+		At     time.Time `json:"at"`
+		Models []string  `json:"models,omitempty"`
 	}
 
 	// StageConfig describes a pool member or a plain service.
@@ -134,6 +135,7 @@
 func (s *Stage) Handler() http.Handler {
 	mux := http.NewServeMux()
 	s.control(mux)
+	mux.HandleFunc("GET "+pathLoad, func(w http.ResponseWriter, r *http.Request) { writeJSON(w, s.load(time.Now())) })
 	mux.HandleFunc("POST /run/{stage}", s.serve)
 	return mux
 }
@@ -171,7 +173,6 @@
 		s.SetFaults(f)
 	})
 	mux.HandleFunc("GET "+pathCounts, func(w http.ResponseWriter, r *http.Request) { writeJSON(w, s.Counts()) })
-	mux.HandleFunc("GET "+pathLoad, func(w http.ResponseWriter, r *http.Request) { writeJSON(w, s.load(time.Now())) })
 }
 
 // enter counts a call and returns the switches as they are now.
--- a/node/node.go
+++ b/node/node.go
@@ -45,6 +45,7 @@
 	OnceService         = "/once"
 	CostService         = "/cost"
 	EndpointsService    = "/endpoints"
+	OrdersService       = "/orders"
 	PeerService         = "/peer"
 	OperatorService     = "/operator"
 	CallerService       = "/caller"
@@ -169,12 +170,13 @@
 		{Name: OnceService, Needs: []string{PlatformService, MembersService, StagesService, CostService}, Value: n.keeper, Start: n.loop(n.flushOutcomes), Drain: n.handOver},
 		{Name: CostService, Needs: []string{PlatformService}, Value: n.ledger, Start: n.loop(n.flushCosts), Drain: n.flushAll, Stop: n.endLoops},
 		{Name: EndpointsService, Needs: []string{StagesService, DeclarationsService}, Value: n.endpoints, Start: n.startWatching},
+		n.ordersService(),
 		{Name: OperatorService, Needs: []string{DeclarationsService, CostService}, Value: ops},
 		{Name: CallerService, Needs: []string{OperatorService, OnceService, CostService, EndpointsService}, Value: n.callers, Drain: n.drainCallers},
 	}
 	n.serveHTTP(&services[2], n.cfg.PeerAddress(), peers.Handler(n.cfg.Secret()), 0)
-	n.serveHTTP(&services[8], n.cfg.OperatorAddress(), ops.Handler(), 0)
-	n.serveHTTP(&services[9], n.cfg.CallerAddress(), n.callers.Handler(), n.cfg.MaxConnections())
+	n.serveHTTP(&services[9], n.cfg.OperatorAddress(), ops.Handler(), 0)
+	n.serveHTTP(&services[10], n.cfg.CallerAddress(), n.callers.Handler(), n.cfg.MaxConnections())
 	for _, s := range services {
 		s.Name = n.ServiceName(s.Name)
 		for i, need := range s.Needs {
@@ -187,6 +189,31 @@
 	return nil
 }
 
+// ordersService runs the loop that gives orders. Its drain ends the loop before
+// it releases the leases, so that no order is in flight then.
+func (n *Instance) ordersService() kernel.Service {
+	o := newOrders(n)
+	ctx, cancel := context.WithCancel(n.loopCtx)
+	done := make(chan struct{})
+	return kernel.Service{
+		Name:  OrdersService,
+		Needs: []string{PlatformService, StagesService, MembersService, DeclarationsService},
+		Start: func(context.Context) error {
+			n.running.Go(func() {
+				defer close(done)
+				o.run(ctx)
+			})
+			return nil
+		},
+		Drain: func(drainCtx context.Context) error {
+			cancel()
+			<-done
+			o.release(drainCtx)
+			return nil
+		},
+	}
+}
+
 // serveHTTP gives a service an HTTP server. Its drain waits until requests in
 // flight have ended.
 func (n *Instance) serveHTTP(s *kernel.Service, address string, h http.Handler, connections int) {
--- a/node/watch.go
+++ b/node/watch.go
@@ -72,7 +72,7 @@
 			if e, ok := set.Endpoint(names[next]); ok && e.ReportsLoad() {
 				callCtx, cancel := context.WithTimeout(ctx, loadTimeout)
 				if load, err := n.endpoints.Load(callCtx, e); err == nil {
-					n.runner.Report(e.Name(), load.Load, load.At)
+					n.runner.Report(e.Name(), load.Load, load.Models, load.At)
 				}
 				cancel()
 			}
--- a/scenario/scenario_test.go
+++ b/scenario/scenario_test.go
@@ -79,6 +79,12 @@
 	// note-calls ENDPOINT: remember its calls; no-new-calls ENDPOINT: compare.
 	"note-calls":   noteCalls,
 	"no-new-calls": noNewCalls,
+	// drift ENGINE MODEL: change what an engine has loaded behind the system's
+	// back; loaded ENGINE MODEL: wait until it has loaded just that.
+	"drift":  drift,
+	"loaded": loaded,
+	// stop-holder: drain and stop the instance that gives orders to engines.
+	"stop-holder": stopHolder,
 	// pause TIME: let time pass.
 	"pause": pause,
 }
@@ -304,6 +310,31 @@
 	}
 }
 
+func drift(ts *testscript.TestScript, w *world, args []string) {
+	w.deployment.SetModels(args[0], args[1:])
+}
+
+func loaded(ts *testscript.TestScript, w *world, args []string) {
+	for deadline := time.Now().Add(eventually); ; time.Sleep(poll) {
+		models, fence := w.deployment.Models(args[0])
+		if len(models) == 1 && models[0] == args[1] {
+			ts.Logf("%s has %v by fence %d", args[0], models, fence)
+			return
+		}
+		if time.Now().After(deadline) {
+			ts.Fatalf("%s has %v", args[0], models)
+		}
+	}
+}
+
+func stopHolder(ts *testscript.TestScript, w *world, _ []string) {
+	i := w.deployment.LeaseHolder(context.Background())
+	if i < 0 {
+		ts.Fatalf("no instance holds the lease")
+	}
+	stop(ts, w, []string{strconv.Itoa(i)})
+}
+
 func pause(ts *testscript.TestScript, _ *world, args []string) {
 	d, err := time.ParseDuration(args[0])
 	ts.Check(err)
