--- a/cmd/demo.go
+++ b/cmd/demo.go
@@ -17,6 +17,7 @@
 	Rate       float64       `long:"rate" default:"60" description:"Requests a second"`
 	Seed       uint64        `long:"seed" default:"1" description:"Seed of the load"`
 	Calm       bool          `long:"calm" description:"Lose no endpoint and no instance"`
+	Chaos      bool          `long:"chaos" description:"Strike with faults of every kind that follow from the seed"`
 	Log        string        `long:"log" value-name:"FILE" description:"Write the instances' log there"`
 }
 
@@ -30,7 +31,8 @@
 
 Examples:
   chervilpath demo
-  chervilpath demo --deployment kgotso --duration 30s --rate 120 --seed 7`,
+  chervilpath demo --deployment kgotso --duration 30s --rate 120 --seed 7
+  chervilpath demo --chaos --duration 10m --seed 3`,
 		data: &demoCommand{program: p},
 	}
 }
@@ -58,7 +60,7 @@
 		names = []string{"kgotso", "darbgalds"}
 	}
 	broken, err := demo.Run(c.ctx, demo.Options{
-		Deployments: names, Instances: c.Instances, Duration: c.Duration, Rate: c.Rate, Seed: c.Seed, Calm: c.Calm, Log: log, Out: c.out,
+		Deployments: names, Instances: c.Instances, Duration: c.Duration, Rate: c.Rate, Seed: c.Seed, Calm: c.Calm, Chaos: c.Chaos, Log: log, Out: c.out,
 	})
 	if err != nil {
 		return err
--- a/demo/run.go
+++ b/demo/run.go
@@ -6,6 +6,7 @@
 	"io"
 	"slices"
 	"strings"
+	"sync"
 	"text/tabwriter"
 	"time"
 
@@ -27,8 +28,10 @@
 		Seed uint64
 		// Calm leaves out the loss of an endpoint and of an instance.
 		Calm bool
-		Log  *zap.Logger
-		Out  io.Writer
+		// Chaos strikes with faults that follow from the seed instead.
+		Chaos bool
+		Log   *zap.Logger
+		Out   io.Writer
 	}
 
 	// report is what one deployment's run showed.
@@ -79,17 +82,23 @@
 	l := newLoad(d, o.Rate, o.Seed)
 	loadCtx, stopLoad := context.WithTimeout(ctx, o.Duration)
 	defer stopLoad()
-	if !o.Calm {
-		go d.lose(loadCtx, o)
+	var striking sync.WaitGroup
+	switch {
+	case o.Chaos:
+		c := newChaos(d, o.Seed, func(format string, args ...any) { _, _ = fmt.Fprintf(o.Out, format, args...) })
+		striking.Go(func() { c.run(loadCtx) })
+	case !o.Calm:
+		striking.Go(func() { d.lose(loadCtx, o) })
 	}
 	go showProgress(loadCtx, o, l)
 	l.run(loadCtx)
+	striking.Wait()
 	stopCtx, cancelStop := context.WithTimeout(context.WithoutCancel(ctx), stopTimeout)
 	defer cancelStop()
 	if err := d.Stop(stopCtx); err != nil {
 		return nil, err
 	}
-	return d.report(stopCtx, l, began, o.Calm)
+	return d.report(stopCtx, l, began, o.Calm && !o.Chaos)
 }
 
 // lose ends an endpoint at a third and an entry instance at a half of the time.
