Protect every side by TLS, with certificates read again

Cause: peers proved themselves by a shared secret over plain TCP only. Change: io/certs gives crypto/tls certificates from files and takes changed ones without a restart; mutual TLS between instances; settings for each side; a stand-in for a certificate authority.

--- a/core/settings/settings.go
+++ b/core/settings/settings.go
@@ -31,6 +31,20 @@
 	keys            int
 	costWindow      time.Duration
 	logLevel        string
+	tls             TLS
+}
+
+// TLS names the files of certificates, each "" where TLS is not used.
+type TLS struct {
+	// CallerCert and CallerKey are shown to callers.
+	CallerCert, CallerKey string
+	// OperatorCert and OperatorKey are shown to operators.
+	OperatorCert, OperatorKey string
+	// PeerCert and PeerKey are shown to other instances, both as server and as
+	// client, and PeerCA signs those of the others.
+	PeerCert, PeerKey, PeerCA string
+	// PlatformCA and EndpointCA sign the certificates of those.
+	PlatformCA, EndpointCA string
 }
 
 // Table is the table of every setting.
@@ -67,6 +81,21 @@
 				{Key: "secretFile", Kind: option.Text, Required: true, Doc: "File with the secret that all instances share, at least 16 bytes."},
 			},
 		},
+		{
+			Kind: "tls",
+			Doc:  "Files of certificates in PEM. A changed file counts without a restart. Without a certificate a side uses plain TCP.",
+			Options: []option.Option{
+				{Key: "callerCert", Kind: option.Text, Doc: "Certificate shown to callers."},
+				{Key: "callerKey", Kind: option.Text, Doc: "Its key."},
+				{Key: "operatorCert", Kind: option.Text, Doc: "Certificate shown to operators."},
+				{Key: "operatorKey", Kind: option.Text, Doc: "Its key."},
+				{Key: "peerCert", Kind: option.Text, Doc: "Certificate shown to other instances, as server and as client. It has to name the IP number of `peerAddress`."},
+				{Key: "peerKey", Kind: option.Text, Doc: "Its key."},
+				{Key: "peerCA", Kind: option.Text, Doc: "Authorities that sign the certificates of instances."},
+				{Key: "platformCA", Kind: option.Text, Doc: "Authorities that sign the platform's certificate; those of the system if left out."},
+				{Key: "endpointCA", Kind: option.Text, Doc: "Authorities that sign the certificates of endpoints; those of the system if left out."},
+			},
+		},
 		{
 			Kind: "limits",
 			Doc:  "Bounds on what the instance takes and keeps.",
@@ -105,6 +134,9 @@
 	if err := problems.Err(); err != nil {
 		return Entry{}, err
 	}
+	if problems := checkTLS(found["tls"]); problems.Err() != nil {
+		return Entry{}, problems
+	}
 	secret, err := readFile(found["peers"].Text("secretFile"))
 	if err != nil {
 		return Entry{}, fmt.Errorf("reading the peers' secret: %w", err)
@@ -115,6 +147,23 @@
 	return newEntry(found, strings.TrimSpace(string(secret))), nil
 }
 
+// checkTLS reports keys that are of use only together.
+func checkTLS(b *option.Block) option.Problems {
+	var out option.Problems
+	for _, group := range [][]string{{"callerCert", "callerKey"}, {"operatorCert", "operatorKey"}, {"peerCert", "peerKey", "peerCA"}} {
+		set := 0
+		for _, key := range group {
+			if b.Text(key) != "" {
+				set++
+			}
+		}
+		if set > 0 && set < len(group) {
+			out = append(out, b.Problem(group[0], "%s are of use only together; write all or none", strings.Join(group, ", ")))
+		}
+	}
+	return out
+}
+
 // ReadEntry reads the settings file of an entry instance.
 func ReadEntry(file string) (Entry, error) {
 	data, err := os.ReadFile(file)
@@ -146,9 +195,22 @@
 		remember:        limits.Duration("remember"),
 		keys:            limits.Int("keys"),
 		costWindow:      limits.Duration("costWindow"),
+		tls:             newTLS(b["tls"]),
 	}
 }
 
+func newTLS(b *option.Block) TLS {
+	return TLS{
+		CallerCert: b.Text("callerCert"), CallerKey: b.Text("callerKey"),
+		OperatorCert: b.Text("operatorCert"), OperatorKey: b.Text("operatorKey"),
+		PeerCert: b.Text("peerCert"), PeerKey: b.Text("peerKey"), PeerCA: b.Text("peerCA"),
+		PlatformCA: b.Text("platformCA"), EndpointCA: b.Text("endpointCA"),
+	}
+}
+
+// TLS returns the files of certificates.
+func (e Entry) TLS() TLS { return e.tls }
+
 // Name returns the instance's name.
 func (e Entry) Name() string { return e.name }
 
--- a/core/settings/settings_test.go
+++ b/core/settings/settings_test.go
@@ -47,6 +47,10 @@
 	if err == nil || !strings.Contains(err.Error(), "peers secretFile") {
 		t.Errorf("without the section [peers]: %v", err)
 	}
+	_, err = settings.ParseEntry("e.ini", []byte(valid+"[tls]\npeerCert = a.pem\n"), secret("0123456789abcdef"))
+	if err == nil || !strings.Contains(err.Error(), "e.ini:13: tls peerCert: peerCert, peerKey, peerCA are of use only together") {
+		t.Errorf("with a certificate without its key: %v", err)
+	}
 	_, err = settings.ParseEntry("e.ini", []byte(valid), secret("short"))
 	if err == nil || strings.Contains(err.Error(), "short\"") || !strings.Contains(err.Error(), "e.ini:11: peers secretFile") {
 		t.Errorf("with a short secret: %v", err)
--- /dev/null
+++ b/io/certs/certs_test.go
@@ -0,0 +1,118 @@
+package certs_test
+
+import (
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"testing"
+	"time"
+
+	"chervilpath/io/certs"
+	"chervilpath/io/standin"
+)
+
+func newAuthority(t *testing.T) *standin.Authority {
+	t.Helper()
+	a, err := standin.NewAuthority(t.TempDir())
+	if err != nil {
+		t.Fatal(err)
+	}
+	return a
+}
+
+// issue returns the files of a new certificate for an instance on loopback.
+func issue(t *testing.T, a *standin.Authority) certs.Files {
+	t.Helper()
+	cert, key, err := a.Issue("instance", "127.0.0.1")
+	if err != nil {
+		t.Fatal(err)
+	}
+	return certs.Files{Cert: cert, Key: key, CA: a.CA()}
+}
+
+func open(t *testing.T, f certs.Files, now *time.Time) *certs.Store {
+	t.Helper()
+	s, err := certs.Open(f, func() time.Time { return *now }, func(err error) { t.Log(err) })
+	if err != nil {
+		t.Fatal(err)
+	}
+	return s
+}
+
+func serve(t *testing.T, s *certs.Store, mutual bool) string {
+	t.Helper()
+	srv := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {}))
+	srv.TLS = s.Server(mutual)
+	srv.StartTLS()
+	t.Cleanup(srv.Close)
+	return srv.URL
+}
+
+// call makes a connection of its own to the server.
+func call(s *certs.Store, url string) error {
+	transport := &http.Transport{DialContext: (&net.Dialer{}).DialContext, DisableKeepAlives: true}
+	s.Apply(transport)
+	resp, err := (&http.Client{Transport: transport}).Get(url)
+	if err != nil {
+		return err
+	}
+	return resp.Body.Close()
+}
+
+func TestMutualTLSTakesOnlySignedPeers(t *testing.T) {
+	now := time.Now()
+	ours, others := newAuthority(t), newAuthority(t)
+	server := open(t, issue(t, ours), &now)
+	url := serve(t, server, true)
+	if err := call(server, url); err != nil {
+		t.Errorf("a signed peer is refused: %v", err)
+	}
+	stranger := issue(t, others)
+	stranger.CA = ours.CA()
+	if err := call(open(t, stranger, &now), url); err == nil {
+		t.Error("a peer signed by another authority is taken")
+	}
+	if err := call(open(t, certs.Files{CA: ours.CA()}, &now), url); err == nil {
+		t.Error("a peer without a certificate is taken")
+	}
+	if err := call(open(t, issue(t, others), &now), serve(t, server, false)); err == nil {
+		t.Error("a server signed by another authority is trusted")
+	}
+}
+
+func TestChangedFilesCountWithoutARestart(t *testing.T) {
+	now := time.Now()
+	old, renewed := newAuthority(t), newAuthority(t)
+	files := issue(t, old)
+	server := open(t, files, &now)
+	url := serve(t, server, true)
+	client := open(t, issue(t, renewed), &now)
+	if err := call(client, url); err == nil {
+		t.Fatal("a client of another authority is taken")
+	}
+	next := issue(t, renewed)
+	for from, to := range map[string]string{next.Cert: files.Cert, next.Key: files.Key, next.CA: files.CA} {
+		data, err := os.ReadFile(from)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if err := os.WriteFile(to, data, 0o600); err != nil {
+			t.Fatal(err)
+		}
+		if err := os.Chtimes(to, now.Add(time.Minute), now.Add(time.Minute)); err != nil {
+			t.Fatal(err)
+		}
+	}
+	now = now.Add(2 * time.Second)
+	if err := call(client, url); err != nil {
+		t.Errorf("after the files changed: %v", err)
+	}
+	if err := os.WriteFile(files.Cert, []byte("damaged"), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	now = now.Add(2 * time.Second)
+	if err := call(client, url); err != nil {
+		t.Errorf("a damaged file ended a good certificate: %v", err)
+	}
+}
--- a/io/operator/operator.go
+++ b/io/operator/operator.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"net/http"
 	"net/http/pprof"
+	"strings"
 
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
@@ -60,10 +61,15 @@
 	_ = json.NewEncoder(w).Encode(s.seams.Status())
 }
 
-// Fetch returns the state of the instance whose operators' address is given.
+// Fetch returns the state of the instance whose operators' address is given, or
+// its URL if that is not plain HTTP.
 func Fetch(ctx context.Context, address string) (status.Instance, error) {
 	var out status.Instance
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+"/status", nil)
+	target := address
+	if !strings.Contains(address, "://") {
+		target = "http://" + address
+	}
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, target+"/status", nil)
 	if err != nil {
 		return out, fmt.Errorf("asking %s for its status: %w", address, err)
 	}
--- a/io/peer/peer.go
+++ b/io/peer/peer.go
@@ -41,8 +41,9 @@
 type (
 	// Clients holds a client for each address. Use NewClients.
 	Clients struct {
-		http  *http.Client
-		bytes atomic.Int64
+		http   *http.Client
+		scheme string
+		bytes  atomic.Int64
 
 		mu    sync.Mutex
 		known map[string]peerpb.Peer
@@ -75,10 +76,11 @@
 	}
 )
 
-// NewClients returns clients that prove themselves by the shared secret. The
-// transport's connections are counted.
-func NewClients(secret string, transport *http.Transport) *Clients {
-	c := &Clients{known: make(map[string]peerpb.Peer)}
+// NewClients returns clients that prove themselves by the shared secret and, if
+// secure is not nil, by what it makes of the transport. The transport's
+// connections are counted.
+func NewClients(secret string, transport *http.Transport, secure func(*http.Transport)) *Clients {
+	c := &Clients{known: make(map[string]peerpb.Peer), scheme: "http://"}
 	dial := transport.DialContext
 	transport.DialContext = func(ctx context.Context, network, address string) (net.Conn, error) {
 		conn, err := dial(ctx, network, address)
@@ -87,6 +89,10 @@
 		}
 		return &countedConn{Conn: conn, bytes: &c.bytes}, nil
 	}
+	if secure != nil {
+		c.scheme = "https://"
+		secure(transport)
+	}
 	c.http = &http.Client{Transport: authorised{secret: secret, next: transport}}
 	return c
 }
@@ -122,7 +128,7 @@
 	defer c.mu.Unlock()
 	p, ok := c.known[address]
 	if !ok {
-		p = peerpb.NewPeerProtobufClient("http://"+address, c.http)
+		p = peerpb.NewPeerProtobufClient(c.scheme+address, c.http)
 		c.known[address] = p
 	}
 	return p
--- a/node/node.go
+++ b/node/node.go
@@ -8,6 +8,7 @@
 import (
 	"context"
 	"crypto/rand"
+	"crypto/tls"
 	"fmt"
 	mathrand "math/rand/v2"
 	"net"
@@ -95,22 +96,26 @@
 // New returns an instance whose services have been added to the kernel.
 func New(k *kernel.Kernel, cfg settings.Entry, log *zap.Logger) (*Instance, error) {
 	n := &Instance{
-		cfg:       cfg,
-		log:       log.With(zap.String("instance", cfg.Name())),
-		owner:     once.Owner{Incarnation: cfg.Name() + "-" + rand.Text()[:10], Address: cfg.PeerAddress()},
-		holder:    publish.NewHolder(),
-		registry:  prometheus.NewRegistry(),
-		score:     newScore(),
-		behind:    make(chan behind, 1),
-		endpoints: endpoint.New(&http.Client{Transport: endpoint.Transport()}),
-		notice:    noticeDelay,
+		cfg:      cfg,
+		log:      log.With(zap.String("instance", cfg.Name())),
+		owner:    once.Owner{Incarnation: cfg.Name() + "-" + rand.Text()[:10], Address: cfg.PeerAddress()},
+		holder:   publish.NewHolder(),
+		registry: prometheus.NewRegistry(),
+		score:    newScore(),
+		behind:   make(chan behind, 1),
+		notice:   noticeDelay,
 	}
 	n.loopCtx, n.stopLoops = context.WithCancel(context.Background())
-	n.platform = platform.New(platform.Config{URL: cfg.PlatformURL(), ReadsPerSecond: cfg.Reads(), WritesPerSecond: cfg.Writes()}, &http.Client{Transport: endpoint.Transport()})
+	secure, err := n.openCerts()
+	if err != nil {
+		return nil, err
+	}
+	n.endpoints = endpoint.New(&http.Client{Transport: secure.endpoints})
+	n.platform = platform.New(platform.Config{URL: cfg.PlatformURL(), ReadsPerSecond: cfg.Reads(), WritesPerSecond: cfg.Writes()}, &http.Client{Transport: secure.platform})
 	n.ledger = cost.New(time.Now(), cfg.Name(), n.owner.Incarnation)
 	n.metrics = newMetrics(n)
 	n.runner = pipeline.New(n.pipelineSeams(), pipeline.Policy{}, newRand())
-	n.clients = peer.NewClients(cfg.Secret(), peerTransport())
+	n.clients = peer.NewClients(cfg.Secret(), peerTransport(), secure.peers)
 	n.members = peer.NewMembers(n.self(), cfg.Seeds(), n.clients, time.Now, newRand(), n.noteBehind, n.noteServing)
 	n.keeper = once.New(once.Config{
 		Owner: n.owner, Secret: []byte(cfg.Secret()), TicketLife: cfg.TicketLife(), Remember: cfg.Remember(), Limit: cfg.Keys(),
@@ -122,7 +127,7 @@
 		Now: time.Now, NewID: rand.Text, Declarations: n.declarations, Run: n.runner.Run,
 		Observe: n.observe, Keeper: n.keeper, Log: n.log,
 	})
-	return n, n.addServices(k)
+	return n, n.addServices(k, secure)
 }
 
 // peerTransport keeps connections to peers for a short time only: in a large
@@ -170,7 +175,7 @@
 // ServiceName returns the name in the kernel of one of the instance's services.
 func (n *Instance) ServiceName(service string) string { return n.cfg.Name() + service }
 
-func (n *Instance) addServices(k *kernel.Kernel) error {
+func (n *Instance) addServices(k *kernel.Kernel, secure *secured) error {
 	peers := &peer.Server{
 		Members: n.members, Keeper: n.keeper, Now: time.Now,
 		ReadRoot: n.holder.RootJSON, ReadFragment: n.holder.Fragment,
@@ -192,9 +197,9 @@
 		{Name: OperatorService, Needs: []string{DeclarationsService, CostService}, Value: ops},
 		{Name: CallerService, Needs: []string{OperatorService, OnceService, CostService, EndpointsService}, Value: n.callers, Drain: n.drainCallers},
 	}
-	n.serveHTTP(&services[2], n.cfg.PeerAddress(), peers.Handler(n.cfg.Secret()), 0)
-	n.serveHTTP(&services[9], n.cfg.OperatorAddress(), ops.Handler(), 0)
-	n.serveHTTP(&services[10], n.cfg.CallerAddress(), n.callers.Handler(), n.cfg.MaxConnections())
+	n.serveHTTP(&services[2], n.cfg.PeerAddress(), peers.Handler(n.cfg.Secret()), secure.peerServer, 0)
+	n.serveHTTP(&services[9], n.cfg.OperatorAddress(), ops.Handler(), secure.operatorServer, 0)
+	n.serveHTTP(&services[10], n.cfg.CallerAddress(), n.callers.Handler(), secure.callerServer, n.cfg.MaxConnections())
 	for _, s := range services {
 		s.Name = n.ServiceName(s.Name)
 		for i, need := range s.Needs {
@@ -234,7 +239,7 @@
 
 // serveHTTP gives a service an HTTP server. Its drain waits until requests in
 // flight have ended.
-func (n *Instance) serveHTTP(s *kernel.Service, address string, h http.Handler, connections int) {
+func (n *Instance) serveHTTP(s *kernel.Service, address string, h http.Handler, secure *tls.Config, connections int) {
 	server := &http.Server{
 		Handler:           h,
 		ReadHeaderTimeout: readHeaderTimeout,
@@ -252,6 +257,9 @@
 		if connections > 0 {
 			l = netutil.LimitListener(l, connections)
 		}
+		if secure != nil {
+			l = tls.NewListener(l, secure)
+		}
 		go func() { _ = server.Serve(l) }()
 		return nil
 	}
--- /dev/null
+++ b/node/secure_test.go
@@ -0,0 +1,129 @@
+package node_test
+
+import (
+	"context"
+	"crypto/tls"
+	"crypto/x509"
+	"fmt"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"strings"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+
+	"chervilpath/core/kernel"
+	"chervilpath/core/publish"
+	"chervilpath/core/settings"
+	"chervilpath/io/standin"
+	"chervilpath/node"
+)
+
+const joinLimit = 20 * time.Second
+
+// startSecure starts an instance that uses TLS on every side, with the
+// certificate of the given authority for peers.
+func startSecure(t *testing.T, i int, platform, platformCA string, a *standin.Authority) *node.Instance {
+	t.Helper()
+	ip := fmt.Sprintf("127.247.0.%d", i)
+	cert, key, err := a.Issue(fmt.Sprint("instance", i), ip)
+	if err != nil {
+		t.Fatal(err)
+	}
+	text := fmt.Sprintf("[instance]\nname = s%d\nfailureDomain = d\ncallerAddress = %s:8080\npeerAddress = %s:8081\noperatorAddress = %s:8082\n"+
+		"[platform]\nurl = %s\n[peers]\nseeds = 127.247.0.1:8081\nsecretFile = s\n"+
+		"[tls]\ncallerCert = %s\ncallerKey = %s\noperatorCert = %s\noperatorKey = %s\npeerCert = %s\npeerKey = %s\npeerCA = %s\nplatformCA = %s\n",
+		i, ip, ip, ip, platform, cert, key, cert, key, cert, key, a.CA(), platformCA)
+	cfg, err := settings.ParseEntry("s.ini", []byte(text), func(string) ([]byte, error) { return []byte("0123456789abcdef"), nil })
+	if err != nil {
+		t.Fatal(err)
+	}
+	k := kernel.New()
+	n, err := node.New(k, cfg, zap.NewNop())
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := k.Start(context.Background()); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = k.Stop(context.Background()) })
+	return n
+}
+
+func waitFor(t *testing.T, what string, ok func() bool) {
+	t.Helper()
+	for deadline := time.Now().Add(joinLimit); !ok(); time.Sleep(10 * time.Millisecond) {
+		if time.Now().After(deadline) {
+			t.Fatalf("%s did not come", what)
+		}
+	}
+}
+
+// TestEverySideByTLS lets two instances find each other and their declarations
+// by TLS only, and keeps one with a stranger's certificate out.
+func TestEverySideByTLS(t *testing.T) {
+	ours, strange := newAuthority(t), newAuthority(t)
+	p := standin.NewPlatform(0)
+	cert, key, err := ours.Issue("platform", "127.0.0.1")
+	if err != nil {
+		t.Fatal(err)
+	}
+	pair, err := tls.LoadX509KeyPair(cert, key)
+	if err != nil {
+		t.Fatal(err)
+	}
+	platform := httptest.NewUnstartedServer(p.Handler())
+	platform.TLS = &tls.Config{Certificates: []tls.Certificate{pair}}
+	platform.StartTLS()
+	t.Cleanup(platform.Close)
+	change(t, publish.New(p.Objects().Store(), time.Now), 0)
+
+	first := startSecure(t, 1, platform.URL, ours.CA(), ours)
+	second := startSecure(t, 2, platform.URL, ours.CA(), ours)
+	stranger := startSecure(t, 3, platform.URL, ours.CA(), strange)
+	waitFor(t, "the second instance", func() bool { return len(first.Status().Members) == 2 && len(second.Status().Members) == 2 })
+	waitFor(t, "the declarations", func() bool { return first.Ready() && second.Ready() })
+	if n := len(stranger.Status().Members); n != 1 {
+		t.Errorf("the stranger knows %d members", n)
+	}
+	if _, err := http.Get("http://" + first.CallerAddress() + "/openapi.json"); err == nil {
+		resp, _ := http.Get("http://" + first.CallerAddress() + "/openapi.json")
+		if resp.StatusCode == http.StatusOK {
+			t.Error("callers are served without TLS")
+		}
+	}
+	if err := getTLS(ours.CA(), first.CallerAddress()); err != nil {
+		t.Errorf("callers are not served by TLS: %v", err)
+	}
+}
+
+func newAuthority(t *testing.T) *standin.Authority {
+	t.Helper()
+	a, err := standin.NewAuthority(t.TempDir())
+	if err != nil {
+		t.Fatal(err)
+	}
+	return a
+}
+
+func getTLS(ca, address string) error {
+	data, err := os.ReadFile(ca)
+	if err != nil {
+		return err
+	}
+	pool := x509.NewCertPool()
+	pool.AppendCertsFromPEM(data)
+	client := &http.Client{Transport: &http.Transport{DialContext: (&net.Dialer{}).DialContext, TLSClientConfig: &tls.Config{RootCAs: pool}}}
+	resp, err := client.Get("https://" + address + "/openapi.json")
+	if err != nil {
+		return err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	if !strings.HasPrefix(resp.Status, "200") {
+		return fmt.Errorf("status %s", resp.Status)
+	}
+	return nil
+}
