Call endpoints without a goroutine of their own

A profile shows no single cost; each attempt ran in a goroutine of its own and was handed back through a channel, also where no hedge is possible. Change: only a hedged call gets a goroutine. Outcomes are stored less often in a larger fleet, so that writes do not grow with it.

--- a/core/pipeline/attempt.go
+++ b/core/pipeline/attempt.go
@@ -25,16 +25,16 @@
 	excess int
 }
 
-// send makes one call in its own goroutine and puts its end into done. The
-// first attempt of a pair that succeeds cancels the other by cancel.
-func (c *stageCall) send(ctx context.Context, cancel context.CancelCauseFunc, g grant, hedge bool, done chan<- ended) {
+// prepare notes the decision for one call and returns the function that makes it.
+func (c *stageCall) prepare(ctx context.Context, g grant, hedge bool) func() ended {
 	r := c.run
+	c.attempts++
 	a := c.describe(g)
 	r.runner.seams.Decide(c.decision(a, g, hedge))
 	if c.counts() {
 		r.open++
 	}
-	go func() {
+	return func() ended {
 		callCtx, stop := c.limit(ctx)
 		defer stop()
 		result, err := c.call(callCtx, a)
@@ -42,11 +42,8 @@
 			err = &CallError{Err: fault.Errorf(fault.EndpointFailed, "endpoint %q gave no answer in time for a repeat", a.Endpoint.Name())}
 		}
 		c.settle(ctx, g, result, err)
-		done <- ended{grant: g, result: result, err: err}
-		if err == nil {
-			cancel(errHedged)
-		}
-	}()
+		return ended{grant: g, result: result, err: err}
+	}
 }
 
 func (c *stageCall) describe(g grant) Attempt {
--- a/core/pipeline/load_test.go
+++ b/core/pipeline/load_test.go
@@ -195,7 +195,10 @@
 	end := time.Now().Add(time.Duration(l.seconds) * time.Second)
 	var wg sync.WaitGroup
 	for i := 0; time.Now().Before(end); i++ {
-		time.Sleep(time.Duration(l.rng.ExpFloat64() / l.rate * float64(time.Second)))
+		l.mu.Lock()
+		gap := time.Duration(l.rng.ExpFloat64() / l.rate * float64(time.Second))
+		l.mu.Unlock()
+		time.Sleep(gap)
 		l.mu.Lock()
 		org, _ := l.set.Organisation(l.organised(l.rng))
 		kind, _ := l.set.Kind(l.kind(l.rng))
--- a/core/pipeline/pipeline_test.go
+++ b/core/pipeline/pipeline_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"math/rand/v2"
 	"strings"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -273,6 +274,7 @@
 	if set == nil {
 		t.Fatal(problems)
 	}
+	var mu sync.Mutex
 	var charges []pipeline.Charge
 	synctest.Test(t, func(t *testing.T) {
 		slow := false
@@ -280,11 +282,13 @@
 		r := pipeline.New(pipeline.Seams{
 			Clock: pipeline.Clock{Now: time.Now, AfterFunc: func(d time.Duration, f func()) func() bool { return time.AfterFunc(d, f).Stop }},
 			Call: func(ctx context.Context, a pipeline.Attempt, _ func(string)) (pipeline.Result, error) {
+				mu.Lock()
 				n++
 				d := 10 * time.Millisecond
 				if slow && n%2 == 1 {
 					d = time.Second
 				}
+				mu.Unlock()
 				select {
 				case <-time.After(d):
 					return pipeline.Result{Text: a.Endpoint.Name(), Units: 1}, nil
@@ -292,10 +296,14 @@
 					return pipeline.Result{}, &pipeline.CallError{Err: fault.From(ctx.Err())}
 				}
 			},
-			Decide:  func(pipeline.Decision) {},
-			Charge:  func(c pipeline.Charge) { charges = append(charges, c) },
+			Decide: func(pipeline.Decision) {},
+			Charge: func(c pipeline.Charge) {
+				mu.Lock()
+				defer mu.Unlock()
+				charges = append(charges, c)
+			},
 			Observe: func(string, time.Duration, time.Duration, error) {},
-			NewID:   func() string { return fmt.Sprint(n) },
+			NewID:   func() string { return "a" },
 		}, pipeline.Policy{}, rand.New(rand.NewPCG(1, 1)))
 		r.Replace(set)
 		k, _ := set.Kind("plain")
--- a/core/pipeline/run.go
+++ b/core/pipeline/run.go
@@ -200,15 +200,10 @@
 		return ended{err: err, grant: grant{index: -1}}
 	}
 	c.waited += g.waited
-	ctx, cancel := context.WithCancelCause(ctx)
-	defer cancel(nil)
-	done := make(chan ended, 2)
-	c.attempts++
-	c.send(ctx, cancel, g, false, done)
 	if !c.mayHedge() {
-		return <-done
+		return c.prepare(ctx, g, false)()
 	}
-	return c.hedge(ctx, cancel, g, done)
+	return c.hedge(ctx, g)
 }
 
 func (c *stageCall) want(exclude int) want {
@@ -271,16 +266,29 @@
 
 func (c *stageCall) mayHedge() bool {
 	r := c.run
-	return c.decl.Hedge() && c.decl.Idempotent() && !r.runner.policy.NoHedges && !c.streams() && c.attempts == 1
+	return c.decl.Hedge() && c.decl.Idempotent() && !r.runner.policy.NoHedges && !c.streams() && c.attempts == 0
 }
 
 // streams reports whether the stage's text goes to the caller as it comes.
 func (c *stageCall) streams() bool { return c.last && c.run.req.Emit != nil }
 
-// hedge waits for the first call and sends a second one when the first has
-// taken longer than 95 of 100 calls do.
-func (c *stageCall) hedge(ctx context.Context, cancel context.CancelCauseFunc, g grant, done chan ended) ended {
+// hedge makes a call and sends a second one when the first has taken longer
+// than 95 of 100 calls do. The first whole answer cancels the other call.
+func (c *stageCall) hedge(ctx context.Context, g grant) ended {
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	done := make(chan ended, 2)
+	start := func(call func() ended) {
+		go func() {
+			end := call()
+			done <- end
+			if end.err == nil {
+				cancel(errHedged)
+			}
+		}()
+	}
 	high, known := c.stage.high(c.run.plan.cost[c.index])
+	start(c.prepare(ctx, g, false))
 	if !known {
 		return <-done
 	}
@@ -292,16 +300,11 @@
 		return end
 	case <-slow:
 	}
-	w := c.want(g.index)
-	if !c.stage.allowRepeat(c.run.req.Organisation.Name()) {
-		return <-done
-	}
-	second, ok := c.stage.tryAcquire(w)
+	second, ok := c.second(g)
 	if !ok {
 		return <-done
 	}
-	c.attempts++
-	c.send(ctx, cancel, second, true, done)
+	start(c.prepare(ctx, second, true))
 	first := <-done
 	if first.err != nil {
 		return <-done
@@ -309,6 +312,15 @@
 	return first
 }
 
+// second returns the grant for a hedge, if the budgets allow one and another
+// endpoint is free at once.
+func (c *stageCall) second(first grant) (grant, bool) {
+	if !c.stage.allowRepeat(c.run.req.Organisation.Name()) {
+		return grant{}, false
+	}
+	return c.stage.tryAcquire(c.want(first.index))
+}
+
 // sleep waits for d or until ctx is done.
 func sleep(ctx context.Context, clock Clock, d time.Duration) error {
 	if d <= 0 {
--- a/io/caller/caller_test.go
+++ b/io/caller/caller_test.go
@@ -10,6 +10,7 @@
 	"reflect"
 	"slices"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -53,7 +54,6 @@
 type site struct {
 	*httptest.Server
 	logs *observer.ObservedLogs
-	ends []caller.End
 }
 
 type runFunc func(ctx context.Context, r pipeline.Request) (pipeline.Answer, error)
@@ -67,8 +67,8 @@
 	}
 	core, logs := observer.New(zapcore.DebugLevel)
 	s := &site{logs: logs}
-	ids := 0
-	newID := func() string { ids++; return fmt.Sprint("id", ids) }
+	var ids atomic.Int64
+	newID := func() string { return fmt.Sprint("id", ids.Add(1)) }
 	keeper := once.New(once.Config{Owner: once.Owner{Incarnation: "i1"}, Secret: []byte("x"), TicketLife: time.Minute, Limit: 10}, once.Seams{
 		Now: time.Now, NewID: newID, Store: standin.NewObjects(time.Now).Store(), Go: func(f func()) { f() },
 		Run: func(ctx context.Context, a once.Attempt) once.Outcome {
@@ -82,7 +82,7 @@
 	})
 	server := caller.New(caller.Config{MaxBodyBytes: 1000}, caller.Seams{
 		Now: time.Now, NewID: newID, Declarations: func() *declare.Set { return set }, Run: run,
-		Observe: func(e caller.End) { s.ends = append(s.ends, e) }, Keeper: keeper, Log: zap.New(core),
+		Observe: func(caller.End) {}, Keeper: keeper, Log: zap.New(core),
 	})
 	s.Server = httptest.NewServer(server.Handler())
 	t.Cleanup(s.Close)
--- a/node/once.go
+++ b/node/once.go
@@ -19,7 +19,11 @@
 )
 
 const (
-	outcomeFlush   = time.Second
+	// Outcomes are stored once in outcomeFlush, or in outcomeFlushEach for each
+	// serving instance, so that the writes of all do not grow with the fleet.
+	outcomeFlush     = time.Second
+	outcomeFlushEach = 50 * time.Millisecond
+
 	handOverTries  = 3
 	handOverWait   = 2 * time.Second
 	runningRecheck = 50 * time.Millisecond
@@ -77,7 +81,7 @@
 
 // flushOutcomes stores outcomes in groups.
 func (n *Instance) flushOutcomes(ctx context.Context) {
-	for n.every(ctx, outcomeFlush) {
+	for n.every(ctx, max(outcomeFlush, time.Duration(n.members.Serving())*outcomeFlushEach)) {
 		n.flushOnce(ctx)
 	}
 }
