Split the stage out of the pipeline

Change: core/stage holds who waits, the endpoints, estimates and budgets of one stage; core/pipeline holds a request's way through stages. No behaviour changes.

--- a/core/pipeline/attempt.go
+++ b/core/pipeline/attempt.go
@@ -8,6 +8,7 @@
 
 	"chervilpath/core/balance"
 	"chervilpath/core/fault"
+	"chervilpath/core/stage"
 )
 
 var errHedged = errors.New("the other call of the pair answered first")
@@ -15,7 +16,7 @@
 // stream passes one attempt's text on to the caller and watches that it flows.
 type stream struct {
 	call  *stageCall
-	clock Clock
+	clock stage.Clock
 	stop  func() bool
 
 	mu     sync.Mutex
@@ -26,7 +27,7 @@
 }
 
 // prepare notes the decision for one call and returns the function that makes it.
-func (c *stageCall) prepare(ctx context.Context, g grant, hedge bool) func() ended {
+func (c *stageCall) prepare(ctx context.Context, g stage.Grant, hedge bool) func() ended {
 	r := c.run
 	c.attempts++
 	a := c.describe(g)
@@ -46,14 +47,14 @@
 	}
 }
 
-func (c *stageCall) describe(g grant) Attempt {
+func (c *stageCall) describe(g stage.Grant) Attempt {
 	r := c.run
 	return Attempt{
 		ID:           r.runner.seams.NewID(),
 		RequestID:    r.req.ID,
 		Organisation: r.req.Organisation.Name(),
 		Stage:        c.decl,
-		Endpoint:     g.endpoint,
+		Endpoint:     g.Endpoint,
 		Priority:     r.req.Kind.Priority(),
 		Input:        c.input,
 		Stream:       c.streams(),
@@ -62,7 +63,7 @@
 	}
 }
 
-func (c *stageCall) decision(a Attempt, g grant, hedge bool) Decision {
+func (c *stageCall) decision(a Attempt, g stage.Grant, hedge bool) Decision {
 	return Decision{
 		RequestID:    a.RequestID,
 		Organisation: a.Organisation,
@@ -70,12 +71,12 @@
 		Stage:        c.decl.Name(),
 		AttemptID:    a.ID,
 		Attempt:      c.attempts,
-		Endpoint:     g.endpoint.Name(),
-		Domain:       g.endpoint.FailureDomain(),
-		Reason:       g.reason.String(),
+		Endpoint:     g.Endpoint.Name(),
+		Domain:       g.Endpoint.FailureDomain(),
+		Reason:       g.Reason.String(),
 		Hedge:        hedge,
-		Waited:       g.waited,
-		Remaining:    c.run.req.Deadline.Sub(g.began),
+		Waited:       g.Waited,
+		Remaining:    c.run.req.Deadline.Sub(g.Began),
 	}
 }
 
@@ -86,7 +87,7 @@
 	if !c.decl.Idempotent() || c.decl.Retries() == 0 || c.streams() {
 		return context.WithCancel(ctx)
 	}
-	high, known := c.stage.high(c.run.plan.cost[c.index])
+	high, known := c.stage.High(c.run.plan.cost[c.index])
 	if !known {
 		return context.WithCancel(ctx)
 	}
@@ -104,7 +105,7 @@
 	s := &stream{
 		call:   c,
 		clock:  seams.Clock,
-		limit:  max(minStall, stallFactor*c.stage.expect(c.run.plan.cost[c.index])),
+		limit:  max(minStall, stallFactor*c.stage.Expect(c.run.plan.cost[c.index])),
 		cancel: cancel,
 	}
 	s.watch()
@@ -165,12 +166,12 @@
 	s.watch()
 	if over := c.tokens - int(c.run.plan.cost[c.index]) - s.excess; over >= correctTokens && c.decl.Unit() == "tokens" {
 		s.excess += over
-		c.stage.correct(c.run.req.Organisation, float64(over))
+		c.stage.Correct(c.run.req.Organisation, float64(over))
 	}
 }
 
 // settle notes the end of an attempt with the stage, and its cost.
-func (c *stageCall) settle(ctx context.Context, g grant, result Result, err error) {
+func (c *stageCall) settle(ctx context.Context, g stage.Grant, result Result, err error) {
 	r := c.run
 	now := r.runner.seams.Clock.Now()
 	charge := Charge{
@@ -178,7 +179,7 @@
 		Stage:        c.decl.Name(),
 		Units:        result.Units,
 		Known:        true,
-		Busy:         now.Sub(g.began),
+		Busy:         now.Sub(g.Began),
 	}
 	if err == nil {
 		c.settleWhole(ctx, g, result, &charge)
@@ -189,9 +190,9 @@
 	r.runner.seams.Charge(charge)
 }
 
-func (c *stageCall) settleWhole(ctx context.Context, g grant, result Result, charge *Charge) {
+func (c *stageCall) settleWhole(ctx context.Context, g stage.Grant, result Result, charge *Charge) {
 	cost := c.run.plan.cost[c.index]
-	c.stage.finish(c.run.req.Organisation, g, result.Units, askedCost(c.decl, c.input), cost)
+	c.stage.Finish(c.run.req.Organisation, g, result.Units, askedCost(c.decl, c.input), cost)
 	switch {
 	case errors.Is(context.Cause(ctx), errHedged):
 		charge.Waste = Hedged
@@ -201,7 +202,7 @@
 }
 
 // settleError notes a failed attempt. It reports whether there is a charge.
-func (c *stageCall) settleError(ctx context.Context, g grant, err error, charge *Charge) bool {
+func (c *stageCall) settleError(ctx context.Context, g stage.Grant, err error, charge *Charge) bool {
 	var call *CallError
 	isCall := errors.As(err, &call)
 	outcome := balance.Failed
@@ -211,7 +212,7 @@
 	case ctx.Err() != nil:
 		outcome = balance.Abandoned
 	}
-	c.stage.release(g, outcome)
+	c.stage.Release(g, outcome)
 	if isCall && call.NotRun {
 		return false
 	}
--- a/core/pipeline/load_test.go
+++ b/core/pipeline/load_test.go
@@ -13,6 +13,7 @@
 	"chervilpath/core/declare"
 	"chervilpath/core/fault"
 	"chervilpath/core/pipeline"
+	"chervilpath/core/stage"
 )
 
 const (
@@ -108,7 +109,7 @@
 }
 
 // newLoad has to be called in a synctest bubble.
-func newLoad(t testing.TB, policy pipeline.Policy, seed uint64, instances int) *load {
+func newLoad(t testing.TB, policy stage.Policy, seed uint64, instances int) *load {
 	l := &load{
 		servers: make(map[string]*server),
 		set:     fleet(t, 10),
@@ -134,7 +135,7 @@
 
 func (l *load) seams() pipeline.Seams {
 	return pipeline.Seams{
-		Clock: pipeline.Clock{
+		Clock: stage.Clock{
 			Now:       time.Now,
 			AfterFunc: func(d time.Duration, f func()) func() bool { return time.AfterFunc(d, f).Stop },
 		},
@@ -262,7 +263,7 @@
 const generation = 180.0
 
 // simulate runs traffic at a multiple of capacity, after change has set it up.
-func simulate(t *testing.T, policy pipeline.Policy, seed uint64, multiple float64, seconds int, change func(*load)) *load {
+func simulate(t *testing.T, policy stage.Policy, seed uint64, multiple float64, seconds int, change func(*load)) *load {
 	t.Helper()
 	var l *load
 	synctest.Test(t, func(t *testing.T) {
--- a/core/pipeline/pipeline_test.go
+++ b/core/pipeline/pipeline_test.go
@@ -14,6 +14,7 @@
 	"chervilpath/core/declare"
 	"chervilpath/core/fault"
 	"chervilpath/core/pipeline"
+	"chervilpath/core/stage"
 )
 
 // call is the endpoint's side of one attempt, the first having number 1.
@@ -67,7 +68,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		n := 0
 		r := pipeline.New(pipeline.Seams{
-			Clock: pipeline.Clock{Now: time.Now, AfterFunc: func(d time.Duration, f func()) func() bool { return time.AfterFunc(d, f).Stop }},
+			Clock: stage.Clock{Now: time.Now, AfterFunc: func(d time.Duration, f func()) func() bool { return time.AfterFunc(d, f).Stop }},
 			Call: func(ctx context.Context, a pipeline.Attempt, emit func(string)) (pipeline.Result, error) {
 				n++
 				return f(ctx, n, a, emit)
@@ -76,7 +77,7 @@
 			Charge:  func(c pipeline.Charge) { out.charges = append(out.charges, c) },
 			Observe: func(string, time.Duration, time.Duration, error) {},
 			NewID:   func() string { return fmt.Sprint("a", n) },
-		}, pipeline.Policy{}, rand.New(rand.NewPCG(1, 1)))
+		}, stage.Policy{}, rand.New(rand.NewPCG(1, 1)))
 		r.Replace(set)
 		k, _ := set.Kind(kind)
 		org, _ := set.Organisation("roofs")
@@ -182,7 +183,7 @@
 func TestHopelessRequestIsRefusedBeforeAnythingIsSent(t *testing.T) {
 	set, _ := declare.Build([]declare.Fragment{{Name: "t.ini", Data: []byte(scripted + "[organisation roofs]\nkeyHashes = " + declare.HashKey("k"))}})
 	synctest.Test(t, func(t *testing.T) {
-		r := pipeline.New(pipeline.Seams{Clock: pipeline.Clock{Now: time.Now}}, pipeline.Policy{}, rand.New(rand.NewPCG(1, 1)))
+		r := pipeline.New(pipeline.Seams{Clock: stage.Clock{Now: time.Now}}, stage.Policy{}, rand.New(rand.NewPCG(1, 1)))
 		r.Replace(set)
 		k, _ := set.Kind("book")
 		org, _ := set.Organisation("roofs")
@@ -280,7 +281,7 @@
 		slow := false
 		n := 0
 		r := pipeline.New(pipeline.Seams{
-			Clock: pipeline.Clock{Now: time.Now, AfterFunc: func(d time.Duration, f func()) func() bool { return time.AfterFunc(d, f).Stop }},
+			Clock: stage.Clock{Now: time.Now, AfterFunc: func(d time.Duration, f func()) func() bool { return time.AfterFunc(d, f).Stop }},
 			Call: func(ctx context.Context, a pipeline.Attempt, _ func(string)) (pipeline.Result, error) {
 				mu.Lock()
 				n++
@@ -304,7 +305,7 @@
 			},
 			Observe: func(string, time.Duration, time.Duration, error) {},
 			NewID:   func() string { return "a" },
-		}, pipeline.Policy{}, rand.New(rand.NewPCG(1, 1)))
+		}, stage.Policy{}, rand.New(rand.NewPCG(1, 1)))
 		r.Replace(set)
 		k, _ := set.Kind("plain")
 		org, _ := set.Organisation("roofs")
@@ -334,7 +335,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		cancelled := false
 		r := pipeline.New(pipeline.Seams{
-			Clock: pipeline.Clock{Now: time.Now, AfterFunc: func(d time.Duration, f func()) func() bool { return time.AfterFunc(d, f).Stop }},
+			Clock: stage.Clock{Now: time.Now, AfterFunc: func(d time.Duration, f func()) func() bool { return time.AfterFunc(d, f).Stop }},
 			Call: func(ctx context.Context, _ pipeline.Attempt, _ func(string)) (pipeline.Result, error) {
 				<-ctx.Done()
 				cancelled = errors.Is(ctx.Err(), context.Canceled)
@@ -342,7 +343,7 @@
 			},
 			Decide: func(pipeline.Decision) {}, Charge: func(pipeline.Charge) {},
 			Observe: func(string, time.Duration, time.Duration, error) {}, NewID: func() string { return "" },
-		}, pipeline.Policy{}, rand.New(rand.NewPCG(1, 1)))
+		}, stage.Policy{}, rand.New(rand.NewPCG(1, 1)))
 		r.Replace(set)
 		k, _ := set.Kind("plain")
 		org, _ := set.Organisation("roofs")
--- a/core/pipeline/policy_test.go
+++ b/core/pipeline/policy_test.go
@@ -10,7 +10,7 @@
 	"time"
 
 	"chervilpath/core/balance"
-	"chervilpath/core/pipeline"
+	"chervilpath/core/stage"
 )
 
 var table = flag.Bool("table", false, "print the table of scenarios and policies for docs/MEASUREMENTS.md")
@@ -19,25 +19,25 @@
 // complete.
 var policies = []struct {
 	name   string
-	policy pipeline.Policy
+	policy stage.Policy
 }{
-	{"chervilpath", pipeline.Policy{}},
-	{"no admission", pipeline.Policy{NoAdmission: true}},
-	{"first come", pipeline.Policy{FirstCome: true}},
-	{"round robin", pipeline.Policy{Balance: balance.RoundRobin}},
-	{"random, no admission, unlimited retries", pipeline.Policy{Balance: balance.Random, NoAdmission: true, UnlimitedRetries: true}},
+	{"chervilpath", stage.Policy{}},
+	{"no admission", stage.Policy{NoAdmission: true}},
+	{"first come", stage.Policy{FirstCome: true}},
+	{"round robin", stage.Policy{Balance: balance.RoundRobin}},
+	{"random, no admission, unlimited retries", stage.Policy{Balance: balance.Random, NoAdmission: true, UnlimitedRetries: true}},
 }
 
 func TestAttainmentBelowCapacity(t *testing.T) {
-	l := simulate(t, pipeline.Policy{}, 1, 0.7, 20, nil)
+	l := simulate(t, stage.Policy{}, 1, 0.7, 20, nil)
 	if got := l.attained(all); got < 0.99 {
 		t.Errorf("attainment at 0.7 of capacity = %.4f, want at least 0.99", got)
 	}
 }
 
 func TestGoodputDoesNotCollapse(t *testing.T) {
-	at1 := simulate(t, pipeline.Policy{}, 1, 1, 20, nil).goodput()
-	at3 := simulate(t, pipeline.Policy{}, 1, 3, 20, nil).goodput()
+	at1 := simulate(t, stage.Policy{}, 1, 1, 20, nil).goodput()
+	at3 := simulate(t, stage.Policy{}, 1, 3, 20, nil).goodput()
 	if at3 < 0.9*at1 {
 		t.Errorf("goodput at 3 times capacity = %.1f/s, want at least 0.9 of the %.1f/s at capacity", at3, at1)
 	}
@@ -115,8 +115,8 @@
 func TestGreedyOrganisationCostsItself(t *testing.T) {
 	// The others together ask for 0.63 of capacity, with and without the
 	// greedy one, which asks for as much as the whole capacity.
-	alone := simulate(t, pipeline.Policy{}, 1, 0.63, 20, modest).attained(notGreedy)
-	with := simulate(t, pipeline.Policy{}, 1, 1.63, 20, greedy).attained(notGreedy)
+	alone := simulate(t, stage.Policy{}, 1, 0.63, 20, modest).attained(notGreedy)
+	with := simulate(t, stage.Policy{}, 1, 1.63, 20, greedy).attained(notGreedy)
 	if with < alone-0.01 {
 		t.Errorf("attainment of the others fell from %.4f to %.4f, want at most 0.01 less", alone, with)
 	}
@@ -147,7 +147,7 @@
 }
 
 func TestSlowEndpointIsAvoidedWithinThreeSeconds(t *testing.T) {
-	l := simulate(t, pipeline.Policy{}, 1, 0.7, 20, slowEndpoint)
+	l := simulate(t, stage.Policy{}, 1, 0.7, 20, slowEndpoint)
 	healthy := l.attained(l.between(0, 8*time.Second))
 	after := l.attained(l.between(11*time.Second, 20*time.Second))
 	if after < healthy-0.02 {
@@ -165,7 +165,7 @@
 }
 
 func TestStageDownBringsFewRepeatsAndRecovers(t *testing.T) {
-	l := simulate(t, pipeline.Policy{}, 1, 0.7, 25, stageDown)
+	l := simulate(t, stage.Policy{}, 1, 0.7, 25, stageDown)
 	calls, repeats := int64(0), int64(0)
 	for _, r := range l.runners {
 		for _, s := range r.Status() {
@@ -196,7 +196,7 @@
 			}
 		}
 	}
-	l := simulate(t, pipeline.Policy{}, 1, 1, 20, burst)
+	l := simulate(t, stage.Policy{}, 1, 1, 20, burst)
 	if got := l.attained(func(o outcome) bool { return o.kind == "status" }); got < 0.99 {
 		t.Errorf("attainment of status requests while encoders are swamped = %.4f", got)
 	}
--- a/core/pipeline/run.go
+++ b/core/pipeline/run.go
@@ -9,6 +9,7 @@
 	"chervilpath/core/balance"
 	"chervilpath/core/declare"
 	"chervilpath/core/fault"
+	"chervilpath/core/stage"
 )
 
 const (
@@ -49,7 +50,7 @@
 	stageCall struct {
 		run      *run
 		index    int
-		stage    *stage
+		stage    *stage.Stage
 		decl     *declare.Stage
 		input    Payload
 		attempts int
@@ -62,7 +63,7 @@
 
 	// ended is the end of one attempt.
 	ended struct {
-		grant  grant
+		grant  stage.Grant
 		result Result
 		err    error
 	}
@@ -124,7 +125,7 @@
 // attempt is allowed.
 func (c *stageCall) run1(ctx context.Context) (Result, error) {
 	began := c.run.runner.seams.Clock.Now()
-	c.stage.countCall(c.run.req.Organisation.Name())
+	c.stage.CountCall(c.run.req.Organisation.Name())
 	exclude := -1
 	for {
 		end := c.attempt(ctx, exclude)
@@ -137,8 +138,8 @@
 			c.observe(began, end.err)
 			return Result{}, end.err
 		}
-		exclude = end.grant.index
-		if err := sleep(ctx, c.run.runner.seams.Clock, c.stage.delay(c.attempts)); err != nil {
+		exclude = end.grant.Index
+		if err := sleep(ctx, c.run.runner.seams.Clock, c.stage.Delay(c.attempts)); err != nil {
 			c.observe(began, err)
 			return Result{}, end.err
 		}
@@ -156,7 +157,7 @@
 	case !c.counts():
 	case end.err == nil:
 		c.run.done = true
-	case end.grant.endpoint != nil && provablyNotRun(end.err):
+	case end.grant.Endpoint != nil && provablyNotRun(end.err):
 		c.run.open--
 	}
 }
@@ -175,7 +176,7 @@
 	now := c.run.runner.seams.Clock.Now()
 	c.run.reports = append(c.run.reports, StageReport{
 		Stage:    c.decl.Name(),
-		Endpoint: end.grant.endpoint.Name(),
+		Endpoint: end.grant.Endpoint.Name(),
 		Unit:     c.decl.Unit(),
 		Units:    end.result.Units,
 		Cost:     end.result.Units * c.decl.Price(),
@@ -195,18 +196,18 @@
 // first is slow and a hedge is allowed.
 func (c *stageCall) attempt(ctx context.Context, exclude int) ended {
 	w := c.want(exclude)
-	g, err := c.stage.acquire(ctx, w)
+	g, err := c.stage.Acquire(ctx, w)
 	if err != nil {
-		return ended{err: err, grant: grant{index: -1}}
+		return ended{err: err, grant: stage.Grant{Index: -1}}
 	}
-	c.waited += g.waited
+	c.waited += g.Waited
 	if !c.mayHedge() {
 		return c.prepare(ctx, g, false)()
 	}
 	return c.hedge(ctx, g)
 }
 
-func (c *stageCall) want(exclude int) want {
+func (c *stageCall) want(exclude int) stage.Want {
 	r := c.run
 	cost := r.plan.cost[c.index]
 	if asked := askedCost(c.decl, c.input); asked != r.plan.asked[c.index] {
@@ -217,14 +218,14 @@
 	if c.decl.Affinity() {
 		q.Prefix = balance.Hash(r.req.Organisation.Name(), c.decl.Name(), c.input.Text[:min(prefixBytes, len(c.input.Text))])
 	}
-	return want{
-		organisation: r.req.Organisation,
-		priority:     r.req.Kind.Priority(),
-		cost:         cost,
-		deadline:     r.req.Deadline,
-		need:         c.stage.expect(cost) + r.plan.after(c.index),
-		query:        q,
-		arrived:      r.runner.seams.Clock.Now(),
+	return stage.Want{
+		Organisation: r.req.Organisation,
+		Priority:     r.req.Kind.Priority(),
+		Cost:         cost,
+		Deadline:     r.req.Deadline,
+		Need:         c.stage.Expect(cost) + r.plan.after(c.index),
+		Query:        q,
+		Arrived:      r.runner.seams.Clock.Now(),
 	}
 }
 
@@ -238,7 +239,7 @@
 	if !c.decl.Idempotent() && !notRun {
 		return false
 	}
-	if c.tokens > 0 && !end.grant.endpoint.Resumes() {
+	if c.tokens > 0 && !end.grant.Endpoint.Resumes() {
 		return false
 	}
 	limit := c.decl.Retries()
@@ -257,7 +258,7 @@
 	if r.req.Kind.Idempotent() && r.repeats >= max(r.req.Kind.Retries(), limit) {
 		return false
 	}
-	if !c.stage.allowRepeat(r.req.Organisation.Name()) {
+	if !c.stage.AllowRepeat(r.req.Organisation.Name()) {
 		return false
 	}
 	r.repeats++
@@ -274,7 +275,7 @@
 
 // hedge makes a call and sends a second one when the first has taken longer
 // than 95 of 100 calls do. The first whole answer cancels the other call.
-func (c *stageCall) hedge(ctx context.Context, g grant) ended {
+func (c *stageCall) hedge(ctx context.Context, g stage.Grant) ended {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	done := make(chan ended, 2)
@@ -287,7 +288,7 @@
 			}
 		}()
 	}
-	high, known := c.stage.high(c.run.plan.cost[c.index])
+	high, known := c.stage.High(c.run.plan.cost[c.index])
 	start(c.prepare(ctx, g, false))
 	if !known {
 		return <-done
@@ -314,15 +315,15 @@
 
 // second returns the grant for a hedge, if the budgets allow one and another
 // endpoint is free at once.
-func (c *stageCall) second(first grant) (grant, bool) {
-	if !c.stage.allowRepeat(c.run.req.Organisation.Name()) {
-		return grant{}, false
+func (c *stageCall) second(first stage.Grant) (stage.Grant, bool) {
+	if !c.stage.AllowRepeat(c.run.req.Organisation.Name()) {
+		return stage.Grant{}, false
 	}
-	return c.stage.tryAcquire(c.want(first.index))
+	return c.stage.TryAcquire(c.want(first.Index))
 }
 
 // sleep waits for d or until ctx is done.
-func sleep(ctx context.Context, clock Clock, d time.Duration) error {
+func sleep(ctx context.Context, clock stage.Clock, d time.Duration) error {
 	if d <= 0 {
 		return ctx.Err()
 	}
@@ -336,3 +337,5 @@
 		return ctx.Err()
 	}
 }
+
+func milliseconds(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
--- a/core/pipeline/runner.go
+++ b/core/pipeline/runner.go
@@ -9,6 +9,7 @@
 
 	"chervilpath/core/declare"
 	"chervilpath/core/fault"
+	"chervilpath/core/stage"
 )
 
 const (
@@ -24,10 +25,10 @@
 	// concurrent use.
 	Runner struct {
 		seams  Seams
-		policy Policy
+		policy stage.Policy
 
 		mu        sync.RWMutex
-		stages    map[string]*stage
+		stages    map[string]*stage.Stage
 		leaving   map[string]bool
 		instances int
 		rng       *rand.Rand
@@ -35,7 +36,7 @@
 
 	// plan is a request's stages with their announced cost.
 	plan struct {
-		stages []*stage
+		stages []*stage.Stage
 		// asked is the cost as the request states it, cost the corrected one.
 		asked []float64
 		cost  []float64
@@ -46,8 +47,8 @@
 )
 
 // New returns a runner without stages; Replace gives it some.
-func New(seams Seams, policy Policy, rng *rand.Rand) *Runner {
-	return &Runner{seams: seams, policy: policy, stages: make(map[string]*stage), instances: 1, rng: rng}
+func New(seams Seams, policy stage.Policy, rng *rand.Rand) *Runner {
+	return &Runner{seams: seams, policy: policy, stages: make(map[string]*stage.Stage), instances: 1, rng: rng}
 }
 
 // Replace puts a set of declarations in force. Requests that run keep the
@@ -55,15 +56,15 @@
 func (r *Runner) Replace(set *declare.Set) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	stages := make(map[string]*stage)
+	stages := make(map[string]*stage.Stage)
 	for _, name := range set.Stages() {
 		decl, _ := set.Stage(name)
 		s, ok := r.stages[name]
 		if ok {
-			s.replace(decl)
+			s.Replace(decl)
 		} else {
 			rng := rand.New(rand.NewPCG(r.rng.Uint64(), r.rng.Uint64()))
-			s = newStage(decl, r.instances, r.seams.Clock, rng, r.policy)
+			s = stage.New(decl, r.instances, r.seams.Clock, rng, r.policy)
 		}
 		stages[name] = s
 	}
@@ -96,12 +97,7 @@
 	r.mu.RLock()
 	defer r.mu.RUnlock()
 	for _, s := range r.stages {
-		s.mu.Lock()
-		s.group.Report(endpoint, load, at)
-		if models != nil {
-			s.group.SetLoaded(endpoint, models)
-		}
-		s.mu.Unlock()
+		s.Report(endpoint, load, models, at)
 	}
 }
 
@@ -111,25 +107,23 @@
 	r.mu.RLock()
 	defer r.mu.RUnlock()
 	for _, s := range r.stages {
-		s.mu.Lock()
-		if model := s.decl.Model(); model != "" {
-			out[model] += float64(s.queue.Len() + s.group.InFlight())
+		if model, calls := s.Demand(); model != "" {
+			out[model] += calls
 		}
-		s.mu.Unlock()
 	}
 	return out
 }
 
 // Status returns the state of every stage, ordered by name.
-func (r *Runner) Status() []StageStatus {
+func (r *Runner) Status() []stage.Status {
 	now := r.seams.Clock.Now()
 	r.mu.RLock()
 	defer r.mu.RUnlock()
-	out := make([]StageStatus, 0, len(r.stages))
+	out := make([]stage.Status, 0, len(r.stages))
 	for _, s := range r.stages {
-		out = append(out, s.status(now))
+		out = append(out, s.Status(now))
 	}
-	slices.SortFunc(out, func(a, b StageStatus) int {
+	slices.SortFunc(out, func(a, b stage.Status) int {
 		if a.Name < b.Name {
 			return -1
 		}
@@ -141,11 +135,7 @@
 // shareStages tells every stage what holds for all. The caller holds mu.
 func (r *Runner) shareStages() {
 	for _, s := range r.stages {
-		s.mu.Lock()
-		s.group.SetLeaving(r.leaving)
-		s.group.SetInstances(r.instances)
-		s.dispatch(r.seams.Clock.Now())
-		s.mu.Unlock()
+		s.Share(r.leaving, r.instances)
 	}
 }
 
@@ -183,7 +173,7 @@
 			return nil, fault.Errorf(fault.Draining, "the stage is no longer declared").At(decl.Name())
 		}
 		asked := askedCost(decl, req.Input)
-		wait, take, cost, err := s.forecast(now, req.Organisation, asked, until)
+		wait, take, cost, err := s.Forecast(now, req.Organisation, asked, until)
 		if err != nil {
 			return nil, err
 		}
@@ -204,7 +194,7 @@
 		return nil, fault.Errorf(kind, "the pipeline needs %v, of which %v is the wait for stage %q, and %v remain", until.Round(time.Millisecond), longest.Round(time.Millisecond), slowest, left.Round(time.Millisecond)).At(slowest)
 	}
 	for i, s := range p.stages {
-		s.announce(req.Organisation, p.cost[i])
+		s.Announce(req.Organisation, p.cost[i])
 	}
 	return p, nil
 }
@@ -212,7 +202,7 @@
 // arrive withdraws the announcement of the stage with the given index.
 func (p *plan) arrive(org *declare.Organisation, i int) {
 	for ; p.arrived <= i; p.arrived++ {
-		p.stages[p.arrived].withdraw(org, p.cost[p.arrived])
+		p.stages[p.arrived].Withdraw(org, p.cost[p.arrived])
 	}
 }
 
--- a/core/pipeline/types.go
+++ b/core/pipeline/types.go
@@ -12,9 +12,9 @@
 	"context"
 	"time"
 
-	"chervilpath/core/balance"
 	"chervilpath/core/declare"
 	"chervilpath/core/fault"
+	"chervilpath/core/stage"
 )
 
 // Waste says what became of a call's cost.
@@ -150,17 +150,9 @@
 		Waste Waste
 	}
 
-	// Clock is the source of time.
-	Clock struct {
-		Now func() time.Time
-		// AfterFunc calls f in its own goroutine after d, unless stop is called
-		// first.
-		AfterFunc func(d time.Duration, f func()) (stop func() bool)
-	}
-
 	// Seams are what a Runner uses of the world around it.
 	Seams struct {
-		Clock Clock
+		Clock stage.Clock
 		// Call calls an endpoint. It gives streamed text to emit in order and
 		// returns when the answer is whole, or with a *CallError.
 		Call func(ctx context.Context, a Attempt, emit func(string)) (Result, error)
@@ -173,20 +165,6 @@
 		// NewID returns a new unique id.
 		NewID func() string
 	}
-
-	// Policy switches mechanisms off, to measure what each is worth. The zero
-	// Policy is the product's.
-	Policy struct {
-		Balance balance.Policy
-		// NoAdmission lets every request wait, whatever its deadline.
-		NoAdmission bool
-		// FirstCome serves waiting requests in the order of arrival.
-		FirstCome bool
-		// UnlimitedRetries repeats failed calls without a budget or a delay.
-		UnlimitedRetries bool
-		// NoHedges sends no hedges.
-		NoHedges bool
-	}
 )
 
 var wasteNames = [...]string{Useful: "useful", Failed: "failed", Hedged: "hedged", Cancelled: "cancelled", Late: "late"}
--- a/core/pipeline/stage.go
+++ b/core/stage/stage.go
@@ -1,4 +1,9 @@
-package pipeline
+// Package stage owns what one instance holds of a stage: who waits for it, what
+// is known of its endpoints, how long it takes, and its budgets of repeats.
+//
+// A Stage is safe for concurrent use. It must not call endpoints: it grants the
+// right to make one call at one endpoint and is told how the call ended.
+package stage
 
 import (
 	"context"
@@ -24,9 +29,9 @@
 )
 
 type (
-	// stage is what one instance holds of a stage: who waits, what is known of
+	// Stage is what one instance holds of a stage: who waits, what is known of
 	// its endpoints, and how long it takes. Its methods are safe for concurrent use.
-	stage struct {
+	Stage struct {
 		clock Clock
 
 		mu     sync.Mutex
@@ -42,50 +47,17 @@
 		probing bool
 	}
 
-	// want describes the stage call for which a grant is sought.
-	want struct {
-		organisation *declare.Organisation
-		priority     declare.Priority
-		cost         float64
-		deadline     time.Time
-		need         time.Duration
-		query        balance.Query
-		arrived      time.Time
-	}
-
-	// grant is the right to make one call at an endpoint.
-	grant struct {
-		call     balance.Call
-		endpoint *declare.Endpoint
-		index    int
-		reason   balance.Reason
-		waited   time.Duration
-		began    time.Time
-	}
-
 	// waiter is a queued item and the grant that it gets.
 	waiter struct {
 		admit.Item
-		grant grant
+		grant Grant
 		done  chan error
 	}
-
-	// StageStatus is a copy of a stage's state for operators.
-	StageStatus struct {
-		Name          string           `json:"name"`
-		Waiting       int              `json:"waiting"`
-		Organisations int              `json:"organisations"`
-		MedianMs      float64          `json:"medianMs"`
-		HighMs        float64          `json:"highMs"`
-		Calls         int64            `json:"calls"`
-		Repeats       int64            `json:"repeats"`
-		Refused       int64            `json:"repeatsRefused"`
-		Endpoints     []balance.Member `json:"endpoints"`
-	}
 )
 
-func newStage(decl *declare.Stage, instances int, clock Clock, rng *rand.Rand, policy Policy) *stage {
-	return &stage{
+// New returns a stage with nobody waiting.
+func New(decl *declare.Stage, instances int, clock Clock, rng *rand.Rand, policy Policy) *Stage {
+	return &Stage{
 		clock:   clock,
 		decl:    decl,
 		queue:   admit.New(decl.Queue()),
@@ -98,8 +70,8 @@
 	}
 }
 
-// replace takes a changed declaration and keeps what was learnt.
-func (s *stage) replace(decl *declare.Stage) {
+// Replace takes a changed declaration and keeps what was learnt.
+func (s *Stage) Replace(decl *declare.Stage) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.decl = decl
@@ -107,10 +79,10 @@
 	s.dispatch(s.clock.Now())
 }
 
-// forecast returns how long a new request would wait for the stage and then
+// Forecast returns how long a new request would wait for the stage and then
 // take, and the corrected cost. Work that comes later does not delay it, so the
 // wait is shorter by the time until the request arrives there.
-func (s *stage) forecast(now time.Time, org *declare.Organisation, asked float64, until time.Duration) (wait, take time.Duration, cost float64, err error) {
+func (s *Stage) Forecast(now time.Time, org *declare.Organisation, asked float64, until time.Duration) (wait, take time.Duration, cost float64, err error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	cost = s.est.Cost(asked)
@@ -125,47 +97,51 @@
 }
 
 // rate returns the units of cost that the stage serves in a second.
-func (s *stage) rate(capacity, typical float64) float64 {
+func (s *Stage) rate(capacity, typical float64) float64 {
 	return capacity / max(1e-9, s.est.SecondsPerCost(typical))
 }
 
-func (s *stage) expect(cost float64) time.Duration {
+// Expect returns the time that a call of the given cost takes.
+func (s *Stage) Expect(cost float64) time.Duration {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.est.Expect(cost)
 }
 
-// high returns the time that 95 of 100 calls stay below, and whether enough
+// High returns the time that 95 of 100 calls stay below, and whether enough
 // calls have been observed to say so.
-func (s *stage) high(cost float64) (time.Duration, bool) {
+func (s *Stage) High(cost float64) (time.Duration, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return max(s.est.High(), s.est.Expect(cost)), s.est.Known()
 }
 
-func (s *stage) announce(org *declare.Organisation, cost float64) {
+// Announce notes cost that an admitted request will bring. Each call is matched
+// by one of Withdraw.
+func (s *Stage) Announce(org *declare.Organisation, cost float64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.queue.Announce(org.Name(), org.Share(), cost)
 }
 
-func (s *stage) withdraw(org *declare.Organisation, cost float64) {
+// Withdraw takes announced cost back: the request has come or will not come.
+func (s *Stage) Withdraw(org *declare.Organisation, cost float64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.queue.Withdraw(org.Name(), cost)
 }
 
-// acquire waits until the stage is granted or ctx is done. The error says
+// Acquire waits until the stage is granted or ctx is done. The error says
 // "not run": nothing has been sent.
-func (s *stage) acquire(ctx context.Context, w want) (grant, error) {
+func (s *Stage) Acquire(ctx context.Context, w Want) (Grant, error) {
 	wt := &waiter{done: make(chan error, 1)}
 	wt.Item = admit.Item{
-		Organisation: w.organisation.Name(),
-		Share:        w.organisation.Share(),
-		Priority:     w.priority,
-		Cost:         w.cost,
-		Deadline:     w.deadline,
-		Need:         w.need,
+		Organisation: w.Organisation.Name(),
+		Share:        w.Organisation.Share(),
+		Priority:     w.Priority,
+		Cost:         w.Cost,
+		Deadline:     w.Deadline,
+		Need:         w.Need,
 	}
 	wt.Wake = func(err error) {
 		if err == nil {
@@ -175,26 +151,26 @@
 	}
 	if s.policy.FirstCome {
 		wt.Organisation, wt.Share, wt.Priority = "", 1, declare.Normal
-		wt.Deadline, wt.Need = w.arrived.Add(time.Hour), 0
+		wt.Deadline, wt.Need = w.Arrived.Add(time.Hour), 0
 	}
 	if s.policy.NoAdmission {
 		wt.Need = math.MinInt64 / 2
 	}
 	if err := s.enqueue(wt); err != nil {
-		return grant{}, fault.From(err).At(s.decl.Name())
+		return Grant{}, fault.From(err).At(s.decl.Name())
 	}
 	select {
 	case err := <-wt.done:
 		if err != nil {
-			return grant{}, fault.From(err).At(s.decl.Name())
+			return Grant{}, fault.From(err).At(s.decl.Name())
 		}
 		return wt.grant, nil
 	case <-ctx.Done():
 	}
-	return grant{}, s.leaveQueue(ctx, wt)
+	return Grant{}, s.leaveQueue(ctx, wt)
 }
 
-func (s *stage) enqueue(wt *waiter) error {
+func (s *Stage) enqueue(wt *waiter) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := s.clock.Now()
@@ -207,7 +183,7 @@
 
 // leaveQueue takes back a wait whose caller has gone. A grant that came at the
 // same moment is given back.
-func (s *stage) leaveQueue(ctx context.Context, wt *waiter) error {
+func (s *Stage) leaveQueue(ctx context.Context, wt *waiter) error {
 	s.mu.Lock()
 	if s.queue.Remove(&wt.Item) {
 		s.mu.Unlock()
@@ -215,55 +191,55 @@
 	}
 	s.mu.Unlock()
 	if err := <-wt.done; err == nil {
-		s.release(wt.grant, balance.Abandoned)
+		s.Release(wt.grant, balance.Abandoned)
 	}
 	return fault.From(ctx.Err()).WithRan(fault.RanNo).At(s.decl.Name())
 }
 
 // begin chooses an endpoint and notes the call. The caller holds mu and has
 // seen that an endpoint is free.
-func (s *stage) begin(now time.Time, w want) grant {
-	i, reason := s.group.Pick(now, w.query)
+func (s *Stage) begin(now time.Time, w Want) Grant {
+	i, reason := s.group.Pick(now, w.Query)
 	if i < 0 {
 		i, reason = s.group.Pick(now, s.anyQuery())
 	}
 	return s.grantAt(now, w, i, reason)
 }
 
-func (s *stage) grantAt(now time.Time, w want, i int, reason balance.Reason) grant {
-	return grant{
-		call:     s.group.Begin(now, i, s.est.Expect(w.cost)),
-		endpoint: s.group.Endpoint(i),
-		index:    i,
-		reason:   reason,
-		waited:   now.Sub(w.arrived),
-		began:    now,
+func (s *Stage) grantAt(now time.Time, w Want, i int, reason balance.Reason) Grant {
+	return Grant{
+		call:     s.group.Begin(now, i, s.est.Expect(w.Cost)),
+		Endpoint: s.group.Endpoint(i),
+		Index:    i,
+		Reason:   reason,
+		Waited:   now.Sub(w.Arrived),
+		Began:    now,
 	}
 }
 
-// tryAcquire returns a grant at another endpoint than the excluded one if one
+// TryAcquire returns a grant at another endpoint than the excluded one if one
 // is free at once and nobody waits.
-func (s *stage) tryAcquire(w want) (grant, bool) {
+func (s *Stage) TryAcquire(w Want) (Grant, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.queue.Len() > 0 {
-		return grant{}, false
+		return Grant{}, false
 	}
 	now := s.clock.Now()
-	i, reason := s.group.Pick(now, w.query)
-	if i < 0 || i == w.query.Exclude {
-		return grant{}, false
+	i, reason := s.group.Pick(now, w.Query)
+	if i < 0 || i == w.Query.Exclude {
+		return Grant{}, false
 	}
 	return s.grantAt(now, w, i, reason), true
 }
 
-func (s *stage) anyQuery() balance.Query {
+func (s *Stage) anyQuery() balance.Query {
 	return balance.Query{Exclude: -1, Model: s.decl.Model()}
 }
 
 // dispatch grants the stage while an endpoint is free and requests wait. The
 // caller holds mu.
-func (s *stage) dispatch(now time.Time) {
+func (s *Stage) dispatch(now time.Time) {
 	for s.queue.Len() > 0 {
 		if i, _ := s.group.Pick(now, s.anyQuery()); i < 0 {
 			s.probeLater(now)
@@ -278,7 +254,7 @@
 }
 
 // probeLater dispatches again when the next probe is due.
-func (s *stage) probeLater(now time.Time) {
+func (s *Stage) probeLater(now time.Time) {
 	at := s.group.NextProbe()
 	if s.probing || at.IsZero() {
 		return
@@ -292,8 +268,8 @@
 	})
 }
 
-// release ends a call and grants the stage to who waits.
-func (s *stage) release(g grant, outcome balance.Outcome) {
+// Release ends a call and grants the stage to who waits.
+func (s *Stage) Release(g Grant, outcome balance.Outcome) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := s.clock.Now()
@@ -301,26 +277,26 @@
 	s.dispatch(now)
 }
 
-// finish releases a call that gave a whole answer and learns from it.
-func (s *stage) finish(org *declare.Organisation, g grant, units, asked, expected float64) {
-	s.release(g, balance.Succeeded)
+// Finish releases a call that gave a whole answer and learns from it.
+func (s *Stage) Finish(org *declare.Organisation, g Grant, units, asked, expected float64) {
+	s.Release(g, balance.Succeeded)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := s.clock.Now()
-	s.est.Observe(now, now.Sub(g.began), units, asked)
+	s.est.Observe(now, now.Sub(g.Began), units, asked)
 	s.queue.Correct(org.Name(), org.Share(), units-expected)
 }
 
-// correct adds cost beyond what was expected to the organisation's account
+// Correct adds cost beyond what was expected to the organisation's account
 // while its call still runs.
-func (s *stage) correct(org *declare.Organisation, delta float64) {
+func (s *Stage) Correct(org *declare.Organisation, delta float64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.queue.Correct(org.Name(), org.Share(), delta)
 }
 
-// countCall notes a first call for the repeat budgets.
-func (s *stage) countCall(org string) {
+// CountCall notes a first call for the repeat budgets.
+func (s *Stage) CountCall(org string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.budget.Call()
@@ -335,8 +311,8 @@
 	b.Call()
 }
 
-// allowRepeat takes a repeat from the budgets of the stage and the organisation.
-func (s *stage) allowRepeat(org string) bool {
+// AllowRepeat takes a repeat from the budgets of the stage and the organisation.
+func (s *Stage) AllowRepeat(org string) bool {
 	if s.policy.UnlimitedRetries {
 		return true
 	}
@@ -346,7 +322,8 @@
 	return ok && s.budget.Left() && b.Allow() && s.budget.Allow()
 }
 
-func (s *stage) delay(repeat int) time.Duration {
+// Delay returns how long to wait before the given repeat, the first being 1.
+func (s *Stage) Delay(repeat int) time.Duration {
 	if s.policy.UnlimitedRetries {
 		return 0
 	}
@@ -355,11 +332,12 @@
 	return retry.Delay(repeat, s.rng)
 }
 
-func (s *stage) status(now time.Time) StageStatus {
+// Status returns a copy of the stage's state.
+func (s *Stage) Status(now time.Time) Status {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	calls, repeats, refused := s.budget.Counts()
-	return StageStatus{
+	return Status{
 		Name:          s.decl.Name(),
 		Waiting:       s.queue.Len(),
 		Organisations: s.queue.Organisations(),
@@ -372,4 +350,33 @@
 	}
 }
 
+// Share tells the stage what holds for all: which endpoints are leaving and how
+// many instances share the others.
+func (s *Stage) Share(leaving map[string]bool, instances int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.group.SetLeaving(leaving)
+	s.group.SetInstances(instances)
+	s.dispatch(s.clock.Now())
+}
+
+// Report notes an endpoint's report of its load at a given time, and of the
+// models that it has loaded; nil means that it does not say.
+func (s *Stage) Report(endpoint string, load float64, models []string, at time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.group.Report(endpoint, load, at)
+	if models != nil {
+		s.group.SetLoaded(endpoint, models)
+	}
+}
+
+// Demand returns the stage's model, or "", and the calls that are at work or
+// waiting.
+func (s *Stage) Demand() (model string, calls float64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.decl.Model(), float64(s.queue.Len() + s.group.InFlight())
+}
+
 func milliseconds(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
--- a/core/status/status.go
+++ b/core/status/status.go
@@ -1,24 +1,24 @@
 // Package status owns the form in which an instance tells operators its state.
 package status
 
-import "chervilpath/core/pipeline"
+import "chervilpath/core/stage"
 
 type (
 	// Instance is the state of one instance.
 	Instance struct {
-		Name            string                 `json:"name"`
-		Incarnation     string                 `json:"incarnation"`
-		FailureDomain   string                 `json:"failureDomain"`
-		Ready           bool                   `json:"ready"`
-		Draining        bool                   `json:"draining"`
-		Revision        int64                  `json:"revision"`
-		RefusedRevision int64                  `json:"refusedRevision"`
-		RefusedReason   string                 `json:"refusedReason,omitempty"`
-		InFlight        int                    `json:"inFlight"`
-		Attainment      []Attainment           `json:"attainment"`
-		Members         []Member               `json:"members"`
-		Stages          []pipeline.StageStatus `json:"stages"`
-		Platform        Calls                  `json:"platform"`
+		Name            string         `json:"name"`
+		Incarnation     string         `json:"incarnation"`
+		FailureDomain   string         `json:"failureDomain"`
+		Ready           bool           `json:"ready"`
+		Draining        bool           `json:"draining"`
+		Revision        int64          `json:"revision"`
+		RefusedRevision int64          `json:"refusedRevision"`
+		RefusedReason   string         `json:"refusedReason,omitempty"`
+		InFlight        int            `json:"inFlight"`
+		Attainment      []Attainment   `json:"attainment"`
+		Members         []Member       `json:"members"`
+		Stages          []stage.Status `json:"stages"`
+		Platform        Calls          `json:"platform"`
 		// PeerBytes is what this instance's calls to peers sent and received.
 		PeerBytes    int64 `json:"peerBytes"`
 		KeysHeld     int   `json:"keysHeld"`
--- a/node/node.go
+++ b/node/node.go
@@ -30,6 +30,7 @@
 	"chervilpath/core/pipeline"
 	"chervilpath/core/publish"
 	"chervilpath/core/settings"
+	"chervilpath/core/stage"
 	"chervilpath/io/caller"
 	"chervilpath/io/endpoint"
 	"chervilpath/io/operator"
@@ -114,7 +115,7 @@
 	n.platform = platform.New(platform.Config{URL: cfg.PlatformURL(), ReadsPerSecond: cfg.Reads(), WritesPerSecond: cfg.Writes()}, &http.Client{Transport: secure.platform})
 	n.ledger = cost.New(time.Now(), cfg.Name(), n.owner.Incarnation)
 	n.metrics = newMetrics(n)
-	n.runner = pipeline.New(n.pipelineSeams(), pipeline.Policy{}, newRand())
+	n.runner = pipeline.New(n.pipelineSeams(), stage.Policy{}, newRand())
 	n.clients = peer.NewClients(cfg.Secret(), peerTransport(), secure.peers)
 	n.members = peer.NewMembers(n.self(), cfg.Seeds(), n.clients, time.Now, newRand(), n.noteBehind, n.noteServing)
 	n.keeper = once.New(once.Config{
@@ -321,7 +322,7 @@
 
 func (n *Instance) pipelineSeams() pipeline.Seams {
 	return pipeline.Seams{
-		Clock: pipeline.Clock{
+		Clock: stage.Clock{
 			Now:       time.Now,
 			AfterFunc: func(d time.Duration, f func()) func() bool { return time.AfterFunc(d, f).Stop },
 		},
