--- a/demo/run.go
+++ b/demo/run.go
@@ -139,7 +139,7 @@
 		return nil, err
 	}
 	r := &report{deployment: d.name, all: l.all, lines: lines, counted: d.counted(), runs: d.runs()}
-	r.broken = append(judge(r.all, r.runs), judgeCost(attributedUnits(lines), r.counted, exact)...)
+	r.broken = append(judge(r.all, r.runs), judgeCost(lines, r.counted, exact)...)
 	return r, nil
 }
 
