Follow keys that were handed on; ask their owner; compare no clocks

Cause: reading core/once as a newcomer. Keys that an instance had taken over were not handed on when it stopped in turn, so a rolling replacement left tickets with an unknown outcome. A question for an outcome did not ask the owner, and said "ran: no" of a ticket not used yet, which a late attempt could make false. A forwarded deadline was a time of the sender's clock. Change: a hand-over names all owners, forwards follow it from one to the next, questions go to the owner and say unknown, deadlines travel as time remaining. Conclusion: tickets survive a rolling replacement.

--- a/core/balance/member.go
+++ b/core/balance/member.go
@@ -116,7 +116,8 @@
 	load := float64(m.inFlight)
 	if !m.reportedAt.IsZero() {
 		others := max(0, m.reported-float64(m.reportedOwn))
-		age := now.Sub(m.reportedAt)
+		// An endpoint's clock may run ahead.
+		age := max(0, now.Sub(m.reportedAt))
 		load += others * math.Exp2(-float64(age)/float64(reportHalfLife))
 	}
 	return (1 + load) / float64(m.decl.Slots()) * max(m.slowness, m.ageRatio(now))
--- a/core/once/keeper.go
+++ b/core/once/keeper.go
@@ -21,6 +21,8 @@
 		Key          string
 		Body         []byte
 		Deadline     time.Time
+		// AskOnly asks for the outcome without running anything.
+		AskOnly bool
 	}
 
 	// Seams are what a Keeper uses of the world around it.
@@ -74,6 +76,12 @@
 
 	// maxRun is the longest deadline of a request.
 	maxRun = 10 * time.Minute
+
+	// maxMoves bounds how often keys are followed from one owner to the next.
+	maxMoves = 16
+
+	// askLimit bounds a question for an outcome.
+	askLimit = 2 * time.Second
 )
 
 // ErrOwnerGone means that a key's owner does not answer.
@@ -135,6 +143,9 @@
 	if !k.owns(owner) {
 		return Outcome{}, ErrOwnerGone
 	}
+	if a.AskOnly {
+		return k.askHere(ctx, owner, a)
+	}
 	t, isTicket, err := k.issuer.parse(a.Key)
 	if err != nil {
 		return Outcome{}, err
@@ -276,22 +287,26 @@
 	}
 }
 
-// forward sends an attempt to the owner, or to the one that took over its keys.
-// If neither answers, what the owner stored decides.
+// forward sends an attempt to the owner, or to the one that took over its keys,
+// also if it handed them on in turn. If none answers, what the owner stored
+// decides.
 func (k *Keeper) forward(ctx context.Context, owner Owner, a Attempt) (Outcome, error) {
-	if !k.hasMoved(owner) {
-		o, err := k.seams.Forward(ctx, owner, a)
-		if err == nil || !errors.Is(err, ErrOwnerGone) {
-			return o, err
+	at := owner
+	for range maxMoves {
+		if !k.hasMoved(at) {
+			o, err := k.seams.Forward(ctx, Owner{Incarnation: owner.Incarnation, Address: at.Address}, a)
+			if err == nil || !errors.Is(err, ErrOwnerGone) {
+				return o, err
+			}
 		}
-	}
-	if to, ok := k.successor(ctx, owner); ok {
-		if k.owns(to) {
+		if k.owns(owner) {
 			return k.ServePeer(ctx, owner, a)
 		}
-		if o, err := k.seams.Forward(ctx, Owner{Incarnation: owner.Incarnation, Address: to.Address}, a); err == nil {
-			return o, nil
+		to, ok := k.successor(ctx, at)
+		if !ok {
+			break
 		}
+		at = to
 	}
 	return k.known(ctx, owner, a)
 }
@@ -311,27 +326,49 @@
 	return r.Outcome, nil
 }
 
-// Ask returns what is known of a key without running anything.
+// Ask returns what is known of a key without running anything. Its owner is
+// asked if it lives.
 func (k *Keeper) Ask(ctx context.Context, organisation, key string) (Outcome, error) {
-	a := Attempt{Organisation: organisation, Key: key}
+	a := Attempt{Organisation: organisation, Key: key, Deadline: k.seams.Now().Add(askLimit), AskOnly: true}
 	t, isTicket, err := k.issuer.parse(key)
 	if err != nil {
 		return Outcome{}, err
 	}
-	if o, ok := k.table.look(tableKey(a)); ok {
-		return o, nil
+	owner := t.Owner
+	if !isTicket {
+		if o, ok := k.table.look(tableKey(a)); ok {
+			return o, nil
+		}
+		c, err := readClaim(ctx, k.seams.Store, claimName(organisation, key))
+		switch {
+		case errors.Is(err, object.ErrNotFound):
+			return Outcome{}, unused()
+		case err != nil:
+			return Outcome{}, fault.Errorf(fault.StoreUnavailable, "reading the claim of the key: %w", err)
+		}
+		owner = c.Owner
 	}
-	if isTicket {
-		return k.known(ctx, t.Owner, a)
+	if k.owns(owner) {
+		return k.askHere(ctx, owner, a)
 	}
-	c, err := readClaim(ctx, k.seams.Store, claimName(organisation, key))
-	switch {
-	case errors.Is(err, object.ErrNotFound):
-		return Outcome{}, fault.Errorf(fault.NotFound, "no request with this key is known")
-	case err != nil:
-		return Outcome{}, fault.Errorf(fault.StoreUnavailable, "reading the claim of the key: %w", err)
+	return k.forward(ctx, owner, a)
+}
+
+// askHere answers for keys that are decided here. A key of which nothing is
+// held may still come, so nothing is said of whether it ran.
+func (k *Keeper) askHere(ctx context.Context, owner Owner, a Attempt) (Outcome, error) {
+	o, err := k.known(ctx, owner, a)
+	t, isTicket, _ := k.issuer.parse(a.Key)
+	if err == nil && o.State == Unknown && isTicket && k.seams.Now().Before(t.Expires) {
+		if _, held := k.table.look(tableKey(a)); !held {
+			return Outcome{}, unused()
+		}
 	}
-	return k.known(ctx, c.Owner, a)
+	return o, err
+}
+
+func unused() error {
+	return fault.Errorf(fault.NotFound, "no request with this key has come yet").WithRan(fault.RanUnknown)
 }
 
 // Flush stores outcomes that ended, so that they can be asked for after this
@@ -354,19 +391,46 @@
 	return len(records), nil
 }
 
-// Adopt takes over the keys of an owner that leaves.
-func (k *Keeper) Adopt(from Owner, records []Record) {
+// Owned returns the incarnations whose keys are decided here.
+func (k *Keeper) Owned() []string {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	out := []string{k.cfg.Owner.Incarnation}
+	for incarnation := range k.adopted {
+		out = append(out, incarnation)
+	}
+	return out
+}
+
+// Adopt takes over the keys of owners that leave.
+func (k *Keeper) Adopt(incarnations []string, records []Record) {
 	k.table.Adopt(records)
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	k.adopted[from.Incarnation] = true
+	for _, incarnation := range incarnations {
+		k.adopted[incarnation] = true
+		delete(k.moved, incarnation)
+	}
 }
 
-// NoteMove notes that an owner's keys were taken over.
-func (k *Keeper) NoteMove(from string, to Owner) {
+// HandedOver notes that all keys decided here were taken over.
+func (k *Keeper) HandedOver(to Owner) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	k.moved[from] = to
+	k.moved[k.cfg.Owner.Incarnation] = to
+	for incarnation := range k.adopted {
+		k.moved[incarnation] = to
+	}
+	clear(k.adopted)
+}
+
+// noteMove notes that an owner's keys were taken over, unless by this instance.
+func (k *Keeper) noteMove(from string, to Owner) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if !k.adopted[from] {
+		k.moved[from] = to
+	}
 }
 
 // StoreMove writes who took over this instance's keys.
@@ -401,7 +465,7 @@
 	if err := json.Unmarshal(obj.Data, &m); err != nil {
 		return Owner{}, false
 	}
-	k.NoteMove(owner.Incarnation, m.To)
+	k.noteMove(owner.Incarnation, m.To)
 	return m.To, true
 }
 
--- a/core/once/once_test.go
+++ b/core/once/once_test.go
@@ -247,8 +247,8 @@
 	if !ok {
 		return
 	}
-	n.keeper.NoteMove(n.owner.Incarnation, w.nodes[to].owner)
-	w.nodes[to].keeper.Adopt(n.owner, records)
+	w.nodes[to].keeper.Adopt(n.keeper.Owned(), records)
+	n.keeper.HandedOver(w.nodes[to].owner)
 	_ = n.keeper.StoreMove(context.Background(), w.nodes[to].owner)
 	n.dead = true
 	w.nodes[from] = w.newNode(from)
@@ -365,8 +365,17 @@
 	if o, err := k.Ask(context.Background(), "roofs", "k"); err != nil || o.State != once.Done {
 		t.Errorf("Ask() = %+v, %v", o, err)
 	}
-	if _, err := k.Ask(context.Background(), "roofs", "never"); fault.From(err).Kind() != fault.NotFound {
-		t.Errorf("Ask() of an unused key = %v", err)
+	unused, _, _ := k.Issue("roofs")
+	for _, key := range []string{"never", unused} {
+		for _, n := range w.nodes {
+			_, err := n.keeper.Ask(context.Background(), "roofs", key)
+			if e := fault.From(err); e == nil || e.Kind() != fault.NotFound || e.Ran() != fault.RanUnknown {
+				t.Errorf("Ask() of an unused key = %v", err)
+			}
+		}
+	}
+	if o, err := w.nodes[1].keeper.Ask(context.Background(), "roofs", "k"); err != nil || o.State != once.Done {
+		t.Errorf("Ask() at another instance = %+v, %v", o, err)
 	}
 }
 
--- a/io/peer/peer.go
+++ b/io/peer/peer.go
@@ -42,6 +42,7 @@
 	// Clients holds a client for each address. Use NewClients.
 	Clients struct {
 		http   *http.Client
+		now    func() time.Time
 		scheme string
 		bytes  atomic.Int64
 
@@ -59,7 +60,7 @@
 		// ReadFragment returns the bytes of a fragment in force.
 		ReadFragment func(hash string) ([]byte, bool)
 		// HandedOver is called when another instance's keys were taken over.
-		HandedOver func(from once.Owner)
+		HandedOver func(incarnations []string)
 		Now        func() time.Time
 	}
 
@@ -79,8 +80,8 @@
 // NewClients returns clients that prove themselves by the shared secret and, if
 // secure is not nil, by what it makes of the transport. The transport's
 // connections are counted.
-func NewClients(secret string, transport *http.Transport, secure func(*http.Transport)) *Clients {
-	c := &Clients{known: make(map[string]peerpb.Peer), scheme: "http://"}
+func NewClients(secret string, transport *http.Transport, secure func(*http.Transport), now func() time.Time) *Clients {
+	c := &Clients{now: now, known: make(map[string]peerpb.Peer), scheme: "http://"}
 	dial := transport.DialContext
 	transport.DialContext = func(ctx context.Context, network, address string) (net.Conn, error) {
 		conn, err := dial(ctx, network, address)
@@ -155,7 +156,8 @@
 		Kind:             a.Kind,
 		Key:              a.Key,
 		Body:             a.Body,
-		DeadlineMillis:   a.Deadline.UnixMilli(),
+		RemainingMillis:  a.Deadline.Sub(c.now()).Milliseconds(),
+		AskOnly:          a.AskOnly,
 	})
 	if err != nil {
 		return once.Outcome{}, forwardError(owner, err)
@@ -220,11 +222,11 @@
 // Serve implements peerpb.Peer.
 func (s *Server) Serve(ctx context.Context, req *peerpb.ServeRequest) (*peerpb.ServeReply, error) {
 	owner := once.Owner{Incarnation: req.OwnerIncarnation, Address: req.OwnerAddress}
-	deadline := time.UnixMilli(req.DeadlineMillis)
+	deadline := s.Now().Add(time.Duration(req.RemainingMillis) * time.Millisecond)
 	ctx, cancel := context.WithDeadline(ctx, deadline)
 	defer cancel()
 	o, err := s.Keeper.ServePeer(ctx, owner, once.Attempt{
-		Organisation: req.Organisation, Kind: req.Kind, Key: req.Key, Body: req.Body, Deadline: deadline,
+		Organisation: req.Organisation, Kind: req.Kind, Key: req.Key, Body: req.Body, Deadline: deadline, AskOnly: req.AskOnly,
 	})
 	if errors.Is(err, once.ErrOwnerGone) {
 		return nil, twirp.NewError(twirp.NotFound, "this process does not own the key")
@@ -259,9 +261,8 @@
 	if err := json.Unmarshal(req.Records, &records); err != nil {
 		return nil, toTwirp(fault.Errorf(fault.BadRequest, "reading records: %w", err))
 	}
-	from := once.Owner{Incarnation: req.FromIncarnation, Address: req.FromAddress}
-	s.Keeper.Adopt(from, records)
-	s.HandedOver(from)
+	s.Keeper.Adopt(req.Incarnations, records)
+	s.HandedOver(req.Incarnations)
 	return &peerpb.HandOverReply{}, nil
 }
 
--- a/node/node.go
+++ b/node/node.go
@@ -116,7 +116,7 @@
 	n.ledger = cost.New(time.Now(), cfg.Name(), n.owner.Incarnation)
 	n.metrics = newMetrics(n)
 	n.runner = pipeline.New(n.pipelineSeams(), stage.Policy{}, newRand())
-	n.clients = peer.NewClients(cfg.Secret(), peerTransport(), secure.peers)
+	n.clients = peer.NewClients(cfg.Secret(), peerTransport(), secure.peers, time.Now)
 	n.members = peer.NewMembers(n.self(), cfg.Seeds(), n.clients, time.Now, newRand(), n.noteBehind, n.noteServing)
 	n.keeper = once.New(once.Config{
 		Owner: n.owner, Secret: []byte(cfg.Secret()), TicketLife: cfg.TicketLife(), Remember: cfg.Remember(), Limit: cfg.Keys(),
@@ -180,8 +180,8 @@
 	peers := &peer.Server{
 		Members: n.members, Keeper: n.keeper, Now: time.Now,
 		ReadRoot: n.holder.RootJSON, ReadFragment: n.holder.Fragment,
-		HandedOver: func(from once.Owner) {
-			n.log.Info("keys taken over", zap.String("from", from.Incarnation))
+		HandedOver: func(incarnations []string) {
+			n.log.Info("keys taken over", zap.Strings("from", incarnations))
 		},
 	}
 	ops := operator.New(operator.Seams{Ready: n.ready, Status: n.Status, Registry: n.registry})
