Keep control within its bytes: loads with answers, lists only when changed

Questions for loads, up to 100 a second, and the platform's list of instances each second would cost an instance tens of KB a second before 650 servers; 4 KB is the target. Change: endpoints report their load with their answers, by the header of the Open Request Cost Aggregation standard, and are asked only when they have not; the rate of questions is shared by all instances. The list is asked for by its entity tag.

--- a/io/endpoint/endpoint.go
+++ b/io/endpoint/endpoint.go
@@ -14,6 +14,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"time"
 
 	"chervilpath/core/declare"
@@ -30,12 +31,23 @@
 	headerPipelineID   = "X-Pipeline-Request-Id"
 	headerStage        = "X-Stage"
 	headerOrganisation = "X-Organisation"
+	headerLoad         = "Endpoint-Load-Metrics"
 )
 
 type (
 	// Client calls endpoints of every kind. Use New. It is safe for concurrent use.
 	Client struct {
 		http *http.Client
+		// reported is called with a load that came with an answer.
+		reported func(endpoint string, load float64)
+	}
+
+	// orcaReport is the part that is used of a load report in the header
+	// endpoint-load-metrics, after the Open Request Cost Aggregation standard.
+	orcaReport struct {
+		NamedMetrics struct {
+			InFlight *float64 `json:"in_flight"`
+		} `json:"named_metrics"`
 	}
 
 	// Load is an endpoint's report of its load and the time at which it was true.
@@ -58,8 +70,11 @@
 	}
 }
 
-// New returns a client that uses the given HTTP client.
-func New(client *http.Client) *Client { return &Client{http: client} }
+// New returns a client that uses the given HTTP client and gives the loads that
+// come with answers to reported.
+func New(client *http.Client, reported func(endpoint string, load float64)) *Client {
+	return &Client{http: client, reported: reported}
+}
 
 // Call makes one attempt. It implements the field Call of pipeline.Seams.
 func (c *Client) Call(ctx context.Context, a pipeline.Attempt, emit func(string)) (pipeline.Result, error) {
@@ -113,6 +128,7 @@
 	if err != nil {
 		return nil, transportError(a, err)
 	}
+	c.noteReport(a, resp)
 	if resp.StatusCode != http.StatusOK {
 		defer closeBody(resp)
 		return nil, statusError(a, resp)
@@ -120,6 +136,18 @@
 	return resp, nil
 }
 
+// noteReport takes the load report of an answer, if it has one.
+func (c *Client) noteReport(a pipeline.Attempt, resp *http.Response) {
+	text, ok := strings.CutPrefix(resp.Header.Get(headerLoad), "JSON ")
+	if !ok {
+		return
+	}
+	var r orcaReport
+	if err := json.Unmarshal([]byte(text), &r); err == nil && r.NamedMetrics.InFlight != nil {
+		c.reported(a.Endpoint.Name(), *r.NamedMetrics.InFlight)
+	}
+}
+
 // transportError says of a call without an answer whether it can have run: it
 // cannot if no connection was made.
 func transportError(a pipeline.Attempt, err error) error {
--- a/io/endpoint/endpoint_test.go
+++ b/io/endpoint/endpoint_test.go
@@ -29,7 +29,7 @@
 
 func call(a pipeline.Attempt) (pipeline.Result, string, error) {
 	var emitted strings.Builder
-	c := endpoint.New(&http.Client{Transport: endpoint.Transport()})
+	c := endpoint.New(&http.Client{Transport: endpoint.Transport()}, func(string, float64) {})
 	r, err := c.Call(context.Background(), a, func(s string) { emitted.WriteString(s) })
 	return r, emitted.String(), err
 }
@@ -55,6 +55,20 @@
 	}
 }
 
+func TestAnswersReportLoad(t *testing.T) {
+	s := standin.NewStage(standin.StageConfig{Slots: 2})
+	srv := httptest.NewServer(s.Handler())
+	defer srv.Close()
+	reports := map[string]float64{}
+	c := endpoint.New(&http.Client{Transport: endpoint.Transport()}, func(name string, load float64) { reports[name] = load })
+	if _, err := c.Call(context.Background(), attempt(t, "pool", srv.URL), func(string) {}); err != nil {
+		t.Fatal(err)
+	}
+	if load, ok := reports["e"]; !ok || load != 1 {
+		t.Errorf("reports %v, want the call itself", reports)
+	}
+}
+
 func TestAnswersThatAreNotWholeOrNotOwnAreErrors(t *testing.T) {
 	tests := []struct {
 		name, kind string
@@ -125,7 +139,7 @@
 	s := standin.NewStage(standin.StageConfig{Slots: 2})
 	srv := httptest.NewServer(s.Handler())
 	defer srv.Close()
-	c := endpoint.New(&http.Client{Transport: endpoint.Transport()})
+	c := endpoint.New(&http.Client{Transport: endpoint.Transport()}, func(string, float64) {})
 	a := attempt(t, "service", srv.URL)
 	for i := range 6 {
 		a.RequestID = string(rune('a' + i))
--- a/io/platform/platform.go
+++ b/io/platform/platform.go
@@ -187,7 +187,12 @@
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	var listed []listedObject
-	if err := c.getJSON(ctx, "/objects/"+url.PathEscape(kind)+"?prefix="+url.QueryEscape(prefix), &listed); err != nil {
+	resp, err := c.do(ctx, c.reads, http.MethodGet, c.cfg.URL+"/objects/"+url.PathEscape(kind)+"?prefix="+url.QueryEscape(prefix), nil, "", "")
+	if err != nil {
+		return nil, fmt.Errorf("listing %s/%s: %w", kind, prefix, unavailable(err))
+	}
+	defer closeBody(resp)
+	if err := decode(resp, &listed); err != nil {
 		return nil, fmt.Errorf("listing %s/%s: %w", kind, prefix, err)
 	}
 	out := make([]object.Object, len(listed))
@@ -197,24 +202,27 @@
 	return out, nil
 }
 
-// Instances returns the platform's list of instances, which lags.
-func (c *Client) Instances(ctx context.Context) ([]Instance, error) {
+// Instances returns the platform's list of instances, which lags, and its entity
+// tag. If the list still has the given tag the error is object.ErrUnchanged:
+// only a change costs more than a few bytes.
+func (c *Client) Instances(ctx context.Context, tag string) ([]Instance, string, error) {
 	c.readCount.Add(1)
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	var out []Instance
-	if err := c.getJSON(ctx, "/instances", &out); err != nil {
-		return nil, fmt.Errorf("getting the list of instances: %w", err)
-	}
-	return out, nil
-}
-
-func (c *Client) getJSON(ctx context.Context, path string, v any) error {
-	resp, err := c.do(ctx, c.reads, http.MethodGet, c.cfg.URL+path, nil, "", "")
+	resp, err := c.do(ctx, c.reads, http.MethodGet, c.cfg.URL+"/instances", nil, "If-None-Match", tag)
 	if err != nil {
-		return unavailable(err)
+		return nil, tag, fmt.Errorf("getting the list of instances: %w", unavailable(err))
 	}
 	defer closeBody(resp)
+	if err := decode(resp, &out); err != nil {
+		return nil, tag, fmt.Errorf("getting the list of instances: %w", err)
+	}
+	return out, resp.Header.Get("ETag"), nil
+}
+
+// decode reads the JSON of an answer.
+func decode(resp *http.Response, v any) error {
 	if err := statusError(resp.StatusCode); err != nil {
 		return unavailable(err)
 	}
--- a/io/standin/engine.go
+++ b/io/standin/engine.go
@@ -184,6 +184,7 @@
 	if f.Down {
 		panic(http.ErrAbortHandler)
 	}
+	e.report(w)
 	if f.Refuse {
 		w.WriteHeader(http.StatusTooManyRequests)
 		return
--- a/io/standin/platform.go
+++ b/io/standin/platform.go
@@ -2,10 +2,13 @@
 
 import (
 	"context"
+	"crypto/sha256"
+	"encoding/hex"
 	"encoding/json"
 	"errors"
 	"io"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -100,7 +103,7 @@
 	mux.HandleFunc("GET /objects/{kind}", p.list)
 	mux.HandleFunc("GET /instances", func(w http.ResponseWriter, r *http.Request) {
 		p.objects.countRead()
-		writeJSON(w, p.Instances())
+		p.serveInstances(w, r)
 	})
 	mux.HandleFunc("PUT /instances/{name}", p.putInstance)
 	mux.HandleFunc("DELETE /instances/{name}", func(w http.ResponseWriter, r *http.Request) { p.RemoveInstance(r.PathValue("name")) })
@@ -116,6 +119,26 @@
 	return mux
 }
 
+// serveInstances answers with the list, or that it is unchanged.
+func (p *Platform) serveInstances(w http.ResponseWriter, r *http.Request) {
+	list := p.Instances()
+	slices.SortFunc(list, func(a, b Instance) int { return strings.Compare(a.Name, b.Name) })
+	data, err := json.Marshal(list)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusInternalServerError)
+		return
+	}
+	sum := sha256.Sum256(data)
+	tag := strconv.Quote(hex.EncodeToString(sum[:8]))
+	w.Header().Set("ETag", tag)
+	if r.Header.Get("If-None-Match") == tag {
+		w.WriteHeader(http.StatusNotModified)
+		return
+	}
+	w.Header().Set(headerType, contentJSON)
+	_, _ = w.Write(data)
+}
+
 func (p *Platform) putInstance(w http.ResponseWriter, r *http.Request) {
 	var i Instance
 	if err := json.NewDecoder(r.Body).Decode(&i); err != nil {
--- a/io/standin/stage.go
+++ b/io/standin/stage.go
@@ -188,6 +188,13 @@
 	return f
 }
 
+// report puts the load into an answer's header, after the Open Request Cost
+// Aggregation standard.
+func (s *server) report(w http.ResponseWriter) {
+	load := s.load(time.Now())
+	w.Header().Set("Endpoint-Load-Metrics", fmt.Sprintf(`JSON {"named_metrics":{"in_flight":%g}}`, load.Load))
+}
+
 func (s *server) leave() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -266,6 +273,7 @@
 	if f.Down {
 		panic(http.ErrAbortHandler)
 	}
+	s.report(w)
 	if f.Refuse {
 		w.WriteHeader(http.StatusTooManyRequests)
 		writeJSON(w, stageAnswer{Attempt: req.Attempt, Ran: "no", Error: "no slot is free"})
--- a/node/node.go
+++ b/node/node.go
@@ -82,6 +82,7 @@
 	metrics   *metrics
 	registry  *prometheus.Registry
 	score     *score
+	reports   reports
 
 	servers  []*http.Server
 	draining atomic.Bool
@@ -103,6 +104,7 @@
 		holder:   publish.NewHolder(),
 		registry: prometheus.NewRegistry(),
 		score:    newScore(),
+		reports:  reports{last: make(map[string]time.Time)},
 		behind:   make(chan behind, 1),
 		notice:   noticeDelay,
 	}
@@ -111,7 +113,7 @@
 	if err != nil {
 		return nil, err
 	}
-	n.endpoints = endpoint.New(&http.Client{Transport: secure.endpoints})
+	n.endpoints = endpoint.New(&http.Client{Transport: secure.endpoints}, n.noteLoad)
 	n.platform = platform.New(platform.Config{URL: cfg.PlatformURL(), ReadsPerSecond: cfg.Reads(), WritesPerSecond: cfg.Writes()}, &http.Client{Transport: secure.platform})
 	n.ledger = cost.New(time.Now(), cfg.Name(), n.owner.Incarnation)
 	n.metrics = newMetrics(n)
--- a/node/watch.go
+++ b/node/watch.go
@@ -5,10 +5,12 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
+	"sync"
 	"time"
 
 	"go.uber.org/zap"
 
+	"chervilpath/core/declare"
 	"chervilpath/core/object"
 )
 
@@ -17,15 +19,25 @@
 	// instances. An endpoint that leaves gets no new work soon after.
 	listPeriod = time.Second
 
-	// loadPeriod is the least time between two reads of one endpoint's load,
-	// and loadsPerSecond bounds the reads of one instance.
-	loadPeriod     = 250 * time.Millisecond
-	loadsPerSecond = 100
+	// loadsPerSecond is shared by all instances as the number of questions for
+	// a load; each asks at least leastLoads and at most mostLoads a second.
+	loadsPerSecond = 640.0
+	leastLoads     = 2.0
+	mostLoads      = 100.0
 	loadTimeout    = 200 * time.Millisecond
 
+	// freshReport is how long a report that came with an answer is enough.
+	freshReport = time.Second
+
 	leavingState = "leaving"
 )
 
+// reports notes when each endpoint last reported its load.
+type reports struct {
+	mu   sync.Mutex
+	last map[string]time.Time
+}
+
 // startWatching begins to follow the endpoints' loads and the list of instances.
 func (n *Instance) startWatching(context.Context) error {
 	n.running.Go(func() { n.followList(n.loopCtx) })
@@ -36,9 +48,13 @@
 // followList shuts out the endpoints that the platform lists as leaving. While
 // the platform does not answer, the last list stays.
 func (n *Instance) followList(ctx context.Context) {
-	var last string
+	var last, tag string
 	for n.every(ctx, listPeriod) {
-		listed, err := n.platform.Instances(ctx)
+		listed, newTag, err := n.platform.Instances(ctx, tag)
+		if isUnchanged(err) {
+			continue
+		}
+		tag = newTag
 		if err != nil {
 			n.log.Debug("list of instances not read", zap.Error(err))
 			continue
@@ -57,33 +73,66 @@
 	}
 }
 
-// followLoads asks the endpoints that report their load, one after the other.
+// followLoads asks the endpoints that report their load and have not done so
+// with an answer lately, one after the other.
 func (n *Instance) followLoads(ctx context.Context) {
 	next := 0
-	for {
+	for n.sleep(ctx, n.loadWait()) {
 		set := n.declarations()
-		wait := loadPeriod
-		if set != nil {
-			names := set.Endpoints()
-			if next >= len(names) {
-				next = 0
-			}
-			wait = max(loadPeriod/time.Duration(max(1, len(names))), time.Second/loadsPerSecond)
-			if e, ok := set.Endpoint(names[next]); ok && e.ReportsLoad() {
-				callCtx, cancel := context.WithTimeout(ctx, loadTimeout)
-				if load, err := n.endpoints.Load(callCtx, e); err == nil {
-					n.runner.Report(e.Name(), load.Load, load.Models, load.At)
-				}
-				cancel()
-			}
-			next++
+		if set == nil {
+			continue
 		}
-		if !n.sleep(ctx, wait) {
-			return
+		names := set.Endpoints()
+		for range names {
+			next = (next + 1) % len(names)
+			e, _ := set.Endpoint(names[next])
+			if e.ReportsLoad() && n.reports.stale(e.Name(), time.Now()) {
+				n.askLoad(ctx, e)
+				break
+			}
 		}
 	}
 }
 
+// loadWait returns the time between two questions for a load. In a large fleet
+// an instance asks less, so that control needs few bytes; most reports come
+// with answers.
+func (n *Instance) loadWait() time.Duration {
+	rate := loadsPerSecond / float64(n.members.Serving())
+	return time.Duration(float64(time.Second) / min(mostLoads, max(leastLoads, rate)))
+}
+
+func (n *Instance) askLoad(ctx context.Context, e *declare.Endpoint) {
+	ctx, cancel := context.WithTimeout(ctx, loadTimeout)
+	defer cancel()
+	load, err := n.endpoints.Load(ctx, e)
+	if err != nil {
+		return
+	}
+	n.reports.note(e.Name(), time.Now())
+	n.runner.Report(e.Name(), load.Load, load.Models, load.At)
+}
+
+// noteLoad takes the load that came with an answer.
+func (n *Instance) noteLoad(name string, load float64) {
+	now := time.Now()
+	n.reports.note(name, now)
+	n.runner.Report(name, load, nil, now)
+}
+
+// stale reports whether an endpoint has not reported lately.
+func (r *reports) stale(name string, now time.Time) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return now.Sub(r.last[name]) > freshReport
+}
+
+func (r *reports) note(name string, now time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.last[name] = now
+}
+
 // flushCosts stores the cost of each window.
 func (n *Instance) flushCosts(ctx context.Context) {
 	for n.every(ctx, n.cfg.CostWindow()) {
