--- a/core/admit/admit_test.go
+++ b/core/admit/admit_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math"
+	"runtime"
 	"testing"
 	"time"
 
@@ -232,3 +233,21 @@
 		t.Errorf("of 200 grants the organisation with one request at a time got %d, want its half", got["one"])
 	}
 }
+
+// BenchmarkMemory reports the bytes held for each active organisation.
+func BenchmarkMemory(b *testing.B) {
+	const n = 30000
+	for b.Loop() {
+		var before, after runtime.MemStats
+		runtime.GC()
+		runtime.ReadMemStats(&before)
+		q := admit.New(math.MaxInt)
+		for i := range n {
+			q.Announce(fmt.Sprint("organisation-", i), 1, 1)
+		}
+		runtime.GC()
+		runtime.ReadMemStats(&after)
+		b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/n, "B/organisation")
+		runtime.KeepAlive(q)
+	}
+}
--- a/core/once/once_test.go
+++ b/core/once/once_test.go
@@ -5,6 +5,8 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"runtime"
+	"strings"
 	"testing"
 	"time"
 
@@ -425,3 +427,24 @@
 		}
 	})
 }
+
+// BenchmarkMemory reports the bytes held for each key with an outcome of 1 KB.
+func BenchmarkMemory(b *testing.B) {
+	const n = 20000
+	for b.Loop() {
+		var before, after runtime.MemStats
+		runtime.GC()
+		runtime.ReadMemStats(&before)
+		t := once.NewTable(time.Hour, n)
+		records := make([]once.Record, n)
+		for i := range records {
+			answer, _ := json.Marshal(strings.Repeat("x", 1000))
+			records[i] = once.Record{Key: fmt.Sprint("organisation/key-", i), BodyHash: fmt.Sprintf("%064d", i), Outcome: once.Outcome{State: once.Done, Answer: answer, Ran: "yes"}}
+		}
+		t.Adopt(records)
+		runtime.GC()
+		runtime.ReadMemStats(&after)
+		b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/n, "B/key")
+		runtime.KeepAlive(t)
+	}
+}
--- /dev/null
+++ b/io/peer/peer_test.go
@@ -0,0 +1,112 @@
+package peer
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"chervilpath/core/fault"
+	"chervilpath/core/member"
+	"chervilpath/core/once"
+	"chervilpath/io/peer/peerpb"
+	"chervilpath/io/standin"
+)
+
+const testSecret = "secret of the test"
+
+// newPeer serves an instance whose keeper runs every request as given.
+func newPeer(t *testing.T, run func(once.Attempt) once.Outcome) (string, *Members, *once.Keeper) {
+	t.Helper()
+	keeper := once.New(once.Config{Owner: once.Owner{Incarnation: "i1"}, Secret: []byte("s"), TicketLife: time.Minute, Limit: 10}, once.Seams{
+		Now: time.Now, NewID: func() string { return "n" }, Store: standin.NewObjects(time.Now).Store(), Go: func(f func()) { f() },
+		Run: func(_ context.Context, a once.Attempt) once.Outcome { return run(a) },
+	})
+	members := newTestMembers("i1", "127.0.0.1:1")
+	s := &Server{Members: members, Keeper: keeper, Now: time.Now, ReadRoot: func() []byte { return nil }, HandedOver: func([]string) {}}
+	srv := httptest.NewServer(s.Handler(testSecret))
+	t.Cleanup(srv.Close)
+	return strings.TrimPrefix(srv.URL, "http://"), members, keeper
+}
+
+func newTestMembers(id, address string) *Members {
+	return NewMembers(member.Member{ID: id, Name: id, Address: address}, nil, newTestClients(testSecret), time.Now,
+		rand.New(rand.NewPCG(1, 1)), func(string, int64) {}, func(int) {})
+}
+
+func newTestClients(secret string) *Clients {
+	return NewClients(secret, http.DefaultTransport.(*http.Transport).Clone(), nil, time.Now)
+}
+
+func TestPeerWithoutTheSecretIsRefused(t *testing.T) {
+	address, _, _ := newPeer(t, nil)
+	if _, err := newTestClients("wrong").At(address).Root(context.Background(), &peerpb.RootRequest{}); err == nil {
+		t.Error("a peer with a wrong secret is served")
+	}
+	if _, err := newTestClients(testSecret).At(address).Root(context.Background(), &peerpb.RootRequest{}); err != nil {
+		t.Errorf("a peer with the secret is refused: %v", err)
+	}
+}
+
+func TestForward(t *testing.T) {
+	runs := 0
+	address, _, keeper := newPeer(t, func(once.Attempt) once.Outcome {
+		runs++
+		return once.Outcome{State: once.Done, Answer: []byte(`"booked"`), Ran: "yes"}
+	})
+	ticket, _, err := keeper.Issue("roofs")
+	if err != nil {
+		t.Fatal(err)
+	}
+	c := newTestClients(testSecret)
+	owner := once.Owner{Incarnation: "i1", Address: address}
+	a := once.Attempt{Organisation: "roofs", Kind: "book", Key: ticket, Body: []byte("b"), Deadline: time.Now().Add(time.Minute)}
+	for range 2 {
+		if o, err := c.Forward(context.Background(), owner, a); err != nil || o.State != once.Done {
+			t.Errorf("Forward() = %+v, %v", o, err)
+		}
+	}
+	if runs != 1 {
+		t.Errorf("%d runs", runs)
+	}
+	a.Body = []byte("other")
+	if _, err := c.Forward(context.Background(), owner, a); fault.From(err).Kind() != fault.KeyReused {
+		t.Errorf("Forward() with another body = %v, want the kind of the peer's error", err)
+	}
+	a.Body = []byte("b")
+	if _, err := c.Forward(context.Background(), once.Owner{Incarnation: "i0", Address: address}, a); !errors.Is(err, once.ErrOwnerGone) {
+		t.Errorf("Forward() to a process that was replaced = %v", err)
+	}
+	if _, err := c.Forward(context.Background(), once.Owner{Incarnation: "i1", Address: "127.0.0.1:1"}, a); !errors.Is(err, once.ErrOwnerGone) {
+		t.Errorf("Forward() to nobody = %v", err)
+	}
+}
+
+func TestPingToldReplacedProcessFromLive(t *testing.T) {
+	address, members, _ := newPeer(t, nil)
+	other := newTestMembers("i2", "127.0.0.1:2")
+	if err := other.ping(context.Background(), address, "i1"); err != nil {
+		t.Errorf("ping() = %v", err)
+	}
+	if err := other.ping(context.Background(), address, "i0"); err == nil {
+		t.Error("a process that was replaced at the same address is taken for live")
+	}
+	if n := len(members.List()); n != 2 {
+		t.Errorf("the pinged instance knows %d members", n)
+	}
+}
+
+func FuzzFromWire(f *testing.F) {
+	f.Add("i1", "127.0.0.1:1", uint32(0))
+	f.Add("", "x", uint32(99))
+	f.Fuzz(func(t *testing.T, id, address string, state uint32) {
+		m, err := fromWire(&peerpb.Member{Id: id, Address: address, State: state})
+		if err == nil && (m.ID == "" || m.State > member.Gone) {
+			t.Errorf("accepted %+v", m)
+		}
+	})
+}
--- /dev/null
+++ b/node/metrics_test.go
@@ -0,0 +1,91 @@
+package node
+
+import (
+	"os"
+	"regexp"
+	"strings"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+
+	"chervilpath/core/declare"
+	"chervilpath/core/kernel"
+	"chervilpath/core/pipeline"
+	"chervilpath/core/settings"
+	"chervilpath/io/caller"
+)
+
+const metricsSettings = `[instance]
+name = m
+failureDomain = d
+callerAddress = 127.0.0.1:1
+peerAddress = 127.0.0.1:2
+operatorAddress = 127.0.0.1:3
+[platform]
+url = http://127.0.0.1:4
+[peers]
+secretFile = s
+`
+
+// metricNames returns the names of all metrics of an instance that has served.
+func metricNames(t *testing.T) map[string]bool {
+	t.Helper()
+	cfg, err := settings.ParseEntry("m.ini", []byte(metricsSettings), func(string) ([]byte, error) { return []byte("0123456789abcdef"), nil })
+	if err != nil {
+		t.Fatal(err)
+	}
+	n, err := New(kernel.New(), cfg, zap.NewNop())
+	if err != nil {
+		t.Fatal(err)
+	}
+	set, problems := declare.Build([]declare.Fragment{{Name: "a.ini", Data: []byte("[stage s]\n[endpoint e]\naddress = http://127.0.0.1:5\nkind = pool\nstages = s\nfailureDomain = d\n")}})
+	if set == nil {
+		t.Fatal(problems)
+	}
+	n.runner.Replace(set)
+	n.observe(caller.End{Kind: "k", Took: time.Second})
+	n.charge(pipeline.Charge{Stage: "s"})
+	n.metrics.observeStage("s", 0, time.Second, nil)
+	families, err := n.registry.Gather()
+	if err != nil {
+		t.Fatal(err)
+	}
+	out := make(map[string]bool)
+	for _, f := range families {
+		out[f.GetName()] = true
+	}
+	return out
+}
+
+var metricName = regexp.MustCompile(`chervilpath_[a-z_]+`)
+
+// TestDashboardsNameMetricsThatExist compares the rules and the dashboard with
+// the metrics of an instance.
+func TestDashboardsNameMetricsThatExist(t *testing.T) {
+	have := metricNames(t)
+	for _, file := range []string{"../deploy/alerts.yaml", "../deploy/dashboard.json"} {
+		data, err := os.ReadFile(file)
+		if err != nil {
+			t.Fatal(err)
+		}
+		names := metricName.FindAllString(string(data), -1)
+		if len(names) == 0 {
+			t.Errorf("%s names no metric", file)
+		}
+		for _, name := range names {
+			if !have[strings.TrimSuffix(name, "_bucket")] {
+				t.Errorf("%s names %s, which does not exist", file, name)
+			}
+		}
+	}
+}
+
+// TestMetricsHaveNoOrganisation keeps 30,000 organisations out of a scrape.
+func TestMetricsHaveNoOrganisation(t *testing.T) {
+	for name := range metricNames(t) {
+		if strings.Contains(name, "organisation") {
+			t.Errorf("metric %s", name)
+		}
+	}
+}
