Time first tokens and gaps between tokens by stage

Cause: the targets of 0.32 s to the first token and 30 ms between tokens could not be read from an instance. Change: two histograms by stage, fed for each streamed token, without the time that a slow caller takes to read. Figures: TestTokensAreTimed in virtual time: 100 ms, then 10 ms and 10 ms, as sent.

--- a/core/pipeline/attempt.go
+++ b/core/pipeline/attempt.go
@@ -24,6 +24,8 @@
 	limit  time.Duration
 	cancel context.CancelCauseFunc
 	excess int
+	// last is when the last token came.
+	last time.Time
 }
 
 // prepare notes the decision for one call and returns the function that makes it.
@@ -160,9 +162,11 @@
 	s.stop()
 	s.mu.Unlock()
 	c := s.call
+	s.time()
 	c.tokens++
 	c.text.WriteString(text)
 	c.run.req.Emit(Token{Sequence: c.tokens, Text: text})
+	s.last = s.clock.Now()
 	s.watch()
 	if over := c.tokens - int(c.run.plan.cost[c.index]) - s.excess; over >= correctTokens && c.decl.Unit() == "tokens" {
 		s.excess += over
@@ -170,6 +174,18 @@
 	}
 }
 
+// time notes when a token came: the first one since the request came, the
+// others since the one before, the time that the caller took to read left out.
+func (s *stream) time() {
+	r := s.call.run
+	now := s.clock.Now()
+	if s.call.tokens == 0 {
+		r.runner.seams.Token(s.call.decl.Name(), true, now.Sub(r.began))
+	} else if !s.last.IsZero() {
+		r.runner.seams.Token(s.call.decl.Name(), false, now.Sub(s.last))
+	}
+}
+
 // settle notes the end of an attempt with the stage, and its cost.
 func (c *stageCall) settle(ctx context.Context, g stage.Grant, result Result, err error) {
 	r := c.run
--- a/core/pipeline/load_test.go
+++ b/core/pipeline/load_test.go
@@ -147,6 +147,7 @@
 			l.charges = append(l.charges, c)
 		},
 		Observe: func(string, time.Duration, time.Duration, error) {},
+		Token:   func(string, bool, time.Duration) {},
 		NewID: func() string {
 			l.mu.Lock()
 			defer l.mu.Unlock()
--- a/core/pipeline/pipeline_test.go
+++ b/core/pipeline/pipeline_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -25,6 +26,7 @@
 	decisions []pipeline.Decision
 	charges   []pipeline.Charge
 	tokens    []pipeline.Token
+	times     []time.Duration
 	answer    pipeline.Answer
 	err       *fault.Error
 	took      time.Duration
@@ -76,6 +78,7 @@
 			Decide:  func(d pipeline.Decision) { out.decisions = append(out.decisions, d) },
 			Charge:  func(c pipeline.Charge) { out.charges = append(out.charges, c) },
 			Observe: func(string, time.Duration, time.Duration, error) {},
+			Token:   func(_ string, _ bool, d time.Duration) { out.times = append(out.times, d) },
 			NewID:   func() string { return fmt.Sprint("a", n) },
 		}, stage.Policy{}, rand.New(rand.NewPCG(1, 1)))
 		r.Replace(set)
@@ -215,6 +218,17 @@
 	}
 }
 
+func TestTokensAreTimed(t *testing.T) {
+	o := runOne(t, scripted, "plain", true, func(ctx context.Context, _ int, a pipeline.Attempt, emit func(string)) (pipeline.Result, error) {
+		time.Sleep(90 * time.Millisecond)
+		return stream(ctx, a, emit, 3, nil)
+	})
+	want := []time.Duration{100 * time.Millisecond, 10 * time.Millisecond, 10 * time.Millisecond}
+	if o.err != nil || !slices.Equal(o.times, want) {
+		t.Errorf("times of tokens %v, want %v; %v", o.times, want, o.err)
+	}
+}
+
 func TestBrokenStreamResumes(t *testing.T) {
 	o := runOne(t, scripted, "plain", true, func(ctx context.Context, n int, a pipeline.Attempt, emit func(string)) (pipeline.Result, error) {
 		if n == 1 {
@@ -304,6 +318,7 @@
 				charges = append(charges, c)
 			},
 			Observe: func(string, time.Duration, time.Duration, error) {},
+			Token:   func(string, bool, time.Duration) {},
 			NewID:   func() string { return "a" },
 		}, stage.Policy{}, rand.New(rand.NewPCG(1, 1)))
 		r.Replace(set)
@@ -342,7 +357,8 @@
 				return pipeline.Result{}, &pipeline.CallError{Err: fault.From(ctx.Err())}
 			},
 			Decide: func(pipeline.Decision) {}, Charge: func(pipeline.Charge) {},
-			Observe: func(string, time.Duration, time.Duration, error) {}, NewID: func() string { return "" },
+			Observe: func(string, time.Duration, time.Duration, error) {},
+			Token:   func(string, bool, time.Duration) {}, NewID: func() string { return "" },
 		}, stage.Policy{}, rand.New(rand.NewPCG(1, 1)))
 		r.Replace(set)
 		k, _ := set.Kind("plain")
--- a/core/pipeline/run.go
+++ b/core/pipeline/run.go
@@ -37,6 +37,7 @@
 		runner  *Runner
 		req     Request
 		plan    *plan
+		began   time.Time
 		repeats int
 		// open is the number of calls that count for the answer to "has it
 		// run?" and that are not known to have done nothing; done is set once
--- a/core/pipeline/runner.go
+++ b/core/pipeline/runner.go
@@ -155,7 +155,7 @@
 	defer p.withdrawRest(req.Organisation)
 	ctx, cancel := context.WithTimeout(ctx, left)
 	defer cancel()
-	run := &run{runner: r, req: req, plan: p}
+	run := &run{runner: r, req: req, plan: p, began: now}
 	return run.all(ctx)
 }
 
--- a/core/pipeline/types.go
+++ b/core/pipeline/types.go
@@ -162,6 +162,9 @@
 		Charge func(Charge)
 		// Observe is called with the times of each stage of a request.
 		Observe func(stage string, waited, took time.Duration, err error)
+		// Token is called for each streamed token: for the first with the time
+		// since the request came, for others with the time since the one before.
+		Token func(stage string, first bool, d time.Duration)
 		// NewID returns a new unique id.
 		NewID func() string
 	}
--- a/node/metrics.go
+++ b/node/metrics.go
@@ -21,6 +21,8 @@
 		waited   *prometheus.HistogramVec
 		took     *prometheus.HistogramVec
 		calls    *prometheus.CounterVec
+		first    *prometheus.HistogramVec
+		gap      *prometheus.HistogramVec
 	}
 
 	// gauges reads the instance's state when it is scraped.
@@ -31,7 +33,7 @@
 	}
 )
 
-var buckets = []float64{.005, .01, .025, .05, .1, .2, .32, .5, .75, 1, 1.5, 2, 3, 5, 10}
+var buckets = []float64{.002, .005, .01, .02, .03, .05, .1, .2, .32, .5, .75, 1, 1.5, 2, 3, 5, 10}
 
 func newMetrics(n *Instance) *metrics {
 	m := &metrics{
@@ -39,9 +41,11 @@
 		duration: histogram("request_duration_seconds", "Time from a request's arrival to the end of its answer.", "kind"),
 		waited:   histogram("stage_wait_seconds", "Time that requests waited for a stage.", "stage"),
 		took:     histogram("stage_duration_seconds", "Time of a stage with its wait and all attempts.", "stage"),
+		first:    histogram("stream_first_token_seconds", "Time from a request's arrival to its first streamed token.", "stage"),
+		gap:      histogram("stream_token_gap_seconds", "Time between two streamed tokens, without the caller's time to read.", "stage"),
 		calls:    counter("calls_total", "Calls of endpoints by stage and class of cost.", "stage", "class"),
 	}
-	n.registry.MustRegister(m.requests, m.duration, m.waited, m.took, m.calls, newGauges(n),
+	n.registry.MustRegister(m.requests, m.duration, m.waited, m.took, m.calls, m.first, m.gap, newGauges(n),
 		collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	return m
 }
@@ -68,6 +72,14 @@
 	m.took.WithLabelValues(stage).Observe(took.Seconds())
 }
 
+func (m *metrics) observeToken(stage string, first bool, d time.Duration) {
+	if first {
+		m.first.WithLabelValues(stage).Observe(d.Seconds())
+		return
+	}
+	m.gap.WithLabelValues(stage).Observe(d.Seconds())
+}
+
 func newGauges(n *Instance) *gauges {
 	desc := func(name, help string, labels ...string) *prometheus.Desc {
 		return prometheus.NewDesc(prometheus.BuildFQName(namespace, "", name), help, labels, nil)
--- a/node/metrics_test.go
+++ b/node/metrics_test.go
@@ -47,6 +47,8 @@
 	n.observe(caller.End{Kind: "k", Took: time.Second})
 	n.charge(pipeline.Charge{Stage: "s"})
 	n.metrics.observeStage("s", 0, time.Second, nil)
+	n.metrics.observeToken("s", true, time.Second)
+	n.metrics.observeToken("s", false, time.Second)
 	families, err := n.registry.Gather()
 	if err != nil {
 		t.Fatal(err)
--- a/node/node.go
+++ b/node/node.go
@@ -332,6 +332,7 @@
 		Decide:  n.logDecision,
 		Charge:  n.charge,
 		Observe: n.metrics.observeStage,
+		Token:   n.metrics.observeToken,
 		NewID:   rand.Text,
 	}
 }
