--- a/io/endpoint/endpoint.go
+++ b/io/endpoint/endpoint.go
@@ -87,22 +87,28 @@
 // Load asks an endpoint for its load.
 func (c *Client) Load(ctx context.Context, e *declare.Endpoint) (Load, error) {
 	var out Load
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, e.Address()+"/load", nil)
+	err := c.get(ctx, e, "/load", &out)
+	return out, err
+}
+
+// get reads the JSON that an endpoint gives at a path.
+func (c *Client) get(ctx context.Context, e *declare.Endpoint, path string, out any) error {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, e.Address()+path, nil)
 	if err != nil {
-		return out, fmt.Errorf("asking endpoint %q for its load: %w", e.Name(), err)
+		return fmt.Errorf("asking endpoint %q for %s: %w", e.Name(), path, err)
 	}
 	resp, err := c.http.Do(req)
 	if err != nil {
-		return out, fmt.Errorf("asking endpoint %q for its load: %w", e.Name(), err)
+		return fmt.Errorf("asking endpoint %q for %s: %w", e.Name(), path, err)
 	}
 	defer closeBody(resp)
 	if resp.StatusCode != http.StatusOK {
-		return out, fmt.Errorf("asking endpoint %q for its load: status %d", e.Name(), resp.StatusCode)
+		return fmt.Errorf("asking endpoint %q for %s: status %d", e.Name(), path, resp.StatusCode)
 	}
-	if err := json.NewDecoder(io.LimitReader(resp.Body, maxErrorBytes)).Decode(&out); err != nil {
-		return out, fmt.Errorf("asking endpoint %q for its load: %w", e.Name(), err)
+	if err := json.NewDecoder(io.LimitReader(resp.Body, maxErrorBytes)).Decode(out); err != nil {
+		return fmt.Errorf("reading %s of endpoint %q: %w", path, e.Name(), err)
 	}
-	return out, nil
+	return nil
 }
 
 // post sends an attempt's body. No header that marks a request as repeatable
--- a/io/endpoint/order.go
+++ b/io/endpoint/order.go
@@ -6,7 +6,6 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"io"
 	"net/http"
 
 	"chervilpath/core/declare"
@@ -35,22 +34,8 @@
 // State asks an engine what it has loaded.
 func (c *Client) State(ctx context.Context, e *declare.Endpoint) (State, error) {
 	var out State
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, e.Address()+"/state", nil)
-	if err != nil {
-		return out, fmt.Errorf("asking engine %q for its state: %w", e.Name(), err)
-	}
-	resp, err := c.http.Do(req)
-	if err != nil {
-		return out, fmt.Errorf("asking engine %q for its state: %w", e.Name(), err)
-	}
-	defer closeBody(resp)
-	if resp.StatusCode != http.StatusOK {
-		return out, fmt.Errorf("asking engine %q for its state: status %d", e.Name(), resp.StatusCode)
-	}
-	if err := json.NewDecoder(io.LimitReader(resp.Body, maxErrorBytes)).Decode(&out); err != nil {
-		return out, fmt.Errorf("reading the state of engine %q: %w", e.Name(), err)
-	}
-	return out, nil
+	err := c.get(ctx, e, "/state", &out)
+	return out, err
 }
 
 // Order gives an engine an order. Errors: ErrFenced if the engine refused it;
