Keep an answer's text out of its documents

Cause: trying the README's request: the documents of the answer ended with the generated text, since the last stage's result was put into a next stage's input. Change: results go on only to a stage that follows. Figures: TestResultsGoOnToTheNextStageOnly fails without the change. Conclusion: text and documents are apart.

--- a/core/pipeline/pipeline_test.go
+++ b/core/pipeline/pipeline_test.go
@@ -95,6 +95,20 @@
 	return out
 }
 
+func TestResultsGoOnToTheNextStageOnly(t *testing.T) {
+	var inputs []pipeline.Payload
+	o := runOne(t, scripted, "book", false, func(_ context.Context, n int, a pipeline.Attempt, _ func(string)) (pipeline.Result, error) {
+		inputs = append(inputs, a.Input)
+		return pipeline.Result{Text: fmt.Sprint("result ", n), Units: 1}, nil
+	})
+	if len(inputs) != 2 || !slices.Equal(inputs[1].Documents, []string{"result 1"}) {
+		t.Errorf("inputs %+v, want the first result in the second", inputs)
+	}
+	if o.answer.Text != "result 2" || !slices.Equal(o.answer.Documents, []string{"result 1"}) {
+		t.Errorf("answer %+v, want its own text apart from its documents", o.answer)
+	}
+}
+
 var (
 	errReset   = &pipeline.CallError{Err: fault.Errorf(fault.EndpointFailed, "reset")}
 	errRefused = &pipeline.CallError{Err: fault.Errorf(fault.EndpointUnavailable, "refused"), NotRun: true, NotSent: true}
--- a/core/pipeline/run.go
+++ b/core/pipeline/run.go
@@ -83,7 +83,9 @@
 		if result, err = c.run1(ctx); err != nil {
 			return Answer{}, r.explain(ctx, c, err)
 		}
-		input = next(input, result)
+		if !c.last {
+			input = next(input, result)
+		}
 	}
 	if result.Documents == nil {
 		result.Documents = input.Documents
