--- a/core/publish/publish.go
+++ b/core/publish/publish.go
@@ -270,7 +270,7 @@
 func (p *Publisher) writeParts(ctx context.Context, root Root, c Change) error {
 	for _, f := range c.Fragments {
 		obj := object.Object{Kind: fragmentKind, Name: HashFragment(f.Data), Data: f.Data}
-		if err := p.putOnce(ctx, obj); err != nil {
+		if err := p.putFragment(ctx, obj); err != nil {
 			return fault.Errorf(fault.StoreUnavailable, "storing fragment %q: %w", f.Name, err)
 		}
 		p.known[obj.Name] = f.Data
@@ -286,6 +286,17 @@
 	return nil
 }
 
+// putFragment stores a fragment. One that exists gets a new version, so that a
+// sweep that found it unused before does not remove it.
+func (p *Publisher) putFragment(ctx context.Context, obj object.Object) error {
+	if have, err := p.store.Get(ctx, obj.Kind, obj.Name); err == nil {
+		obj.Version = have.Version
+	} else if !errors.Is(err, object.ErrNotFound) {
+		return err
+	}
+	return p.putOnce(ctx, obj)
+}
+
 // putOnce stores an object whose name fixes its bytes, so that one that exists
 // is as good as a new one.
 func (p *Publisher) putOnce(ctx context.Context, obj object.Object) error {
