--- a/cmd/replay.go
+++ b/cmd/replay.go
@@ -23,7 +23,7 @@
 	traceCommand struct {
 		*program
 		Deployment string        `long:"deployment" choice:"kgotso" choice:"darbgalds" default:"kgotso" description:"Example for which to generate"`
-		Scenario   string        `long:"scenario" default:"steady" description:"One of steady, photoBurst, longQuotes, greedy, endpointSlow, endpointLost, stageLost, allAtOnce"`
+		Scenario   string        `long:"scenario" default:"steady" description:"One of steady, photoBurst, longQuotes, greedy, endpointSlow, endpointLost, stageLost, storeDown, allAtOnce"`
 		Duration   time.Duration `long:"duration" default:"30s" description:"Length of the trace"`
 		Rate       float64       `long:"rate" default:"60" description:"Requests a second"`
 		Seed       uint64        `long:"seed" default:"1" description:"Seed; the same one gives the same trace"`
--- a/core/trace/generate.go
+++ b/core/trace/generate.go
@@ -63,6 +63,8 @@
 	EndpointLost = "endpointLost"
 	// StageLost takes a whole stage down.
 	StageLost = "stageLost"
+	// StoreDown takes the platform's object API down.
+	StoreDown = "storeDown"
 	// AllAtOnce does all of these.
 	AllAtOnce = "allAtOnce"
 )
@@ -76,7 +78,7 @@
 
 // Scenarios returns the names of all scenarios.
 func Scenarios() []string {
-	return []string{Steady, PhotoBurst, LongQuotes, Greedy, EndpointSlow, EndpointLost, StageLost, AllAtOnce}
+	return []string{Steady, PhotoBurst, LongQuotes, Greedy, EndpointSlow, EndpointLost, StageLost, StoreDown, AllAtOnce}
 }
 
 // Generate returns a trace. The same plan and shape give the same trace.
@@ -192,5 +194,6 @@
 	add(EndpointSlow, Fault{Endpoint: g.shape.Slow, Slow: slowFactor}, Fault{Endpoint: g.shape.Slow}, true)
 	add(EndpointLost, Fault{Endpoint: g.shape.Lost, Down: true}, Fault{}, false)
 	add(StageLost, Fault{Endpoint: g.shape.Stage, Down: true}, Fault{Endpoint: g.shape.Stage}, true)
+	add(StoreDown, Fault{Endpoint: Platform, Down: true}, Fault{Endpoint: Platform}, true)
 	return out
 }
--- a/core/trace/trace.go
+++ b/core/trace/trace.go
@@ -16,6 +16,9 @@
 // maxLine bounds a line of a trace, in bytes.
 const maxLine = 1 << 20
 
+// Platform is the name by which a fault stands for the platform's object API.
+const Platform = "platform"
+
 // Keys of a request that runs at most once.
 const (
 	NoKey  = ""
@@ -44,7 +47,8 @@
 	// Fault switches what an embedded endpoint does from now on. A replay of a
 	// running system leaves faults out.
 	Fault struct {
-		// Endpoint is a name; one that ends in "*" stands for all that begin so.
+		// Endpoint is a name, or Platform; one that ends in "*" stands for all
+		// that begin so.
 		Endpoint string  `json:"endpoint"`
 		Down     bool    `json:"down,omitempty"`
 		Slow     float64 `json:"slow,omitempty"`
--- a/demo/replay.go
+++ b/demo/replay.go
@@ -130,6 +130,10 @@
 
 // strike switches the faults of the endpoints that a fault names.
 func (d *Deployment) strike(f trace.Fault) {
+	if f.Endpoint == trace.Platform {
+		d.platform.Objects().SetFaults(standin.ObjectFaults{Down: f.Down})
+		return
+	}
 	prefix, many := strings.CutSuffix(f.Endpoint, "*")
 	for name, s := range d.servers {
 		if name == f.Endpoint || (many && strings.HasPrefix(name, prefix)) {
--- a/node/orders.go
+++ b/node/orders.go
@@ -23,6 +23,9 @@
 	// of the store do not grow with the fleet.
 	candidates = 3
 
+	// statesPerStep is how many engines of a shard are asked in a step.
+	statesPerStep = 10
+
 	// longestOrder bounds an order to an engine.
 	longestOrder = 5 * time.Second
 
@@ -38,15 +41,22 @@
 		leases   map[int]*lease.Lease
 		moved    map[string]time.Time
 		sent     map[int][]time.Time
+		// states is what engines had loaded when they were last asked, and next
+		// the place in each shard of the one to ask next.
+		states map[string][]string
+		next   map[int]int
 	}
 )
 
 func newOrders(n *Instance) *orders {
-	return &orders{instance: n, leases: make(map[int]*lease.Lease), moved: make(map[string]time.Time), sent: make(map[int][]time.Time)}
+	return &orders{
+		instance: n, leases: make(map[int]*lease.Lease), moved: make(map[string]time.Time), sent: make(map[int][]time.Time),
+		states: make(map[string][]string), next: make(map[int]int),
+	}
 }
 
 // run steps the leases and brings engines to what they are to have loaded. It
-// reads their state each time, so that an order that came late from an earlier
+// reads their state again and again, so that an order that came late from an earlier
 // holder is put right also at an engine that ignores fencing numbers.
 func (o *orders) run(ctx context.Context) {
 	for o.instance.every(ctx, lease.Renew) {
@@ -103,21 +113,37 @@
 	}
 }
 
+// ask reads the state of some engines of a shard, others in each step, so that
+// a large shard costs few bytes.
+func (o *orders) ask(ctx context.Context, shard int, engines []*declare.Endpoint) {
+	for range min(statesPerStep, len(engines)) {
+		e := engines[o.next[shard]%len(engines)]
+		o.next[shard]++
+		callCtx, cancel := context.WithTimeout(ctx, loadTimeout)
+		s, err := o.instance.endpoints.State(callCtx, e)
+		cancel()
+		if err != nil {
+			delete(o.states, e.Name())
+			continue
+		}
+		o.states[e.Name()] = s.Models
+	}
+}
+
 // place gives the orders that the placement asks for.
 func (o *orders) place(ctx context.Context, shard int, l *lease.Lease, engines []*declare.Endpoint) {
 	n := o.instance
+	o.ask(ctx, shard, engines)
 	byName := make(map[string]*declare.Endpoint)
 	var states []place.Engine
 	for _, e := range engines {
-		callCtx, cancel := context.WithTimeout(ctx, loadTimeout)
-		s, err := n.endpoints.State(callCtx, e)
-		cancel()
-		if err != nil {
+		models, ok := o.states[e.Name()]
+		if !ok {
 			continue
 		}
 		byName[e.Name()] = e
 		states = append(states, place.Engine{
-			Name: e.Name(), Slots: e.Slots(), Allowed: e.Models(), AtOnce: e.ModelSlots(), Loaded: s.Models, Moved: o.moved[e.Name()],
+			Name: e.Name(), Slots: e.Slots(), Allowed: e.Models(), AtOnce: e.ModelSlots(), Loaded: models, Moved: o.moved[e.Name()],
 		})
 	}
 	var demands []place.Demand
@@ -146,6 +172,8 @@
 	defer cancel()
 	err := n.endpoints.Order(callCtx, e, endpoint.Order{Fence: fence, Models: order.Models})
 	o.moved[e.Name()] = now
+	// Whatever the order did is seen when the engine is asked again.
+	delete(o.states, e.Name())
 	n.log.Info("models placed",
 		zap.String("engine", e.Name()), zap.Strings("models", order.Models), zap.String("reason", string(order.Reason)),
 		zap.Int64("fence", fence), zap.Error(err))
