Put declarations at the head of their files

Cause: reading as a newcomer: types, constants and variables stood between functions, and the status had two styles of names. Change: they stand at the head; endpoints in the status have camel case names. Conclusion: the tests stay as they were.

--- a/core/balance/balance.go
+++ b/core/balance/balance.go
@@ -61,6 +61,29 @@
 
 var reasonNames = [...]string{NoneFree: "noneFree", LessLoaded: "lessLoaded", PrefixHome: "prefixHome", Probe: "probe", OnlyOne: "onlyOne", Baseline: "baseline"}
 
+// The policies.
+const (
+	Adaptive Policy = iota
+	RoundRobin
+	Random
+	LeastReported
+)
+
+// Outcome says how a call ended, as far as it speaks for the endpoint.
+type Outcome uint8
+
+// The outcomes.
+const (
+	// Succeeded is a whole answer.
+	Succeeded Outcome = iota
+	// Failed is an error, no answer or an answer that is not whole.
+	Failed
+	// Full is an answer that the endpoint takes no more work.
+	Full
+	// Abandoned is a call that this side gave up, which says nothing.
+	Abandoned
+)
+
 type (
 	// Group is the endpoints of one stage as one instance sees them. Use New.
 	Group struct {
@@ -85,13 +108,17 @@
 
 	// Member is a copy of what is known of one endpoint.
 	Member struct {
-		Name     string
-		InFlight int
-		Limit    float64
-		Slowness float64
-		Reported float64
-		Ejected  bool
-		Leaving  bool
+		Name string `json:"name"`
+		// InFlight is the calls of this instance at work at the endpoint, and
+		// Limit the most that it sends there at once.
+		InFlight int     `json:"inFlight"`
+		Limit    float64 `json:"limit"`
+		// Slowness is the ratio of observed to expected time of calls.
+		Slowness float64 `json:"slowness"`
+		// Reported is the load that the endpoint last reported.
+		Reported float64 `json:"reported"`
+		Ejected  bool    `json:"ejected"`
+		Leaving  bool    `json:"leaving"`
 	}
 
 	// Query describes the call for which an endpoint is sought.
@@ -114,14 +141,6 @@
 	}
 )
 
-// Policies.
-const (
-	Adaptive Policy = iota
-	RoundRobin
-	Random
-	LeastReported
-)
-
 // String returns the reason's name in logs.
 func (r Reason) String() string { return reasonNames[r] }
 
@@ -279,21 +298,6 @@
 	return Call{member: m, started: now, expected: expected}
 }
 
-// Outcome says how a call ended, as far as it speaks for the endpoint.
-type Outcome uint8
-
-// The outcomes.
-const (
-	// Succeeded is a whole answer.
-	Succeeded Outcome = iota
-	// Failed is an error, no answer or an answer that is not whole.
-	Failed
-	// Full is an answer that the endpoint takes no more work.
-	Full
-	// Abandoned is a call that this side gave up, which says nothing.
-	Abandoned
-)
-
 // End notes the end of a call.
 func (g *Group) End(now time.Time, c Call, outcome Outcome) {
 	m := c.member
--- a/core/sweep/sweep.go
+++ b/core/sweep/sweep.go
@@ -77,6 +77,8 @@
 	}
 )
 
+var errUndated = errors.New("the object has no time")
+
 // Run removes what is older than it is to be kept. An error leaves the rest for
 // the next run.
 func Run(ctx context.Context, store object.Store, now time.Time, keep Keep) (Counts, error) {
@@ -248,8 +250,6 @@
 	return age(now, last)
 }
 
-var errUndated = errors.New("the object has no time")
-
 // age refuses an object without a time: it is never removed.
 func age(now, at time.Time) (time.Duration, error) {
 	if at.IsZero() {
--- a/demo/judge.go
+++ b/demo/judge.go
@@ -7,15 +7,6 @@
 	"chervilpath/core/cost"
 )
 
-// Broken is a promise that was not kept, with what was seen.
-type Broken struct {
-	Promise string
-	Seen    string
-}
-
-// String returns the promise and what was seen.
-func (b Broken) String() string { return b.Promise + ": " + b.Seen }
-
 const (
 	promiseOwn    = "every caller gets the answer to its own request"
 	promiseWhole  = "every answer is whole"
@@ -25,6 +16,15 @@
 	promiseCost   = "cost is attributed to who caused it"
 )
 
+// Broken is a promise that was not kept, with what was seen.
+type Broken struct {
+	Promise string
+	Seen    string
+}
+
+// String returns the promise and what was seen.
+func (b Broken) String() string { return b.Promise + ": " + b.Seen }
+
 // judge compares what callers saw with what ran at the endpoints.
 func judge(all []sent, runs map[string]int) []Broken {
 	var out []Broken
--- a/demo/load.go
+++ b/demo/load.go
@@ -85,6 +85,12 @@
 	}
 )
 
+// organisations are those of the examples; their keys are made of their names.
+var organisations = map[string][]string{
+	"kgotso":    {"gauteng-roofing", "sandton-homes", "soweto-landlords", "midrand-estates", "vaal-repairs"},
+	"darbgalds": {"riga-workshops", "liepaja-service", "private-owners", "daugavpils-repair", "valmiera-tools"},
+}
+
 func newLoad(d *Deployment, rate float64, seed uint64) *load {
 	return &load{
 		deployment: d, rate: rate, via: -1, rng: mathrand.New(mathrand.NewPCG(seed, 7)),
@@ -123,12 +129,6 @@
 	}
 }
 
-// organisations are those of the examples; their keys are made of their names.
-var organisations = map[string][]string{
-	"kgotso":    {"gauteng-roofing", "sandton-homes", "soweto-landlords", "midrand-estates", "vaal-repairs"},
-	"darbgalds": {"riga-workshops", "liepaja-service", "private-owners", "daugavpils-repair", "valmiera-tools"},
-}
-
 func (l *load) note(s sent) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/io/caller/answer.go
+++ b/io/caller/answer.go
@@ -14,6 +14,14 @@
 	"chervilpath/core/pipeline"
 )
 
+// events writes a stream of server-sent events.
+type events struct {
+	call   *call
+	cancel context.CancelFunc
+	begun  bool
+	failed bool
+}
+
 // serveIdempotent runs a request that may run more than once. Its stages are
 // cancelled when the caller goes away.
 func (c *call) serveIdempotent() {
@@ -166,14 +174,6 @@
 	c.server.seams.Log.Log(err.Kind().Answer().Level, "request not answered", fields...)
 }
 
-// events writes a stream of server-sent events.
-type events struct {
-	call   *call
-	cancel context.CancelFunc
-	begun  bool
-	failed bool
-}
-
 // token writes one token. It blocks while the caller does not read, so that a
 // stream holds no more than one token in memory, and gives the request up
 // after writeGrace.
--- a/io/caller/caller.go
+++ b/io/caller/caller.go
@@ -32,6 +32,11 @@
 	// writeGrace is how long a caller may take to read one piece of an answer.
 	writeGrace = 10 * time.Second
 
+	// maxTokens bounds the tokens that a caller may ask for, and defaultTokens
+	// is what one that asks for none gets.
+	maxTokens     = 32768
+	defaultTokens = 256
+
 	headerDeadline  = "X-Request-Timeout"
 	headerRequestID = "X-Request-Id"
 	headerKey       = "Idempotency-Key"
@@ -346,11 +351,6 @@
 	return b, nil
 }
 
-const (
-	maxTokens     = 32768
-	defaultTokens = 256
-)
-
 // Payload returns the body as the input of the first stage.
 func (b Body) Payload() pipeline.Payload {
 	return pipeline.Payload{Text: b.Text, Images: b.Images, Documents: b.Documents, MaxTokens: b.MaxTokens}
--- a/io/endpoint/stage.go
+++ b/io/endpoint/stage.go
@@ -32,6 +32,8 @@
 	}
 )
 
+var errTrailing = errors.New("something follows the value")
+
 // callStage calls a pool member or a plain service. JSON shows by itself
 // whether an answer is whole.
 func (c *Client) callStage(ctx context.Context, a pipeline.Attempt) (pipeline.Result, error) {
@@ -51,8 +53,6 @@
 	return pipeline.Result{Text: answer.Output.Text, Documents: answer.Output.Documents, Units: answer.Units}, nil
 }
 
-var errTrailing = errors.New("something follows the value")
-
 // decodeOne reads exactly one JSON value.
 func decodeOne(r io.Reader, v any) error {
 	dec := json.NewDecoder(io.LimitReader(r, maxAnswerBytes))
