--- a/scenario/scenario_test.go
+++ b/scenario/scenario_test.go
@@ -50,7 +50,7 @@
 	// settled bounds the wait for engines, which are asked for their state one
 	// after the other.
 	settled = time.Minute
-	poll       = 20 * time.Millisecond
+	poll    = 20 * time.Millisecond
 )
 
 var commands = map[string]command{
