Ask operators for a token; measure hedges and the forecast apart

Cause: metrics, status and profiles were open to anyone on their address, and two mechanisms had no baseline of their own in the table. Conclusion: each mechanism stands against a baseline.

--- a/cmd/publish.go
+++ b/cmd/publish.go
@@ -35,6 +35,7 @@
 	publishCommand struct {
 		*program
 		platformOptions
+		operatorOptions
 		DryRun   bool          `long:"dry-run" description:"Show what would change and write nothing"`
 		Remove   []string      `long:"remove" value-name:"NAME" description:"Take away a file that is in force; may be repeated"`
 		Base     int64         `long:"base" value-name:"REVISION" description:"Refuse if another operator changed one of the files after this revision"`
@@ -134,7 +135,7 @@
 	}
 	_, _ = fmt.Fprintf(c.out, "revision %d is in force\n", root.Revision)
 	if c.Wait > 0 {
-		return waitInForce(c.ctx, c.program, c.Operator, root.Revision, c.Wait)
+		return c.waitInForce(root.Revision)
 	}
 	return nil
 }
@@ -152,19 +153,23 @@
 }
 
 // waitInForce asks instances until every live one has the revision.
-func waitInForce(ctx context.Context, p *program, addresses []string, revision int64, limit time.Duration) error {
-	ctx, cancel := context.WithTimeout(ctx, limit)
+func (c *publishCommand) waitInForce(revision int64) error {
+	token, err := c.token()
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(c.ctx, c.Wait)
 	defer cancel()
 	var late []string
 	for {
-		late = stragglers(ctx, addresses, revision)
+		late = stragglers(ctx, c.Operator, token, revision)
 		if len(late) == 0 {
-			_, _ = fmt.Fprintf(p.out, "every live instance has revision %d in force\n", revision)
+			_, _ = fmt.Fprintf(c.out, "every live instance has revision %d in force\n", revision)
 			return nil
 		}
 		select {
 		case <-ctx.Done():
-			return &exitError{exitUnavailable, fmt.Errorf("after %v revision %d is not in force at: %v", limit, revision, late)}
+			return &exitError{exitUnavailable, fmt.Errorf("after %v revision %d is not in force at: %v", c.Wait, revision, late)}
 		case <-time.After(waitPoll):
 		}
 	}
@@ -172,10 +177,10 @@
 
 // stragglers returns the live instances that do not have the revision, as any
 // of the instances asked sees them.
-func stragglers(ctx context.Context, addresses []string, revision int64) []string {
+func stragglers(ctx context.Context, addresses []string, token string, revision int64) []string {
 	var last error
 	for _, a := range addresses {
-		s, err := operator.Fetch(ctx, a)
+		s, err := operator.Fetch(ctx, a, token)
 		if err != nil {
 			last = err
 			continue
--- a/cmd/status.go
+++ b/cmd/status.go
@@ -5,6 +5,8 @@
 	"errors"
 	"fmt"
 	"io"
+	"os"
+	"strings"
 	"text/tabwriter"
 
 	"chervilpath/core/status"
@@ -13,12 +15,30 @@
 
 type statusCommand struct {
 	*program
+	operatorOptions
 	Format string `long:"format" choice:"text" choice:"json" default:"text" description:"Form of the output"`
 	Args   struct {
 		Addresses []string `positional-arg-name:"ADDRESS" required:"1" description:"Operators' addresses of instances"`
 	} `positional-args:"yes"`
 }
 
+// operatorOptions are the options of commands that ask instances.
+type operatorOptions struct {
+	TokenFile string `long:"token-file" value-name:"FILE" env:"CHERVILPATH_TOKEN_FILE" description:"File with the operators' token of the instances"`
+}
+
+// token returns the operators' token, or "".
+func (o operatorOptions) token() (string, error) {
+	if o.TokenFile == "" {
+		return "", nil
+	}
+	data, err := os.ReadFile(o.TokenFile)
+	if err != nil {
+		return "", fmt.Errorf("reading the operators' token: %w", err)
+	}
+	return strings.TrimSpace(string(data)), nil
+}
+
 func (p *program) newStatus() subcommand {
 	return subcommand{
 		name: "status", short: "Show instances, revisions, endpoints, load and attainment",
@@ -31,8 +51,12 @@
 func (c *statusCommand) Execute([]string) error {
 	var all []status.Instance
 	var failed error
+	token, err := c.token()
+	if err != nil {
+		return err
+	}
 	for _, a := range c.Args.Addresses {
-		s, err := operator.Fetch(c.ctx, a)
+		s, err := operator.Fetch(c.ctx, a, token)
 		if err != nil {
 			failed = errors.Join(failed, err)
 			continue
--- a/core/pipeline/policy_test.go
+++ b/core/pipeline/policy_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math"
 	"math/rand/v2"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -22,6 +23,8 @@
 	policy stage.Policy
 }{
 	{"chervilpath", stage.Policy{}},
+	{"no forecast on arrival", stage.Policy{NoForecast: true}},
+	{"no hedges", stage.Policy{NoHedges: true}},
 	{"no admission", stage.Policy{NoAdmission: true}},
 	{"first come", stage.Policy{FirstCome: true}},
 	{"round robin", stage.Policy{Balance: balance.RoundRobin}},
@@ -60,6 +63,53 @@
 	{"one of ten 10 times slower, after 3 s", 0.7, slowEndpoint, func(l *load) float64 { return l.attained(l.between(11*time.Second, 20*time.Second)) }, "attainment"},
 	{"generation down for 5 s, 5 s after", 0.7, stageDown, func(l *load) float64 { return l.attained(l.between(15*time.Second, 20*time.Second)) }, "attainment"},
 	{"generation down for 5 s", 0.7, stageDown, (*load).added, "calls/request"},
+	{"1 of 50 retrievals 20 times slower", 0.5, someSlow, func(l *load) float64 { return l.quantile("status", 0.99) }, "p99 of status, ms"},
+}
+
+// someSlow makes one of fifty calls of retrieval take twenty times as long.
+func someSlow(l *load) {
+	l.kind = func(rng *rand.Rand) string { return []string{"quote", "status"}[rng.IntN(2)] }
+	for name, s := range l.servers {
+		if strings.HasPrefix(name, "retrieve") {
+			s.slow = func(now time.Time) float64 {
+				if now.UnixNano()/1000%50 == 0 {
+					return 20
+				}
+				return 1
+			}
+		}
+	}
+}
+
+// quantile returns a quantile of the time of answers of a kind, in milliseconds.
+func (l *load) quantile(kind string, q float64) float64 {
+	var times []time.Duration
+	for _, o := range l.results {
+		if o.kind == kind && o.err == nil {
+			times = append(times, o.took)
+		}
+	}
+	slices.Sort(times)
+	return float64(times[int(q*float64(len(times)))]) / float64(time.Millisecond)
+}
+
+func TestHedgesShortenTheSlowestAnswers(t *testing.T) {
+	with := simulate(t, stage.Policy{}, 1, 0.5, 20, someSlow)
+	without := simulate(t, stage.Policy{NoHedges: true}, 1, 0.5, 20, someSlow)
+	if a, b := with.quantile("status", 0.99), without.quantile("status", 0.99); a > b/2 {
+		t.Errorf("99 of 100 answers take %.0f ms with hedges and %.0f ms without, want at most half", a, b)
+	}
+	calls := func(l *load) (n int) {
+		for name, c := range l.calls {
+			if strings.HasPrefix(name, "retrieve") {
+				n += c
+			}
+		}
+		return n
+	}
+	if a, b := calls(with), calls(without); float64(a) > 1.1*float64(b) {
+		t.Errorf("%d calls with hedges, %d without, want at most a tenth more", a, b)
+	}
 }
 
 // added returns the calls of generation for each request.
--- a/core/pipeline/runner.go
+++ b/core/pipeline/runner.go
@@ -186,7 +186,7 @@
 		p.cost = append(p.cost, cost)
 		p.take = append(p.take, take)
 	}
-	if left := req.Deadline.Sub(now); !r.policy.NoAdmission && until+answerMargin > left {
+	if left := req.Deadline.Sub(now); !r.policy.NoAdmission && !r.policy.NoForecast && until+answerMargin > left {
 		kind := fault.DeadlineTooShort
 		if longest > 0 {
 			kind = fault.Overloaded
--- a/core/settings/settings.go
+++ b/core/settings/settings.go
@@ -22,6 +22,7 @@
 	reads, writes   float64
 	seeds           []string
 	secret          string
+	operatorToken   string
 	maxBody         int64
 	maxHeader       int64
 	maxConnections  int
@@ -61,6 +62,7 @@
 				{Key: "callerAddress", Kind: option.Address, Required: true, Doc: "Where callers are served."},
 				{Key: "peerAddress", Kind: option.Address, Required: true, Doc: "Where other instances are served. They reach the instance at this very address."},
 				{Key: "operatorAddress", Kind: option.Address, Required: true, Doc: "Where health, metrics, status and profiles are served."},
+				{Key: "operatorTokenFile", Kind: option.Text, Doc: "File with the token that operators have to show for metrics, status and profiles. Anyone may read them if it is left out. Health and readiness need none."},
 				{Key: "logLevel", Kind: option.Choice, Choices: []string{"debug", "info", "warn", "error"}, Default: "info", Doc: "Lowest level that is logged."},
 			},
 		},
@@ -144,7 +146,18 @@
 	if len(strings.TrimSpace(string(secret))) < minSecretBytes {
 		return Entry{}, option.Problems{found["peers"].Problem("secretFile", "the secret in the file is shorter than %d bytes; write a longer one", minSecretBytes)}
 	}
-	return newEntry(found, strings.TrimSpace(string(secret))), nil
+	e := newEntry(found, strings.TrimSpace(string(secret)))
+	if file := found["instance"].Text("operatorTokenFile"); file != "" {
+		token, err := readFile(file)
+		if err != nil {
+			return Entry{}, fmt.Errorf("reading the operators' token: %w", err)
+		}
+		e.operatorToken = strings.TrimSpace(string(token))
+		if len(e.operatorToken) < minSecretBytes {
+			return Entry{}, option.Problems{found["instance"].Problem("operatorTokenFile", "the token in the file is shorter than %d bytes; write a longer one", minSecretBytes)}
+		}
+	}
+	return e, nil
 }
 
 // checkTLS reports keys that are of use only together.
@@ -241,6 +254,9 @@
 // Secret returns the secret that all instances share.
 func (e Entry) Secret() string { return e.secret }
 
+// OperatorToken returns the token that operators have to show, or "".
+func (e Entry) OperatorToken() string { return e.operatorToken }
+
 // MaxBody returns the largest body in bytes.
 func (e Entry) MaxBody() int64 { return e.maxBody }
 
--- a/core/stage/types.go
+++ b/core/stage/types.go
@@ -22,6 +22,9 @@
 		Balance balance.Policy
 		// NoAdmission lets every request wait, whatever its deadline.
 		NoAdmission bool
+		// NoForecast leaves out the look at the whole pipeline on arrival, but
+		// keeps the one at each stage.
+		NoForecast bool
 		// FirstCome serves waiting requests in the order of arrival.
 		FirstCome bool
 		// UnlimitedRetries repeats failed calls without a budget or a delay.
--- a/io/operator/operator.go
+++ b/io/operator/operator.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"crypto/subtle"
 	"encoding/json"
 	"fmt"
 	"net/http"
@@ -24,6 +25,8 @@
 		// Status returns the instance's state.
 		Status   func() status.Instance
 		Registry *prometheus.Registry
+		// Token has to be shown for all but health and readiness, unless it is "".
+		Token string
 	}
 
 	// Server answers operators. Use New.
@@ -40,14 +43,27 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, r *http.Request) { _, _ = w.Write([]byte("ok\n")) })
 	mux.HandleFunc("GET /readyz", s.ready)
-	mux.HandleFunc("GET /status", s.status)
-	mux.Handle("GET /metrics", promhttp.HandlerFor(s.seams.Registry, promhttp.HandlerOpts{}))
-	mux.HandleFunc("GET /debug/pprof/", pprof.Index)
-	mux.HandleFunc("GET /debug/pprof/profile", pprof.Profile)
-	mux.HandleFunc("GET /debug/pprof/trace", pprof.Trace)
+	mux.Handle("GET /status", s.guard(http.HandlerFunc(s.status)))
+	mux.Handle("GET /metrics", s.guard(promhttp.HandlerFor(s.seams.Registry, promhttp.HandlerOpts{})))
+	mux.Handle("GET /debug/pprof/", s.guard(http.HandlerFunc(pprof.Index)))
+	mux.Handle("GET /debug/pprof/profile", s.guard(http.HandlerFunc(pprof.Profile)))
+	mux.Handle("GET /debug/pprof/trace", s.guard(http.HandlerFunc(pprof.Trace)))
 	return mux
 }
 
+// guard lets only those through who show the token.
+func (s *Server) guard(h http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		got := strings.TrimPrefix(r.Header.Get("Authorization"), "Bearer ")
+		if s.seams.Token != "" && subtle.ConstantTimeCompare([]byte(got), []byte(s.seams.Token)) != 1 {
+			w.Header().Set("WWW-Authenticate", "Bearer")
+			http.Error(w, "the operators' token is missing or wrong", http.StatusUnauthorized)
+			return
+		}
+		h.ServeHTTP(w, r)
+	})
+}
+
 func (s *Server) ready(w http.ResponseWriter, r *http.Request) {
 	if err := s.seams.Ready(); err != nil {
 		http.Error(w, err.Error(), http.StatusServiceUnavailable)
@@ -62,8 +78,8 @@
 }
 
 // Fetch returns the state of the instance whose operators' address is given, or
-// its URL if that is not plain HTTP.
-func Fetch(ctx context.Context, address string) (status.Instance, error) {
+// its URL if that is not plain HTTP. The token may be "".
+func Fetch(ctx context.Context, address, token string) (status.Instance, error) {
 	var out status.Instance
 	target := address
 	if !strings.Contains(address, "://") {
@@ -73,6 +89,9 @@
 	if err != nil {
 		return out, fmt.Errorf("asking %s for its status: %w", address, err)
 	}
+	if token != "" {
+		req.Header.Set("Authorization", "Bearer "+token)
+	}
 	resp, err := http.DefaultClient.Do(req)
 	if err != nil {
 		return out, fmt.Errorf("asking %s for its status: %w", address, err)
--- a/node/node.go
+++ b/node/node.go
@@ -186,7 +186,7 @@
 			n.log.Info("keys taken over", zap.Strings("from", incarnations))
 		},
 	}
-	ops := operator.New(operator.Seams{Ready: n.ready, Status: n.Status, Registry: n.registry})
+	ops := operator.New(operator.Seams{Ready: n.ready, Status: n.Status, Registry: n.registry, Token: n.cfg.OperatorToken()})
 	services := []kernel.Service{
 		{Name: PlatformService, Value: n.platform},
 		{Name: StagesService, Value: n.runner},
