Place adapters and roles too

Cause: orders and routing knew models only; engines also take adapters and roles. Change: adapters and role of an endpoint and adapter of a stage in the declarations, checked; orders carry all three; a call goes only to engines that report to have model and adapter.

--- a/core/balance/balance.go
+++ b/core/balance/balance.go
@@ -127,8 +127,8 @@
 		Prefix uint64
 		// Exclude is the index of an endpoint not to choose, or -1.
 		Exclude int
-		// Model is the model that the endpoint has to have loaded, or "".
-		Model string
+		// Model and Adapter are what the endpoint has to have loaded, or "".
+		Model, Adapter string
 		// Fresh forbids probing a failed endpoint with this call.
 		Fresh bool
 	}
@@ -196,7 +196,7 @@
 	}
 	m.decl = e
 	if !m.told {
-		m.loaded = e.Models()
+		m.loaded = declared(e)
 	}
 	return m
 }
@@ -231,10 +231,10 @@
 	}
 }
 
-// SetLoaded notes the models that an engine reports to have loaded.
-func (g *Group) SetLoaded(name string, models []string) {
+// SetLoaded notes the models and adapters that an engine reports to have loaded.
+func (g *Group) SetLoaded(name string, loaded []string) {
 	if i, ok := g.byName[name]; ok {
-		g.members[i].loaded, g.members[i].told = models, true
+		g.members[i].loaded, g.members[i].told = loaded, true
 	}
 }
 
--- a/core/balance/member.go
+++ b/core/balance/member.go
@@ -13,7 +13,7 @@
 	decl    *declare.Endpoint
 	hash    uint64
 	leaving bool
-	// loaded is the engine's models as it reported them, or as declared.
+	// loaded is the engine's models and adapters, as reported or declared.
 	loaded []string
 	// told is set once the engine reported its models.
 	told bool
@@ -43,7 +43,7 @@
 		hash:     hashName(e.Name()),
 		limit:    startLimit(e.Slots(), instances),
 		slowness: 1,
-		loaded:   e.Models(),
+		loaded:   declared(e),
 	}
 }
 
@@ -102,8 +102,14 @@
 // room returns how many calls the member takes at once.
 func (m *member) room() float64 { return max(1, math.Floor(m.limit)) }
 
-func (m *member) has(model string) bool {
-	return model == "" || slices.Contains(m.loaded, model)
+// has reports whether the member has loaded what a call needs.
+func (m *member) has(q Query) bool {
+	return (q.Model == "" || slices.Contains(m.loaded, q.Model)) && (q.Adapter == "" || slices.Contains(m.loaded, q.Adapter))
+}
+
+// declared returns what an endpoint is to have loaded.
+func declared(e *declare.Endpoint) []string {
+	return slices.Concat(e.Models(), e.Adapters())
 }
 
 // free reports whether the member takes one more ordinary call.
--- a/core/balance/pick.go
+++ b/core/balance/pick.go
@@ -64,7 +64,7 @@
 		return -1
 	}
 	for i, m := range g.members {
-		if m.ejections > 0 && m.inFlight == 0 && !m.leaving && i != q.Exclude && !now.Before(m.ejectedUntil) && m.has(q.Model) {
+		if m.ejections > 0 && m.inFlight == 0 && !m.leaving && i != q.Exclude && !now.Before(m.ejectedUntil) && m.has(q) {
 			return i
 		}
 	}
@@ -84,7 +84,7 @@
 		if rank < bestRank || i == q.Exclude {
 			continue
 		}
-		if m := g.members[i]; m.free() && m.has(q.Model) && m.underBound(now, perSlot) {
+		if m := g.members[i]; m.free() && m.has(q) && m.underBound(now, perSlot) {
 			best, bestRank = i, rank
 		}
 	}
@@ -120,7 +120,7 @@
 	n := len(g.members)
 	for range min(sampleTries, 2*n) {
 		i := g.rng.IntN(n)
-		if i != other && i != q.Exclude && g.members[i].free() && g.members[i].has(q.Model) {
+		if i != other && i != q.Exclude && g.members[i].free() && g.members[i].has(q) {
 			return i
 		}
 	}
@@ -132,7 +132,7 @@
 	best, bestScore := -1, 0.0
 	n := 0
 	for i, m := range g.members {
-		if i == q.Exclude || !m.free() || !m.has(q.Model) {
+		if i == q.Exclude || !m.free() || !m.has(q) {
 			continue
 		}
 		n++
--- a/core/declare/combine.go
+++ b/core/declare/combine.go
@@ -128,8 +128,12 @@
 		hedge:      block.Flag("hedge"),
 		queue:      block.Int("queue"),
 		model:      block.Text("model"),
+		adapter:    block.Text("adapter"),
 		affinity:   block.Flag("affinity"),
 	}
+	if s.adapter != "" && s.model == "" {
+		b.report(block, "adapter", "an adapter belongs to a model; write model too")
+	}
 	if !s.idempotent {
 		if block.Has("retries") && s.retries > 0 {
 			b.report(block, "retries", "a stage that is not idempotent is never sent again; write retries = 0 or leave it out")
@@ -156,12 +160,19 @@
 		resumes:         block.Flag("resumes"),
 		models:          block.List("models"),
 		modelSlots:      block.Int("modelSlots"),
+		adapters:        block.List("adapters"),
+		role:            block.Text("role"),
+	}
+	if e.role == "any" {
+		e.role = ""
 	}
 	if e.modelSlots == 0 || e.modelSlots > len(e.models) {
 		e.modelSlots = len(e.models)
 	}
-	if e.kind != "engine" && len(e.models) > 0 {
-		b.report(block, "models", "a %s loads no models; leave it out or write kind = engine", e.kind)
+	for _, key := range []string{"models", "modelSlots", "adapters", "role"} {
+		if e.kind != "engine" && block.Has(key) {
+			b.report(block, key, "a %s loads no models; leave it out or write kind = engine", e.kind)
+		}
 	}
 	b.endpoints[e.name] = block
 	b.set.endpoints[e.name] = e
@@ -211,6 +222,9 @@
 			if s.model != "" && e.kind != "engine" {
 				b.report(block, "stages", "stage %q needs model %q; only an engine can load it", stageName, s.model)
 			}
+			if s.adapter != "" && !slices.Contains(e.adapters, s.adapter) {
+				b.report(block, "stages", "stage %q needs adapter %q; name it in adapters", stageName, s.adapter)
+			}
 			s.endpoints = append(s.endpoints, e)
 		}
 	}
--- a/core/declare/declare.go
+++ b/core/declare/declare.go
@@ -48,6 +48,7 @@
 		hedge      bool
 		queue      int
 		model      string
+		adapter    string
 		affinity   bool
 		endpoints  []*Endpoint
 	}
@@ -65,6 +66,8 @@
 		resumes         bool
 		models          []string
 		modelSlots      int
+		adapters        []string
+		role            string
 	}
 
 	// Kind is one kind of request.
@@ -127,6 +130,9 @@
 // Model returns the model that an endpoint has to have loaded, or "".
 func (s *Stage) Model() string { return s.model }
 
+// Adapter returns the adapter that an endpoint has to have loaded, or "".
+func (s *Stage) Adapter() string { return s.adapter }
+
 // Affinity reports whether requests with the same prefix prefer one endpoint.
 func (s *Stage) Affinity() bool { return s.affinity }
 
@@ -164,6 +170,12 @@
 // Models returns the models that an engine may load.
 func (e *Endpoint) Models() []string { return e.models }
 
+// Adapters returns the adapters that an engine is to have loaded.
+func (e *Endpoint) Adapters() []string { return e.adapters }
+
+// Role returns what an engine is to do, or "" if it is left as it is.
+func (e *Endpoint) Role() string { return e.role }
+
 // ModelSlots returns how many models an engine loads at once.
 func (e *Endpoint) ModelSlots() int { return e.modelSlots }
 
--- a/core/declare/declare_test.go
+++ b/core/declare/declare_test.go
@@ -68,6 +68,8 @@
 		{"idempotent kind over such a stage", "idempotent = no\npriority", "idempotent = yes\npriority", "its pipeline has a stage that is not idempotent"},
 		{"hedge of what is not idempotent", "[stage reserve]\n", "[stage reserve]\nhedge = yes\n", "stage reserve hedge: a stage that is not idempotent is never sent twice"},
 		{"stage without endpoint", "stages = encode, retrieve, reserve", "stages = encode, retrieve", "a.ini:8: stage reserve: no endpoint serves the stage"},
+		{"role of a pool member", "kind = pool", "kind = pool\nrole = decode", "endpoint e1 role: a pool loads no models"},
+		{"adapter without a model", "[stage retrieve]\n", "[stage retrieve]\nadapter = x\n", "stage retrieve adapter: an adapter belongs to a model"},
 		{"unknown pipeline", "pipeline = find", "pipeline = search", `kind lookUp pipeline: pipeline "search" is not declared; declared are book, find`},
 	}
 	for _, test := range tests {
--- a/core/pipeline/runner.go
+++ b/core/pipeline/runner.go
@@ -92,12 +92,12 @@
 }
 
 // Report notes an endpoint's report of its load at a given time, and of the
-// models that it has loaded; nil means that it does not say.
-func (r *Runner) Report(endpoint string, load float64, models []string, at time.Time) {
+// models and adapters that it has loaded; nil means that it does not say.
+func (r *Runner) Report(endpoint string, load float64, loaded []string, at time.Time) {
 	r.mu.RLock()
 	defer r.mu.RUnlock()
 	for _, s := range r.stages {
-		s.Report(endpoint, load, models, at)
+		s.Report(endpoint, load, loaded, at)
 	}
 }
 
--- a/core/place/place.go
+++ b/core/place/place.go
@@ -1,4 +1,5 @@
-// Package place owns which models each engine is to have loaded.
+// Package place owns what each engine is to have loaded: models, adapters, and
+// its role.
 //
 // It answers for one shard of engines, from what they have loaded and what is
 // asked of each model, and it changes little: one engine at a time is moved, and
@@ -32,8 +33,15 @@
 		// many of them at a time.
 		Allowed []string
 		AtOnce  int
-		// Loaded lists the models that the engine has loaded now.
-		Loaded []string
+		// Adapters lists the adapters that the engine is to have, and Role what
+		// it is to do; "" leaves it as it is.
+		Adapters []string
+		Role     string
+		// Loaded lists the models that the engine has loaded now, HasAdapters
+		// its adapters and HasRole its role.
+		Loaded      []string
+		HasAdapters []string
+		HasRole     string
 		// Moved is when its models were last changed.
 		Moved time.Time
 	}
@@ -44,11 +52,13 @@
 		Calls float64
 	}
 
-	// Order is a change of what an engine has loaded.
+	// Order is what an engine is to have loaded and do from now on.
 	Order struct {
-		Engine string
-		Models []string
-		Reason Reason
+		Engine   string
+		Models   []string
+		Adapters []string
+		Role     string
+		Reason   Reason
 	}
 
 	// Reason says why an order is given, for the log.
@@ -80,8 +90,8 @@
 		switch {
 		case e.AtOnce < len(e.Allowed):
 			choosy = append(choosy, e)
-		case !sameModels(e.Loaded, e.Allowed):
-			out = append(out, Order{Engine: e.Name, Models: e.Allowed, Reason: Declared})
+		case !same(e.Loaded, e.Allowed) || !e.asDeclared():
+			out = append(out, e.order(e.Allowed, Declared))
 		}
 	}
 	models := count(engines, demands)
@@ -94,6 +104,16 @@
 	return out
 }
 
+// order returns an order for the engine.
+func (e Engine) order(models []string, reason Reason) Order {
+	return Order{Engine: e.Name, Models: models, Adapters: e.Adapters, Role: e.Role, Reason: reason}
+}
+
+// asDeclared reports whether the engine has its adapters and its role.
+func (e Engine) asDeclared() bool {
+	return same(e.HasAdapters, e.Adapters) && (e.Role == "" || e.HasRole == e.Role)
+}
+
 // count returns every model that an engine may load, the most pressed first.
 func count(engines []Engine, demands []Demand) []*model {
 	byName := make(map[string]*model)
@@ -135,11 +155,12 @@
 // not, or brings a model that is loaded nowhere to an engine that can spare it.
 func repair(engines []Engine, models []*model) (Order, bool) {
 	for _, e := range engines {
-		if valid(e) {
-			continue
+		want := fill(e, nil, models)
+		if !valid(e) && !same(want, e.Loaded) {
+			return e.order(want, Invalid), true
 		}
-		if want := fill(e, nil, models); !sameModels(want, e.Loaded) {
-			return Order{Engine: e.Name, Models: want, Reason: Invalid}, true
+		if !e.asDeclared() {
+			return e.order(want, Declared), true
 		}
 	}
 	for _, m := range models {
@@ -147,7 +168,7 @@
 			continue
 		}
 		if e, ok := donor(engines, m, models, func(Engine) bool { return true }); ok {
-			return Order{Engine: e.Name, Models: fill(e, []string{m.name}, models), Reason: Missing}, true
+			return e.order(fill(e, []string{m.name}, models), Missing), true
 		}
 	}
 	return Order{}, false
@@ -165,7 +186,7 @@
 	if !ok {
 		return Order{}, false
 	}
-	return Order{Engine: e.Name, Models: fill(e, []string{top.name}, models), Reason: Pressure}, true
+	return e.order(fill(e, []string{top.name}, models), Pressure), true
 }
 
 // donor returns the engine that may load the model, has not, and whose loss
@@ -246,7 +267,7 @@
 	return len(e.Loaded) == e.AtOnce
 }
 
-func sameModels(a, b []string) bool {
+func same(a, b []string) bool {
 	a, b = slices.Clone(a), slices.Clone(b)
 	slices.Sort(a)
 	slices.Sort(b)
--- a/core/place/place_test.go
+++ b/core/place/place_test.go
@@ -33,10 +33,13 @@
 		want    string
 	}{
 		{"nothing to do", engines("a", "b"), nil, "[]"},
-		{"declared models", []place.Engine{{Name: "e0", Allowed: []string{"a", "b"}, AtOnce: 2, Loaded: []string{"a"}}}, nil, "[{e0 [a b] declared}]"},
-		{"an empty engine", engines("a", ""), []place.Demand{{"b", 5}}, "[{e1 [b] invalid}]"},
-		{"a model that is nowhere", engines("a", "a"), []place.Demand{{"b", 1}}, "[{e0 [b] missing}]"},
-		{"a pressed model", engines("a", "b", "b", "b"), []place.Demand{{"a", 40}, {"b", 4}}, "[{e1 [a] pressure}]"},
+		{"declared models", []place.Engine{{Name: "e0", Allowed: []string{"a", "b"}, AtOnce: 2, Loaded: []string{"a"}}}, nil, "[{e0 [a b] []  declared}]"},
+		{"declared adapters", []place.Engine{{Name: "e0", Allowed: []string{"a"}, AtOnce: 1, Loaded: []string{"a"}, Adapters: []string{"x"}}}, nil, "[{e0 [a] [x]  declared}]"},
+		{"declared role", []place.Engine{{Name: "e0", Allowed: []string{"a"}, AtOnce: 1, Loaded: []string{"a"}, Role: "decode", HasRole: "prefill"}}, nil, "[{e0 [a] [] decode declared}]"},
+		{"adapters of an engine that chooses", []place.Engine{{Name: "e0", Allowed: []string{"a", "b"}, AtOnce: 1, Loaded: []string{"b"}, Adapters: []string{"x"}}}, []place.Demand{{"b", 1}}, "[{e0 [b] [x]  declared}]"},
+		{"an empty engine", engines("a", ""), []place.Demand{{"b", 5}}, "[{e1 [b] []  invalid}]"},
+		{"a model that is nowhere", engines("a", "a"), []place.Demand{{"b", 1}}, "[{e0 [b] []  missing}]"},
+		{"a pressed model", engines("a", "b", "b", "b"), []place.Demand{{"a", 40}, {"b", 4}}, "[{e1 [a] []  pressure}]"},
 		{"little pressure", engines("a", "b", "b"), []place.Demand{{"a", 4}}, "[]"},
 		{"both pressed", engines("a", "b", "b"), []place.Demand{{"a", 30}, {"b", 40}}, "[]"},
 		{"the last engine of the donor", engines("a", "b"), []place.Demand{{"a", 40}}, "[]"},
--- a/core/stage/stage.go
+++ b/core/stage/stage.go
@@ -234,7 +234,7 @@
 }
 
 func (s *Stage) anyQuery() balance.Query {
-	return balance.Query{Exclude: -1, Model: s.decl.Model()}
+	return balance.Query{Exclude: -1, Model: s.decl.Model(), Adapter: s.decl.Adapter()}
 }
 
 // dispatch grants the stage while an endpoint is free and requests wait. The
@@ -361,13 +361,13 @@
 }
 
 // Report notes an endpoint's report of its load at a given time, and of the
-// models that it has loaded; nil means that it does not say.
-func (s *Stage) Report(endpoint string, load float64, models []string, at time.Time) {
+// models and adapters that it has loaded; nil means that it does not say.
+func (s *Stage) Report(endpoint string, load float64, loaded []string, at time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.group.Report(endpoint, load, at)
-	if models != nil {
-		s.group.SetLoaded(endpoint, models)
+	if loaded != nil {
+		s.group.SetLoaded(endpoint, loaded)
 	}
 }
 
--- a/demo/remote.go
+++ b/demo/remote.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"slices"
 	"time"
 
 	"chervilpath/core/declare"
@@ -139,11 +140,13 @@
 	d.servers[engine].engine.SetModels(models)
 }
 
-// Models returns what an engine has loaded, and the highest fencing number
-// that it has seen.
-func (d *Deployment) Models(engine string) ([]string, int64) {
+// AsDeclared reports whether an engine has its models, adapters and role, and
+// the highest fencing number that it has seen.
+func (d *Deployment) AsDeclared(engine string) (bool, int64) {
+	e, _ := d.set.Endpoint(engine)
 	s := d.servers[engine].engine.State()
-	return s.Models, s.Fence
+	ok := slices.Equal(s.Models, e.Models()) && slices.Equal(s.Adapters, e.Adapters()) && s.Role == e.Role()
+	return ok, s.Fence
 }
 
 // LeaseHolder returns the number of the instance that holds the lease for the
--- a/demo/world.go
+++ b/demo/world.go
@@ -171,7 +171,7 @@
 	if e.Kind() == "engine" {
 		engine := standin.NewEngine(standin.EngineConfig{
 			Name: e.Name(), Slots: e.Slots(), FirstToken: firstToken, Token: tokenTime, Lag: reportLag,
-			CachedPrefixes: 64, Models: e.Models(), ChecksFence: e.RefusesOldFence(),
+			CachedPrefixes: 64, Models: e.Models(), Adapters: e.Adapters(), Role: e.Role(), ChecksFence: e.RefusesOldFence(),
 		})
 		s.engine = engine
 		h, s.counts, s.faults = engine.Handler(), engine.Counts, engine.SetFaults
--- a/io/endpoint/endpoint.go
+++ b/io/endpoint/endpoint.go
@@ -54,8 +54,9 @@
 	Load struct {
 		Load float64   `json:"load"`
 		At   time.Time `json:"at"`
-		// Models lists what an engine has loaded; nil if it does not say.
-		Models []string `json:"models"`
+		// Loaded lists the models and adapters that an engine has loaded; nil if
+		// it does not say.
+		Loaded []string `json:"loaded"`
 	}
 )
 
--- a/io/endpoint/engine.go
+++ b/io/endpoint/engine.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"cmp"
 	"context"
 	"encoding/json"
 	"net/http"
@@ -70,7 +71,7 @@
 // streams.
 func (c *Client) callEngine(ctx context.Context, a pipeline.Attempt, emit func(string)) (pipeline.Result, error) {
 	body := chatRequest{
-		Model:     a.Stage.Model(),
+		Model:     cmp.Or(a.Stage.Adapter(), a.Stage.Model()),
 		Messages:  []chatMessage{{Role: "user", Content: prompt(a.Input)}},
 		MaxTokens: a.Input.MaxTokens,
 		User:      a.Organisation,
--- a/io/endpoint/order.go
+++ b/io/endpoint/order.go
@@ -15,15 +15,19 @@
 	// Order tells an engine what to have loaded.
 	Order struct {
 		// Fence is the fencing number of the lease under which the order is given.
-		Fence  int64    `json:"fence"`
-		Models []string `json:"models"`
+		Fence    int64    `json:"fence"`
+		Models   []string `json:"models"`
+		Adapters []string `json:"adapters"`
+		Role     string   `json:"role,omitempty"`
 	}
 
 	// State is what an engine has loaded.
 	State struct {
 		// Fence is the highest fencing number that the engine has seen.
-		Fence  int64    `json:"fence"`
-		Models []string `json:"models"`
+		Fence    int64    `json:"fence"`
+		Models   []string `json:"models"`
+		Adapters []string `json:"adapters"`
+		Role     string   `json:"role"`
 	}
 )
 
--- a/io/standin/engine.go
+++ b/io/standin/engine.go
@@ -25,6 +25,8 @@
 		// CachedPrefixes is how many prompt prefixes the cache holds.
 		CachedPrefixes int
 		Models         []string
+		Adapters       []string
+		Role           string
 		// ChecksFence refuses orders that carry an old fencing number.
 		ChecksFence bool
 	}
@@ -37,7 +39,10 @@
 		events []CacheEvent
 		fence  int64
 		models []string
-		orders int
+		// adapters and role are as the last order said.
+		adapters []string
+		role     string
+		orders   int
 	}
 
 	// CacheEvent tells that a prefix came into the cache or left it.
@@ -49,15 +54,19 @@
 
 	// Order tells an engine what to have loaded.
 	Order struct {
-		Fence  int64    `json:"fence"`
-		Models []string `json:"models"`
+		Fence    int64    `json:"fence"`
+		Models   []string `json:"models"`
+		Adapters []string `json:"adapters"`
+		Role     string   `json:"role"`
 	}
 
 	// EngineState is what an engine has loaded.
 	EngineState struct {
-		Fence  int64    `json:"fence"`
-		Models []string `json:"models"`
-		Orders int      `json:"orders"`
+		Fence    int64    `json:"fence"`
+		Models   []string `json:"models"`
+		Adapters []string `json:"adapters"`
+		Role     string   `json:"role"`
+		Orders   int      `json:"orders"`
 	}
 
 	chatRequest struct {
@@ -109,7 +118,7 @@
 // NewEngine returns a stand-in for a model engine.
 func NewEngine(cfg EngineConfig) *Engine {
 	cfg.CachedPrefixes = max(1, cfg.CachedPrefixes)
-	return &Engine{server: newServer(max(1, cfg.Slots), cfg.Lag), cfg: cfg, cache: list.New(), models: cfg.Models}
+	return &Engine{server: newServer(max(1, cfg.Slots), cfg.Lag), cfg: cfg, cache: list.New(), models: cfg.Models, adapters: cfg.Adapters, role: cfg.Role}
 }
 
 // Handler returns the engine's HTTP interface with its control interface.
@@ -118,7 +127,8 @@
 	e.control(mux)
 	mux.HandleFunc("GET "+pathLoad, func(w http.ResponseWriter, r *http.Request) {
 		load := e.load(time.Now())
-		load.Models = e.State().Models
+		state := e.State()
+		load.Loaded = slices.Concat(state.Models, state.Adapters)
 		writeJSON(w, load)
 	})
 	mux.HandleFunc("POST /v1/chat/completions", e.serve)
@@ -132,15 +142,15 @@
 func (e *Engine) State() EngineState {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return EngineState{Fence: e.fence, Models: slices.Clone(e.models), Orders: e.orders}
+	return EngineState{Fence: e.fence, Models: slices.Clone(e.models), Adapters: slices.Clone(e.adapters), Role: e.role, Orders: e.orders}
 }
 
 // SetModels changes what the engine has loaded, as an operator's hand or an
-// order that comes late would.
+// order that comes late would. Its adapters are gone and its role is another.
 func (e *Engine) SetModels(models []string) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.models = models
+	e.models, e.adapters, e.role = models, nil, "other"
 }
 
 func (e *Engine) serveOrder(w http.ResponseWriter, r *http.Request) {
@@ -156,7 +166,10 @@
 		return
 	}
 	e.fence = max(e.fence, o.Fence)
-	e.models = o.Models
+	e.models, e.adapters = o.Models, o.Adapters
+	if o.Role != "" {
+		e.role = o.Role
+	}
 	e.orders++
 }
 
--- a/io/standin/stage.go
+++ b/io/standin/stage.go
@@ -46,7 +46,7 @@
 	Load struct {
 		Load   float64   `json:"load"`
 		At     time.Time `json:"at"`
-		Models []string  `json:"models,omitempty"`
+		Loaded []string  `json:"loaded,omitempty"`
 	}
 
 	// StageConfig describes a pool member or a plain service.
--- a/node/orders.go
+++ b/node/orders.go
@@ -43,7 +43,7 @@
 		sent     map[int][]time.Time
 		// states is what engines had loaded when they were last asked, and next
 		// the place in each shard of the one to ask next.
-		states map[string][]string
+		states map[string]endpoint.State
 		next   map[int]int
 	}
 )
@@ -51,7 +51,7 @@
 func newOrders(n *Instance) *orders {
 	return &orders{
 		instance: n, leases: make(map[int]*lease.Lease), moved: make(map[string]time.Time), sent: make(map[int][]time.Time),
-		states: make(map[string][]string), next: make(map[int]int),
+		states: make(map[string]endpoint.State), next: make(map[int]int),
 	}
 }
 
@@ -126,7 +126,7 @@
 			delete(o.states, e.Name())
 			continue
 		}
-		o.states[e.Name()] = s.Models
+		o.states[e.Name()] = s
 	}
 }
 
@@ -137,13 +137,15 @@
 	byName := make(map[string]*declare.Endpoint)
 	var states []place.Engine
 	for _, e := range engines {
-		models, ok := o.states[e.Name()]
+		state, ok := o.states[e.Name()]
 		if !ok {
 			continue
 		}
 		byName[e.Name()] = e
 		states = append(states, place.Engine{
-			Name: e.Name(), Slots: e.Slots(), Allowed: e.Models(), AtOnce: e.ModelSlots(), Loaded: models, Moved: o.moved[e.Name()],
+			Name: e.Name(), Slots: e.Slots(), Allowed: e.Models(), AtOnce: e.ModelSlots(),
+			Adapters: e.Adapters(), Role: e.Role(), Loaded: state.Models, HasAdapters: state.Adapters, HasRole: state.Role,
+			Moved: o.moved[e.Name()],
 		})
 	}
 	var demands []place.Demand
@@ -170,12 +172,13 @@
 	}
 	callCtx, cancel := context.WithTimeout(ctx, longestOrder)
 	defer cancel()
-	err := n.endpoints.Order(callCtx, e, endpoint.Order{Fence: fence, Models: order.Models})
+	err := n.endpoints.Order(callCtx, e, endpoint.Order{Fence: fence, Models: order.Models, Adapters: order.Adapters, Role: order.Role})
 	o.moved[e.Name()] = now
 	// Whatever the order did is seen when the engine is asked again.
 	delete(o.states, e.Name())
 	n.log.Info("models placed",
-		zap.String("engine", e.Name()), zap.Strings("models", order.Models), zap.String("reason", string(order.Reason)),
+		zap.String("engine", e.Name()), zap.Strings("models", order.Models), zap.Strings("adapters", order.Adapters),
+		zap.String("role", order.Role), zap.String("reason", string(order.Reason)),
 		zap.Int64("fence", fence), zap.Error(err))
 }
 
--- a/node/watch.go
+++ b/node/watch.go
@@ -110,7 +110,7 @@
 		return
 	}
 	n.reports.note(e.Name(), time.Now())
-	n.runner.Report(e.Name(), load.Load, load.Models, load.At)
+	n.runner.Report(e.Name(), load.Load, load.Loaded, load.At)
 }
 
 // noteLoad takes the load that came with an answer.
--- a/scenario/scenario_test.go
+++ b/scenario/scenario_test.go
@@ -84,9 +84,9 @@
 	"note-calls":   noteCalls,
 	"no-new-calls": noNewCalls,
 	// drift ENGINE MODEL: change what an engine has loaded behind the system's
-	// back; loaded ENGINE MODEL: wait until it has loaded just that.
-	"drift":  drift,
-	"loaded": loaded,
+	// back; as-declared ENGINE: wait until models, adapters and role are so.
+	"drift":       drift,
+	"as-declared": asDeclared,
 	// stop-holder: drain and stop the instance that gives orders to engines.
 	"stop-holder": stopHolder,
 	// pause TIME: let time pass.
@@ -320,15 +320,15 @@
 	w.deployment.SetModels(args[0], args[1:])
 }
 
-func loaded(ts *testscript.TestScript, w *world, args []string) {
+func asDeclared(ts *testscript.TestScript, w *world, args []string) {
 	for deadline := time.Now().Add(settled); ; time.Sleep(poll) {
-		models, fence := w.deployment.Models(args[0])
-		if len(models) == 1 && models[0] == args[1] {
-			ts.Logf("%s has %v by fence %d", args[0], models, fence)
+		ok, fence := w.deployment.AsDeclared(args[0])
+		if ok {
+			ts.Logf("%s is as declared, by fence %d", args[0], fence)
 			return
 		}
 		if time.Now().After(deadline) {
-			ts.Fatalf("%s has %v", args[0], models)
+			ts.Fatalf("%s is not as declared", args[0])
 		}
 	}
 }
