--- a/core/pipeline/runner.go
+++ b/core/pipeline/runner.go
@@ -64,7 +64,7 @@
 			s.Replace(decl)
 		} else {
 			rng := rand.New(rand.NewPCG(r.rng.Uint64(), r.rng.Uint64()))
-			s = stage.New(decl, r.instances, r.seams.Clock, rng, r.policy)
+			s = stage.New(decl, r.seams.Instance, r.instances, r.seams.Clock, rng, r.policy)
 		}
 		stages[name] = s
 	}
--- a/core/pipeline/types.go
+++ b/core/pipeline/types.go
@@ -152,7 +152,9 @@
 
 	// Seams are what a Runner uses of the world around it.
 	Seams struct {
-		Clock stage.Clock
+		// Instance is the name of the instance.
+		Instance string
+		Clock    stage.Clock
 		// Call calls an endpoint. It gives streamed text to emit in order and
 		// returns when the answer is whole, or with a *CallError.
 		Call func(ctx context.Context, a Attempt, emit func(string)) (Result, error)
--- a/core/stage/stage.go
+++ b/core/stage/stage.go
@@ -33,6 +33,8 @@
 	// its endpoints, and how long it takes. Its methods are safe for concurrent use.
 	Stage struct {
 		clock Clock
+		// name is the instance's.
+		name string
 
 		mu     sync.Mutex
 		decl   *declare.Stage
@@ -55,13 +57,15 @@
 	}
 )
 
-// New returns a stage with nobody waiting.
-func New(decl *declare.Stage, instances int, clock Clock, rng *rand.Rand, policy Policy) *Stage {
+// New returns a stage with nobody waiting, for the instance of the given name
+// among a number of them.
+func New(decl *declare.Stage, instance string, instances int, clock Clock, rng *rand.Rand, policy Policy) *Stage {
 	return &Stage{
 		clock:   clock,
+		name:    instance,
 		decl:    decl,
 		queue:   admit.New(decl.Queue()),
-		group:   balance.New(decl.Endpoints(), instances, policy.Balance, rng),
+		group:   balance.New(subset(decl, instance), sharers(decl, instance, instances), policy.Balance, rng),
 		est:     estimate.New(clock.Now(), firstGuess),
 		budget:  retry.ForStage(),
 		callers: make(map[string]*retry.Budget),
@@ -70,12 +74,30 @@
 	}
 }
 
+// subset returns the endpoints that the instance uses. Where prefixes prefer an
+// endpoint all are used, so that instances agree on it.
+func subset(decl *declare.Stage, instance string) []*declare.Endpoint {
+	if decl.Affinity() {
+		return decl.Endpoints()
+	}
+	return balance.Subset(decl.Endpoints(), instance, balance.SubsetSize)
+}
+
+// sharers returns how many of a number of instances use each endpoint.
+func sharers(decl *declare.Stage, instance string, instances int) int {
+	all := len(decl.Endpoints())
+	if all == 0 {
+		return instances
+	}
+	return max(1, instances*len(subset(decl, instance))/all)
+}
+
 // Replace takes a changed declaration and keeps what was learnt.
 func (s *Stage) Replace(decl *declare.Stage) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.decl = decl
-	s.group.Replace(decl.Endpoints())
+	s.group.Replace(subset(decl, s.name))
 	s.dispatch(s.clock.Now())
 }
 
@@ -356,7 +378,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.group.SetLeaving(leaving)
-	s.group.SetInstances(instances)
+	s.group.SetInstances(sharers(s.decl, s.name, instances))
 	s.dispatch(s.clock.Now())
 }
 
--- a/node/node.go
+++ b/node/node.go
@@ -324,6 +324,7 @@
 
 func (n *Instance) pipelineSeams() pipeline.Seams {
 	return pipeline.Seams{
+		Instance: n.cfg.Name(),
 		Clock: stage.Clock{
 			Now:       time.Now,
 			AfterFunc: func(d time.Duration, f func()) func() bool { return time.AfterFunc(d, f).Stop },
