Do not rank endpoints each second

Cause: the number of sharers was worked out by ranking all endpoints of a stage in each period of the membership, also when nothing had changed. Change: it follows from the lengths, and an unchanged number of instances does nothing. Conclusion: tests stay as they were.

--- a/core/pipeline/runner.go
+++ b/core/pipeline/runner.go
@@ -87,7 +87,10 @@
 func (r *Runner) SetInstances(n int) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.instances = max(1, n)
+	if n = max(1, n); n == r.instances {
+		return
+	}
+	r.instances = n
 	r.shareStages()
 }
 
--- a/core/stage/stage.go
+++ b/core/stage/stage.go
@@ -60,12 +60,13 @@
 // New returns a stage with nobody waiting, for the instance of the given name
 // among a number of them.
 func New(decl *declare.Stage, instance string, instances int, clock Clock, rng *rand.Rand, policy Policy) *Stage {
+	used := subset(decl, instance)
 	return &Stage{
 		clock:   clock,
 		name:    instance,
 		decl:    decl,
 		queue:   admit.New(decl.Queue()),
-		group:   balance.New(subset(decl, instance), sharers(decl, instance, instances), policy.Balance, rng),
+		group:   balance.New(used, sharers(instances, len(used), len(decl.Endpoints())), policy.Balance, rng),
 		est:     estimate.New(clock.Now(), firstGuess),
 		budget:  retry.ForStage(),
 		callers: make(map[string]*retry.Budget),
@@ -83,13 +84,10 @@
 	return balance.Subset(decl.Endpoints(), instance, balance.SubsetSize)
 }
 
-// sharers returns how many of a number of instances use each endpoint.
-func sharers(decl *declare.Stage, instance string, instances int) int {
-	all := len(decl.Endpoints())
-	if all == 0 {
-		return instances
-	}
-	return max(1, instances*len(subset(decl, instance))/all)
+// sharers returns how many of a number of instances use each of all endpoints,
+// when each instance uses some.
+func sharers(instances, some, all int) int {
+	return max(1, instances*some/max(1, all))
 }
 
 // Replace takes a changed declaration and keeps what was learnt.
@@ -378,7 +376,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.group.SetLeaving(leaving)
-	s.group.SetInstances(sharers(s.decl, s.name, instances))
+	s.group.SetInstances(sharers(instances, s.group.Len(), len(s.decl.Endpoints())))
 	s.dispatch(s.clock.Now())
 }
 
