Leave full endpoints alone, and count only what was sent

Cause: the scenario slow_and_leaving, of five endpoints one slow, one refusing, one leaving and one lost: requests failed although two could answer. A refused connection used up the one repeat; a repeat could go back to an endpoint already tried; and an endpoint that refuses at once looked the least loaded. Ruled out: the budgets (they allowed the repeats). Change: attempts of which nothing was sent do not count against the repeats; a repeat goes to none that was tried; an endpoint that says it is full gets no call for 20 ms, doubled up to 1 s.

--- a/core/balance/balance.go
+++ b/core/balance/balance.go
@@ -42,6 +42,11 @@
 	// Zadimoghaddam, "Consistent Hashing with Bounded Loads", 2016).
 	affinityBound = 1.25
 
+	// An endpoint that says it is full gets no call for minPause, doubled each
+	// time in a row, up to maxPause.
+	minPause = 20 * time.Millisecond
+	maxPause = time.Second
+
 	// backOff is the factor on an endpoint's limit when it says it is full.
 	backOff = 0.75
 )
@@ -125,8 +130,8 @@
 	Query struct {
 		// Prefix is the hash of the prompt's prefix, or 0 for no affinity.
 		Prefix uint64
-		// Exclude is the index of an endpoint not to choose, or -1.
-		Exclude int
+		// Exclude lists the indexes of endpoints not to choose.
+		Exclude []int
 		// Model and Adapter are what the endpoint has to have loaded, or "".
 		Model, Adapter string
 		// Fresh forbids probing a failed endpoint with this call.
@@ -273,13 +278,17 @@
 	return false
 }
 
-// NextProbe returns when the first ejected endpoint may be probed, or the zero
-// time if there is none.
+// NextProbe returns when the first endpoint that is ejected or said it is full
+// may be called, or the zero time if there is none.
 func (g *Group) NextProbe() time.Time {
 	var first time.Time
 	for _, m := range g.members {
-		if m.ejections > 0 && !m.leaving && (first.IsZero() || m.ejectedUntil.Before(first)) {
-			first = m.ejectedUntil
+		at := m.fullUntil
+		if m.ejections > 0 {
+			at = m.ejectedUntil
+		}
+		if !at.IsZero() && !m.leaving && (first.IsZero() || at.Before(first)) {
+			first = at
 		}
 	}
 	return first
@@ -318,7 +327,7 @@
 		}
 		return
 	case Full:
-		m.limit = max(1, m.limit*backOff)
+		m.pause(now)
 		return
 	case Abandoned:
 		if r := ratio(took, c.expected); r > slowEject {
--- a/core/balance/balance_test.go
+++ b/core/balance/balance_test.go
@@ -34,7 +34,7 @@
 	return balance.New(endpoints(t, n, slots), 1, balance.Adaptive, rand.New(rand.NewPCG(1, 2)))
 }
 
-func anyQuery() balance.Query { return balance.Query{Exclude: -1} }
+func anyQuery() balance.Query { return balance.Query{} }
 
 // call runs one call that takes the given time, with no other in flight.
 func call(g *balance.Group, now time.Time, i int, took time.Duration, o balance.Outcome) {
@@ -161,6 +161,25 @@
 	}
 }
 
+func TestFullEndpointIsLeftAlone(t *testing.T) {
+	g := newGroup(t, 2, 8)
+	now := start
+	calls := 0
+	for ; now.Before(start.Add(10 * time.Second)); now = now.Add(5 * time.Millisecond) {
+		i, _ := g.Pick(now, anyQuery())
+		if i == 0 {
+			calls++
+			call(g, now, 0, 0, balance.Full)
+		}
+	}
+	if calls < 5 || calls > 20 {
+		t.Errorf("an endpoint that says it is full had %d calls in 10s", calls)
+	}
+	if next := g.NextProbe(); next.Before(start) || next.After(now.Add(time.Second)) {
+		t.Errorf("NextProbe() = %v", next)
+	}
+}
+
 func TestReportedLoadFades(t *testing.T) {
 	g := newGroup(t, 2, 100)
 	g.Report("e000", 50, start)
@@ -183,7 +202,7 @@
 
 func TestPrefixGoesHomeUnderTheBound(t *testing.T) {
 	g := newGroup(t, 8, 100)
-	q := balance.Query{Prefix: balance.Hash("org", "prompt"), Exclude: -1}
+	q := balance.Query{Prefix: balance.Hash("org", "prompt")}
 	home, reason := g.Pick(start, q)
 	if reason != balance.PrefixHome {
 		t.Fatalf("reason = %v", reason)
@@ -228,7 +247,7 @@
 			g := newGroup(b, 650, 8)
 			b.ReportAllocs()
 			for b.Loop() {
-				i, _ := g.Pick(start, balance.Query{Prefix: prefix, Exclude: -1})
+				i, _ := g.Pick(start, balance.Query{Prefix: prefix})
 				g.End(start, g.Begin(start, i, callTime), balance.Succeeded)
 			}
 		})
--- a/core/balance/member.go
+++ b/core/balance/member.go
@@ -34,7 +34,11 @@
 	reportedAt   time.Time
 	ejectedUntil time.Time
 	ejections    int
-	warming      bool
+	// fullUntil is the end of the time without calls after fulls answers in a
+	// row that the member is full.
+	fullUntil time.Time
+	fulls     int
+	warming   bool
 }
 
 func newMember(e *declare.Endpoint, instances int) *member {
@@ -58,7 +62,7 @@
 
 // succeed notes a whole answer and reports whether it ended an ejection.
 func (m *member) succeed(r float64) bool {
-	m.failures = 0
+	m.failures, m.fulls = 0, 0
 	m.observe(r)
 	if m.ejections > 0 {
 		if r > slowEject {
@@ -113,8 +117,16 @@
 }
 
 // free reports whether the member takes one more ordinary call.
-func (m *member) free() bool {
-	return !m.leaving && m.ejections == 0 && float64(m.inFlight) < m.room()
+func (m *member) free(now time.Time) bool {
+	return !m.leaving && m.ejections == 0 && float64(m.inFlight) < m.room() && !now.Before(m.fullUntil)
+}
+
+// pause keeps a member that said it is full free of calls for a while, longer
+// each time in a row.
+func (m *member) pause(now time.Time) {
+	m.limit = max(1, m.limit*backOff)
+	m.fullUntil = now.Add(min(maxPause, minPause<<min(m.fulls, 10)))
+	m.fulls++
 }
 
 // score is the expected time until a new call ends, in units of an expected call.
--- a/core/balance/pick.go
+++ b/core/balance/pick.go
@@ -1,6 +1,7 @@
 package balance
 
 import (
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -64,7 +65,7 @@
 		return -1
 	}
 	for i, m := range g.members {
-		if m.ejections > 0 && m.inFlight == 0 && !m.leaving && i != q.Exclude && !now.Before(m.ejectedUntil) && m.has(q) {
+		if m.ejections > 0 && m.inFlight == 0 && !m.leaving && !slices.Contains(q.Exclude, i) && !now.Before(m.ejectedUntil) && m.has(q) {
 			return i
 		}
 	}
@@ -81,10 +82,10 @@
 	best, bestRank := -1, uint64(0)
 	for i, h := range g.hashes {
 		rank := mix(h, q.Prefix)
-		if rank < bestRank || i == q.Exclude {
+		if rank < bestRank || slices.Contains(q.Exclude, i) {
 			continue
 		}
-		if m := g.members[i]; m.free() && m.has(q) && m.underBound(now, perSlot) {
+		if m := g.members[i]; m.free(now) && m.has(q) && m.underBound(now, perSlot) {
 			best, bestRank = i, rank
 		}
 	}
@@ -98,11 +99,11 @@
 }
 
 func (g *Group) pickLessLoaded(now time.Time, q Query) (int, Reason) {
-	a := g.sample(q, -1)
+	a := g.sample(now, q, -1)
 	if a < 0 {
 		return g.pickAny(now, q)
 	}
-	b := g.sample(q, a)
+	b := g.sample(now, q, a)
 	if b < 0 {
 		return g.pickAny(now, q)
 	}
@@ -116,11 +117,11 @@
 	return best, LessLoaded
 }
 
-func (g *Group) sample(q Query, other int) int {
+func (g *Group) sample(now time.Time, q Query, other int) int {
 	n := len(g.members)
 	for range min(sampleTries, 2*n) {
 		i := g.rng.IntN(n)
-		if i != other && i != q.Exclude && g.members[i].free() && g.members[i].has(q) {
+		if i != other && !slices.Contains(q.Exclude, i) && g.members[i].free(now) && g.members[i].has(q) {
 			return i
 		}
 	}
@@ -132,7 +133,7 @@
 	best, bestScore := -1, 0.0
 	n := 0
 	for i, m := range g.members {
-		if i == q.Exclude || !m.free() || !m.has(q) {
+		if slices.Contains(q.Exclude, i) || !m.free(now) || !m.has(q) {
 			continue
 		}
 		n++
--- a/core/pipeline/pipeline_test.go
+++ b/core/pipeline/pipeline_test.go
@@ -145,6 +145,25 @@
 	}
 }
 
+// TestUnsentAttemptsDoNotCount lets a refused connection come before an endpoint
+// that is full: the one repeat that the stage has is still there.
+func TestUnsentAttemptsDoNotCount(t *testing.T) {
+	one := strings.Replace(scripted, "retries = 2\n[stage reserve]", "retries = 1\n[stage reserve]", 1)
+	full := &pipeline.CallError{Err: fault.Errorf(fault.EndpointUnavailable, "full"), NotRun: true, Full: true}
+	o := runOne(t, one, "plain", false, func(_ context.Context, n int, _ pipeline.Attempt, _ func(string)) (pipeline.Result, error) {
+		switch n {
+		case 1:
+			return pipeline.Result{}, errRefused
+		case 2:
+			return pipeline.Result{}, full
+		}
+		return whole, nil
+	})
+	if o.err != nil || len(o.decisions) != 3 {
+		t.Errorf("error %v after %d attempts", o.err, len(o.decisions))
+	}
+}
+
 func TestCallThatIsNotIdempotentIsSentOnce(t *testing.T) {
 	tests := []struct {
 		name  string
--- a/core/pipeline/run.go
+++ b/core/pipeline/run.go
@@ -18,7 +18,8 @@
 	attemptFactor = 3
 	minAttempt    = 50 * time.Millisecond
 
-	// maxUnsent bounds the attempts of a stage of which nothing was sent.
+	// maxUnsent is the number of attempts of which nothing was sent that ends a
+	// stage.
 	maxUnsent = 4
 
 	// A stream is stalled if no token comes for stallFactor times the expected
@@ -55,7 +56,11 @@
 		decl     *declare.Stage
 		input    Payload
 		attempts int
-		last     bool
+		// unsent is the number of attempts of which provably nothing was sent.
+		unsent int
+		// tried lists the indexes of endpoints whose attempts failed.
+		tried []int
+		last  bool
 		// text and tokens are what has been streamed to the caller.
 		text   strings.Builder
 		tokens int
@@ -129,9 +134,8 @@
 func (c *stageCall) run1(ctx context.Context) (Result, error) {
 	began := c.run.runner.seams.Clock.Now()
 	c.stage.CountCall(c.run.req.Organisation.Name())
-	exclude := -1
 	for {
-		end := c.attempt(ctx, exclude)
+		end := c.attempt(ctx)
 		c.account(end)
 		if end.err == nil {
 			c.report(began, end)
@@ -141,7 +145,7 @@
 			c.observe(began, end.err)
 			return Result{}, end.err
 		}
-		exclude = end.grant.Index
+		c.tried = append(c.tried, end.grant.Index)
 		if err := sleep(ctx, c.run.runner.seams.Clock, c.stage.Delay(c.attempts)); err != nil {
 			c.observe(began, err)
 			return Result{}, end.err
@@ -197,11 +201,11 @@
 
 // attempt waits for the stage, calls one endpoint, and a second one if the
 // first is slow and a hedge is allowed.
-func (c *stageCall) attempt(ctx context.Context, exclude int) ended {
-	w := c.want(exclude)
+func (c *stageCall) attempt(ctx context.Context) ended {
+	w := c.want()
 	g, err := c.stage.Acquire(ctx, w)
 	if err != nil {
-		return ended{err: err, grant: stage.Grant{Index: -1}}
+		return ended{err: err}
 	}
 	c.waited += g.Waited
 	if !c.mayHedge() {
@@ -210,14 +214,14 @@
 	return c.hedge(ctx, g)
 }
 
-func (c *stageCall) want(exclude int) stage.Want {
+func (c *stageCall) want() stage.Want {
 	r := c.run
 	cost := r.plan.cost[c.index]
 	if asked := askedCost(c.decl, c.input); asked != r.plan.asked[c.index] {
 		// An earlier stage changed the size of the input.
 		cost *= asked / r.plan.asked[c.index]
 	}
-	q := balance.Query{Exclude: exclude, Model: c.decl.Model(), Adapter: c.decl.Adapter(), Fresh: !c.decl.Idempotent()}
+	q := balance.Query{Exclude: c.tried, Model: c.decl.Model(), Adapter: c.decl.Adapter(), Fresh: !c.decl.Idempotent()}
 	if c.decl.Affinity() {
 		q.Prefix = balance.Hash(r.req.Organisation.Name(), c.decl.Name(), c.input.Text[:min(prefixBytes, len(c.input.Text))])
 	}
@@ -252,10 +256,11 @@
 	if r.runner.policy.UnlimitedRetries {
 		return true
 	}
-	if provablyNotSent(end.err) && c.attempts < maxUnsent {
-		return true
+	if provablyNotSent(end.err) {
+		c.unsent++
+		return c.unsent < maxUnsent
 	}
-	if c.attempts > limit {
+	if c.attempts-c.unsent > limit {
 		return false
 	}
 	if r.req.Kind.Idempotent() && r.repeats >= max(r.req.Kind.Retries(), limit) {
@@ -322,7 +327,9 @@
 	if !c.stage.AllowRepeat(c.run.req.Organisation.Name()) {
 		return stage.Grant{}, false
 	}
-	return c.stage.TryAcquire(c.want(first.Index))
+	w := c.want()
+	w.Query.Exclude = []int{first.Index}
+	return c.stage.TryAcquire(w)
 }
 
 // sleep waits for d or until ctx is done.
--- a/core/stage/stage.go
+++ b/core/stage/stage.go
@@ -247,14 +247,14 @@
 	}
 	now := s.clock.Now()
 	i, reason := s.group.Pick(now, w.Query)
-	if i < 0 || i == w.Query.Exclude {
+	if i < 0 {
 		return Grant{}, false
 	}
 	return s.grantAt(now, w, i, reason), true
 }
 
 func (s *Stage) anyQuery() balance.Query {
-	return balance.Query{Exclude: -1, Model: s.decl.Model(), Adapter: s.decl.Adapter()}
+	return balance.Query{Model: s.decl.Model(), Adapter: s.decl.Adapter()}
 }
 
 // dispatch grants the stage while an endpoint is free and requests wait. The
--- a/demo/chaos.go
+++ b/demo/chaos.go
@@ -62,6 +62,7 @@
 	}},
 	{"endpoint truncates answers", 2, func(c *chaos, _ context.Context) string { return c.endpoint(standin.ServerFaults{Truncate: true}) }},
 	{"endpoint leaves", 2, func(c *chaos, _ context.Context) string { return c.leave() }},
+	{"entry instance cut off", 3, func(c *chaos, _ context.Context) string { return c.cut() }},
 	{"entry instance crashes", 3, func(c *chaos, ctx context.Context) string { return c.crash(ctx) }},
 	{"entry instance stops", 3, func(c *chaos, ctx context.Context) string { return c.stop(ctx) }},
 }
@@ -140,6 +141,19 @@
 	return name
 }
 
+// cut keeps an instance apart from its peers.
+func (c *chaos) cut() string {
+	c.deployment.mu.Lock()
+	defer c.deployment.mu.Unlock()
+	e := c.deployment.entries[c.rng.IntN(len(c.deployment.entries))]
+	if e.gone {
+		return "none"
+	}
+	e.Cut(true)
+	c.healing = append(c.healing, func() { e.Cut(false) })
+	return e.Name()
+}
+
 // replaceable returns the instances that serve, if one of them can be spared.
 func (c *chaos) replaceable() []int {
 	c.deployment.mu.Lock()
--- a/demo/remote.go
+++ b/demo/remote.go
@@ -126,6 +126,9 @@
 	return out
 }
 
+// CutEntry keeps an instance apart from its peers, or ends that.
+func (d *Deployment) CutEntry(i int, cut bool) { d.entries[i].Cut(cut) }
+
 // PlatformURL returns where the platform's stand-in listens.
 func (d *Deployment) PlatformURL() string { return "http://" + d.platformAddress }
 
--- a/io/peer/peer.go
+++ b/io/peer/peer.go
@@ -123,6 +123,13 @@
 	return a.next.RoundTrip(r)
 }
 
+// CloseIdleConnections lets http.Client close those of the transport.
+func (a authorised) CloseIdleConnections() {
+	if t, ok := a.next.(*http.Transport); ok {
+		t.CloseIdleConnections()
+	}
+}
+
 // At returns the client for an address.
 func (c *Clients) At(address string) peerpb.Peer {
 	c.mu.Lock()
@@ -135,6 +142,9 @@
 	return p
 }
 
+// CloseIdle closes the connections that are not in use.
+func (c *Clients) CloseIdle() { c.http.CloseIdleConnections() }
+
 // Keep forgets the clients of all other addresses than the given ones.
 func (c *Clients) Keep(addresses map[string]bool) {
 	c.mu.Lock()
--- a/node/node.go
+++ b/node/node.go
@@ -9,6 +9,7 @@
 	"context"
 	"crypto/rand"
 	"crypto/tls"
+	"errors"
 	"fmt"
 	mathrand "math/rand/v2"
 	"net"
@@ -64,6 +65,8 @@
 	noticeDelay = 1 * time.Second
 )
 
+var errCut = errors.New("the instance is cut off from its peers")
+
 // Instance is one entry instance. Use New; the kernel starts and stops it.
 type Instance struct {
 	cfg   settings.Entry
@@ -86,8 +89,10 @@
 
 	servers  []*http.Server
 	draining atomic.Bool
-	behind   chan behind
-	notice   time.Duration
+	// cut is set while a demo keeps the instance apart from its peers.
+	cut    atomic.Bool
+	behind chan behind
+	notice time.Duration
 
 	// loops ends the background loops; running counts them.
 	stopLoops context.CancelFunc
@@ -118,7 +123,7 @@
 	n.ledger = cost.New(time.Now(), cfg.Name(), n.owner.Incarnation)
 	n.metrics = newMetrics(n)
 	n.runner = pipeline.New(n.pipelineSeams(), stage.Policy{}, newRand())
-	n.clients = peer.NewClients(cfg.Secret(), peerTransport(), secure.peers, time.Now)
+	n.clients = peer.NewClients(cfg.Secret(), n.peerTransport(), secure.peers, time.Now)
 	n.members = peer.NewMembers(n.self(), cfg.Seeds(), n.clients, time.Now, newRand(), n.noteBehind, n.noteServing)
 	n.keeper = once.New(once.Config{
 		Owner: n.owner, Secret: []byte(cfg.Secret()), TicketLife: cfg.TicketLife(), Remember: cfg.Remember(), Limit: cfg.Keys(),
@@ -135,9 +140,16 @@
 
 // peerTransport keeps connections to peers for a short time only: in a large
 // fleet each peer is called once in minutes.
-func peerTransport() *http.Transport {
+func (n *Instance) peerTransport() *http.Transport {
 	t := endpoint.Transport()
 	t.IdleConnTimeout = peerIdle
+	dial := t.DialContext
+	t.DialContext = func(ctx context.Context, network, address string) (net.Conn, error) {
+		if n.cut.Load() {
+			return nil, errCut
+		}
+		return dial(ctx, network, address)
+	}
 	return t
 }
 
@@ -200,7 +212,7 @@
 		{Name: OperatorService, Needs: []string{DeclarationsService, CostService}, Value: ops},
 		{Name: CallerService, Needs: []string{OperatorService, OnceService, CostService, EndpointsService}, Value: n.callers, Drain: n.drainCallers},
 	}
-	n.serveHTTP(&services[2], n.cfg.PeerAddress(), peers.Handler(n.cfg.Secret()), secure.peerServer, 0)
+	n.serveHTTP(&services[2], n.cfg.PeerAddress(), n.unlessCut(peers.Handler(n.cfg.Secret())), secure.peerServer, 0)
 	n.serveHTTP(&services[9], n.cfg.OperatorAddress(), ops.Handler(), secure.operatorServer, 0)
 	n.serveHTTP(&services[10], n.cfg.CallerAddress(), n.callers.Handler(), secure.callerServer, n.cfg.MaxConnections())
 	for _, s := range services {
@@ -368,6 +380,23 @@
 
 func (n *Instance) noteServing(serving int) { n.runner.SetInstances(serving) }
 
+// Cut keeps the instance apart from its peers, or ends that. Callers, endpoints
+// and the platform still reach it. It is for demos and tests.
+func (n *Instance) Cut(cut bool) {
+	n.cut.Store(cut)
+	n.clients.CloseIdle()
+}
+
+// unlessCut breaks the connections of peers while the instance is cut off.
+func (n *Instance) unlessCut(h http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if n.cut.Load() {
+			panic(http.ErrAbortHandler)
+		}
+		h.ServeHTTP(w, r)
+	})
+}
+
 // Crash ends the instance as the loss of its process would: connections break
 // and nothing is handed over or stored. It is for demos and tests.
 func (n *Instance) Crash() {
