--- a/cmd/cost.go
+++ b/cmd/cost.go
@@ -12,11 +12,15 @@
 	"chervilpath/io/chart"
 )
 
+// timeForm is how a report states the beginning of a time.
+const timeForm = "2006-01-02T15"
+
 type costCommand struct {
 	*program
 	platformOptions
 	Day    string `long:"day" value-name:"YYYY-MM-DD" description:"Day in UTC, today if left out"`
 	Hour   int    `long:"hour" default:"-1" description:"Hour of the day in UTC, all if left out"`
+	ByHour bool   `long:"by-hour" description:"Show each hour of the day apart"`
 	Format string `long:"format" choice:"text" choice:"csv" choice:"json" default:"text" description:"Form of the output"`
 	Plot   string `long:"plot" value-name:"FILE" description:"Plot cost by organisation and stage too, as .png or .svg"`
 }
@@ -29,6 +33,7 @@
 
 Examples:
   chervilpath cost --platform http://10.0.0.5:9000
+  chervilpath cost --platform http://10.0.0.5:9000 --by-hour --plot cost.svg
   chervilpath cost --platform http://10.0.0.5:9000 --day 2026-12-04 --hour 9 --format csv`,
 		data: &costCommand{program: p},
 	}
@@ -55,35 +60,42 @@
 	if err != nil {
 		return fault.Errorf(fault.StoreUnavailable, "%w", err)
 	}
-	lines := cost.Sum(windows)
 	if c.Plot != "" {
-		if err := plotCost(c.Plot, lines); err != nil {
+		if err := plotCost(c.Plot, cost.Sum(windows)); err != nil {
 			return err
 		}
 	}
-	return c.print(lines)
+	if c.ByHour {
+		return c.print(cost.ByHour(windows))
+	}
+	return c.print([]cost.Window{{From: day.UTC(), Lines: cost.Sum(windows)}})
 }
 
-func (c *costCommand) print(lines []cost.Line) error {
+// print writes the lines of each time in the form that was asked for.
+func (c *costCommand) print(times []cost.Window) error {
 	switch c.Format {
 	case "json":
-		return json.NewEncoder(c.out).Encode(lines)
+		return json.NewEncoder(c.out).Encode(times)
 	case "csv":
-		return c.printCSV(lines)
+		return c.printCSV(times)
 	}
 	w := tabwriter.NewWriter(c.out, 0, 8, 2, ' ', 0)
-	_, _ = fmt.Fprintln(w, "ORGANISATION\tSTAGE\tCLASS\tCALLS\tUNKNOWN\tUNITS\tCOST\tBUSY")
-	for _, l := range lines {
-		_, _ = fmt.Fprintf(w, "%s\t%s\t%s\t%d\t%d\t%.0f\t%.6f\t%.1fs\n", l.Organisation, l.Stage, l.Waste, l.Calls, l.Unknown, l.Units, l.Cost/1e6, l.BusyMs/1000)
+	_, _ = fmt.Fprintln(w, "FROM\tORGANISATION\tSTAGE\tCLASS\tCALLS\tUNKNOWN\tUNITS\tCOST\tBUSY")
+	for _, t := range times {
+		for _, l := range t.Lines {
+			_, _ = fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%d\t%d\t%.0f\t%.6f\t%.1fs\n", t.From.Format(timeForm), l.Organisation, l.Stage, l.Waste, l.Calls, l.Unknown, l.Units, l.Cost/1e6, l.BusyMs/1000)
+		}
 	}
 	return w.Flush()
 }
 
-func (c *costCommand) printCSV(lines []cost.Line) error {
+func (c *costCommand) printCSV(times []cost.Window) error {
 	w := csv.NewWriter(c.out)
-	_ = w.Write([]string{"organisation", "stage", "class", "calls", "unknown", "units", "costMillionths", "busyMs"})
-	for _, l := range lines {
-		_ = w.Write([]string{l.Organisation, l.Stage, l.Waste, fmt.Sprint(l.Calls), fmt.Sprint(l.Unknown), fmt.Sprint(l.Units), fmt.Sprint(l.Cost), fmt.Sprint(l.BusyMs)})
+	_ = w.Write([]string{"from", "organisation", "stage", "class", "calls", "unknown", "units", "costMillionths", "busyMs"})
+	for _, t := range times {
+		for _, l := range t.Lines {
+			_ = w.Write([]string{t.From.Format(timeForm), l.Organisation, l.Stage, l.Waste, fmt.Sprint(l.Calls), fmt.Sprint(l.Unknown), fmt.Sprint(l.Units), fmt.Sprint(l.Cost), fmt.Sprint(l.BusyMs)})
+		}
 	}
 	w.Flush()
 	return w.Error()
--- a/core/cost/cost.go
+++ b/core/cost/cost.go
@@ -194,6 +194,21 @@
 	return out, nil
 }
 
+// ByHour puts windows together by the hour in UTC in which they began, in order.
+func ByHour(windows []Window) []Window {
+	hours := make(map[time.Time][]Window)
+	for _, w := range windows {
+		hour := w.From.UTC().Truncate(time.Hour)
+		hours[hour] = append(hours[hour], w)
+	}
+	out := make([]Window, 0, len(hours))
+	for hour, ws := range hours {
+		out = append(out, Window{From: hour, To: hour.Add(time.Hour), Lines: Sum(ws)})
+	}
+	slices.SortFunc(out, func(a, b Window) int { return a.From.Compare(b.From) })
+	return out
+}
+
 // Sum adds lines up by organisation, stage and class.
 func Sum(windows []Window) []Line {
 	sums := make(map[[3]string]*Line)
--- a/core/cost/cost_test.go
+++ b/core/cost/cost_test.go
@@ -103,3 +103,22 @@
 		t.Errorf("lines: %+v", lines)
 	}
 }
+
+func TestByHourAddsUpWindowsOfAnHour(t *testing.T) {
+	objects := standin.NewObjects(func() time.Time { return start })
+	l := cost.New(start, "entry-1", "i1")
+	for i := range 6 {
+		l.Charge(charge("roofs", 10))
+		if err := l.Flush(ctx, start.Add(time.Duration(i+1)*20*time.Minute), objects.Store()); err != nil {
+			t.Fatal(err)
+		}
+	}
+	windows, err := cost.Read(ctx, objects.Store(), start, -1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	hours := cost.ByHour(windows)
+	if len(hours) != 2 || !hours[0].From.Equal(start) || hours[0].Lines[0].Units != 30 || hours[1].Lines[0].Units != 30 {
+		t.Errorf("hours %+v", hours)
+	}
+}
--- a/io/platform/platform_test.go
+++ b/io/platform/platform_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"net/http"
 	"net/http/httptest"
 	"testing"
 	"time"
@@ -92,3 +93,31 @@
 		t.Errorf("Watch() = %+v", obj)
 	}
 }
+
+// FuzzAnswers gives the client answers as they come from outside: it may refuse
+// them, but not take them for an object without a version.
+func FuzzAnswers(f *testing.F) {
+	f.Add("\"7\"", "data", 200)
+	f.Add("x", "", 200)
+	f.Add("", "[{\"name\":1}]", 404)
+	f.Fuzz(func(t *testing.T, tag, body string, status int) {
+		if status < 200 || status > 599 {
+			return
+		}
+		srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			w.Header().Set("ETag", tag)
+			w.WriteHeader(status)
+			_, _ = w.Write([]byte(body))
+		}))
+		defer srv.Close()
+		c := platform.New(platform.Config{URL: srv.URL, ReadsPerSecond: 1000, WritesPerSecond: 1000}, srv.Client())
+		obj, err := c.Get(context.Background(), "k", "n")
+		if err == nil && obj.Version < 1 {
+			t.Errorf("an object of version %d", obj.Version)
+		}
+		if _, err := c.List(context.Background(), "k", ""); err == nil && status >= 300 {
+			t.Errorf("a list of status %d", status)
+		}
+		_, _, _ = c.Instances(context.Background(), "")
+	})
+}
