Give the balancer time to notice; a script for all measurements

Cause: a stopping instance closed its listener after a second, before a balancer that checks each few seconds has noticed. Change: the setting notice, 5 s; measure.sh; a test that an answer may take longer than the server's read timeout (it passes; the suspicion was wrong). Conclusion: a planned stop cuts no new connection while notice lasts.

--- a/core/settings/settings.go
+++ b/core/settings/settings.go
@@ -27,6 +27,7 @@
 	maxHeader       int64
 	maxConnections  int
 	drain           time.Duration
+	notice          time.Duration
 	ticketLife      time.Duration
 	remember        time.Duration
 	keys            int
@@ -106,6 +107,7 @@
 				{Key: "maxHeader", Kind: option.Size, Default: "32KB", Min: 1 << 10, Max: 1 << 20, Doc: "Largest header of a request."},
 				{Key: "maxConnections", Kind: option.Number, Default: "10000", Min: 1, Max: 1000000, Doc: "Most connections of callers at once."},
 				{Key: "drain", Kind: option.Duration, Default: "60s", Min: 0.1, Max: 3600, Doc: "Longest time for requests in flight to end when the instance stops."},
+				{Key: "notice", Kind: option.Duration, Default: "5s", Min: 0, Max: 600, Doc: "How long a stopping instance still takes requests with its readiness failing, so that the balancer notices. It counts against `drain`."},
 				{Key: "ticketLife", Kind: option.Duration, Default: "10m", Min: 1, Max: 86400, Doc: "How long a ticket can be used."},
 				{Key: "remember", Kind: option.Duration, Default: "30m", Min: 1, Max: 86400, Doc: "How long the outcome of a request that runs at most once is held in memory."},
 				{Key: "keys", Kind: option.Number, Default: "50000", Min: 1, Max: 10000000, Doc: "Most such requests that are remembered at once."},
@@ -204,6 +206,7 @@
 		maxHeader:       limits.Bytes("maxHeader"),
 		maxConnections:  limits.Int("maxConnections"),
 		drain:           limits.Duration("drain"),
+		notice:          limits.Duration("notice"),
 		ticketLife:      limits.Duration("ticketLife"),
 		remember:        limits.Duration("remember"),
 		keys:            limits.Int("keys"),
@@ -269,6 +272,9 @@
 // Drain returns the longest time for requests to end when the instance stops.
 func (e Entry) Drain() time.Duration { return e.drain }
 
+// Notice returns how long a stopping instance still takes requests.
+func (e Entry) Notice() time.Duration { return e.notice }
+
 // TicketLife returns how long a ticket can be used.
 func (e Entry) TicketLife() time.Duration { return e.ticketLife }
 
--- a/demo/world.go
+++ b/demo/world.go
@@ -227,6 +227,7 @@
 secretFile = secret
 [limits]
 drain = 10s
+notice = 500ms
 costWindow = 1s
 `, d.name, len(d.entries)+1, first.FailureDomain(), ip, peer, ip, d.platformAddress, strings.Join(seeds, ", "))
 	cfg, err := settings.ParseEntry("demo.ini", []byte(text), func(string) ([]byte, error) { return []byte(peerSecret), nil })
--- a/io/caller/caller_test.go
+++ b/io/caller/caller_test.go
@@ -29,6 +29,9 @@
 const (
 	apiKey = "secret-key-of-roofs"
 
+	// siteReadTimeout is the time that a caller has to send its request.
+	siteReadTimeout = 200 * time.Millisecond
+
 	declarations = `[pipeline p]
 stages = s
 [pipeline b]
@@ -84,7 +87,9 @@
 		Now: time.Now, NewID: newID, Declarations: func() *declare.Set { return set }, Run: run,
 		Observe: func(caller.End) {}, Keeper: keeper, Log: zap.New(core),
 	})
-	s.Server = httptest.NewServer(server.Handler())
+	s.Server = httptest.NewUnstartedServer(server.Handler())
+	s.Config.ReadTimeout = siteReadTimeout
+	s.Start()
 	t.Cleanup(s.Close)
 	return s
 }
@@ -198,6 +203,22 @@
 	}
 }
 
+// TestAnswerMayTakeLongerThanTheRequest guards against the server's read timeout
+// ending requests that were read in time and are still being answered.
+func TestAnswerMayTakeLongerThanTheRequest(t *testing.T) {
+	s := newSite(t, func(ctx context.Context, _ pipeline.Request) (pipeline.Answer, error) {
+		select {
+		case <-ctx.Done():
+			return pipeline.Answer{}, ctx.Err()
+		case <-time.After(3 * siteReadTimeout):
+			return pipeline.Answer{Text: "late but whole"}, nil
+		}
+	})
+	if status, _, body := s.send(t, "/v1/kinds/ask", `{"text":"x"}`); status != 200 {
+		t.Errorf("status %d, body %s", status, body)
+	}
+}
+
 func TestErrorBeforeAStreamIsPlain(t *testing.T) {
 	s := newSite(t, func(context.Context, pipeline.Request) (pipeline.Answer, error) {
 		return pipeline.Answer{}, fault.Errorf(fault.Overloaded, "full")
--- /dev/null
+++ b/measure.sh
@@ -0,0 +1,31 @@
+#!/usr/bin/env bash
+# Runs the measurements behind docs/MEASUREMENTS.md and docs/CAPACITY.md, some
+# ten minutes, and writes what they print into the directory given, one file
+# each. Benchmarks repeat, so that benchstat can compare two directories.
+set -euo pipefail
+cd "$(dirname "$0")"
+out=${1:?usage: measure.sh DIRECTORY}
+mkdir -p "$out"
+
+run() {
+  local name=$1
+  shift
+  echo "$name: $*"
+  "$@" > "$out/$name.txt" 2>&1 || echo "$name failed, see $out/$name.txt"
+}
+
+run policy go test ./core/pipeline -run TestTable -table -v
+run affinity go test ./core/balance -run Affinity -v
+run decisions go test ./core/admit ./core/balance ./core/once ./core/declare -run xx -bench . -count 5
+run proxy go test ./node -run xx -bench 'OneStage|Streams' -count 5
+run takeover go test ./demo -run TestTakeover -takeover -v
+
+go build -o "$out/chervilpath" .
+"$out/chervilpath" trace --scenario storeDown --duration 30s --rate 80 --seed 2 > "$out/storeDown.jsonl"
+run outage "$out/chervilpath" replay --embedded kgotso --plot "$out/outage.svg" "$out/storeDown.jsonl"
+run chaos "$out/chervilpath" demo --chaos --deployment kgotso --duration 60s --rate 40 --seed 1
+
+go test -c -o "$out/node.test" ./node
+for n in 8 32; do
+  run "fleet$n" "$out/node.test" -test.run TestFleetControl -fleet "$n" -measure 20s -test.v
+done
--- a/node/node.go
+++ b/node/node.go
@@ -59,10 +59,6 @@
 	readTimeout       = 30 * time.Second
 	idleTimeout       = 2 * time.Minute
 	peerIdle          = 20 * time.Second
-
-	// noticeDelay is how long a leaving instance still takes new requests,
-	// with its readiness failing, until the balancer has noticed.
-	noticeDelay = 1 * time.Second
 )
 
 var errCut = errors.New("the instance is cut off from its peers")
@@ -92,7 +88,6 @@
 	// cut is set while a demo keeps the instance apart from its peers.
 	cut    atomic.Bool
 	behind chan behind
-	notice time.Duration
 
 	// loops ends the background loops; running counts them.
 	stopLoops context.CancelFunc
@@ -111,7 +106,6 @@
 		score:    newScore(),
 		reports:  reports{last: make(map[string]time.Time)},
 		behind:   make(chan behind, 1),
-		notice:   noticeDelay,
 	}
 	n.loopCtx, n.stopLoops = context.WithCancel(context.Background())
 	secure, err := n.openCerts()
