Tell a claim that got no answer by its nonce

Cause: reading core/once again. An instance noted the names of claims whose writes got no answer, to run their requests later. After it had forgotten an outcome (some 30 minutes), a refused write for the same key put the name on that list, and the next attempt found the old claim and ran the request a second time. Ruled out: the store's condition and the hand-over (neither takes part). The histories had not found it since their clocks moved by 100 s at the most. Change: nonces are noted in place of names, and the claim that holds is read before anything starts. Histories move the clock by up to 20 minutes, and there are 60,000. TestUnansweredClaimIsForgottenWhenItsRequestRuns failed before. Conclusion: only the claim that exists decides.

--- a/core/once/keeper.go
+++ b/core/once/keeper.go
@@ -58,9 +58,10 @@
 		mu      sync.Mutex
 		adopted map[string]bool
 		moved   map[string]Owner
-		// unanswered holds the claims whose writes got no answer and whose
-		// requests were not started, by claim name.
-		unanswered map[string]bool
+		// unanswered holds, by claim name, the nonces of claims whose writes got
+		// no answer and whose requests were not started. Only the claim that
+		// holds tells whether one of them took effect.
+		unanswered map[string][]string
 		number     int
 	}
 )
@@ -95,7 +96,7 @@
 		table:      NewTable(cfg.Remember, cfg.Limit),
 		adopted:    make(map[string]bool),
 		moved:      make(map[string]Owner),
-		unanswered: make(map[string]bool),
+		unanswered: make(map[string][]string),
 	}
 }
 
--- a/core/once/once_test.go
+++ b/core/once/once_test.go
@@ -49,6 +49,8 @@
 		slow    bool
 		refuses bool
 		puts    int
+		// allLate keeps puts as it is, so that no write is answered.
+		allLate bool
 
 		runs   map[string]int
 		notRun map[string]bool
@@ -109,7 +111,9 @@
 // put is the store behind a network that delays writes and loses answers.
 func (w *world) put(ctx context.Context, obj object.Object) (int64, error) {
 	choice := w.puts
-	w.puts = 0
+	if !w.allLate {
+		w.puts = 0
+	}
 	if w.plant == unconditional {
 		if old, err := w.objects.Get(ctx, obj.Kind, obj.Name); err == nil {
 			obj.Version = old.Version
@@ -223,7 +227,7 @@
 	case 8:
 		w.settle()
 	case 9:
-		w.now = w.now.Add(time.Duration(1+s.Choice) * 10 * time.Second)
+		w.now = w.now.Add(time.Duration(1+s.Choice) * 2 * time.Minute)
 	case 10:
 		w.handOver(s.Instance, (s.Instance+1)%instances)
 	}
@@ -288,7 +292,7 @@
 
 func TestAtMostOnceInAnyHistory(t *testing.T) {
 	gen := histories()
-	for seed := range 20000 {
+	for seed := range 60000 {
 		if err := history(nothing, gen.Example(seed)); err != nil {
 			t.Fatalf("seed %d: %v", seed, err)
 		}
@@ -305,7 +309,7 @@
 	for name, p := range map[string]plant{"unconditional claim": unconditional, "gone owner taken for none": forgetful, "lost write taken for done": guessing} {
 		t.Run(name, func(t *testing.T) {
 			gen := histories()
-			for seed := range 20000 {
+			for seed := range 60000 {
 				if history(p, gen.Example(seed)) != nil {
 					return
 				}
@@ -381,6 +385,36 @@
 	}
 }
 
+// TestUnansweredClaimIsForgottenWhenItsRequestRuns lets a claim's write go
+// unanswered, a second one succeed and run, and the owner forget the outcome. A
+// later attempt must not find the first write and run again.
+func TestUnansweredClaimIsForgottenWhenItsRequestRuns(t *testing.T) {
+	w := newWorld(nothing)
+	a := once.Attempt{Organisation: "roofs", Kind: "book", Key: "own", Body: []byte("b")}
+	serve := func(n *node) {
+		a.Deadline = w.now.Add(time.Second)
+		_, _ = n.keeper.Serve(context.Background(), a)
+		w.puts = 0
+	}
+	w.puts, w.allLate = 2, true
+	serve(w.nodes[0])
+	w.allLate = false
+	serve(w.nodes[0])
+	w.settle()
+	if w.runs["b"] != 1 {
+		t.Fatalf("the request ran %d times", w.runs["b"])
+	}
+	w.now = w.now.Add(24 * time.Hour)
+	a.Key, a.Body = "another", []byte("c")
+	serve(w.nodes[0])
+	a.Key, a.Body = "own", []byte("b")
+	serve(w.nodes[1])
+	serve(w.nodes[0])
+	if w.runs["b"] != 1 {
+		t.Errorf("the request ran %d times", w.runs["b"])
+	}
+}
+
 func TestTicketOutlivesItsMemory(t *testing.T) {
 	w := newWorld(nothing)
 	k := w.nodes[0].keeper
--- a/core/once/serve.go
+++ b/core/once/serve.go
@@ -4,6 +4,7 @@
 	"context"
 	"crypto/sha256"
 	"encoding/hex"
+	"slices"
 
 	"chervilpath/core/fault"
 )
@@ -90,12 +91,14 @@
 	if err != nil {
 		// The write may have taken effect, also later. This instance then owns
 		// the key and knows that it has not started the request.
-		k.noteUnanswered(name)
+		k.noteUnanswered(name, want.Nonce)
 		k.table.cancel(e, unknown("the store did not answer"))
 		return Outcome{}, err
 	}
-	mine := held.Owner == want.Owner
-	if mine && (held.Nonce == want.Nonce || k.takeUnanswered(name)) && held.BodyHash == want.BodyHash {
+	// A claim of this instance may be of an earlier attempt whose write got no
+	// answer, or of one that ran and was forgotten. Only its nonce tells.
+	unanswered := k.takeUnanswered(name, held.Nonce)
+	if (held.Nonce == want.Nonce || unanswered) && held.BodyHash == want.BodyHash {
 		k.start(ctx, e, a)
 		return k.await(ctx, e)
 	}
@@ -117,7 +120,9 @@
 		}
 		return k.await(ctx, e)
 	}
-	if owner.Incarnation != k.cfg.Owner.Incarnation || !k.takeUnanswered(claimName(a.Organisation, a.Key)) {
+	name := claimName(a.Organisation, a.Key)
+	held, err := readClaim(ctx, k.seams.Store, name)
+	if err != nil || !k.takeUnanswered(name, held.Nonce) {
 		return k.known(ctx, owner, a)
 	}
 	v, e, err := k.table.begin(k.seams.Now(), tableKey(a), bodyHash(a))
@@ -130,21 +135,22 @@
 	return k.await(ctx, e)
 }
 
-func (k *Keeper) noteUnanswered(name string) {
+func (k *Keeper) noteUnanswered(name, nonce string) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	if len(k.unanswered) >= maxUnanswered {
 		clear(k.unanswered)
 	}
-	k.unanswered[name] = true
+	k.unanswered[name] = append(k.unanswered[name], nonce)
 }
 
-// takeUnanswered reports whether a claim of this instance had no answer before
-// and its request was not started. It reports so only once.
-func (k *Keeper) takeUnanswered(name string) bool {
+// takeUnanswered reports whether the claim that holds is one of this instance
+// that got no answer, so that its request was not started. It reports so only
+// once, and forgets the other writes: a claim that exists does not change.
+func (k *Keeper) takeUnanswered(name, nonce string) bool {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	ok := k.unanswered[name]
+	ok := slices.Contains(k.unanswered[name], nonce)
 	delete(k.unanswered, name)
 	return ok
 }
