--- a/io/endpoint/endpoint_test.go
+++ b/io/endpoint/endpoint_test.go
@@ -82,6 +82,7 @@
 		{"cut stream", "engine", true, standin.ServerFaults{CutAfter: 3}, fault.AnswerIncomplete, false},
 		{"crossed answer", "engine", false, standin.ServerFaults{Cross: true}, fault.AnswerIncomplete, false},
 		{"full engine", "engine", false, standin.ServerFaults{Refuse: true}, fault.EndpointUnavailable, true},
+		{"draining engine", "engine", false, standin.ServerFaults{Drain: true}, fault.EndpointUnavailable, true},
 		{"lost connection", "engine", false, standin.ServerFaults{Down: true}, fault.EndpointFailed, false},
 		{"truncated result", "service", false, standin.ServerFaults{Truncate: true}, fault.AnswerIncomplete, false},
 		{"crossed result", "service", false, standin.ServerFaults{Cross: true}, fault.AnswerIncomplete, false},
--- a/io/standin/engine.go
+++ b/io/standin/engine.go
@@ -37,8 +37,10 @@
 		cfg    EngineConfig
 		cache  *list.List
 		events []CacheEvent
-		fence  int64
-		models []string
+		// sequence numbers the events, also those that are left out.
+		sequence int
+		fence    int64
+		models   []string
 		// adapters and role are as the last order said.
 		adapters []string
 		role     string
@@ -50,6 +52,8 @@
 		Sequence int    `json:"sequence"`
 		Prefix   uint64 `json:"prefix"`
 		Stored   bool   `json:"stored"`
+
+		at time.Time
 	}
 
 	// Order tells an engine what to have loaded.
@@ -110,6 +114,7 @@
 const (
 	prefixBytes = 256
 	eventsHeld  = 1000
+	gapEvery    = 10
 	// cachedFactor is the part of the time to the first token that a cached
 	// prompt still takes.
 	cachedFactor = 0.25
@@ -178,8 +183,9 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	out := []CacheEvent{}
+	late := time.Now().Add(-e.cfg.Lag)
 	for _, ev := range e.events {
-		if ev.Sequence > after {
+		if ev.Sequence > after && ev.at.Before(late) {
 			out = append(out, ev)
 		}
 	}
@@ -198,8 +204,8 @@
 		panic(http.ErrAbortHandler)
 	}
 	e.report(w)
-	if f.Refuse {
-		w.WriteHeader(http.StatusTooManyRequests)
+	if code := f.refusal(); code != 0 {
+		w.WriteHeader(code)
 		return
 	}
 	id := r.Header.Get(headerReqID)
@@ -324,13 +330,14 @@
 	return false
 }
 
-// event keeps a cache event. The caller holds mu.
+// event keeps a cache event, but for each gapEvery-th: engines publish them with
+// gaps, and late. The caller holds mu.
 func (e *Engine) event(prefix uint64, stored bool) {
-	sequence := 1
-	if n := len(e.events); n > 0 {
-		sequence = e.events[n-1].Sequence + 1
+	e.sequence++
+	if e.sequence%gapEvery == 0 {
+		return
 	}
-	e.events = append(e.events, CacheEvent{Sequence: sequence, Prefix: prefix, Stored: stored})
+	e.events = append(e.events, CacheEvent{Sequence: e.sequence, Prefix: prefix, Stored: stored, at: time.Now()})
 	if len(e.events) > eventsHeld {
 		e.events = slices.Clone(e.events[eventsHeld/2:])
 	}
--- a/io/standin/stage.go
+++ b/io/standin/stage.go
@@ -19,6 +19,8 @@
 		Slow float64 `json:"slow"`
 		// Refuse answers that the server takes no more work.
 		Refuse bool `json:"refuse"`
+		// Drain takes no new calls, as a server that leaves, and ends the others.
+		Drain bool `json:"drain"`
 		// LoseAnswers is the number of next calls that run but get no answer.
 		LoseAnswers int `json:"loseAnswers"`
 		// Cross makes answers carry the identity of another attempt.
@@ -255,6 +257,17 @@
 	}
 }
 
+// refusal returns the status code by which a new call is refused, or 0.
+func (f ServerFaults) refusal() int {
+	switch {
+	case f.Refuse:
+		return http.StatusTooManyRequests
+	case f.Drain:
+		return http.StatusServiceUnavailable
+	}
+	return 0
+}
+
 func (f ServerFaults) times(d time.Duration) time.Duration {
 	if f.Slow <= 0 {
 		return d
@@ -274,9 +287,9 @@
 		panic(http.ErrAbortHandler)
 	}
 	s.report(w)
-	if f.Refuse {
-		w.WriteHeader(http.StatusTooManyRequests)
-		writeJSON(w, stageAnswer{Attempt: req.Attempt, Ran: "no", Error: "no slot is free"})
+	if code := f.refusal(); code != 0 {
+		w.WriteHeader(code)
+		writeJSON(w, stageAnswer{Attempt: req.Attempt, Ran: "no", Error: "no new call is taken"})
 		return
 	}
 	stage := r.PathValue("stage")
