Split the platform's stand-in from those of endpoints

Change: io/standplatform stands in for the platform, io/standin for what is behind the stages. No behaviour changes. Conclusion: tests stay as they were but for names.

--- a/cmd/standin.go
+++ b/cmd/standin.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"chervilpath/io/standin"
+	"chervilpath/io/standplatform"
 )
 
 type standinCommand struct {
@@ -65,7 +66,7 @@
 func (c *standinCommand) handler() (http.Handler, error) {
 	switch c.Args.Kind {
 	case "platform":
-		return standin.NewPlatform(c.Lag).Handler(), nil
+		return standplatform.New(c.Lag).Handler(), nil
 	case "engine":
 		return standin.NewEngine(standin.EngineConfig{
 			Slots: c.Slots, FirstToken: c.Time, Token: c.Token, Lag: c.Lag, CachedPrefixes: 64, ChecksFence: c.Fenced,
--- a/core/cost/cost_test.go
+++ b/core/cost/cost_test.go
@@ -8,7 +8,7 @@
 
 	"chervilpath/core/cost"
 	"chervilpath/core/pipeline"
-	"chervilpath/io/standin"
+	"chervilpath/io/standplatform"
 )
 
 var (
@@ -20,7 +20,7 @@
 	return pipeline.Charge{Organisation: org, Stage: "generate", Units: units, Known: true, Cost: 2 * units, Busy: time.Second}
 }
 
-func total(t *testing.T, objects *standin.Objects) (units float64, calls int64) {
+func total(t *testing.T, objects *standplatform.Objects) (units float64, calls int64) {
 	t.Helper()
 	windows, err := cost.Read(ctx, objects.Store(), start, -1)
 	if err != nil {
@@ -34,12 +34,12 @@
 }
 
 func TestRepeatedWriteIsTheSameRecord(t *testing.T) {
-	objects := standin.NewObjects(func() time.Time { return start })
+	objects := standplatform.NewObjects(func() time.Time { return start })
 	l := cost.New(start, "entry-1", "i1")
 	for i := range 5 {
 		l.Charge(charge("roofs", 10))
 		if i%2 == 0 {
-			objects.SetFaults(standin.ObjectFaults{LoseAnswers: 1})
+			objects.SetFaults(standplatform.Faults{LoseAnswers: 1})
 		}
 		_ = l.Flush(ctx, start.Add(time.Duration(i+1)*time.Second), objects.Store())
 	}
@@ -55,8 +55,8 @@
 }
 
 func TestOutageKeepsAllInBoundedMemory(t *testing.T) {
-	objects := standin.NewObjects(func() time.Time { return start })
-	objects.SetFaults(standin.ObjectFaults{Down: true})
+	objects := standplatform.NewObjects(func() time.Time { return start })
+	objects.SetFaults(standplatform.Faults{Down: true})
 	l := cost.New(start, "entry-1", "i1")
 	for hour := range 5 {
 		for i := range 1000 {
@@ -69,7 +69,7 @@
 	if n, _ := l.Waiting(start); n != 1 || len(l.Lines()) != 10 {
 		t.Errorf("%d objects and %d lines wait", n, len(l.Lines()))
 	}
-	objects.SetFaults(standin.ObjectFaults{})
+	objects.SetFaults(standplatform.Faults{})
 	for range 2 {
 		if err := l.Flush(ctx, start.Add(6*time.Hour), objects.Store()); err != nil {
 			t.Fatal(err)
@@ -81,7 +81,7 @@
 }
 
 func TestManyOrganisationsAreSplit(t *testing.T) {
-	objects := standin.NewObjects(func() time.Time { return start })
+	objects := standplatform.NewObjects(func() time.Time { return start })
 	l := cost.New(start, "entry-1", "i1")
 	for i := range 30000 {
 		l.Charge(charge(fmt.Sprint("organisation-", i), 1))
@@ -105,7 +105,7 @@
 }
 
 func TestByHourAddsUpWindowsOfAnHour(t *testing.T) {
-	objects := standin.NewObjects(func() time.Time { return start })
+	objects := standplatform.NewObjects(func() time.Time { return start })
 	l := cost.New(start, "entry-1", "i1")
 	for i := range 6 {
 		l.Charge(charge("roofs", 10))
--- a/core/lease/lease_test.go
+++ b/core/lease/lease_test.go
@@ -12,7 +12,7 @@
 
 	"chervilpath/core/lease"
 	"chervilpath/core/object"
-	"chervilpath/io/standin"
+	"chervilpath/io/standplatform"
 )
 
 const (
@@ -45,7 +45,7 @@
 
 	world struct {
 		now     time.Time
-		objects *standin.Objects
+		objects *standplatform.Objects
 		ids     int
 		late    []object.Object
 		choice  int
@@ -65,7 +65,7 @@
 
 func newWorld(fenced bool, plant string) *world {
 	w := &world{now: time.Unix(1_700_000_000, 0), plant: plant, engine: engine{fenced: fenced}}
-	w.objects = standin.NewObjects(func() time.Time { return w.now })
+	w.objects = standplatform.NewObjects(func() time.Time { return w.now })
 	store := w.objects.Store()
 	store.Put = w.put
 	for i := range holders {
--- a/core/once/once_test.go
+++ b/core/once/once_test.go
@@ -15,7 +15,7 @@
 	"chervilpath/core/fault"
 	"chervilpath/core/object"
 	"chervilpath/core/once"
-	"chervilpath/io/standin"
+	"chervilpath/io/standplatform"
 )
 
 const (
@@ -36,7 +36,7 @@
 
 	// world is a few instances, a store and the endpoint that counts runs.
 	world struct {
-		objects *standin.Objects
+		objects *standplatform.Objects
 		now     time.Time
 		ids     int
 		plant   plant
@@ -81,7 +81,7 @@
 		plant: p, now: time.Unix(1_700_000_000, 0),
 		runs: map[string]int{}, notRun: map[string]bool{}, done: map[string]string{},
 	}
-	w.objects = standin.NewObjects(func() time.Time { return w.now })
+	w.objects = standplatform.NewObjects(func() time.Time { return w.now })
 	for i := range instances {
 		w.nodes = append(w.nodes, w.newNode(i))
 	}
@@ -321,7 +321,7 @@
 
 func TestOutageServesTickets(t *testing.T) {
 	w := newWorld(nothing)
-	w.objects.SetFaults(standin.ObjectFaults{Down: true})
+	w.objects.SetFaults(standplatform.Faults{Down: true})
 	text, _, err := w.nodes[0].keeper.Issue("roofs")
 	if err != nil {
 		t.Fatal(err)
--- a/core/publish/publish_test.go
+++ b/core/publish/publish_test.go
@@ -14,7 +14,7 @@
 	"chervilpath/core/fault"
 	"chervilpath/core/object"
 	"chervilpath/core/publish"
-	"chervilpath/io/standin"
+	"chervilpath/io/standplatform"
 )
 
 var ctx = context.Background()
@@ -39,7 +39,7 @@
 }
 
 func TestPublishAndRollBack(t *testing.T) {
-	store := standin.NewObjects(fixedNow).Store()
+	store := standplatform.NewObjects(fixedNow).Store()
 	p := publish.New(store, fixedNow)
 	for i := 1; i <= 3; i++ {
 		root, err := p.Publish(ctx, change(fmt.Sprint(i), file("a", i)))
@@ -69,7 +69,7 @@
 }
 
 func TestInvalidWholeIsNeverPublished(t *testing.T) {
-	store := standin.NewObjects(fixedNow).Store()
+	store := standplatform.NewObjects(fixedNow).Store()
 	p := publish.New(store, fixedNow)
 	if _, err := p.Publish(ctx, change("1", file("a", 1))); err != nil {
 		t.Fatal(err)
@@ -86,7 +86,7 @@
 }
 
 func TestRacingOperators(t *testing.T) {
-	store := standin.NewObjects(fixedNow).Store()
+	store := standplatform.NewObjects(fixedNow).Store()
 	race := func(first, second publish.Change) error {
 		raced := false
 		slow := store
@@ -116,7 +116,7 @@
 }
 
 func TestHolderNeverReverts(t *testing.T) {
-	objects := standin.NewObjects(fixedNow)
+	objects := standplatform.NewObjects(fixedNow)
 	store := objects.Store()
 	p := publish.New(store, fixedNow)
 	var roots []publish.Root
@@ -141,7 +141,7 @@
 }
 
 func TestHolderRefusesDamageAndKeepsTheLastGood(t *testing.T) {
-	objects := standin.NewObjects(fixedNow)
+	objects := standplatform.NewObjects(fixedNow)
 	store := objects.Store()
 	p := publish.New(store, fixedNow)
 	h := publish.NewHolder()
@@ -150,14 +150,14 @@
 		t.Fatal(err)
 	}
 	second, _ := p.Publish(ctx, change("2", file("a", 2)))
-	objects.SetFaults(standin.ObjectFaults{Damage: "fragments"})
+	objects.SetFaults(standplatform.Faults{Damage: "fragments"})
 	if ok, err := offer(t, h, store, second); ok || err == nil {
 		t.Error("a damaged fragment was put in force")
 	}
 	if h.Revision() != 1 || h.Refused() == nil || h.Refused().Revision != 2 {
 		t.Errorf("revision %d in force, refused %+v", h.Revision(), h.Refused())
 	}
-	objects.SetFaults(standin.ObjectFaults{})
+	objects.SetFaults(standplatform.Faults{})
 	if ok, err := offer(t, h, store, second); !ok || err != nil || h.Refused() != nil {
 		t.Errorf("the whole revision: %v, %v", ok, err)
 	}
@@ -266,7 +266,7 @@
 }
 
 func races(choices []int, blind bool) error {
-	objects := standin.NewObjects(fixedNow)
+	objects := standplatform.NewObjects(fixedNow)
 	r := &racer{store: objects.Store(), choices: choices, accepted: map[string]publish.Root{}, refused: map[string]bool{}, bases: map[string]int64{}, blind: blind}
 	for range 6 {
 		r.publish()
@@ -311,8 +311,8 @@
 }
 
 func TestOutageIsReported(t *testing.T) {
-	objects := standin.NewObjects(fixedNow)
-	objects.SetFaults(standin.ObjectFaults{Down: true})
+	objects := standplatform.NewObjects(fixedNow)
+	objects.SetFaults(standplatform.Faults{Down: true})
 	_, err := publish.New(objects.Store(), fixedNow).Publish(ctx, change("1", file("a", 1)))
 	if fault.From(err).Kind() != fault.StoreUnavailable || !errors.Is(err, object.ErrUnavailable) {
 		t.Errorf("Publish() in an outage = %v", err)
--- a/demo/remote.go
+++ b/demo/remote.go
@@ -10,6 +10,7 @@
 	"chervilpath/core/declare"
 	"chervilpath/core/publish"
 	"chervilpath/io/standin"
+	"chervilpath/io/standplatform"
 )
 
 // Reply is what a caller got for one request, for scenarios.
@@ -94,7 +95,7 @@
 
 // SetPlatformFaults switches the faults of the object API by their JSON.
 func (d *Deployment) SetPlatformFaults(text string) error {
-	var f standin.ObjectFaults
+	var f standplatform.Faults
 	if err := json.Unmarshal([]byte(text), &f); err != nil {
 		return fmt.Errorf("reading faults: %w", err)
 	}
@@ -104,7 +105,7 @@
 
 // SetEndpointState lists an endpoint as live or leaving.
 func (d *Deployment) SetEndpointState(endpoint, state string) {
-	d.platform.SetInstance(standin.Instance{Name: endpoint, State: state})
+	d.platform.SetInstance(standplatform.Instance{Name: endpoint, State: state})
 }
 
 // Publish puts one declaration file in force.
--- a/demo/replay.go
+++ b/demo/replay.go
@@ -14,6 +14,7 @@
 	"chervilpath/core/trace"
 	"chervilpath/examples"
 	"chervilpath/io/standin"
+	"chervilpath/io/standplatform"
 )
 
 type (
@@ -131,7 +132,7 @@
 // strike switches the faults of the endpoints that a fault names.
 func (d *Deployment) strike(f trace.Fault) {
 	if f.Endpoint == trace.Platform {
-		d.platform.Objects().SetFaults(standin.ObjectFaults{Down: f.Down})
+		d.platform.Objects().SetFaults(standplatform.Faults{Down: f.Down})
 		return
 	}
 	prefix, many := strings.CutSuffix(f.Endpoint, "*")
--- a/demo/world.go
+++ b/demo/world.go
@@ -28,6 +28,7 @@
 	"chervilpath/core/publish"
 	"chervilpath/core/settings"
 	"chervilpath/io/standin"
+	"chervilpath/io/standplatform"
 	"chervilpath/node"
 )
 
@@ -51,7 +52,7 @@
 	Deployment struct {
 		name     string
 		set      *declare.Set
-		platform *standin.Platform
+		platform *standplatform.Platform
 		// publisher keeps what it published, so that it can also publish while
 		// reads are damaged.
 		publisher *publish.Publisher
@@ -90,7 +91,7 @@
 	d := &Deployment{
 		name:     path.Base(dir),
 		log:      log,
-		platform: standin.NewPlatform(listLag),
+		platform: standplatform.New(listLag),
 		servers:  make(map[string]*endpointServer),
 	}
 	fragments, err := readFragments(files, dir)
@@ -187,7 +188,7 @@
 	go func() { _ = s.server.Serve(l) }()
 	d.servers[e.Name()] = s
 	d.closers = append(d.closers, func() { _ = s.server.Close() })
-	d.platform.SetInstance(standin.Instance{Name: e.Name(), Address: l.Addr().String(), FailureDomain: e.FailureDomain(), State: "live"})
+	d.platform.SetInstance(standplatform.Instance{Name: e.Name(), Address: l.Addr().String(), FailureDomain: e.FailureDomain(), State: "live"})
 	return l.Addr().String(), nil
 }
 
--- a/io/platform/platform_test.go
+++ b/io/platform/platform_test.go
@@ -10,12 +10,12 @@
 
 	"chervilpath/core/object"
 	"chervilpath/io/platform"
-	"chervilpath/io/standin"
+	"chervilpath/io/standplatform"
 )
 
-func newClient(t *testing.T) (*platform.Client, *standin.Platform) {
+func newClient(t *testing.T) (*platform.Client, *standplatform.Platform) {
 	t.Helper()
-	p := standin.NewPlatform(0)
+	p := standplatform.New(0)
 	srv := httptest.NewServer(p.Handler())
 	t.Cleanup(srv.Close)
 	return platform.New(platform.Config{URL: srv.URL, ReadsPerSecond: 1000, WritesPerSecond: 1000}, srv.Client()), p
@@ -57,14 +57,14 @@
 func TestLostAnswerIsUncertainAndOutageIsNot(t *testing.T) {
 	c, p := newClient(t)
 	ctx := context.Background()
-	p.Objects().SetFaults(standin.ObjectFaults{LoseAnswers: 1})
+	p.Objects().SetFaults(standplatform.Faults{LoseAnswers: 1})
 	if _, err := c.Put(ctx, object.Object{Kind: "k", Name: "n", Data: []byte("1")}); !errors.Is(err, object.ErrUncertain) {
 		t.Errorf("a write without an answer: %v", err)
 	}
 	if got, err := c.Get(ctx, "k", "n"); err != nil || string(got.Data) != "1" {
 		t.Errorf("the write did not take effect: %v", err)
 	}
-	p.Objects().SetFaults(standin.ObjectFaults{Down: true})
+	p.Objects().SetFaults(standplatform.Faults{Down: true})
 	if _, err := c.Put(ctx, object.Object{Kind: "k", Name: "m"}); !errors.Is(err, object.ErrUnavailable) {
 		t.Errorf("a refused write: %v", err)
 	}
--- a/io/standin/stage.go
+++ b/io/standin/stage.go
@@ -1,3 +1,8 @@
+// Package standin stands in for what is behind the stages: model engines, stage
+// pools and plain services, and for the authority that signs certificates.
+//
+// The stand-ins make faults possible and count what ran. They are for tests,
+// demos and development; the serving instances must not use them.
 package standin
 
 import (
--- a/io/standin/objects.go
+++ b/io/standplatform/objects.go
@@ -1,9 +1,9 @@
-// Package standin stands in for the systems around chervilpath: the platform's
-// object API and instance list, model engines, stage pools and plain services.
+// Package standplatform stands in for the platform: its object API and its list
+// of instances.
 //
-// The stand-ins make faults possible and count what ran. They are for tests,
-// demos and development; the serving instances must not use them.
-package standin
+// It makes faults possible and counts calls. It is for tests, demos and
+// development; the serving instances must not use it.
+package standplatform
 
 import (
 	"context"
@@ -19,8 +19,8 @@
 )
 
 type (
-	// ObjectFaults are the switches of an object store.
-	ObjectFaults struct {
+	// Faults are the switches of an object store.
+	Faults struct {
 		// Down makes every call fail without effect.
 		Down bool `json:"down"`
 		// DelayMs holds each call for this many milliseconds.
@@ -34,8 +34,8 @@
 		Damage string `json:"damage"`
 	}
 
-	// ObjectCounts are the calls that a store has had.
-	ObjectCounts struct {
+	// Counts are the calls that a store has had.
+	Counts struct {
 		Reads   int64 `json:"reads"`
 		Writes  int64 `json:"writes"`
 		Watches int64 `json:"watches"`
@@ -48,8 +48,8 @@
 		mu      sync.Mutex
 		objects map[string][]object.Object
 		version int64
-		faults  ObjectFaults
-		counts  ObjectCounts
+		faults  Faults
+		counts  Counts
 		changed chan struct{}
 		reads   *rate.Limiter
 		writes  *rate.Limiter
@@ -74,7 +74,7 @@
 }
 
 // SetFaults replaces the switches.
-func (o *Objects) SetFaults(f ObjectFaults) {
+func (o *Objects) SetFaults(f Faults) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	o.faults = f
@@ -83,7 +83,7 @@
 }
 
 // Counts returns the calls so far.
-func (o *Objects) Counts() ObjectCounts {
+func (o *Objects) Counts() Counts {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	return o.counts
--- a/io/standin/platform.go
+++ b/io/standplatform/platform.go
@@ -1,4 +1,4 @@
-package standin
+package standplatform
 
 import (
 	"context"
@@ -49,10 +49,17 @@
 	}
 )
 
-const maxWatch = 30 * time.Second
+const (
+	maxWatch = 30 * time.Second
 
-// NewPlatform returns a platform whose instance list lags.
-func NewPlatform(lag time.Duration) *Platform {
+	pathControl = "/control"
+	pathCounts  = "/counts"
+	headerType  = "Content-Type"
+	contentJSON = "application/json"
+)
+
+// New returns a platform whose instance list lags.
+func New(lag time.Duration) *Platform {
 	return &Platform{objects: NewObjects(time.Now), lag: lag, instances: make(map[string]listed)}
 }
 
@@ -109,7 +116,7 @@
 	mux.HandleFunc("DELETE /instances/{name}", func(w http.ResponseWriter, r *http.Request) { p.RemoveInstance(r.PathValue("name")) })
 	mux.HandleFunc("GET "+pathCounts, func(w http.ResponseWriter, r *http.Request) { writeJSON(w, p.objects.Counts()) })
 	mux.HandleFunc("PUT "+pathControl, func(w http.ResponseWriter, r *http.Request) {
-		var f ObjectFaults
+		var f Faults
 		if err := json.NewDecoder(r.Body).Decode(&f); err != nil {
 			http.Error(w, err.Error(), http.StatusBadRequest)
 			return
@@ -236,3 +243,8 @@
 		w.WriteHeader(http.StatusServiceUnavailable)
 	}
 }
+
+func writeJSON(w http.ResponseWriter, v any) {
+	w.Header().Set(headerType, contentJSON)
+	_ = json.NewEncoder(w).Encode(v)
+}
--- a/node/fleet_test.go
+++ b/node/fleet_test.go
@@ -18,7 +18,7 @@
 	"chervilpath/core/kernel"
 	"chervilpath/core/publish"
 	"chervilpath/core/settings"
-	"chervilpath/io/standin"
+	"chervilpath/io/standplatform"
 	"chervilpath/node"
 )
 
@@ -49,7 +49,7 @@
 	if n == 0 {
 		n = *fleetSize
 	}
-	platform := standin.NewPlatform(0)
+	platform := standplatform.New(0)
 	p := publish.New(platform.Objects().Store(), time.Now)
 	if *fleetFirst == 0 {
 		l, err := net.Listen("tcp", platformAddress)
--- a/node/proxy_test.go
+++ b/node/proxy_test.go
@@ -21,6 +21,7 @@
 	"chervilpath/core/publish"
 	"chervilpath/core/settings"
 	"chervilpath/io/standin"
+	"chervilpath/io/standplatform"
 	"chervilpath/node"
 )
 
@@ -35,7 +36,7 @@
 // the URL for callers.
 func newEntry(b *testing.B, stage, engine string) string {
 	b.Helper()
-	p := standin.NewPlatform(0)
+	p := standplatform.New(0)
 	platform := httptest.NewServer(p.Handler())
 	b.Cleanup(platform.Close)
 	text := fmt.Sprintf("[pipeline one]\nstages = s\n[pipeline stream]\nstages = g\n[stage s]\n[stage g]\nunit = tokens\n[kind one]\npipeline = one\n[kind stream]\npipeline = stream\ndeadline = 60s\n[endpoint e]\naddress = %s\nkind = pool\nstages = s\nfailureDomain = d\nslots = 1000\n[endpoint g]\naddress = %s\nkind = engine\nstages = g\nfailureDomain = d\nslots = 1000\n[organisation o]\nkeyHashes = %s\n", stage, engine, declare.HashKey(benchKey))
--- a/node/secure_test.go
+++ b/node/secure_test.go
@@ -19,6 +19,7 @@
 	"chervilpath/core/publish"
 	"chervilpath/core/settings"
 	"chervilpath/io/standin"
+	"chervilpath/io/standplatform"
 	"chervilpath/node"
 )
 
@@ -66,7 +67,7 @@
 // by TLS only, and keeps one with a stranger's certificate out.
 func TestEverySideByTLS(t *testing.T) {
 	ours, strange := newAuthority(t), newAuthority(t)
-	p := standin.NewPlatform(0)
+	p := standplatform.New(0)
 	cert, key, err := ours.Issue("platform", "127.0.0.1")
 	if err != nil {
 		t.Fatal(err)
