Make an instance's services readable; sync early after a start

Cause: services were picked by their place in a list; a fleet that starts at once knew 285 to 339 of 340 after 65 s and passed every member on for minutes.

--- a/core/member/member.go
+++ b/core/member/member.go
@@ -43,6 +43,9 @@
 	// maxNews is the most members told with one probe.
 	maxNews = 6
 
+	// toldEnough as the number of tellings keeps an entry from being passed on.
+	toldEnough = 1 << 30
+
 	// spread is the factor on log2(members) for how often news is told.
 	spread = 3
 )
@@ -146,6 +149,17 @@
 	return true
 }
 
+// MergeAll takes the whole table of another instance. What is new in it is not
+// passed on as news: others get it the same way, and those whom it concerns
+// announce themselves.
+func (t *Table) MergeAll(now time.Time, members []Member) {
+	for _, m := range members {
+		if t.Merge(now, m) {
+			t.members[m.ID].told = toldEnough
+		}
+	}
+}
+
 // refute overrules what others say of this instance.
 func (t *Table) refute(m Member) {
 	if m.Sequence >= t.self.Sequence && (m.State == Suspect || m.State == Gone) {
@@ -248,10 +262,13 @@
 	}
 }
 
+// tellLimit returns how often news is passed on.
+func (t *Table) tellLimit() int { return spread * bits.Len(uint(len(t.members)+1)) }
+
 // News returns the members to tell with the next probe: those whose newest
 // state has been told least often.
 func (t *Table) News() []Member {
-	limit := spread * bits.Len(uint(len(t.members)+1))
+	limit := t.tellLimit()
 	var fresh []*known
 	for _, k := range t.members {
 		if k.told < limit {
--- a/core/member/member_test.go
+++ b/core/member/member_test.go
@@ -166,3 +166,18 @@
 		}
 	}
 }
+
+func TestWholeTableIsNoNews(t *testing.T) {
+	f := newFleet(64)
+	for range 60 {
+		f.period()
+	}
+	joining := member.New(member.Member{ID: "new", Name: "new", Address: "new"}, rand.New(rand.NewPCG(1, 1)))
+	joining.MergeAll(f.now, f.tables[0].Members())
+	if n := len(joining.Members()); n != 65 {
+		t.Errorf("the joining instance knows %d members, want all 65", n)
+	}
+	if news := joining.News(); len(news) != 0 {
+		t.Errorf("the joining instance passes on %d members that all know", len(news))
+	}
+}
--- a/io/peer/members.go
+++ b/io/peer/members.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -25,6 +26,10 @@
 	rejoinPeriods = 15
 )
 
+// earlyPeriods are the periods after its start in which an instance syncs in any
+// case: when many start at once, the first sync finds few of them.
+var earlyPeriods = []int{5, 15}
+
 // Members is the membership as this instance sees and serves it. Use
 // NewMembers. It is safe for concurrent use.
 type Members struct {
@@ -36,10 +41,11 @@
 	// changed is called after the number of serving instances may have changed.
 	changed func(serving int)
 
-	mu    sync.Mutex
-	table *member.Table
-	rng   *rand.Rand
-	calls int64
+	mu      sync.Mutex
+	periods int
+	table   *member.Table
+	rng     *rand.Rand
+	calls   int64
 }
 
 // NewMembers returns a membership that knows the instance itself and its seeds.
@@ -129,8 +135,9 @@
 func (m *Members) rejoins() bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	m.periods++
 	n := m.table.Serving()
-	return n == 1 || m.rng.IntN(max(rejoinPeriods, n)) == 0
+	return n == 1 || slices.Contains(earlyPeriods, m.periods) || m.rng.IntN(max(rejoinPeriods, n)) == 0
 }
 
 // wait sleeps for a period, a fifth more or less.
@@ -171,10 +178,25 @@
 	if err != nil {
 		return fmt.Errorf("syncing with %s: %w", address, err)
 	}
-	m.learn(reply.Members)
+	m.learnAll(reply.Members)
 	return nil
 }
 
+// learnAll takes the table of a seed.
+func (m *Members) learnAll(table []*peerpb.Member) {
+	m.mu.Lock()
+	var members []member.Member
+	for _, w := range table {
+		if other, err := fromWire(w); err == nil {
+			members = append(members, other)
+		}
+	}
+	m.table.MergeAll(m.now(), members)
+	m.mu.Unlock()
+	// What is known by now decides whether a member has a higher revision.
+	m.learn(table)
+}
+
 func (m *Members) period(ctx context.Context) {
 	m.mu.Lock()
 	target, ok := m.table.Target()
--- a/node/node.go
+++ b/node/node.go
@@ -8,9 +8,7 @@
 import (
 	"context"
 	"crypto/rand"
-	"crypto/tls"
 	"errors"
-	"fmt"
 	mathrand "math/rand/v2"
 	"net"
 	"net/http"
@@ -20,7 +18,6 @@
 
 	"github.com/prometheus/client_golang/prometheus"
 	"go.uber.org/zap"
-	"golang.org/x/net/netutil"
 
 	"chervilpath/core/cost"
 	"chervilpath/core/declare"
@@ -34,33 +31,10 @@
 	"chervilpath/core/stage"
 	"chervilpath/io/caller"
 	"chervilpath/io/endpoint"
-	"chervilpath/io/operator"
 	"chervilpath/io/peer"
 	"chervilpath/io/platform"
 )
 
-// Names of the services of one instance, after the instance's own name.
-const (
-	PlatformService     = "/platform"
-	StagesService       = "/stages"
-	DeclarationsService = "/declarations"
-	MembersService      = "/members"
-	OnceService         = "/once"
-	CostService         = "/cost"
-	EndpointsService    = "/endpoints"
-	OrdersService       = "/orders"
-	PeerService         = "/peer"
-	OperatorService     = "/operator"
-	CallerService       = "/caller"
-)
-
-const (
-	readHeaderTimeout = 5 * time.Second
-	readTimeout       = 30 * time.Second
-	idleTimeout       = 2 * time.Minute
-	peerIdle          = 20 * time.Second
-)
-
 var errCut = errors.New("the instance is cut off from its peers")
 
 // Instance is one entry instance. Use New; the kernel starts and stops it.
@@ -184,133 +158,6 @@
 // ServiceName returns the name in the kernel of one of the instance's services.
 func (n *Instance) ServiceName(service string) string { return n.cfg.Name() + service }
 
-func (n *Instance) addServices(k *kernel.Kernel, secure *secured) error {
-	peers := &peer.Server{
-		Members: n.members, Keeper: n.keeper, Now: time.Now,
-		ReadRoot: n.holder.RootJSON, ReadFragment: n.holder.Fragment,
-		HandedOver: func(incarnations []string) {
-			n.log.Info("keys taken over", zap.Strings("from", incarnations))
-		},
-	}
-	ops := operator.New(operator.Seams{Ready: n.ready, Status: n.Status, Registry: n.registry, Token: n.cfg.OperatorToken()})
-	services := []kernel.Service{
-		{Name: PlatformService, Value: n.platform},
-		{Name: StagesService, Value: n.runner},
-		{Name: PeerService, Needs: []string{PlatformService}, Value: peers},
-		{Name: MembersService, Needs: []string{PeerService}, Value: n.members, Start: n.loop(n.members.Run), Drain: n.announceLeave},
-		{Name: DeclarationsService, Needs: []string{PlatformService, StagesService, MembersService}, Value: n.holder, Start: n.startDeclarations},
-		{Name: OnceService, Needs: []string{PlatformService, MembersService, StagesService, CostService}, Value: n.keeper, Start: n.loop(n.flushOutcomes), Drain: n.handOver},
-		{Name: CostService, Needs: []string{PlatformService}, Value: n.ledger, Start: n.loop(n.flushCosts), Drain: n.flushAll, Stop: n.endLoops},
-		{Name: EndpointsService, Needs: []string{StagesService, DeclarationsService}, Value: n.endpoints, Start: n.startWatching},
-		n.ordersService(),
-		{Name: OperatorService, Needs: []string{DeclarationsService, CostService}, Value: ops},
-		{Name: CallerService, Needs: []string{OperatorService, OnceService, CostService, EndpointsService}, Value: n.callers, Drain: n.drainCallers},
-	}
-	n.serveHTTP(&services[2], n.cfg.PeerAddress(), n.unlessCut(peers.Handler(n.cfg.Secret())), secure.peerServer, 0)
-	n.serveHTTP(&services[9], n.cfg.OperatorAddress(), ops.Handler(), secure.operatorServer, 0)
-	n.serveHTTP(&services[10], n.cfg.CallerAddress(), n.callers.Handler(), secure.callerServer, n.cfg.MaxConnections())
-	for _, s := range services {
-		s.Name = n.ServiceName(s.Name)
-		for i, need := range s.Needs {
-			s.Needs[i] = n.ServiceName(need)
-		}
-		if err := k.Add(s); err != nil {
-			return err
-		}
-	}
-	return nil
-}
-
-// ordersService runs the loop that gives orders. Its drain ends the loop before
-// it releases the leases, so that no order is in flight then.
-func (n *Instance) ordersService() kernel.Service {
-	o := newOrders(n)
-	ctx, cancel := context.WithCancel(n.loopCtx)
-	done := make(chan struct{})
-	return kernel.Service{
-		Name:  OrdersService,
-		Needs: []string{PlatformService, StagesService, MembersService, DeclarationsService},
-		Start: func(context.Context) error {
-			n.running.Go(func() {
-				defer close(done)
-				o.run(ctx)
-			})
-			return nil
-		},
-		Drain: func(drainCtx context.Context) error {
-			cancel()
-			<-done
-			o.release(drainCtx)
-			return nil
-		},
-	}
-}
-
-// serveHTTP gives a service an HTTP server. Its drain waits until requests in
-// flight have ended.
-func (n *Instance) serveHTTP(s *kernel.Service, address string, h http.Handler, secure *tls.Config, connections int) {
-	server := &http.Server{
-		Handler:           h,
-		ReadHeaderTimeout: readHeaderTimeout,
-		ReadTimeout:       readTimeout,
-		IdleTimeout:       idleTimeout,
-		MaxHeaderBytes:    int(n.cfg.MaxHeader()),
-		ErrorLog:          zap.NewStdLog(n.log.Named("http")),
-	}
-	n.servers = append(n.servers, server)
-	s.Start = func(context.Context) error {
-		l, err := net.Listen("tcp", address)
-		if err != nil {
-			return fmt.Errorf("listening for %s: %w", s.Name, err)
-		}
-		if connections > 0 {
-			l = netutil.LimitListener(l, connections)
-		}
-		if secure != nil {
-			l = tls.NewListener(l, secure)
-		}
-		go func() { _ = server.Serve(l) }()
-		return nil
-	}
-	before := s.Drain
-	shutdown := func(ctx context.Context) error {
-		if before != nil {
-			if err := before(ctx); err != nil {
-				return err
-			}
-		}
-		return server.Shutdown(ctx)
-	}
-	// Operators and peers are served to the end; only callers are drained.
-	if connections > 0 {
-		s.Drain = shutdown
-	} else {
-		s.Stop = func(ctx context.Context) error {
-			if err := server.Shutdown(ctx); err != nil {
-				return server.Close()
-			}
-			return nil
-		}
-		return
-	}
-	s.Stop = func(context.Context) error { return server.Close() }
-}
-
-// loop returns a start function that runs f in the background until the
-// instance stops.
-func (n *Instance) loop(f func(context.Context)) func(context.Context) error {
-	return func(context.Context) error {
-		n.running.Go(func() { f(n.loopCtx) })
-		return nil
-	}
-}
-
-func (n *Instance) endLoops(context.Context) error {
-	n.stopLoops()
-	n.running.Wait()
-	return nil
-}
-
 func (n *Instance) declarations() *declare.Set {
 	if s := n.holder.Current(); s != nil {
 		return s.Set()
--- a/node/orders.go
+++ b/node/orders.go
@@ -10,6 +10,7 @@
 	"go.uber.org/zap"
 
 	"chervilpath/core/declare"
+	"chervilpath/core/kernel"
 	"chervilpath/core/lease"
 	"chervilpath/core/place"
 	"chervilpath/io/endpoint"
@@ -55,6 +56,31 @@
 	}
 }
 
+// ordersService runs the loop that gives orders. Its drain ends the loop before
+// it releases the leases, so that no order is in flight then.
+func (n *Instance) ordersService() kernel.Service {
+	o := newOrders(n)
+	ctx, cancel := context.WithCancel(n.loopCtx)
+	done := make(chan struct{})
+	return kernel.Service{
+		Name:  OrdersService,
+		Needs: []string{PlatformService, StagesService, MembersService, DeclarationsService},
+		Start: func(context.Context) error {
+			n.running.Go(func() {
+				defer close(done)
+				o.run(ctx)
+			})
+			return nil
+		},
+		Drain: func(drainCtx context.Context) error {
+			cancel()
+			<-done
+			o.release(drainCtx)
+			return nil
+		},
+	}
+}
+
 // run steps the leases and brings engines to what they are to have loaded. It
 // reads their state again and again, so that an order that came late from an earlier
 // holder is put right also at an engine that ignores fencing numbers.
