--- a/demo/chaos.go
+++ b/demo/chaos.go
@@ -63,7 +63,7 @@
 	}},
 	{"endpoint truncates answers", 2, func(c *chaos, _ context.Context) string { return c.endpoint(standin.ServerFaults{Truncate: true}) }},
 	{"endpoint leaves", 2, func(c *chaos, _ context.Context) string { return c.leave() }},
-	{"entry instance cut off", 3, func(c *chaos, _ context.Context) string { return c.cut() }},
+	{"entry instances apart", 3, func(c *chaos, _ context.Context) string { return c.cut() }},
 	{"entry instance crashes", 3, func(c *chaos, ctx context.Context) string { return c.crash(ctx) }},
 	{"entry instance stops", 3, func(c *chaos, ctx context.Context) string { return c.stop(ctx) }},
 }
@@ -142,17 +142,17 @@
 	return name
 }
 
-// cut keeps an instance apart from its peers.
+// cut keeps some instances apart from the others.
 func (c *chaos) cut() string {
-	c.deployment.mu.Lock()
-	defer c.deployment.mu.Unlock()
-	e := c.deployment.entries[c.rng.IntN(len(c.deployment.entries))]
-	if e.gone {
-		return "none"
+	var group []int
+	for i := range c.deployment.Size() {
+		if c.rng.IntN(2) == 0 {
+			group = append(group, i)
+		}
 	}
-	e.Cut(true)
-	c.healing = append(c.healing, func() { e.Cut(false) })
-	return e.Name()
+	c.deployment.KeepApart(group)
+	c.healing = append(c.healing, c.deployment.Join)
+	return fmt.Sprint(group)
 }
 
 // replaceable returns the instances that serve, if one of them can be spared.
--- a/demo/remote.go
+++ b/demo/remote.go
@@ -127,8 +127,35 @@
 	return out
 }
 
-// CutEntry keeps an instance apart from its peers, or ends that.
-func (d *Deployment) CutEntry(i int, cut bool) { d.entries[i].Cut(cut) }
+// KeepApart lets no instance of one group and none of the others call each other.
+func (d *Deployment) KeepApart(group []int) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	var inside, outside []string
+	for i, e := range d.entries {
+		if slices.Contains(group, i) {
+			inside = append(inside, e.peer)
+		} else {
+			outside = append(outside, e.peer)
+		}
+	}
+	for i, e := range d.entries {
+		if slices.Contains(group, i) {
+			e.Apart(outside)
+		} else {
+			e.Apart(inside)
+		}
+	}
+}
+
+// Join lets all instances call each other again.
+func (d *Deployment) Join() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, e := range d.entries {
+		e.Apart(nil)
+	}
+}
 
 // PlatformURL returns where the platform's stand-in listens.
 func (d *Deployment) PlatformURL() string { return "http://" + d.platformAddress }
@@ -137,7 +164,11 @@
 func (d *Deployment) OperatorAddress(i int) string { return d.entries[i].OperatorAddress() }
 
 // Size returns the number of entry instances, gone ones included.
-func (d *Deployment) Size() int { return len(d.entries) }
+func (d *Deployment) Size() int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return len(d.entries)
+}
 
 // SetModels changes what an engine has loaded behind the system's back.
 func (d *Deployment) SetModels(engine string, models []string) {
--- a/node/node.go
+++ b/node/node.go
@@ -35,7 +35,7 @@
 	"chervilpath/io/platform"
 )
 
-var errCut = errors.New("the instance is cut off from its peers")
+var errCut = errors.New("the instance is kept apart from this peer")
 
 // Instance is one entry instance. Use New; the kernel starts and stops it.
 type Instance struct {
@@ -59,8 +59,9 @@
 
 	servers  []*http.Server
 	draining atomic.Bool
-	// cut is set while a demo keeps the instance apart from its peers.
-	cut    atomic.Bool
+	// apart holds the addresses of peers from which a demo keeps the instance
+	// apart.
+	apart  atomic.Pointer[map[string]bool]
 	behind chan behind
 
 	// loops ends the background loops; running counts them.
@@ -113,7 +114,7 @@
 	t.IdleConnTimeout = peerIdle
 	dial := t.DialContext
 	t.DialContext = func(ctx context.Context, network, address string) (net.Conn, error) {
-		if n.cut.Load() {
+		if apart := n.apart.Load(); apart != nil && (*apart)[address] {
 			return nil, errCut
 		}
 		return dial(ctx, network, address)
@@ -221,23 +222,18 @@
 
 func (n *Instance) noteServing(serving int) { n.runner.SetInstances(serving) }
 
-// Cut keeps the instance apart from its peers, or ends that. Callers, endpoints
-// and the platform still reach it. It is for demos and tests.
-func (n *Instance) Cut(cut bool) {
-	n.cut.Store(cut)
+// Apart lets the instance call none of the peers at the given addresses, or all
+// again if there are none. Two instances are apart if each keeps from the other.
+// Callers, endpoints and the platform still reach it. It is for demos and tests.
+func (n *Instance) Apart(addresses []string) {
+	apart := make(map[string]bool, len(addresses))
+	for _, a := range addresses {
+		apart[a] = true
+	}
+	n.apart.Store(&apart)
 	n.clients.CloseIdle()
 }
 
-// unlessCut breaks the connections of peers while the instance is cut off.
-func (n *Instance) unlessCut(h http.Handler) http.Handler {
-	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if n.cut.Load() {
-			panic(http.ErrAbortHandler)
-		}
-		h.ServeHTTP(w, r)
-	})
-}
-
 // Crash ends the instance as the loss of its process would: connections break
 // and nothing is handed over or stored. It is for demos and tests.
 func (n *Instance) Crash() {
--- a/node/services.go
+++ b/node/services.go
@@ -89,7 +89,7 @@
 	}
 	s := kernel.Service{Name: PeerService, Needs: []string{PlatformService}, Value: server}
 	return n.serve(s, listener{
-		address: n.cfg.PeerAddress(), handler: n.unlessCut(server.Handler(n.cfg.Secret())), secure: secure.peerServer,
+		address: n.cfg.PeerAddress(), handler: server.Handler(n.cfg.Secret()), secure: secure.peerServer,
 	})
 }
 
--- a/scenario/scenario_test.go
+++ b/scenario/scenario_test.go
@@ -75,9 +75,9 @@
 	// stop N: drain and stop an instance; replace: start another one.
 	"stop":    stop,
 	"replace": replace,
-	// cut N: keep an instance apart from its peers; join N: end that.
-	"cut":  cut,
-	"join": join,
+	// apart N...: keep these instances apart from the others; join: end that.
+	"apart": apart,
+	"join":  join,
 	// list ENDPOINT STATE: change the platform's list of instances.
 	"list": list,
 	// publish FILE: put a file in force; in-force: wait until it is everywhere.
@@ -274,13 +274,15 @@
 	ts.Check(w.deployment.AddEntry(ctx))
 }
 
-func cut(ts *testscript.TestScript, w *world, args []string) {
-	w.deployment.CutEntry(number(ts, args[0]), true)
+func apart(ts *testscript.TestScript, w *world, args []string) {
+	var group []int
+	for _, a := range args {
+		group = append(group, number(ts, a))
+	}
+	w.deployment.KeepApart(group)
 }
 
-func join(ts *testscript.TestScript, w *world, args []string) {
-	w.deployment.CutEntry(number(ts, args[0]), false)
-}
+func join(_ *testscript.TestScript, w *world, _ []string) { w.deployment.Join() }
 
 func list(ts *testscript.TestScript, w *world, args []string) {
 	w.deployment.SetEndpointState(args[0], args[1])
