--- a/core/balance/balance.go
+++ b/core/balance/balance.go
@@ -278,16 +278,17 @@
 	return false
 }
 
-// NextProbe returns when the first endpoint that is ejected or said it is full
-// may be called, or the zero time if there is none.
-func (g *Group) NextProbe() time.Time {
+// NextProbe returns when, after now, the first endpoint that is ejected or said
+// it is full may be called, or the zero time if there is none. What is due
+// already waits for the end of a call, not for a time.
+func (g *Group) NextProbe(now time.Time) time.Time {
 	var first time.Time
 	for _, m := range g.members {
 		at := m.fullUntil
 		if m.ejections > 0 {
 			at = m.ejectedUntil
 		}
-		if !at.IsZero() && !m.leaving && (first.IsZero() || at.Before(first)) {
+		if at.After(now) && !m.leaving && (first.IsZero() || at.Before(first)) {
 			first = at
 		}
 	}
--- a/core/balance/balance_test.go
+++ b/core/balance/balance_test.go
@@ -175,8 +175,12 @@
 	if calls < 5 || calls > 20 {
 		t.Errorf("an endpoint that says it is full had %d calls in 10s", calls)
 	}
-	if next := g.NextProbe(); next.Before(start) || next.After(now.Add(time.Second)) {
-		t.Errorf("NextProbe() = %v", next)
+	call(g, now, 0, 0, balance.Full)
+	if next := g.NextProbe(now); !next.After(now) || next.After(now.Add(time.Second)) {
+		t.Errorf("NextProbe() = %v after %v", next, now)
+	}
+	if next := g.NextProbe(now.Add(time.Minute)); !next.IsZero() {
+		t.Errorf("NextProbe() of what is due already = %v, want none: a stage would ask again and again", next)
 	}
 }
 
--- a/core/stage/stage.go
+++ b/core/stage/stage.go
@@ -108,7 +108,7 @@
 	cost = s.est.Cost(asked)
 	capacity := s.group.Capacity()
 	if capacity == 0 && !s.group.Usable(now) {
-		return 0, 0, cost, fault.Errorf(fault.EndpointUnavailable, "no endpoint of the stage answers; the next probe is due %v from now", s.group.NextProbe().Sub(now)).At(s.decl.Name())
+		return 0, 0, cost, fault.Errorf(fault.EndpointUnavailable, "no endpoint of the stage answers; the next probe is due %v from now", s.group.NextProbe(now).Sub(now)).At(s.decl.Name())
 	}
 	if capacity > 0 {
 		wait = s.queue.Wait(org.Name(), org.Share(), s.rate(capacity, cost))
@@ -275,7 +275,7 @@
 
 // probeLater dispatches again when the next probe is due.
 func (s *Stage) probeLater(now time.Time) {
-	at := s.group.NextProbe()
+	at := s.group.NextProbe(now)
 	if s.probing || at.IsZero() {
 		return
 	}
