--- a/core/pipeline/runner.go
+++ b/core/pipeline/runner.go
@@ -1,6 +1,7 @@
 package pipeline
 
 import (
+	"cmp"
 	"context"
 	"math/rand/v2"
 	"slices"
@@ -126,12 +127,7 @@
 	for _, s := range r.stages {
 		out = append(out, s.Status(now))
 	}
-	slices.SortFunc(out, func(a, b stage.Status) int {
-		if a.Name < b.Name {
-			return -1
-		}
-		return 1
-	})
+	slices.SortFunc(out, func(a, b stage.Status) int { return cmp.Compare(a.Name, b.Name) })
 	return out
 }
 
--- a/core/pipeline/types.go
+++ b/core/pipeline/types.go
@@ -177,9 +177,6 @@
 // String returns the class's name in reports.
 func (w Waste) String() string { return wasteNames[w] }
 
-// Wastes returns every class of cost in order.
-func Wastes() []Waste { return []Waste{Useful, Failed, Hedged, Cancelled, Late} }
-
 // Error returns the cause's message.
 func (e *CallError) Error() string { return e.Err.Error() }
 
--- a/io/caller/caller.go
+++ b/io/caller/caller.go
@@ -130,8 +130,10 @@
 		r      *http.Request
 		id     string
 		began  time.Time
-		org    *declare.Organisation
-		kind   *declare.Kind
+		// set is the declarations in force when the request came.
+		set  *declare.Set
+		org  *declare.Organisation
+		kind *declare.Kind
 		// deadline is the end of the request and limit the time it was given.
 		deadline time.Time
 		limit    time.Duration
@@ -217,7 +219,7 @@
 		return err
 	}
 	name := c.r.PathValue("kind")
-	kind, ok := c.server.seams.Declarations().Kind(name)
+	kind, ok := c.set.Kind(name)
 	if !ok {
 		return fault.Errorf(fault.NotFound, "the kind %q is not declared", name)
 	}
@@ -238,8 +240,8 @@
 }
 
 func (c *call) authenticate() error {
-	set := c.server.seams.Declarations()
-	if set == nil {
+	c.set = c.server.seams.Declarations()
+	if c.set == nil {
 		return fault.Errorf(fault.Draining, "the instance has no declarations yet")
 	}
 	key, ok := strings.CutPrefix(c.r.Header.Get("Authorization"), "Bearer ")
@@ -247,7 +249,7 @@
 		c.w.Header().Set("WWW-Authenticate", "Bearer")
 		return fault.Errorf(fault.Unauthenticated, "the Authorization header is missing; send Bearer and your organisation's key")
 	}
-	org, ok := set.Authenticate(strings.TrimSpace(key))
+	org, ok := c.set.Authenticate(strings.TrimSpace(key))
 	if !ok {
 		c.w.Header().Set("WWW-Authenticate", "Bearer")
 		return fault.Errorf(fault.Unauthenticated, "the key belongs to no organisation")
--- a/node/status.go
+++ b/node/status.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"cmp"
 	"slices"
 	"sync"
 	"time"
@@ -69,12 +70,7 @@
 	for kind, t := range sums {
 		out = append(out, status.Attainment{Kind: kind, Requests: t.requests, Attained: float64(t.attained) / float64(t.requests)})
 	}
-	slices.SortFunc(out, func(a, b status.Attainment) int {
-		if a.Kind < b.Kind {
-			return -1
-		}
-		return 1
-	})
+	slices.SortFunc(out, func(a, b status.Attainment) int { return cmp.Compare(a.Kind, b.Kind) })
 	return out
 }
 
