--- a/cmd/entry.go
+++ b/cmd/entry.go
@@ -3,17 +3,22 @@
 import (
 	"context"
 	"errors"
+	"fmt"
+	"os"
 
 	"go.uber.org/zap"
 
 	"chervilpath/core/kernel"
 	"chervilpath/core/settings"
+	"chervilpath/edge"
+	"chervilpath/io/lines"
 	"chervilpath/node"
+	"chervilpath/platform"
 )
 
 type entryCommand struct {
 	*program
-	Settings string `long:"settings" value-name:"FILE" required:"yes" description:"Settings of the instance, see docs/SETTINGS.md"`
+	Settings string `long:"settings" value-name:"FILE" description:"Settings of the instance, see docs/SETTINGS.md; by default the file that the platform names"`
 }
 
 func (p *program) newEntry() subcommand {
@@ -31,7 +36,18 @@
 
 // Execute implements flags.Commander.
 func (c *entryCommand) Execute([]string) error {
-	cfg, err := settings.ReadEntry(c.Settings)
+	file := c.Settings
+	if file == "" {
+		file = os.Getenv(platform.SettingsVariable)
+	}
+	data, err := os.ReadFile(file)
+	if err != nil {
+		return &exitError{exitInvalid, fmt.Errorf("reading settings; give --settings or set %s: %w", platform.SettingsVariable, err)}
+	}
+	if settings.IsSite(data) {
+		return c.runSite(file, data)
+	}
+	cfg, err := settings.ParseEntry(file, data, os.ReadFile)
 	if err != nil {
 		return &exitError{exitInvalid, err}
 	}
@@ -53,3 +69,34 @@
 	defer cancel()
 	return errors.Join(k.Drain(ctx), k.Stop(context.Background()))
 }
+
+// runSite serves the callers of the users' platform.
+func (c *entryCommand) runSite(file string, data []byte) error {
+	cfg, err := settings.ParseSite(file, data)
+	if err != nil {
+		return &exitError{exitInvalid, err}
+	}
+	out := lines.New(c.out)
+	log, err := newLogger(out, cfg.LogLevel())
+	if err != nil {
+		return err
+	}
+	k := kernel.New()
+	n, err := edge.New(k, cfg, log)
+	if err != nil {
+		return err
+	}
+	if err := k.Start(c.ctx); err != nil {
+		return err
+	}
+	log.Info("instance started", zap.String("instance", cfg.Name()), zap.String("callers", cfg.CallerAddress()))
+	<-c.ctx.Done()
+	c.endSignals()
+	ctx, cancel := context.WithTimeout(context.Background(), n.StopTimeout())
+	defer cancel()
+	err = errors.Join(k.Drain(ctx), k.Stop(context.Background()))
+	log.Info("instance stopped", zap.String("instance", cfg.Name()), zap.Error(err))
+	out.Close()
+	<-out.Done()
+	return err
+}
--- a/core/fault/fault.go
+++ b/core/fault/fault.go
@@ -37,6 +37,7 @@
 	Draining
 	StoreUnavailable
 	Conflict
+	InputGone
 	kinds
 )
 
@@ -97,6 +98,7 @@
 		Draining:            {"draining", 503, twirp.Unavailable, zapcore.InfoLevel, RanNo, true},
 		StoreUnavailable:    {"storeUnavailable", 503, twirp.Unavailable, zapcore.WarnLevel, RanUnknown, true},
 		Conflict:            {"conflict", 409, twirp.AlreadyExists, zapcore.InfoLevel, RanNo, false},
+		InputGone:           {"inputGone", 503, twirp.FailedPrecondition, zapcore.InfoLevel, RanNo, true},
 	}
 
 	ranNames = [...]string{RanUnknown: "unknown", RanNo: "no", RanYes: "yes"}
--- /dev/null
+++ b/core/relay/stages.go
@@ -0,0 +1,169 @@
+package relay
+
+import (
+	"context"
+	"slices"
+	"strconv"
+	"sync"
+	"time"
+
+	"chervilpath/core/fault"
+)
+
+// stageRun is the stages of one request while they are done.
+type stageRun struct {
+	run  *run
+	zone string
+	// handles holds the results of each stage, and done is closed when they
+	// are there or the stages were given up.
+	handles [][]string
+	done    []chan struct{}
+	cancel  context.CancelFunc
+
+	mu  sync.Mutex
+	err error
+}
+
+// doStages does the stages of a request and returns the handles that an engine
+// in the zone needs.
+func (u *run) doStages(ctx context.Context, zone string) ([]string, error) {
+	total := 0
+	for _, n := range u.req.Pieces {
+		total += n
+	}
+	if total == 0 {
+		return nil, nil
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	n := len(u.route.Stages)
+	s := &stageRun{run: u, zone: zone, handles: make([][]string, n), done: make([]chan struct{}, n), cancel: cancel}
+	for i := range s.done {
+		s.done[i] = make(chan struct{})
+	}
+	var wg sync.WaitGroup
+	for i := range n {
+		wg.Go(func() {
+			defer close(s.done[i])
+			s.one(ctx, i)
+		})
+	}
+	wg.Wait()
+	if s.err != nil {
+		for i, handles := range s.handles {
+			u.relay.deps.Free(u.route.Stages[i].Service, handles)
+		}
+		return nil, s.err
+	}
+	return s.inputs(), nil
+}
+
+// one does the stage with the given index once those before it are done.
+func (s *stageRun) one(ctx context.Context, i int) {
+	u := s.run
+	decl := u.route.Stages[i]
+	var inputs []string
+	for _, before := range decl.After {
+		<-s.done[before]
+		inputs = append(inputs, s.handles[before]...)
+	}
+	if u.req.Pieces[i] == 0 || ctx.Err() != nil {
+		return
+	}
+	w := Work{
+		Service: decl.Service, Request: u.req.ID, Stage: i, Class: u.route.Name + "/" + strconv.Itoa(i),
+		Inputs: inputs, Pieces: u.req.Pieces[i], Bytes: decl.Bytes, Zone: s.zone,
+		Due: u.aim.Sub(u.now()) - s.after(i), Left: u.left() - s.after(i),
+	}
+	if len(inputs) == 0 {
+		w.Key = u.req.PieceKey
+	}
+	handles, err := u.relay.deps.Work(ctx, w)
+	if err != nil {
+		s.fail(i, err)
+		return
+	}
+	s.mu.Lock()
+	s.handles[i] = handles
+	s.mu.Unlock()
+	s.freeUsed(i)
+}
+
+// fail gives all stages up.
+func (s *stageRun) fail(i int, err error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.err == nil {
+		s.err = fault.From(err).At(s.run.route.Stages[i].Service)
+	}
+	s.cancel()
+}
+
+// after returns the time that is needed after a stage until the first event.
+func (s *stageRun) after(i int) time.Duration {
+	u := s.run
+	longest := time.Duration(0)
+	for j := i + 1; j < len(u.route.Stages); j++ {
+		for _, a := range u.route.Stages[j].After {
+			if a != i || u.req.Pieces[j] == 0 {
+				continue
+			}
+			longest = max(longest, s.takes(j)+s.after(j))
+		}
+	}
+	if longest > 0 {
+		return longest
+	}
+	return u.expectFirst()
+}
+
+// takes returns the time of a call with the pieces of one request.
+func (s *stageRun) takes(j int) time.Duration {
+	u := s.run
+	svc, ok := u.table.Service(u.route.Stages[j].Service)
+	if !ok || svc.Pieces == nil {
+		return 0
+	}
+	return svc.Pieces.CallTime + time.Duration(u.req.Pieces[j])*svc.Pieces.ItemTime
+}
+
+// freeUsed gives up the results that only stage i needed.
+func (s *stageRun) freeUsed(i int) {
+	u := s.run
+	for _, before := range u.route.Stages[i].After {
+		others := false
+		for j, decl := range u.route.Stages {
+			for _, a := range decl.After {
+				others = others || a == before && j != i
+			}
+		}
+		if others {
+			continue
+		}
+		s.mu.Lock()
+		handles := s.handles[before]
+		s.handles[before] = nil
+		s.mu.Unlock()
+		u.relay.deps.Free(u.route.Stages[before].Service, handles)
+	}
+}
+
+// inputs returns the handles of the stages that no other follows, which are
+// held until the request no longer needs them.
+func (s *stageRun) inputs() []string {
+	u := s.run
+	var out []string
+	last := u.route.Last()
+	for i, handles := range s.handles {
+		if len(handles) == 0 {
+			continue
+		}
+		if !slices.Contains(last, i) {
+			u.relay.deps.Free(u.route.Stages[i].Service, handles)
+			continue
+		}
+		out = append(out, handles...)
+		u.hold(u.route.Stages[i].Service, handles)
+	}
+	return out
+}
--- /dev/null
+++ b/core/route/route.go
@@ -0,0 +1,247 @@
+// Package route owns the routes, services and organisations that are in force,
+// and the match of a request to a route.
+//
+// A Table is immutable: readers keep the one they took and a change replaces it
+// whole. The package reads no clock and must not decide where a request runs.
+package route
+
+import (
+	"cmp"
+	"crypto/sha256"
+	"fmt"
+	"net"
+	"slices"
+	"strings"
+	"time"
+)
+
+// Repeat says how often a request of a route may run.
+type Repeat uint8
+
+// The kinds of routes.
+const (
+	// NonIdempotent requests run at most once.
+	NonIdempotent Repeat = iota
+	// Idempotent requests may run more than once.
+	Idempotent
+	// Streaming answers are series of events; a stream runs at most once unless
+	// its route is resumable.
+	Streaming
+)
+
+type (
+	// Target is a service to which a part of a route's requests goes.
+	Target struct {
+		Service string
+		Weight  float64
+	}
+
+	// Stage is work that has to be done before a request runs.
+	Stage struct {
+		Service string
+		// After lists the indexes of the stages whose results it needs.
+		After []int
+		// Bytes is the approximate size of one result.
+		Bytes int64
+	}
+
+	// Route is one route of a host.
+	Route struct {
+		Name        string
+		Host        string
+		Prefix      string
+		Repeat      Repeat
+		Timeout     time.Duration
+		Aim         time.Duration
+		GapAim      time.Duration
+		Priority    int
+		Targets     []Target
+		MaxAttempts int
+		Stages      []Stage
+		// Public requests need no key.
+		Public    bool
+		Sticky    bool
+		Resumable bool
+	}
+
+	// Engine is what the servers of a service have if they are model engines.
+	Engine struct {
+		Slots int
+		// KVTokens is the memory of one engine in tokens.
+		KVTokens int
+		// ResultLife is how long a moved or backed up copy is held.
+		ResultLife time.Duration
+		Backups    bool
+		Moves      bool
+	}
+
+	// Pieces is what the servers of a service have if they work on stages.
+	Pieces struct {
+		Slots, Queue, Batch int
+		CallTime, ItemTime  time.Duration
+		Room                int64
+		ResultLife          time.Duration
+	}
+
+	// Service is a set of servers.
+	Service struct {
+		Name       string
+		HealthPath string
+		MaxConns   int
+		Engine     *Engine
+		Pieces     *Pieces
+	}
+
+	// Limits bound what a caller may send.
+	Limits struct {
+		HeaderBytes   int64
+		BodyBytes     int64
+		HeaderTimeout time.Duration
+		IdleTimeout   time.Duration
+	}
+
+	// Organisation is one organisation with its keys.
+	Organisation struct {
+		Name string
+		Keys []string
+		// Priority takes precedence over that of routes if HasPriority is set.
+		Priority    int
+		HasPriority bool
+	}
+
+	// Table is a checked, immutable configuration. Use New.
+	Table struct {
+		version       int64
+		routes        map[string][]*Route
+		services      map[string]*Service
+		organisations map[[sha256.Size]byte]*Organisation
+		keyed         bool
+		limits        Limits
+	}
+)
+
+// New returns the table of one version, or an error that names what is wrong.
+func New(version int64, routes []Route, services []Service, organisations []Organisation, limits Limits) (*Table, error) {
+	t := &Table{
+		version: version, limits: limits, keyed: len(organisations) > 0,
+		routes: make(map[string][]*Route), services: make(map[string]*Service, len(services)),
+		organisations: make(map[[sha256.Size]byte]*Organisation),
+	}
+	for i := range services {
+		t.services[services[i].Name] = &services[i]
+	}
+	for i := range routes {
+		r := &routes[i]
+		if err := t.check(r); err != nil {
+			return nil, fmt.Errorf("route %q: %w", r.Name, err)
+		}
+		host := strings.ToLower(r.Host)
+		t.routes[host] = append(t.routes[host], r)
+	}
+	for _, list := range t.routes {
+		slices.SortStableFunc(list, func(a, b *Route) int { return cmp.Compare(len(b.Prefix), len(a.Prefix)) })
+	}
+	for i := range organisations {
+		for _, key := range organisations[i].Keys {
+			t.organisations[sha256.Sum256([]byte(key))] = &organisations[i]
+		}
+	}
+	return t, nil
+}
+
+func (t *Table) check(r *Route) error {
+	if len(r.Targets) == 0 {
+		return fmt.Errorf("it has no service")
+	}
+	for i, s := range r.Stages {
+		if svc, ok := t.services[s.Service]; !ok || svc.Pieces == nil {
+			return fmt.Errorf("stage %d: service %q works on no stages", i, s.Service)
+		}
+		for _, a := range s.After {
+			if a < 0 || a >= i {
+				return fmt.Errorf("stage %d comes after stage %d, which is not an earlier one", i, a)
+			}
+		}
+	}
+	return nil
+}
+
+// Version returns the version of the configuration.
+func (t *Table) Version() int64 { return t.version }
+
+// Limits returns what bounds callers.
+func (t *Table) Limits() Limits { return t.limits }
+
+// Service returns the service with the given name.
+func (t *Table) Service(name string) (*Service, bool) {
+	s, ok := t.services[name]
+	return s, ok
+}
+
+// Services returns all services in no particular order.
+func (t *Table) Services() []*Service {
+	out := make([]*Service, 0, len(t.services))
+	for _, s := range t.services {
+		out = append(out, s)
+	}
+	return out
+}
+
+// Match returns the route of the host with the longest prefix that begins the
+// path, or nil.
+func (t *Table) Match(host, path string) *Route {
+	host = strings.ToLower(host)
+	list, ok := t.routes[host]
+	if !ok {
+		if h, _, err := net.SplitHostPort(host); err == nil {
+			list = t.routes[h]
+		}
+	}
+	for _, r := range list {
+		if strings.HasPrefix(path, r.Prefix) {
+			return r
+		}
+	}
+	return nil
+}
+
+// Keyed reports whether requests of routes that are not public need a key.
+func (t *Table) Keyed() bool { return t.keyed }
+
+// Authenticate returns the organisation to which a key belongs.
+func (t *Table) Authenticate(key string) (*Organisation, bool) {
+	o, ok := t.organisations[sha256.Sum256([]byte(key))]
+	return o, ok
+}
+
+// Choose returns the service for a request, by weight; draw is in [0, 1).
+func (r *Route) Choose(draw float64) string {
+	sum := 0.0
+	for _, t := range r.Targets {
+		sum += t.Weight
+	}
+	draw *= sum
+	for _, t := range r.Targets {
+		if draw < t.Weight {
+			return t.Service
+		}
+		draw -= t.Weight
+	}
+	return r.Targets[len(r.Targets)-1].Service
+}
+
+// MayRepeat reports whether a request of the route may run more than once.
+func (r *Route) MayRepeat() bool {
+	return r.Repeat == Idempotent || r.Repeat == Streaming && r.Resumable
+}
+
+// Last returns the indexes of the stages that no other stage follows.
+func (r *Route) Last() []int {
+	var out []int
+	for i := range r.Stages {
+		if !slices.ContainsFunc(r.Stages, func(s Stage) bool { return slices.Contains(s.After, i) }) {
+			out = append(out, i)
+		}
+	}
+	return out
+}
--- a/core/settings/settings.go
+++ b/core/settings/settings.go
@@ -122,20 +122,8 @@
 // ParseEntry reads the settings of an entry instance. The secret is read with
 // readFile, usually os.ReadFile.
 func ParseEntry(file string, data []byte, readFile func(string) ([]byte, error)) (Entry, error) {
-	blocks, problems := Table.Parse(file, data)
-	found := make(map[string]*option.Block)
-	for _, b := range blocks {
-		found[b.Kind()] = b
-	}
-	for _, s := range Table.Sections {
-		if found[s.Kind] != nil || len(problems) > 0 {
-			continue
-		}
-		b, missing := Table.Default(file, s.Kind)
-		problems = append(problems, missing...)
-		found[s.Kind] = b
-	}
-	if err := problems.Err(); err != nil {
+	found, err := parseAll(&Table, file, data)
+	if err != nil {
 		return Entry{}, err
 	}
 	if problems := checkTLS(found["tls"]); problems.Err() != nil {
@@ -162,6 +150,36 @@
 	return e, nil
 }
 
+// parseAll reads a file by its table and returns one block for each section.
+func parseAll(table *option.Table, file string, data []byte) (map[string]*option.Block, error) {
+	blocks, problems := table.Parse(file, data)
+	found := make(map[string]*option.Block)
+	for _, b := range blocks {
+		found[b.Kind()] = b
+	}
+	for _, s := range table.Sections {
+		if found[s.Kind] != nil || len(problems) > 0 {
+			continue
+		}
+		b, missing := table.Default(file, s.Kind)
+		problems = append(problems, missing...)
+		found[s.Kind] = b
+	}
+	return found, problems.Err()
+}
+
+// sectionsOf returns the names of the sections of a file.
+func sectionsOf(data []byte) []string {
+	var out []string
+	for line := range strings.Lines(string(data)) {
+		line = strings.TrimSpace(line)
+		if name, ok := strings.CutPrefix(line, "["); ok {
+			out = append(out, strings.TrimSuffix(name, "]"))
+		}
+	}
+	return out
+}
+
 // checkTLS reports keys that are of use only together.
 func checkTLS(b *option.Block) option.Problems {
 	var out option.Problems
--- /dev/null
+++ b/core/settings/site.go
@@ -0,0 +1,146 @@
+package settings
+
+import (
+	"fmt"
+	"os"
+	"time"
+
+	"chervilpath/core/option"
+)
+
+type (
+	// Site is the settings of an entry instance on the users' platform.
+	Site struct {
+		name            string
+		failureDomain   string
+		callerAddress   string
+		peerAddress     string
+		operatorAddress string
+		seeds           []string
+		logLevel        string
+		store           string
+		bounds          Bounds
+	}
+
+	// Bounds are the times and rates that the platform's rules state.
+	Bounds struct {
+		// Contact is how long a machine has to be undisturbed for rules to hold.
+		Contact time.Duration
+		// Drain is the time after which a leaving server gets nothing more.
+		Drain time.Duration
+		// Config is the time in which a configuration is in force.
+		Config time.Duration
+		// Grace is the time from SIGTERM to SIGKILL.
+		Grace time.Duration
+		// RepeatRatio and RepeatSlack bound the repeats in RepeatWindow, for all
+		// instances together.
+		RepeatRatio, RepeatSlack float64
+		RepeatWindow             time.Duration
+	}
+)
+
+// SiteTable is the table of every setting of an instance on the platform.
+var SiteTable = option.Table{
+	Title: "Settings of an entry instance on the users' platform",
+	Doc:   "The settings file of one process, which the platform makes from `platform/entry.ini.tmpl`. A file with the section `site` is read by this table.",
+	Sections: []option.Section{
+		{
+			Kind: "site",
+			Doc:  "Who the instance is and where it listens.",
+			Options: []option.Option{
+				{Key: "name", Kind: option.Name, Required: true, Doc: "Name of the instance, unique in the fleet."},
+				{Key: "failureDomain", Kind: option.Name, Required: true, Doc: "Failure domain in which the instance runs."},
+				{Key: "callerAddress", Kind: option.Address, Required: true, Doc: "Where callers are served."},
+				{Key: "peerAddress", Kind: option.Address, Required: true, Doc: "Where other instances are served."},
+				{Key: "operatorAddress", Kind: option.Address, Required: true, Doc: "Where readiness, health, metrics and status are served."},
+				{Key: "seeds", Kind: option.TextList, Doc: "Peer addresses of some other instances, by which all are found."},
+				{Key: "logLevel", Kind: option.Choice, Choices: []string{"debug", "info", "warn", "error"}, Default: "info", Doc: "Lowest level that is logged."},
+			},
+		},
+		{
+			Kind: "store",
+			Doc:  "The platform's object store.",
+			Options: []option.Option{
+				{Key: "address", Kind: option.Address, Required: true, Doc: "Where the store listens."},
+			},
+		},
+		{
+			Kind: "bounds",
+			Doc:  "The times and rates of the platform's rules.",
+			Options: []option.Option{
+				{Key: "contact", Kind: option.Duration, Default: "3s", Min: 0.1, Max: 60, Doc: "How long a machine has to be undisturbed for rules to hold."},
+				{Key: "drain", Kind: option.Duration, Default: "2s", Min: 0.1, Max: 600, Doc: "Time after which a leaving server gets nothing more."},
+				{Key: "config", Kind: option.Duration, Default: "2s", Min: 0.1, Max: 600, Doc: "Time in which a configuration is in force."},
+				{Key: "grace", Kind: option.Duration, Default: "8s", Min: 0.5, Max: 3600, Doc: "Time from SIGTERM until the process is killed."},
+				{Key: "repeatRatio", Kind: option.Number, Default: "0.1", Min: 0, Max: 10, Doc: "Repeats that all instances together may send to a service, as a part of its requests."},
+				{Key: "repeatWindow", Kind: option.Duration, Default: "10s", Min: 0.1, Max: 600, Doc: "Time over which repeats are counted."},
+				{Key: "repeatSlack", Kind: option.Number, Default: "10", Min: 0, Max: 100000, Doc: "Repeats that are allowed in a window beside that part."},
+			},
+		},
+	},
+}
+
+// IsSite reports whether a settings file is of an instance on the platform.
+func IsSite(data []byte) bool {
+	for _, b := range sectionsOf(data) {
+		if b == "site" {
+			return true
+		}
+	}
+	return false
+}
+
+// ReadSite reads the settings file of an instance on the platform.
+func ReadSite(file string) (Site, error) {
+	data, err := os.ReadFile(file)
+	if err != nil {
+		return Site{}, fmt.Errorf("reading settings: %w", err)
+	}
+	return ParseSite(file, data)
+}
+
+// ParseSite reads the settings of an instance on the platform.
+func ParseSite(file string, data []byte) (Site, error) {
+	found, err := parseAll(&SiteTable, file, data)
+	if err != nil {
+		return Site{}, err
+	}
+	site, bounds := found["site"], found["bounds"]
+	return Site{
+		name: site.Text("name"), failureDomain: site.Text("failureDomain"),
+		callerAddress: site.Text("callerAddress"), peerAddress: site.Text("peerAddress"), operatorAddress: site.Text("operatorAddress"),
+		seeds: site.List("seeds"), logLevel: site.Text("logLevel"), store: found["store"].Text("address"),
+		bounds: Bounds{
+			Contact: bounds.Duration("contact"), Drain: bounds.Duration("drain"), Config: bounds.Duration("config"),
+			Grace: bounds.Duration("grace"), RepeatRatio: bounds.Number("repeatRatio"),
+			RepeatSlack: bounds.Number("repeatSlack"), RepeatWindow: bounds.Duration("repeatWindow"),
+		},
+	}, nil
+}
+
+// Name returns the instance's name.
+func (s Site) Name() string { return s.name }
+
+// FailureDomain returns the failure domain in which the instance runs.
+func (s Site) FailureDomain() string { return s.failureDomain }
+
+// CallerAddress returns where callers are served.
+func (s Site) CallerAddress() string { return s.callerAddress }
+
+// PeerAddress returns where other instances are served.
+func (s Site) PeerAddress() string { return s.peerAddress }
+
+// OperatorAddress returns where operators and the platform are served.
+func (s Site) OperatorAddress() string { return s.operatorAddress }
+
+// Seeds returns the peer addresses by which other instances are found.
+func (s Site) Seeds() []string { return s.seeds }
+
+// LogLevel returns the lowest level that is logged.
+func (s Site) LogLevel() string { return s.logLevel }
+
+// Store returns the address of the platform's store.
+func (s Site) Store() string { return s.store }
+
+// Bounds returns the times and rates of the platform's rules.
+func (s Site) Bounds() Bounds { return s.bounds }
--- a/core/stage/stage.go
+++ b/core/stage/stage.go
@@ -9,6 +9,7 @@
 	"context"
 	"math"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -400,3 +401,16 @@
 }
 
 func milliseconds(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
+
+// Indexes returns the places of the named endpoints for Query.Exclude.
+func (s *Stage) Indexes(names []string) []int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var out []int
+	for i := range s.group.Len() {
+		if slices.Contains(names, s.group.Endpoint(i).Name()) {
+			out = append(out, i)
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/edge/follow.go
@@ -0,0 +1,241 @@
+package edge
+
+import (
+	"context"
+	"errors"
+	mathrand "math/rand/v2"
+	"time"
+
+	"go.uber.org/zap"
+
+	"chervilpath/core/fleet"
+	"chervilpath/io/peer"
+	"chervilpath/platform"
+)
+
+const (
+	// watchFor bounds one watch, so that a store that stays silent is noticed
+	// within the bound on a configuration.
+	watchFor = time.Second
+
+	// watchGrace is how much longer than that an answer may take, and readGrace
+	// how long one to a call that does not wait.
+	watchGrace = 600 * time.Millisecond
+	readGrace  = 1500 * time.Millisecond
+
+	// A failed call is made again after minBackoff, doubled each time in a row,
+	// up to maxBackoff, half of it at random.
+	minBackoff = 50 * time.Millisecond
+	maxBackoff = 400 * time.Millisecond
+
+	// followEvery is the time between two questions to a peer for news.
+	followEvery = 400 * time.Millisecond
+)
+
+// follower follows one kind of object in the store.
+type follower struct {
+	instance *Instance
+	kind     string
+	// read reads everything and returns the revision to watch from.
+	read func(ctx context.Context) (int64, error)
+	// watch takes changes and returns the revision to go on from.
+	watch func(ctx context.Context, after int64) (int64, error)
+}
+
+func (n *Instance) followConfig(ctx context.Context) {
+	f := &follower{instance: n, kind: "configuration", read: n.readConfig, watch: n.watchConfig}
+	f.run(ctx)
+}
+
+func (n *Instance) followServers(ctx context.Context) {
+	f := &follower{instance: n, kind: "servers", read: n.readServers, watch: n.watchServers}
+	f.run(ctx)
+}
+
+// run follows the kind until ctx is done.
+func (f *follower) run(ctx context.Context) {
+	revision, failures := int64(0), 0
+	lost := false
+	for ctx.Err() == nil {
+		var err error
+		if revision == 0 {
+			revision, err = f.bounded(ctx, readGrace, func(ctx context.Context) (int64, error) { return f.read(ctx) })
+		} else {
+			after := revision
+			revision, err = f.bounded(ctx, watchFor+watchGrace, func(ctx context.Context) (int64, error) { return f.watch(ctx, after) })
+			if err != nil {
+				revision = after
+			}
+		}
+		if errors.Is(err, platform.ErrHistory) || errors.Is(err, platform.ErrAbsent) {
+			f.instance.beliefs.storeAnswered()
+			f.instance.log.Info("store read again", zap.String("kind", f.kind), zap.Error(err))
+			revision, err = 0, nil
+			f.sleep(ctx, minBackoff)
+			continue
+		}
+		if err == nil {
+			if lost {
+				f.instance.log.Info("store regained", zap.String("kind", f.kind))
+			}
+			failures, lost = 0, false
+			f.instance.beliefs.storeAnswered()
+			continue
+		}
+		if ctx.Err() != nil {
+			return
+		}
+		if !lost {
+			f.instance.log.Warn("store lost", zap.String("kind", f.kind), zap.Error(err))
+		}
+		lost = true
+		f.instance.metrics.storeFailures.Inc()
+		f.instance.beliefs.storeFailed()
+		f.sleep(ctx, min(maxBackoff, minBackoff<<min(failures, 8)))
+		failures++
+	}
+}
+
+func (f *follower) bounded(ctx context.Context, d time.Duration, call func(context.Context) (int64, error)) (int64, error) {
+	ctx, cancel := context.WithTimeout(ctx, d)
+	defer cancel()
+	f.instance.metrics.storeCalls.Inc()
+	return call(ctx)
+}
+
+func (f *follower) sleep(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d/2 + mathrand.N(d/2+1))
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-ctx.Done():
+	}
+}
+
+func (n *Instance) readConfig(ctx context.Context) (int64, error) {
+	objects, revision, err := n.store.ListConfig(ctx)
+	if err != nil {
+		return 0, err
+	}
+	for _, o := range objects {
+		n.takeConfig(o)
+	}
+	n.beliefs.confirm()
+	return revision, nil
+}
+
+func (n *Instance) watchConfig(ctx context.Context, after int64) (int64, error) {
+	changes, revision, err := n.store.WatchConfig(ctx, after, watchFor)
+	if err != nil {
+		return 0, err
+	}
+	for _, c := range changes {
+		if !c.Removed {
+			n.takeConfig(c.Object)
+		}
+	}
+	n.beliefs.confirm()
+	return max(after, revision), nil
+}
+
+func (n *Instance) takeConfig(o platform.Object) {
+	if platform.IsMain(o) {
+		n.beliefs.accept(o.Spec, "store")
+	}
+}
+
+func (n *Instance) readServers(ctx context.Context) (int64, error) {
+	objects, revision, err := n.store.ListServers(ctx)
+	if err != nil {
+		return 0, err
+	}
+	servers := make([]fleet.Server, 0, len(objects))
+	for _, o := range objects {
+		s, err := platform.Server(o)
+		if err != nil {
+			n.log.Warn("server entry refused", zap.Error(err))
+			continue
+		}
+		servers = append(servers, s)
+	}
+	n.beliefs.change(func(v *fleet.View, now time.Time) {
+		for _, id := range v.Replace(now, servers, revision) {
+			n.log.Info("server gone", zap.String("server", id), zap.String("from", "store"))
+		}
+	})
+	return revision, nil
+}
+
+func (n *Instance) watchServers(ctx context.Context, after int64) (int64, error) {
+	changes, revision, err := n.store.WatchServers(ctx, after, watchFor)
+	if err != nil {
+		return 0, err
+	}
+	n.beliefs.change(func(v *fleet.View, now time.Time) {
+		for _, id := range v.Expire(now) {
+			n.log.Info("server gone", zap.String("server", id), zap.String("from", "lapse"))
+		}
+		for _, c := range changes {
+			n.takeServer(v, now, c)
+		}
+		v.Advance(revision)
+	})
+	return max(after, revision), nil
+}
+
+func (n *Instance) takeServer(v *fleet.View, now time.Time, c platform.Change) {
+	if c.Removed {
+		if v.Remove(now, c.Object.Name) {
+			n.log.Info("server gone", zap.String("server", c.Object.Name), zap.String("from", "store"))
+		}
+		return
+	}
+	s, err := platform.Server(c.Object)
+	if err != nil {
+		n.log.Warn("server entry refused", zap.Error(err))
+		v.Remove(now, c.Object.Name)
+		return
+	}
+	if s.Draining {
+		n.log.Info("server leaving", zap.String("server", s.ID), zap.String("from", "store"))
+	}
+	v.Set(s)
+}
+
+// followPeers asks one peer after the other for news until ctx is done.
+func (n *Instance) followPeers(ctx context.Context) {
+	for ctx.Err() == nil {
+		t := time.NewTimer(followEvery/2 + mathrand.N(followEvery))
+		select {
+		case <-t.C:
+		case <-ctx.Done():
+			t.Stop()
+			return
+		}
+		for _, m := range n.members.Live(1) {
+			n.ask(ctx, m.Address)
+		}
+	}
+}
+
+// behind is called when a member has a higher version in force.
+func (n *Instance) behind(address string, _ int64) { go n.ask(n.loopCtx, address) }
+
+func (n *Instance) ask(ctx context.Context, address string) {
+	a := peer.Asked{ServersRevision: n.beliefs.revision(), Alone: n.beliefs.alone()}
+	if t := n.beliefs.table(); t != nil {
+		a.Version = t.Version()
+	}
+	news, err := n.clients.Follow(ctx, address, a)
+	if err != nil {
+		n.log.Debug("peer gave no news", zap.String("peer", address), zap.Error(err))
+		return
+	}
+	n.beliefs.hear(address, news)
+}
+
+func (b *beliefs) revision() int64 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.view.Revision()
+}
--- /dev/null
+++ b/io/front/front.go
@@ -0,0 +1,168 @@
+// Package front speaks to the callers of routes by HTTP/1.1.
+//
+// It owns the reading of requests, the writing of answers, and that an answer
+// which is not whole never looks so. It must not decide where a request goes:
+// core/relay does.
+package front
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"chervilpath/core/fault"
+	"chervilpath/core/relay"
+)
+
+type (
+	// Deps are what a Server uses.
+	Deps struct {
+		Now func() time.Time
+		// Read decodes a request whose body has been read.
+		Read func(r *http.Request, body []byte, arrived time.Time) (*relay.Request, error)
+		// Serve takes a request to its end.
+		Serve func(ctx context.Context, req *relay.Request, caller relay.Caller) (begun bool, err error)
+		// MaxBody returns the largest body that is taken, in bytes.
+		MaxBody func() int64
+		// Refuse writes when a caller may come back.
+		Refuse func(h http.Header, after time.Duration)
+		// Failed is called with each request that is answered with a fault.
+		Failed func(id string, err *fault.Error, status int)
+		// Done is called with the end of each request.
+		Done func(kind string, took time.Duration)
+	}
+
+	// Server answers callers. Use New.
+	Server struct {
+		deps    Deps
+		leaving atomic.Bool
+		active  atomic.Int64
+	}
+)
+
+// New returns a server for the callers of routes.
+func New(deps Deps) *Server { return &Server{deps: deps} }
+
+// Leave makes every answer end its connection, so that callers go elsewhere.
+func (s *Server) Leave() { s.leaving.Store(true) }
+
+// Active returns the number of requests in flight.
+func (s *Server) Active() int64 { return s.active.Load() }
+
+// ServeHTTP implements http.Handler. It takes every path: a mux would redirect
+// some of them.
+func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	s.active.Add(1)
+	defer s.active.Add(-1)
+	arrived := s.deps.Now()
+	if s.leaving.Load() {
+		w.Header().Set("Connection", "close")
+	}
+	body, err := s.readBody(w, r)
+	if err != nil {
+		s.fail(w, "", err)
+		return
+	}
+	req, err := s.deps.Read(r, body, arrived)
+	if err != nil {
+		s.fail(w, "", fault.Errorf(fault.BadRequest, "%w", err))
+		return
+	}
+	begun, err := s.deps.Serve(r.Context(), req, s.caller(w))
+	s.deps.Done(result(err), s.deps.Now().Sub(arrived))
+	if err == nil {
+		return
+	}
+	if begun || r.Context().Err() != nil {
+		// A connection that breaks off cannot be taken for a whole answer.
+		panic(http.ErrAbortHandler)
+	}
+	s.fail(w, req.ID, err)
+}
+
+func result(err error) string {
+	if err == nil {
+		return "answered"
+	}
+	return fault.From(err).Kind().String()
+}
+
+func (s *Server) readBody(w http.ResponseWriter, r *http.Request) ([]byte, error) {
+	if r.Body == nil || r.Body == http.NoBody {
+		return nil, nil
+	}
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, s.deps.MaxBody()))
+	var large *http.MaxBytesError
+	switch {
+	case errors.As(err, &large):
+		return nil, fault.Errorf(fault.TooLarge, "the body is larger than %d bytes", large.Limit)
+	case err != nil:
+		return nil, fault.Errorf(fault.BadRequest, "reading the body: %w", err)
+	}
+	return body, nil
+}
+
+func (s *Server) caller(w http.ResponseWriter) relay.Caller {
+	flush := http.NewResponseController(w)
+	return relay.Caller{
+		Answer: func(status int, header map[string][]string, body []byte) {
+			s.head(w, status, header)
+			_, _ = w.Write(body)
+		},
+		Begin: func(status int, header map[string][]string) {
+			s.head(w, status, header)
+			_ = flush.Flush()
+		},
+		Write: func(p []byte) error {
+			if _, err := w.Write(p); err != nil {
+				return err
+			}
+			return flush.Flush()
+		},
+	}
+}
+
+func (s *Server) head(w http.ResponseWriter, status int, header map[string][]string) {
+	h := w.Header()
+	for name, values := range header {
+		h[name] = values
+	}
+	if _, ok := header["Content-Type"]; !ok {
+		// A nil value keeps net/http from guessing one.
+		h["Content-Type"] = nil
+	}
+	if s.leaving.Load() {
+		h.Set("Connection", "close")
+	}
+	w.WriteHeader(status)
+}
+
+// fail answers with a fault. A status that promises that nothing ran is given
+// only with that proof.
+func (s *Server) fail(w http.ResponseWriter, id string, err error) {
+	e := fault.From(err)
+	status := e.Kind().Answer().HTTP
+	switch {
+	case promises(status) && e.Ran() != fault.RanNo:
+		status = http.StatusBadGateway
+	case status >= http.StatusInternalServerError && e.Ran() == fault.RanNo:
+		status = http.StatusServiceUnavailable
+	}
+	var refusal *relay.Refusal
+	if errors.As(err, &refusal) && refusal.RetryAfter > 0 {
+		s.deps.Refuse(w.Header(), refusal.RetryAfter)
+	}
+	s.deps.Failed(id, e, status)
+	http.Error(w, e.Kind().String(), status)
+}
+
+func promises(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	}
+	return false
+}
--- /dev/null
+++ b/io/lines/lines.go
@@ -0,0 +1,52 @@
+// Package lines writes log lines without ever holding up the one who logs.
+//
+// It owns a bounded queue before a writer; what does not fit is dropped and
+// counted. It must not look into the lines.
+package lines
+
+import (
+	"io"
+	"sync/atomic"
+)
+
+// maxWaiting is the most lines that wait to be written.
+const maxWaiting = 4096
+
+// Writer queues lines for another writer. Use New. It is safe for concurrent use.
+type Writer struct {
+	queue   chan []byte
+	dropped atomic.Int64
+	done    chan struct{}
+}
+
+// New returns a writer that writes to out in its own goroutine.
+func New(out io.Writer) *Writer {
+	w := &Writer{queue: make(chan []byte, maxWaiting), done: make(chan struct{})}
+	go func() {
+		defer close(w.done)
+		for line := range w.queue {
+			// A log that cannot be written has nowhere to say so.
+			_, _ = out.Write(line)
+		}
+	}()
+	return w
+}
+
+// Write implements io.Writer. It never waits.
+func (w *Writer) Write(line []byte) (int, error) {
+	select {
+	case w.queue <- append([]byte(nil), line...):
+	default:
+		w.dropped.Add(1)
+	}
+	return len(line), nil
+}
+
+// Dropped returns the number of lines that did not fit.
+func (w *Writer) Dropped() int64 { return w.dropped.Load() }
+
+// Close ends the writer after the lines that wait. Nothing may be written after.
+func (w *Writer) Close() { close(w.queue) }
+
+// Done is closed once all lines have been written after Close.
+func (w *Writer) Done() <-chan struct{} { return w.done }
--- a/io/peer/peer.go
+++ b/io/peer/peer.go
@@ -62,6 +62,9 @@
 		// HandedOver is called when another instance's keys were taken over.
 		HandedOver func(incarnations []string)
 		Now        func() time.Time
+		// Site serves what instances on the users' platform ask of each other,
+		// or is nil.
+		Site *Site
 	}
 
 	// countedConn counts the bytes of a connection.
@@ -191,13 +194,13 @@
 }
 
 // Handler returns the interface for peers. A request without the secret is
-// refused before it is read.
+// refused before it is read; there is none if the secret is "".
 func (s *Server) Handler(secret string) http.Handler {
 	h := peerpb.NewPeerServer(s)
 	mux := http.NewServeMux()
 	mux.HandleFunc(h.PathPrefix(), func(w http.ResponseWriter, r *http.Request) {
 		got := strings.TrimPrefix(r.Header.Get("Authorization"), bearer)
-		if subtle.ConstantTimeCompare([]byte(got), []byte(secret)) != 1 {
+		if secret != "" && subtle.ConstantTimeCompare([]byte(got), []byte(secret)) != 1 {
 			_ = twirp.WriteError(w, twirp.NewError(twirp.Unauthenticated, "the peer secret is missing or wrong"))
 			return
 		}
@@ -231,6 +234,9 @@
 
 // Serve implements peerpb.Peer.
 func (s *Server) Serve(ctx context.Context, req *peerpb.ServeRequest) (*peerpb.ServeReply, error) {
+	if s.Keeper == nil {
+		return nil, twirp.NewError(twirp.NotFound, "this process owns no keys")
+	}
 	owner := once.Owner{Incarnation: req.OwnerIncarnation, Address: req.OwnerAddress}
 	deadline := s.Now().Add(time.Duration(req.RemainingMillis) * time.Millisecond)
 	ctx, cancel := context.WithDeadline(ctx, deadline)
@@ -267,6 +273,9 @@
 
 // HandOver implements peerpb.Peer.
 func (s *Server) HandOver(_ context.Context, req *peerpb.HandOverRequest) (*peerpb.HandOverReply, error) {
+	if s.Keeper == nil {
+		return nil, twirp.NewError(twirp.NotFound, "this process owns no keys")
+	}
 	var records []once.Record
 	if err := json.Unmarshal(req.Records, &records); err != nil {
 		return nil, toTwirp(fault.Errorf(fault.BadRequest, "reading records: %w", err))
--- a/io/peer/peerpb/peer.twirp.go
+++ b/io/peer/peerpb/peer.twirp.go
@@ -53,6 +53,22 @@
 
 	// HandOver gives the keys of an instance that leaves to another one.
 	HandOver(context.Context, *HandOverRequest) (*HandOverReply, error)
+
+	// Follow returns the configuration and the servers that an instance knows,
+	// as far as they are newer than what the caller has.
+	Follow(context.Context, *FollowRequest) (*FollowReply, error)
+
+	// Work has pieces of a stage made by the owner of a service.
+	Work(context.Context, *WorkRequest) (*WorkReply, error)
+
+	// Free gives up results of a stage.
+	Free(context.Context, *FreeRequest) (*FreeReply, error)
+
+	// Place chooses a model engine for a request.
+	Place(context.Context, *PlaceRequest) (*PlaceReply, error)
+
+	// Settle ends the placement of a request.
+	Settle(context.Context, *SettleRequest) (*SettleReply, error)
 }
 
 // ====================
@@ -61,7 +77,7 @@
 
 type peerProtobufClient struct {
 	client      HTTPClient
-	urls        [7]string
+	urls        [12]string
 	interceptor twirp.Interceptor
 	opts        twirp.ClientOptions
 }
@@ -89,7 +105,7 @@
 	// Build method URLs: <baseURL>[<prefix>]/<package>.<Service>/<Method>
 	serviceURL := sanitizeBaseURL(baseURL)
 	serviceURL += baseServicePath(pathPrefix, "chervilpath.peer", "Peer")
-	urls := [7]string{
+	urls := [12]string{
 		serviceURL + "Ping",
 		serviceURL + "Probe",
 		serviceURL + "Sync",
@@ -97,6 +113,11 @@
 		serviceURL + "Root",
 		serviceURL + "Fragment",
 		serviceURL + "HandOver",
+		serviceURL + "Follow",
+		serviceURL + "Work",
+		serviceURL + "Free",
+		serviceURL + "Place",
+		serviceURL + "Settle",
 	}
 
 	return &peerProtobufClient{
@@ -429,13 +450,243 @@
 	return out, nil
 }
 
+func (c *peerProtobufClient) Follow(ctx context.Context, in *FollowRequest) (*FollowReply, error) {
+	ctx = ctxsetters.WithPackageName(ctx, "chervilpath.peer")
+	ctx = ctxsetters.WithServiceName(ctx, "Peer")
+	ctx = ctxsetters.WithMethodName(ctx, "Follow")
+	caller := c.callFollow
+	if c.interceptor != nil {
+		caller = func(ctx context.Context, req *FollowRequest) (*FollowReply, error) {
+			resp, err := c.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*FollowRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*FollowRequest) when calling interceptor")
+					}
+					return c.callFollow(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*FollowReply)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*FollowReply) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+	return caller(ctx, in)
+}
+
+func (c *peerProtobufClient) callFollow(ctx context.Context, in *FollowRequest) (*FollowReply, error) {
+	out := new(FollowReply)
+	ctx, err := doProtobufRequest(ctx, c.client, c.opts.Hooks, c.urls[7], in, out)
+	if err != nil {
+		twerr, ok := err.(twirp.Error)
+		if !ok {
+			twerr = twirp.InternalErrorWith(err)
+		}
+		callClientError(ctx, c.opts.Hooks, twerr)
+		return nil, err
+	}
+
+	callClientResponseReceived(ctx, c.opts.Hooks)
+
+	return out, nil
+}
+
+func (c *peerProtobufClient) Work(ctx context.Context, in *WorkRequest) (*WorkReply, error) {
+	ctx = ctxsetters.WithPackageName(ctx, "chervilpath.peer")
+	ctx = ctxsetters.WithServiceName(ctx, "Peer")
+	ctx = ctxsetters.WithMethodName(ctx, "Work")
+	caller := c.callWork
+	if c.interceptor != nil {
+		caller = func(ctx context.Context, req *WorkRequest) (*WorkReply, error) {
+			resp, err := c.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*WorkRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*WorkRequest) when calling interceptor")
+					}
+					return c.callWork(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*WorkReply)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*WorkReply) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+	return caller(ctx, in)
+}
+
+func (c *peerProtobufClient) callWork(ctx context.Context, in *WorkRequest) (*WorkReply, error) {
+	out := new(WorkReply)
+	ctx, err := doProtobufRequest(ctx, c.client, c.opts.Hooks, c.urls[8], in, out)
+	if err != nil {
+		twerr, ok := err.(twirp.Error)
+		if !ok {
+			twerr = twirp.InternalErrorWith(err)
+		}
+		callClientError(ctx, c.opts.Hooks, twerr)
+		return nil, err
+	}
+
+	callClientResponseReceived(ctx, c.opts.Hooks)
+
+	return out, nil
+}
+
+func (c *peerProtobufClient) Free(ctx context.Context, in *FreeRequest) (*FreeReply, error) {
+	ctx = ctxsetters.WithPackageName(ctx, "chervilpath.peer")
+	ctx = ctxsetters.WithServiceName(ctx, "Peer")
+	ctx = ctxsetters.WithMethodName(ctx, "Free")
+	caller := c.callFree
+	if c.interceptor != nil {
+		caller = func(ctx context.Context, req *FreeRequest) (*FreeReply, error) {
+			resp, err := c.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*FreeRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*FreeRequest) when calling interceptor")
+					}
+					return c.callFree(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*FreeReply)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*FreeReply) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+	return caller(ctx, in)
+}
+
+func (c *peerProtobufClient) callFree(ctx context.Context, in *FreeRequest) (*FreeReply, error) {
+	out := new(FreeReply)
+	ctx, err := doProtobufRequest(ctx, c.client, c.opts.Hooks, c.urls[9], in, out)
+	if err != nil {
+		twerr, ok := err.(twirp.Error)
+		if !ok {
+			twerr = twirp.InternalErrorWith(err)
+		}
+		callClientError(ctx, c.opts.Hooks, twerr)
+		return nil, err
+	}
+
+	callClientResponseReceived(ctx, c.opts.Hooks)
+
+	return out, nil
+}
+
+func (c *peerProtobufClient) Place(ctx context.Context, in *PlaceRequest) (*PlaceReply, error) {
+	ctx = ctxsetters.WithPackageName(ctx, "chervilpath.peer")
+	ctx = ctxsetters.WithServiceName(ctx, "Peer")
+	ctx = ctxsetters.WithMethodName(ctx, "Place")
+	caller := c.callPlace
+	if c.interceptor != nil {
+		caller = func(ctx context.Context, req *PlaceRequest) (*PlaceReply, error) {
+			resp, err := c.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*PlaceRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*PlaceRequest) when calling interceptor")
+					}
+					return c.callPlace(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*PlaceReply)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*PlaceReply) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+	return caller(ctx, in)
+}
+
+func (c *peerProtobufClient) callPlace(ctx context.Context, in *PlaceRequest) (*PlaceReply, error) {
+	out := new(PlaceReply)
+	ctx, err := doProtobufRequest(ctx, c.client, c.opts.Hooks, c.urls[10], in, out)
+	if err != nil {
+		twerr, ok := err.(twirp.Error)
+		if !ok {
+			twerr = twirp.InternalErrorWith(err)
+		}
+		callClientError(ctx, c.opts.Hooks, twerr)
+		return nil, err
+	}
+
+	callClientResponseReceived(ctx, c.opts.Hooks)
+
+	return out, nil
+}
+
+func (c *peerProtobufClient) Settle(ctx context.Context, in *SettleRequest) (*SettleReply, error) {
+	ctx = ctxsetters.WithPackageName(ctx, "chervilpath.peer")
+	ctx = ctxsetters.WithServiceName(ctx, "Peer")
+	ctx = ctxsetters.WithMethodName(ctx, "Settle")
+	caller := c.callSettle
+	if c.interceptor != nil {
+		caller = func(ctx context.Context, req *SettleRequest) (*SettleReply, error) {
+			resp, err := c.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*SettleRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*SettleRequest) when calling interceptor")
+					}
+					return c.callSettle(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*SettleReply)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*SettleReply) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+	return caller(ctx, in)
+}
+
+func (c *peerProtobufClient) callSettle(ctx context.Context, in *SettleRequest) (*SettleReply, error) {
+	out := new(SettleReply)
+	ctx, err := doProtobufRequest(ctx, c.client, c.opts.Hooks, c.urls[11], in, out)
+	if err != nil {
+		twerr, ok := err.(twirp.Error)
+		if !ok {
+			twerr = twirp.InternalErrorWith(err)
+		}
+		callClientError(ctx, c.opts.Hooks, twerr)
+		return nil, err
+	}
+
+	callClientResponseReceived(ctx, c.opts.Hooks)
+
+	return out, nil
+}
+
 // ================
 // Peer JSON Client
 // ================
 
 type peerJSONClient struct {
 	client      HTTPClient
-	urls        [7]string
+	urls        [12]string
 	interceptor twirp.Interceptor
 	opts        twirp.ClientOptions
 }
@@ -463,7 +714,7 @@
 	// Build method URLs: <baseURL>[<prefix>]/<package>.<Service>/<Method>
 	serviceURL := sanitizeBaseURL(baseURL)
 	serviceURL += baseServicePath(pathPrefix, "chervilpath.peer", "Peer")
-	urls := [7]string{
+	urls := [12]string{
 		serviceURL + "Ping",
 		serviceURL + "Probe",
 		serviceURL + "Sync",
@@ -471,6 +722,11 @@
 		serviceURL + "Root",
 		serviceURL + "Fragment",
 		serviceURL + "HandOver",
+		serviceURL + "Follow",
+		serviceURL + "Work",
+		serviceURL + "Free",
+		serviceURL + "Place",
+		serviceURL + "Settle",
 	}
 
 	return &peerJSONClient{
@@ -803,67 +1059,297 @@
 	return out, nil
 }
 
-// ===================
-// Peer Server Handler
-// ===================
-
-type peerServer struct {
-	Peer
-	interceptor      twirp.Interceptor
-	hooks            *twirp.ServerHooks
-	pathPrefix       string // prefix for routing
-	jsonSkipDefaults bool   // do not include unpopulated fields (default values) in the response
-	jsonCamelCase    bool   // JSON fields are serialized as lowerCamelCase rather than keeping the original proto names
-}
-
-// NewPeerServer builds a TwirpServer that can be used as an http.Handler to handle
-// HTTP requests that are routed to the right method in the provided svc implementation.
-// The opts are twirp.ServerOption modifiers, for example twirp.WithServerHooks(hooks).
-func NewPeerServer(svc Peer, opts ...interface{}) TwirpServer {
-	serverOpts := newServerOpts(opts)
-
-	// Using ReadOpt allows backwards and forwards compatibility with new options in the future
-	jsonSkipDefaults := false
-	_ = serverOpts.ReadOpt("jsonSkipDefaults", &jsonSkipDefaults)
-	jsonCamelCase := false
-	_ = serverOpts.ReadOpt("jsonCamelCase", &jsonCamelCase)
-	var pathPrefix string
-	if ok := serverOpts.ReadOpt("pathPrefix", &pathPrefix); !ok {
-		pathPrefix = "/twirp" // default prefix
+func (c *peerJSONClient) Follow(ctx context.Context, in *FollowRequest) (*FollowReply, error) {
+	ctx = ctxsetters.WithPackageName(ctx, "chervilpath.peer")
+	ctx = ctxsetters.WithServiceName(ctx, "Peer")
+	ctx = ctxsetters.WithMethodName(ctx, "Follow")
+	caller := c.callFollow
+	if c.interceptor != nil {
+		caller = func(ctx context.Context, req *FollowRequest) (*FollowReply, error) {
+			resp, err := c.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*FollowRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*FollowRequest) when calling interceptor")
+					}
+					return c.callFollow(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*FollowReply)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*FollowReply) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
 	}
+	return caller(ctx, in)
+}
 
-	return &peerServer{
-		Peer:             svc,
-		hooks:            serverOpts.Hooks,
-		interceptor:      twirp.ChainInterceptors(serverOpts.Interceptors...),
-		pathPrefix:       pathPrefix,
-		jsonSkipDefaults: jsonSkipDefaults,
-		jsonCamelCase:    jsonCamelCase,
+func (c *peerJSONClient) callFollow(ctx context.Context, in *FollowRequest) (*FollowReply, error) {
+	out := new(FollowReply)
+	ctx, err := doJSONRequest(ctx, c.client, c.opts.Hooks, c.urls[7], in, out)
+	if err != nil {
+		twerr, ok := err.(twirp.Error)
+		if !ok {
+			twerr = twirp.InternalErrorWith(err)
+		}
+		callClientError(ctx, c.opts.Hooks, twerr)
+		return nil, err
 	}
-}
 
-// writeError writes an HTTP response with a valid Twirp error format, and triggers hooks.
-// If err is not a twirp.Error, it will get wrapped with twirp.InternalErrorWith(err)
-func (s *peerServer) writeError(ctx context.Context, resp http.ResponseWriter, err error) {
-	writeError(ctx, resp, err, s.hooks)
-}
+	callClientResponseReceived(ctx, c.opts.Hooks)
 
-// handleRequestBodyError is used to handle error when the twirp server cannot read request
-func (s *peerServer) handleRequestBodyError(ctx context.Context, resp http.ResponseWriter, msg string, err error) {
-	if context.Canceled == ctx.Err() {
-		s.writeError(ctx, resp, twirp.NewError(twirp.Canceled, "failed to read request: context canceled"))
-		return
-	}
-	if context.DeadlineExceeded == ctx.Err() {
-		s.writeError(ctx, resp, twirp.NewError(twirp.DeadlineExceeded, "failed to read request: deadline exceeded"))
-		return
-	}
-	s.writeError(ctx, resp, twirp.WrapError(malformedRequestError(msg), err))
+	return out, nil
 }
 
-// PeerPathPrefix is a convenience constant that may identify URL paths.
-// Should be used with caution, it only matches routes generated by Twirp Go clients,
-// with the default "/twirp" prefix and default CamelCase service and method names.
+func (c *peerJSONClient) Work(ctx context.Context, in *WorkRequest) (*WorkReply, error) {
+	ctx = ctxsetters.WithPackageName(ctx, "chervilpath.peer")
+	ctx = ctxsetters.WithServiceName(ctx, "Peer")
+	ctx = ctxsetters.WithMethodName(ctx, "Work")
+	caller := c.callWork
+	if c.interceptor != nil {
+		caller = func(ctx context.Context, req *WorkRequest) (*WorkReply, error) {
+			resp, err := c.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*WorkRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*WorkRequest) when calling interceptor")
+					}
+					return c.callWork(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*WorkReply)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*WorkReply) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+	return caller(ctx, in)
+}
+
+func (c *peerJSONClient) callWork(ctx context.Context, in *WorkRequest) (*WorkReply, error) {
+	out := new(WorkReply)
+	ctx, err := doJSONRequest(ctx, c.client, c.opts.Hooks, c.urls[8], in, out)
+	if err != nil {
+		twerr, ok := err.(twirp.Error)
+		if !ok {
+			twerr = twirp.InternalErrorWith(err)
+		}
+		callClientError(ctx, c.opts.Hooks, twerr)
+		return nil, err
+	}
+
+	callClientResponseReceived(ctx, c.opts.Hooks)
+
+	return out, nil
+}
+
+func (c *peerJSONClient) Free(ctx context.Context, in *FreeRequest) (*FreeReply, error) {
+	ctx = ctxsetters.WithPackageName(ctx, "chervilpath.peer")
+	ctx = ctxsetters.WithServiceName(ctx, "Peer")
+	ctx = ctxsetters.WithMethodName(ctx, "Free")
+	caller := c.callFree
+	if c.interceptor != nil {
+		caller = func(ctx context.Context, req *FreeRequest) (*FreeReply, error) {
+			resp, err := c.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*FreeRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*FreeRequest) when calling interceptor")
+					}
+					return c.callFree(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*FreeReply)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*FreeReply) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+	return caller(ctx, in)
+}
+
+func (c *peerJSONClient) callFree(ctx context.Context, in *FreeRequest) (*FreeReply, error) {
+	out := new(FreeReply)
+	ctx, err := doJSONRequest(ctx, c.client, c.opts.Hooks, c.urls[9], in, out)
+	if err != nil {
+		twerr, ok := err.(twirp.Error)
+		if !ok {
+			twerr = twirp.InternalErrorWith(err)
+		}
+		callClientError(ctx, c.opts.Hooks, twerr)
+		return nil, err
+	}
+
+	callClientResponseReceived(ctx, c.opts.Hooks)
+
+	return out, nil
+}
+
+func (c *peerJSONClient) Place(ctx context.Context, in *PlaceRequest) (*PlaceReply, error) {
+	ctx = ctxsetters.WithPackageName(ctx, "chervilpath.peer")
+	ctx = ctxsetters.WithServiceName(ctx, "Peer")
+	ctx = ctxsetters.WithMethodName(ctx, "Place")
+	caller := c.callPlace
+	if c.interceptor != nil {
+		caller = func(ctx context.Context, req *PlaceRequest) (*PlaceReply, error) {
+			resp, err := c.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*PlaceRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*PlaceRequest) when calling interceptor")
+					}
+					return c.callPlace(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*PlaceReply)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*PlaceReply) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+	return caller(ctx, in)
+}
+
+func (c *peerJSONClient) callPlace(ctx context.Context, in *PlaceRequest) (*PlaceReply, error) {
+	out := new(PlaceReply)
+	ctx, err := doJSONRequest(ctx, c.client, c.opts.Hooks, c.urls[10], in, out)
+	if err != nil {
+		twerr, ok := err.(twirp.Error)
+		if !ok {
+			twerr = twirp.InternalErrorWith(err)
+		}
+		callClientError(ctx, c.opts.Hooks, twerr)
+		return nil, err
+	}
+
+	callClientResponseReceived(ctx, c.opts.Hooks)
+
+	return out, nil
+}
+
+func (c *peerJSONClient) Settle(ctx context.Context, in *SettleRequest) (*SettleReply, error) {
+	ctx = ctxsetters.WithPackageName(ctx, "chervilpath.peer")
+	ctx = ctxsetters.WithServiceName(ctx, "Peer")
+	ctx = ctxsetters.WithMethodName(ctx, "Settle")
+	caller := c.callSettle
+	if c.interceptor != nil {
+		caller = func(ctx context.Context, req *SettleRequest) (*SettleReply, error) {
+			resp, err := c.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*SettleRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*SettleRequest) when calling interceptor")
+					}
+					return c.callSettle(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*SettleReply)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*SettleReply) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+	return caller(ctx, in)
+}
+
+func (c *peerJSONClient) callSettle(ctx context.Context, in *SettleRequest) (*SettleReply, error) {
+	out := new(SettleReply)
+	ctx, err := doJSONRequest(ctx, c.client, c.opts.Hooks, c.urls[11], in, out)
+	if err != nil {
+		twerr, ok := err.(twirp.Error)
+		if !ok {
+			twerr = twirp.InternalErrorWith(err)
+		}
+		callClientError(ctx, c.opts.Hooks, twerr)
+		return nil, err
+	}
+
+	callClientResponseReceived(ctx, c.opts.Hooks)
+
+	return out, nil
+}
+
+// ===================
+// Peer Server Handler
+// ===================
+
+type peerServer struct {
+	Peer
+	interceptor      twirp.Interceptor
+	hooks            *twirp.ServerHooks
+	pathPrefix       string // prefix for routing
+	jsonSkipDefaults bool   // do not include unpopulated fields (default values) in the response
+	jsonCamelCase    bool   // JSON fields are serialized as lowerCamelCase rather than keeping the original proto names
+}
+
+// NewPeerServer builds a TwirpServer that can be used as an http.Handler to handle
+// HTTP requests that are routed to the right method in the provided svc implementation.
+// The opts are twirp.ServerOption modifiers, for example twirp.WithServerHooks(hooks).
+func NewPeerServer(svc Peer, opts ...interface{}) TwirpServer {
+	serverOpts := newServerOpts(opts)
+
+	// Using ReadOpt allows backwards and forwards compatibility with new options in the future
+	jsonSkipDefaults := false
+	_ = serverOpts.ReadOpt("jsonSkipDefaults", &jsonSkipDefaults)
+	jsonCamelCase := false
+	_ = serverOpts.ReadOpt("jsonCamelCase", &jsonCamelCase)
+	var pathPrefix string
+	if ok := serverOpts.ReadOpt("pathPrefix", &pathPrefix); !ok {
+		pathPrefix = "/twirp" // default prefix
+	}
+
+	return &peerServer{
+		Peer:             svc,
+		hooks:            serverOpts.Hooks,
+		interceptor:      twirp.ChainInterceptors(serverOpts.Interceptors...),
+		pathPrefix:       pathPrefix,
+		jsonSkipDefaults: jsonSkipDefaults,
+		jsonCamelCase:    jsonCamelCase,
+	}
+}
+
+// writeError writes an HTTP response with a valid Twirp error format, and triggers hooks.
+// If err is not a twirp.Error, it will get wrapped with twirp.InternalErrorWith(err)
+func (s *peerServer) writeError(ctx context.Context, resp http.ResponseWriter, err error) {
+	writeError(ctx, resp, err, s.hooks)
+}
+
+// handleRequestBodyError is used to handle error when the twirp server cannot read request
+func (s *peerServer) handleRequestBodyError(ctx context.Context, resp http.ResponseWriter, msg string, err error) {
+	if context.Canceled == ctx.Err() {
+		s.writeError(ctx, resp, twirp.NewError(twirp.Canceled, "failed to read request: context canceled"))
+		return
+	}
+	if context.DeadlineExceeded == ctx.Err() {
+		s.writeError(ctx, resp, twirp.NewError(twirp.DeadlineExceeded, "failed to read request: deadline exceeded"))
+		return
+	}
+	s.writeError(ctx, resp, twirp.WrapError(malformedRequestError(msg), err))
+}
+
+// PeerPathPrefix is a convenience constant that may identify URL paths.
+// Should be used with caution, it only matches routes generated by Twirp Go clients,
+// with the default "/twirp" prefix and default CamelCase service and method names.
 // More info: https://twitchtv.github.io/twirp/docs/routing.html
 const PeerPathPrefix = "/twirp/chervilpath.peer.Peer/"
 
@@ -921,6 +1407,21 @@
 	case "HandOver":
 		s.serveHandOver(ctx, resp, req)
 		return
+	case "Follow":
+		s.serveFollow(ctx, resp, req)
+		return
+	case "Work":
+		s.serveWork(ctx, resp, req)
+		return
+	case "Free":
+		s.serveFree(ctx, resp, req)
+		return
+	case "Place":
+		s.servePlace(ctx, resp, req)
+		return
+	case "Settle":
+		s.serveSettle(ctx, resp, req)
+		return
 	default:
 		msg := fmt.Sprintf("no handler for path %q", req.URL.Path)
 		s.writeError(ctx, resp, badRouteError(msg, req.Method, req.URL.Path))
@@ -928,7 +1429,907 @@
 	}
 }
 
-func (s *peerServer) servePing(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+func (s *peerServer) servePing(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	header := req.Header.Get("Content-Type")
+	i := strings.Index(header, ";")
+	if i == -1 {
+		i = len(header)
+	}
+	switch strings.TrimSpace(strings.ToLower(header[:i])) {
+	case "application/json":
+		s.servePingJSON(ctx, resp, req)
+	case "application/protobuf":
+		s.servePingProtobuf(ctx, resp, req)
+	default:
+		msg := fmt.Sprintf("unexpected Content-Type: %q", req.Header.Get("Content-Type"))
+		twerr := badRouteError(msg, req.Method, req.URL.Path)
+		s.writeError(ctx, resp, twerr)
+	}
+}
+
+func (s *peerServer) servePingJSON(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	var err error
+	ctx = ctxsetters.WithMethodName(ctx, "Ping")
+	ctx, err = callRequestRouted(ctx, s.hooks)
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+
+	d := json.NewDecoder(req.Body)
+	rawReqBody := json.RawMessage{}
+	if err := d.Decode(&rawReqBody); err != nil {
+		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
+		return
+	}
+	reqContent := new(PingRequest)
+	unmarshaler := protojson.UnmarshalOptions{DiscardUnknown: true}
+	if err = unmarshaler.Unmarshal(rawReqBody, reqContent); err != nil {
+		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
+		return
+	}
+
+	handler := s.Peer.Ping
+	if s.interceptor != nil {
+		handler = func(ctx context.Context, req *PingRequest) (*PingReply, error) {
+			resp, err := s.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*PingRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*PingRequest) when calling interceptor")
+					}
+					return s.Peer.Ping(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*PingReply)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*PingReply) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+
+	// Call service method
+	var respContent *PingReply
+	func() {
+		defer ensurePanicResponses(ctx, resp, s.hooks)
+		respContent, err = handler(ctx, reqContent)
+	}()
+
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+	if respContent == nil {
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *PingReply and nil error while calling Ping. nil responses are not supported"))
+		return
+	}
+
+	ctx = callResponsePrepared(ctx, s.hooks)
+
+	marshaler := &protojson.MarshalOptions{UseProtoNames: !s.jsonCamelCase, EmitUnpopulated: !s.jsonSkipDefaults}
+	respBytes, err := marshaler.Marshal(respContent)
+	if err != nil {
+		s.writeError(ctx, resp, wrapInternal(err, "failed to marshal json response"))
+		return
+	}
+
+	ctx = ctxsetters.WithStatusCode(ctx, http.StatusOK)
+	resp.Header().Set("Content-Type", "application/json")
+	resp.Header().Set("Content-Length", strconv.Itoa(len(respBytes)))
+	resp.WriteHeader(http.StatusOK)
+
+	if n, err := resp.Write(respBytes); err != nil {
+		msg := fmt.Sprintf("failed to write response, %d of %d bytes written: %s", n, len(respBytes), err.Error())
+		twerr := twirp.NewError(twirp.Unknown, msg)
+		ctx = callError(ctx, s.hooks, twerr)
+	}
+	callResponseSent(ctx, s.hooks)
+}
+
+func (s *peerServer) servePingProtobuf(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	var err error
+	ctx = ctxsetters.WithMethodName(ctx, "Ping")
+	ctx, err = callRequestRouted(ctx, s.hooks)
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+
+	buf, err := io.ReadAll(req.Body)
+	if err != nil {
+		s.handleRequestBodyError(ctx, resp, "failed to read request body", err)
+		return
+	}
+	reqContent := new(PingRequest)
+	if err = proto.Unmarshal(buf, reqContent); err != nil {
+		s.writeError(ctx, resp, malformedRequestError("the protobuf request could not be decoded"))
+		return
+	}
+
+	handler := s.Peer.Ping
+	if s.interceptor != nil {
+		handler = func(ctx context.Context, req *PingRequest) (*PingReply, error) {
+			resp, err := s.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*PingRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*PingRequest) when calling interceptor")
+					}
+					return s.Peer.Ping(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*PingReply)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*PingReply) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+
+	// Call service method
+	var respContent *PingReply
+	func() {
+		defer ensurePanicResponses(ctx, resp, s.hooks)
+		respContent, err = handler(ctx, reqContent)
+	}()
+
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+	if respContent == nil {
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *PingReply and nil error while calling Ping. nil responses are not supported"))
+		return
+	}
+
+	ctx = callResponsePrepared(ctx, s.hooks)
+
+	respBytes, err := proto.Marshal(respContent)
+	if err != nil {
+		s.writeError(ctx, resp, wrapInternal(err, "failed to marshal proto response"))
+		return
+	}
+
+	ctx = ctxsetters.WithStatusCode(ctx, http.StatusOK)
+	resp.Header().Set("Content-Type", "application/protobuf")
+	resp.Header().Set("Content-Length", strconv.Itoa(len(respBytes)))
+	resp.WriteHeader(http.StatusOK)
+	if n, err := resp.Write(respBytes); err != nil {
+		msg := fmt.Sprintf("failed to write response, %d of %d bytes written: %s", n, len(respBytes), err.Error())
+		twerr := twirp.NewError(twirp.Unknown, msg)
+		ctx = callError(ctx, s.hooks, twerr)
+	}
+	callResponseSent(ctx, s.hooks)
+}
+
+func (s *peerServer) serveProbe(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	header := req.Header.Get("Content-Type")
+	i := strings.Index(header, ";")
+	if i == -1 {
+		i = len(header)
+	}
+	switch strings.TrimSpace(strings.ToLower(header[:i])) {
+	case "application/json":
+		s.serveProbeJSON(ctx, resp, req)
+	case "application/protobuf":
+		s.serveProbeProtobuf(ctx, resp, req)
+	default:
+		msg := fmt.Sprintf("unexpected Content-Type: %q", req.Header.Get("Content-Type"))
+		twerr := badRouteError(msg, req.Method, req.URL.Path)
+		s.writeError(ctx, resp, twerr)
+	}
+}
+
+func (s *peerServer) serveProbeJSON(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	var err error
+	ctx = ctxsetters.WithMethodName(ctx, "Probe")
+	ctx, err = callRequestRouted(ctx, s.hooks)
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+
+	d := json.NewDecoder(req.Body)
+	rawReqBody := json.RawMessage{}
+	if err := d.Decode(&rawReqBody); err != nil {
+		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
+		return
+	}
+	reqContent := new(ProbeRequest)
+	unmarshaler := protojson.UnmarshalOptions{DiscardUnknown: true}
+	if err = unmarshaler.Unmarshal(rawReqBody, reqContent); err != nil {
+		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
+		return
+	}
+
+	handler := s.Peer.Probe
+	if s.interceptor != nil {
+		handler = func(ctx context.Context, req *ProbeRequest) (*ProbeReply, error) {
+			resp, err := s.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*ProbeRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*ProbeRequest) when calling interceptor")
+					}
+					return s.Peer.Probe(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*ProbeReply)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*ProbeReply) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+
+	// Call service method
+	var respContent *ProbeReply
+	func() {
+		defer ensurePanicResponses(ctx, resp, s.hooks)
+		respContent, err = handler(ctx, reqContent)
+	}()
+
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+	if respContent == nil {
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *ProbeReply and nil error while calling Probe. nil responses are not supported"))
+		return
+	}
+
+	ctx = callResponsePrepared(ctx, s.hooks)
+
+	marshaler := &protojson.MarshalOptions{UseProtoNames: !s.jsonCamelCase, EmitUnpopulated: !s.jsonSkipDefaults}
+	respBytes, err := marshaler.Marshal(respContent)
+	if err != nil {
+		s.writeError(ctx, resp, wrapInternal(err, "failed to marshal json response"))
+		return
+	}
+
+	ctx = ctxsetters.WithStatusCode(ctx, http.StatusOK)
+	resp.Header().Set("Content-Type", "application/json")
+	resp.Header().Set("Content-Length", strconv.Itoa(len(respBytes)))
+	resp.WriteHeader(http.StatusOK)
+
+	if n, err := resp.Write(respBytes); err != nil {
+		msg := fmt.Sprintf("failed to write response, %d of %d bytes written: %s", n, len(respBytes), err.Error())
+		twerr := twirp.NewError(twirp.Unknown, msg)
+		ctx = callError(ctx, s.hooks, twerr)
+	}
+	callResponseSent(ctx, s.hooks)
+}
+
+func (s *peerServer) serveProbeProtobuf(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	var err error
+	ctx = ctxsetters.WithMethodName(ctx, "Probe")
+	ctx, err = callRequestRouted(ctx, s.hooks)
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+
+	buf, err := io.ReadAll(req.Body)
+	if err != nil {
+		s.handleRequestBodyError(ctx, resp, "failed to read request body", err)
+		return
+	}
+	reqContent := new(ProbeRequest)
+	if err = proto.Unmarshal(buf, reqContent); err != nil {
+		s.writeError(ctx, resp, malformedRequestError("the protobuf request could not be decoded"))
+		return
+	}
+
+	handler := s.Peer.Probe
+	if s.interceptor != nil {
+		handler = func(ctx context.Context, req *ProbeRequest) (*ProbeReply, error) {
+			resp, err := s.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*ProbeRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*ProbeRequest) when calling interceptor")
+					}
+					return s.Peer.Probe(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*ProbeReply)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*ProbeReply) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+
+	// Call service method
+	var respContent *ProbeReply
+	func() {
+		defer ensurePanicResponses(ctx, resp, s.hooks)
+		respContent, err = handler(ctx, reqContent)
+	}()
+
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+	if respContent == nil {
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *ProbeReply and nil error while calling Probe. nil responses are not supported"))
+		return
+	}
+
+	ctx = callResponsePrepared(ctx, s.hooks)
+
+	respBytes, err := proto.Marshal(respContent)
+	if err != nil {
+		s.writeError(ctx, resp, wrapInternal(err, "failed to marshal proto response"))
+		return
+	}
+
+	ctx = ctxsetters.WithStatusCode(ctx, http.StatusOK)
+	resp.Header().Set("Content-Type", "application/protobuf")
+	resp.Header().Set("Content-Length", strconv.Itoa(len(respBytes)))
+	resp.WriteHeader(http.StatusOK)
+	if n, err := resp.Write(respBytes); err != nil {
+		msg := fmt.Sprintf("failed to write response, %d of %d bytes written: %s", n, len(respBytes), err.Error())
+		twerr := twirp.NewError(twirp.Unknown, msg)
+		ctx = callError(ctx, s.hooks, twerr)
+	}
+	callResponseSent(ctx, s.hooks)
+}
+
+func (s *peerServer) serveSync(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	header := req.Header.Get("Content-Type")
+	i := strings.Index(header, ";")
+	if i == -1 {
+		i = len(header)
+	}
+	switch strings.TrimSpace(strings.ToLower(header[:i])) {
+	case "application/json":
+		s.serveSyncJSON(ctx, resp, req)
+	case "application/protobuf":
+		s.serveSyncProtobuf(ctx, resp, req)
+	default:
+		msg := fmt.Sprintf("unexpected Content-Type: %q", req.Header.Get("Content-Type"))
+		twerr := badRouteError(msg, req.Method, req.URL.Path)
+		s.writeError(ctx, resp, twerr)
+	}
+}
+
+func (s *peerServer) serveSyncJSON(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	var err error
+	ctx = ctxsetters.WithMethodName(ctx, "Sync")
+	ctx, err = callRequestRouted(ctx, s.hooks)
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+
+	d := json.NewDecoder(req.Body)
+	rawReqBody := json.RawMessage{}
+	if err := d.Decode(&rawReqBody); err != nil {
+		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
+		return
+	}
+	reqContent := new(SyncRequest)
+	unmarshaler := protojson.UnmarshalOptions{DiscardUnknown: true}
+	if err = unmarshaler.Unmarshal(rawReqBody, reqContent); err != nil {
+		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
+		return
+	}
+
+	handler := s.Peer.Sync
+	if s.interceptor != nil {
+		handler = func(ctx context.Context, req *SyncRequest) (*SyncReply, error) {
+			resp, err := s.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*SyncRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*SyncRequest) when calling interceptor")
+					}
+					return s.Peer.Sync(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*SyncReply)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*SyncReply) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+
+	// Call service method
+	var respContent *SyncReply
+	func() {
+		defer ensurePanicResponses(ctx, resp, s.hooks)
+		respContent, err = handler(ctx, reqContent)
+	}()
+
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+	if respContent == nil {
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *SyncReply and nil error while calling Sync. nil responses are not supported"))
+		return
+	}
+
+	ctx = callResponsePrepared(ctx, s.hooks)
+
+	marshaler := &protojson.MarshalOptions{UseProtoNames: !s.jsonCamelCase, EmitUnpopulated: !s.jsonSkipDefaults}
+	respBytes, err := marshaler.Marshal(respContent)
+	if err != nil {
+		s.writeError(ctx, resp, wrapInternal(err, "failed to marshal json response"))
+		return
+	}
+
+	ctx = ctxsetters.WithStatusCode(ctx, http.StatusOK)
+	resp.Header().Set("Content-Type", "application/json")
+	resp.Header().Set("Content-Length", strconv.Itoa(len(respBytes)))
+	resp.WriteHeader(http.StatusOK)
+
+	if n, err := resp.Write(respBytes); err != nil {
+		msg := fmt.Sprintf("failed to write response, %d of %d bytes written: %s", n, len(respBytes), err.Error())
+		twerr := twirp.NewError(twirp.Unknown, msg)
+		ctx = callError(ctx, s.hooks, twerr)
+	}
+	callResponseSent(ctx, s.hooks)
+}
+
+func (s *peerServer) serveSyncProtobuf(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	var err error
+	ctx = ctxsetters.WithMethodName(ctx, "Sync")
+	ctx, err = callRequestRouted(ctx, s.hooks)
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+
+	buf, err := io.ReadAll(req.Body)
+	if err != nil {
+		s.handleRequestBodyError(ctx, resp, "failed to read request body", err)
+		return
+	}
+	reqContent := new(SyncRequest)
+	if err = proto.Unmarshal(buf, reqContent); err != nil {
+		s.writeError(ctx, resp, malformedRequestError("the protobuf request could not be decoded"))
+		return
+	}
+
+	handler := s.Peer.Sync
+	if s.interceptor != nil {
+		handler = func(ctx context.Context, req *SyncRequest) (*SyncReply, error) {
+			resp, err := s.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*SyncRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*SyncRequest) when calling interceptor")
+					}
+					return s.Peer.Sync(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*SyncReply)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*SyncReply) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+
+	// Call service method
+	var respContent *SyncReply
+	func() {
+		defer ensurePanicResponses(ctx, resp, s.hooks)
+		respContent, err = handler(ctx, reqContent)
+	}()
+
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+	if respContent == nil {
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *SyncReply and nil error while calling Sync. nil responses are not supported"))
+		return
+	}
+
+	ctx = callResponsePrepared(ctx, s.hooks)
+
+	respBytes, err := proto.Marshal(respContent)
+	if err != nil {
+		s.writeError(ctx, resp, wrapInternal(err, "failed to marshal proto response"))
+		return
+	}
+
+	ctx = ctxsetters.WithStatusCode(ctx, http.StatusOK)
+	resp.Header().Set("Content-Type", "application/protobuf")
+	resp.Header().Set("Content-Length", strconv.Itoa(len(respBytes)))
+	resp.WriteHeader(http.StatusOK)
+	if n, err := resp.Write(respBytes); err != nil {
+		msg := fmt.Sprintf("failed to write response, %d of %d bytes written: %s", n, len(respBytes), err.Error())
+		twerr := twirp.NewError(twirp.Unknown, msg)
+		ctx = callError(ctx, s.hooks, twerr)
+	}
+	callResponseSent(ctx, s.hooks)
+}
+
+func (s *peerServer) serveServe(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	header := req.Header.Get("Content-Type")
+	i := strings.Index(header, ";")
+	if i == -1 {
+		i = len(header)
+	}
+	switch strings.TrimSpace(strings.ToLower(header[:i])) {
+	case "application/json":
+		s.serveServeJSON(ctx, resp, req)
+	case "application/protobuf":
+		s.serveServeProtobuf(ctx, resp, req)
+	default:
+		msg := fmt.Sprintf("unexpected Content-Type: %q", req.Header.Get("Content-Type"))
+		twerr := badRouteError(msg, req.Method, req.URL.Path)
+		s.writeError(ctx, resp, twerr)
+	}
+}
+
+func (s *peerServer) serveServeJSON(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	var err error
+	ctx = ctxsetters.WithMethodName(ctx, "Serve")
+	ctx, err = callRequestRouted(ctx, s.hooks)
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+
+	d := json.NewDecoder(req.Body)
+	rawReqBody := json.RawMessage{}
+	if err := d.Decode(&rawReqBody); err != nil {
+		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
+		return
+	}
+	reqContent := new(ServeRequest)
+	unmarshaler := protojson.UnmarshalOptions{DiscardUnknown: true}
+	if err = unmarshaler.Unmarshal(rawReqBody, reqContent); err != nil {
+		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
+		return
+	}
+
+	handler := s.Peer.Serve
+	if s.interceptor != nil {
+		handler = func(ctx context.Context, req *ServeRequest) (*ServeReply, error) {
+			resp, err := s.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*ServeRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*ServeRequest) when calling interceptor")
+					}
+					return s.Peer.Serve(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*ServeReply)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*ServeReply) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+
+	// Call service method
+	var respContent *ServeReply
+	func() {
+		defer ensurePanicResponses(ctx, resp, s.hooks)
+		respContent, err = handler(ctx, reqContent)
+	}()
+
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+	if respContent == nil {
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *ServeReply and nil error while calling Serve. nil responses are not supported"))
+		return
+	}
+
+	ctx = callResponsePrepared(ctx, s.hooks)
+
+	marshaler := &protojson.MarshalOptions{UseProtoNames: !s.jsonCamelCase, EmitUnpopulated: !s.jsonSkipDefaults}
+	respBytes, err := marshaler.Marshal(respContent)
+	if err != nil {
+		s.writeError(ctx, resp, wrapInternal(err, "failed to marshal json response"))
+		return
+	}
+
+	ctx = ctxsetters.WithStatusCode(ctx, http.StatusOK)
+	resp.Header().Set("Content-Type", "application/json")
+	resp.Header().Set("Content-Length", strconv.Itoa(len(respBytes)))
+	resp.WriteHeader(http.StatusOK)
+
+	if n, err := resp.Write(respBytes); err != nil {
+		msg := fmt.Sprintf("failed to write response, %d of %d bytes written: %s", n, len(respBytes), err.Error())
+		twerr := twirp.NewError(twirp.Unknown, msg)
+		ctx = callError(ctx, s.hooks, twerr)
+	}
+	callResponseSent(ctx, s.hooks)
+}
+
+func (s *peerServer) serveServeProtobuf(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	var err error
+	ctx = ctxsetters.WithMethodName(ctx, "Serve")
+	ctx, err = callRequestRouted(ctx, s.hooks)
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+
+	buf, err := io.ReadAll(req.Body)
+	if err != nil {
+		s.handleRequestBodyError(ctx, resp, "failed to read request body", err)
+		return
+	}
+	reqContent := new(ServeRequest)
+	if err = proto.Unmarshal(buf, reqContent); err != nil {
+		s.writeError(ctx, resp, malformedRequestError("the protobuf request could not be decoded"))
+		return
+	}
+
+	handler := s.Peer.Serve
+	if s.interceptor != nil {
+		handler = func(ctx context.Context, req *ServeRequest) (*ServeReply, error) {
+			resp, err := s.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*ServeRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*ServeRequest) when calling interceptor")
+					}
+					return s.Peer.Serve(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*ServeReply)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*ServeReply) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+
+	// Call service method
+	var respContent *ServeReply
+	func() {
+		defer ensurePanicResponses(ctx, resp, s.hooks)
+		respContent, err = handler(ctx, reqContent)
+	}()
+
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+	if respContent == nil {
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *ServeReply and nil error while calling Serve. nil responses are not supported"))
+		return
+	}
+
+	ctx = callResponsePrepared(ctx, s.hooks)
+
+	respBytes, err := proto.Marshal(respContent)
+	if err != nil {
+		s.writeError(ctx, resp, wrapInternal(err, "failed to marshal proto response"))
+		return
+	}
+
+	ctx = ctxsetters.WithStatusCode(ctx, http.StatusOK)
+	resp.Header().Set("Content-Type", "application/protobuf")
+	resp.Header().Set("Content-Length", strconv.Itoa(len(respBytes)))
+	resp.WriteHeader(http.StatusOK)
+	if n, err := resp.Write(respBytes); err != nil {
+		msg := fmt.Sprintf("failed to write response, %d of %d bytes written: %s", n, len(respBytes), err.Error())
+		twerr := twirp.NewError(twirp.Unknown, msg)
+		ctx = callError(ctx, s.hooks, twerr)
+	}
+	callResponseSent(ctx, s.hooks)
+}
+
+func (s *peerServer) serveRoot(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	header := req.Header.Get("Content-Type")
+	i := strings.Index(header, ";")
+	if i == -1 {
+		i = len(header)
+	}
+	switch strings.TrimSpace(strings.ToLower(header[:i])) {
+	case "application/json":
+		s.serveRootJSON(ctx, resp, req)
+	case "application/protobuf":
+		s.serveRootProtobuf(ctx, resp, req)
+	default:
+		msg := fmt.Sprintf("unexpected Content-Type: %q", req.Header.Get("Content-Type"))
+		twerr := badRouteError(msg, req.Method, req.URL.Path)
+		s.writeError(ctx, resp, twerr)
+	}
+}
+
+func (s *peerServer) serveRootJSON(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	var err error
+	ctx = ctxsetters.WithMethodName(ctx, "Root")
+	ctx, err = callRequestRouted(ctx, s.hooks)
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+
+	d := json.NewDecoder(req.Body)
+	rawReqBody := json.RawMessage{}
+	if err := d.Decode(&rawReqBody); err != nil {
+		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
+		return
+	}
+	reqContent := new(RootRequest)
+	unmarshaler := protojson.UnmarshalOptions{DiscardUnknown: true}
+	if err = unmarshaler.Unmarshal(rawReqBody, reqContent); err != nil {
+		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
+		return
+	}
+
+	handler := s.Peer.Root
+	if s.interceptor != nil {
+		handler = func(ctx context.Context, req *RootRequest) (*RootReply, error) {
+			resp, err := s.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*RootRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*RootRequest) when calling interceptor")
+					}
+					return s.Peer.Root(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*RootReply)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*RootReply) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+
+	// Call service method
+	var respContent *RootReply
+	func() {
+		defer ensurePanicResponses(ctx, resp, s.hooks)
+		respContent, err = handler(ctx, reqContent)
+	}()
+
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+	if respContent == nil {
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *RootReply and nil error while calling Root. nil responses are not supported"))
+		return
+	}
+
+	ctx = callResponsePrepared(ctx, s.hooks)
+
+	marshaler := &protojson.MarshalOptions{UseProtoNames: !s.jsonCamelCase, EmitUnpopulated: !s.jsonSkipDefaults}
+	respBytes, err := marshaler.Marshal(respContent)
+	if err != nil {
+		s.writeError(ctx, resp, wrapInternal(err, "failed to marshal json response"))
+		return
+	}
+
+	ctx = ctxsetters.WithStatusCode(ctx, http.StatusOK)
+	resp.Header().Set("Content-Type", "application/json")
+	resp.Header().Set("Content-Length", strconv.Itoa(len(respBytes)))
+	resp.WriteHeader(http.StatusOK)
+
+	if n, err := resp.Write(respBytes); err != nil {
+		msg := fmt.Sprintf("failed to write response, %d of %d bytes written: %s", n, len(respBytes), err.Error())
+		twerr := twirp.NewError(twirp.Unknown, msg)
+		ctx = callError(ctx, s.hooks, twerr)
+	}
+	callResponseSent(ctx, s.hooks)
+}
+
+func (s *peerServer) serveRootProtobuf(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	var err error
+	ctx = ctxsetters.WithMethodName(ctx, "Root")
+	ctx, err = callRequestRouted(ctx, s.hooks)
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+
+	buf, err := io.ReadAll(req.Body)
+	if err != nil {
+		s.handleRequestBodyError(ctx, resp, "failed to read request body", err)
+		return
+	}
+	reqContent := new(RootRequest)
+	if err = proto.Unmarshal(buf, reqContent); err != nil {
+		s.writeError(ctx, resp, malformedRequestError("the protobuf request could not be decoded"))
+		return
+	}
+
+	handler := s.Peer.Root
+	if s.interceptor != nil {
+		handler = func(ctx context.Context, req *RootRequest) (*RootReply, error) {
+			resp, err := s.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*RootRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*RootRequest) when calling interceptor")
+					}
+					return s.Peer.Root(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*RootReply)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*RootReply) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+
+	// Call service method
+	var respContent *RootReply
+	func() {
+		defer ensurePanicResponses(ctx, resp, s.hooks)
+		respContent, err = handler(ctx, reqContent)
+	}()
+
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+	if respContent == nil {
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *RootReply and nil error while calling Root. nil responses are not supported"))
+		return
+	}
+
+	ctx = callResponsePrepared(ctx, s.hooks)
+
+	respBytes, err := proto.Marshal(respContent)
+	if err != nil {
+		s.writeError(ctx, resp, wrapInternal(err, "failed to marshal proto response"))
+		return
+	}
+
+	ctx = ctxsetters.WithStatusCode(ctx, http.StatusOK)
+	resp.Header().Set("Content-Type", "application/protobuf")
+	resp.Header().Set("Content-Length", strconv.Itoa(len(respBytes)))
+	resp.WriteHeader(http.StatusOK)
+	if n, err := resp.Write(respBytes); err != nil {
+		msg := fmt.Sprintf("failed to write response, %d of %d bytes written: %s", n, len(respBytes), err.Error())
+		twerr := twirp.NewError(twirp.Unknown, msg)
+		ctx = callError(ctx, s.hooks, twerr)
+	}
+	callResponseSent(ctx, s.hooks)
+}
+
+func (s *peerServer) serveFragment(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
 	header := req.Header.Get("Content-Type")
 	i := strings.Index(header, ";")
 	if i == -1 {
@@ -936,9 +2337,9 @@
 	}
 	switch strings.TrimSpace(strings.ToLower(header[:i])) {
 	case "application/json":
-		s.servePingJSON(ctx, resp, req)
+		s.serveFragmentJSON(ctx, resp, req)
 	case "application/protobuf":
-		s.servePingProtobuf(ctx, resp, req)
+		s.serveFragmentProtobuf(ctx, resp, req)
 	default:
 		msg := fmt.Sprintf("unexpected Content-Type: %q", req.Header.Get("Content-Type"))
 		twerr := badRouteError(msg, req.Method, req.URL.Path)
@@ -946,9 +2347,9 @@
 	}
 }
 
-func (s *peerServer) servePingJSON(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+func (s *peerServer) serveFragmentJSON(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
 	var err error
-	ctx = ctxsetters.WithMethodName(ctx, "Ping")
+	ctx = ctxsetters.WithMethodName(ctx, "Fragment")
 	ctx, err = callRequestRouted(ctx, s.hooks)
 	if err != nil {
 		s.writeError(ctx, resp, err)
@@ -961,29 +2362,29 @@
 		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
 		return
 	}
-	reqContent := new(PingRequest)
+	reqContent := new(FragmentRequest)
 	unmarshaler := protojson.UnmarshalOptions{DiscardUnknown: true}
 	if err = unmarshaler.Unmarshal(rawReqBody, reqContent); err != nil {
 		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
 		return
 	}
 
-	handler := s.Peer.Ping
+	handler := s.Peer.Fragment
 	if s.interceptor != nil {
-		handler = func(ctx context.Context, req *PingRequest) (*PingReply, error) {
+		handler = func(ctx context.Context, req *FragmentRequest) (*FragmentReply, error) {
 			resp, err := s.interceptor(
 				func(ctx context.Context, req interface{}) (interface{}, error) {
-					typedReq, ok := req.(*PingRequest)
+					typedReq, ok := req.(*FragmentRequest)
 					if !ok {
-						return nil, twirp.InternalError("failed type assertion req.(*PingRequest) when calling interceptor")
+						return nil, twirp.InternalError("failed type assertion req.(*FragmentRequest) when calling interceptor")
 					}
-					return s.Peer.Ping(ctx, typedReq)
+					return s.Peer.Fragment(ctx, typedReq)
 				},
 			)(ctx, req)
 			if resp != nil {
-				typedResp, ok := resp.(*PingReply)
+				typedResp, ok := resp.(*FragmentReply)
 				if !ok {
-					return nil, twirp.InternalError("failed type assertion resp.(*PingReply) when calling interceptor")
+					return nil, twirp.InternalError("failed type assertion resp.(*FragmentReply) when calling interceptor")
 				}
 				return typedResp, err
 			}
@@ -992,7 +2393,7 @@
 	}
 
 	// Call service method
-	var respContent *PingReply
+	var respContent *FragmentReply
 	func() {
 		defer ensurePanicResponses(ctx, resp, s.hooks)
 		respContent, err = handler(ctx, reqContent)
@@ -1003,7 +2404,7 @@
 		return
 	}
 	if respContent == nil {
-		s.writeError(ctx, resp, twirp.InternalError("received a nil *PingReply and nil error while calling Ping. nil responses are not supported"))
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *FragmentReply and nil error while calling Fragment. nil responses are not supported"))
 		return
 	}
 
@@ -1029,9 +2430,9 @@
 	callResponseSent(ctx, s.hooks)
 }
 
-func (s *peerServer) servePingProtobuf(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+func (s *peerServer) serveFragmentProtobuf(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
 	var err error
-	ctx = ctxsetters.WithMethodName(ctx, "Ping")
+	ctx = ctxsetters.WithMethodName(ctx, "Fragment")
 	ctx, err = callRequestRouted(ctx, s.hooks)
 	if err != nil {
 		s.writeError(ctx, resp, err)
@@ -1043,28 +2444,28 @@
 		s.handleRequestBodyError(ctx, resp, "failed to read request body", err)
 		return
 	}
-	reqContent := new(PingRequest)
+	reqContent := new(FragmentRequest)
 	if err = proto.Unmarshal(buf, reqContent); err != nil {
 		s.writeError(ctx, resp, malformedRequestError("the protobuf request could not be decoded"))
 		return
 	}
 
-	handler := s.Peer.Ping
+	handler := s.Peer.Fragment
 	if s.interceptor != nil {
-		handler = func(ctx context.Context, req *PingRequest) (*PingReply, error) {
+		handler = func(ctx context.Context, req *FragmentRequest) (*FragmentReply, error) {
 			resp, err := s.interceptor(
 				func(ctx context.Context, req interface{}) (interface{}, error) {
-					typedReq, ok := req.(*PingRequest)
+					typedReq, ok := req.(*FragmentRequest)
 					if !ok {
-						return nil, twirp.InternalError("failed type assertion req.(*PingRequest) when calling interceptor")
+						return nil, twirp.InternalError("failed type assertion req.(*FragmentRequest) when calling interceptor")
 					}
-					return s.Peer.Ping(ctx, typedReq)
+					return s.Peer.Fragment(ctx, typedReq)
 				},
 			)(ctx, req)
 			if resp != nil {
-				typedResp, ok := resp.(*PingReply)
+				typedResp, ok := resp.(*FragmentReply)
 				if !ok {
-					return nil, twirp.InternalError("failed type assertion resp.(*PingReply) when calling interceptor")
+					return nil, twirp.InternalError("failed type assertion resp.(*FragmentReply) when calling interceptor")
 				}
 				return typedResp, err
 			}
@@ -1073,7 +2474,7 @@
 	}
 
 	// Call service method
-	var respContent *PingReply
+	var respContent *FragmentReply
 	func() {
 		defer ensurePanicResponses(ctx, resp, s.hooks)
 		respContent, err = handler(ctx, reqContent)
@@ -1084,7 +2485,7 @@
 		return
 	}
 	if respContent == nil {
-		s.writeError(ctx, resp, twirp.InternalError("received a nil *PingReply and nil error while calling Ping. nil responses are not supported"))
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *FragmentReply and nil error while calling Fragment. nil responses are not supported"))
 		return
 	}
 
@@ -1108,7 +2509,7 @@
 	callResponseSent(ctx, s.hooks)
 }
 
-func (s *peerServer) serveProbe(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+func (s *peerServer) serveHandOver(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
 	header := req.Header.Get("Content-Type")
 	i := strings.Index(header, ";")
 	if i == -1 {
@@ -1116,9 +2517,9 @@
 	}
 	switch strings.TrimSpace(strings.ToLower(header[:i])) {
 	case "application/json":
-		s.serveProbeJSON(ctx, resp, req)
+		s.serveHandOverJSON(ctx, resp, req)
 	case "application/protobuf":
-		s.serveProbeProtobuf(ctx, resp, req)
+		s.serveHandOverProtobuf(ctx, resp, req)
 	default:
 		msg := fmt.Sprintf("unexpected Content-Type: %q", req.Header.Get("Content-Type"))
 		twerr := badRouteError(msg, req.Method, req.URL.Path)
@@ -1126,9 +2527,9 @@
 	}
 }
 
-func (s *peerServer) serveProbeJSON(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+func (s *peerServer) serveHandOverJSON(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
 	var err error
-	ctx = ctxsetters.WithMethodName(ctx, "Probe")
+	ctx = ctxsetters.WithMethodName(ctx, "HandOver")
 	ctx, err = callRequestRouted(ctx, s.hooks)
 	if err != nil {
 		s.writeError(ctx, resp, err)
@@ -1141,29 +2542,29 @@
 		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
 		return
 	}
-	reqContent := new(ProbeRequest)
+	reqContent := new(HandOverRequest)
 	unmarshaler := protojson.UnmarshalOptions{DiscardUnknown: true}
 	if err = unmarshaler.Unmarshal(rawReqBody, reqContent); err != nil {
 		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
 		return
 	}
 
-	handler := s.Peer.Probe
+	handler := s.Peer.HandOver
 	if s.interceptor != nil {
-		handler = func(ctx context.Context, req *ProbeRequest) (*ProbeReply, error) {
+		handler = func(ctx context.Context, req *HandOverRequest) (*HandOverReply, error) {
 			resp, err := s.interceptor(
 				func(ctx context.Context, req interface{}) (interface{}, error) {
-					typedReq, ok := req.(*ProbeRequest)
+					typedReq, ok := req.(*HandOverRequest)
 					if !ok {
-						return nil, twirp.InternalError("failed type assertion req.(*ProbeRequest) when calling interceptor")
+						return nil, twirp.InternalError("failed type assertion req.(*HandOverRequest) when calling interceptor")
 					}
-					return s.Peer.Probe(ctx, typedReq)
+					return s.Peer.HandOver(ctx, typedReq)
 				},
 			)(ctx, req)
 			if resp != nil {
-				typedResp, ok := resp.(*ProbeReply)
+				typedResp, ok := resp.(*HandOverReply)
 				if !ok {
-					return nil, twirp.InternalError("failed type assertion resp.(*ProbeReply) when calling interceptor")
+					return nil, twirp.InternalError("failed type assertion resp.(*HandOverReply) when calling interceptor")
 				}
 				return typedResp, err
 			}
@@ -1172,7 +2573,7 @@
 	}
 
 	// Call service method
-	var respContent *ProbeReply
+	var respContent *HandOverReply
 	func() {
 		defer ensurePanicResponses(ctx, resp, s.hooks)
 		respContent, err = handler(ctx, reqContent)
@@ -1183,7 +2584,7 @@
 		return
 	}
 	if respContent == nil {
-		s.writeError(ctx, resp, twirp.InternalError("received a nil *ProbeReply and nil error while calling Probe. nil responses are not supported"))
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *HandOverReply and nil error while calling HandOver. nil responses are not supported"))
 		return
 	}
 
@@ -1209,9 +2610,9 @@
 	callResponseSent(ctx, s.hooks)
 }
 
-func (s *peerServer) serveProbeProtobuf(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+func (s *peerServer) serveHandOverProtobuf(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
 	var err error
-	ctx = ctxsetters.WithMethodName(ctx, "Probe")
+	ctx = ctxsetters.WithMethodName(ctx, "HandOver")
 	ctx, err = callRequestRouted(ctx, s.hooks)
 	if err != nil {
 		s.writeError(ctx, resp, err)
@@ -1223,28 +2624,28 @@
 		s.handleRequestBodyError(ctx, resp, "failed to read request body", err)
 		return
 	}
-	reqContent := new(ProbeRequest)
+	reqContent := new(HandOverRequest)
 	if err = proto.Unmarshal(buf, reqContent); err != nil {
 		s.writeError(ctx, resp, malformedRequestError("the protobuf request could not be decoded"))
 		return
 	}
 
-	handler := s.Peer.Probe
+	handler := s.Peer.HandOver
 	if s.interceptor != nil {
-		handler = func(ctx context.Context, req *ProbeRequest) (*ProbeReply, error) {
+		handler = func(ctx context.Context, req *HandOverRequest) (*HandOverReply, error) {
 			resp, err := s.interceptor(
 				func(ctx context.Context, req interface{}) (interface{}, error) {
-					typedReq, ok := req.(*ProbeRequest)
+					typedReq, ok := req.(*HandOverRequest)
 					if !ok {
-						return nil, twirp.InternalError("failed type assertion req.(*ProbeRequest) when calling interceptor")
+						return nil, twirp.InternalError("failed type assertion req.(*HandOverRequest) when calling interceptor")
 					}
-					return s.Peer.Probe(ctx, typedReq)
+					return s.Peer.HandOver(ctx, typedReq)
 				},
 			)(ctx, req)
 			if resp != nil {
-				typedResp, ok := resp.(*ProbeReply)
+				typedResp, ok := resp.(*HandOverReply)
 				if !ok {
-					return nil, twirp.InternalError("failed type assertion resp.(*ProbeReply) when calling interceptor")
+					return nil, twirp.InternalError("failed type assertion resp.(*HandOverReply) when calling interceptor")
 				}
 				return typedResp, err
 			}
@@ -1253,7 +2654,7 @@
 	}
 
 	// Call service method
-	var respContent *ProbeReply
+	var respContent *HandOverReply
 	func() {
 		defer ensurePanicResponses(ctx, resp, s.hooks)
 		respContent, err = handler(ctx, reqContent)
@@ -1264,7 +2665,7 @@
 		return
 	}
 	if respContent == nil {
-		s.writeError(ctx, resp, twirp.InternalError("received a nil *ProbeReply and nil error while calling Probe. nil responses are not supported"))
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *HandOverReply and nil error while calling HandOver. nil responses are not supported"))
 		return
 	}
 
@@ -1288,7 +2689,7 @@
 	callResponseSent(ctx, s.hooks)
 }
 
-func (s *peerServer) serveSync(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+func (s *peerServer) serveFollow(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
 	header := req.Header.Get("Content-Type")
 	i := strings.Index(header, ";")
 	if i == -1 {
@@ -1296,9 +2697,9 @@
 	}
 	switch strings.TrimSpace(strings.ToLower(header[:i])) {
 	case "application/json":
-		s.serveSyncJSON(ctx, resp, req)
+		s.serveFollowJSON(ctx, resp, req)
 	case "application/protobuf":
-		s.serveSyncProtobuf(ctx, resp, req)
+		s.serveFollowProtobuf(ctx, resp, req)
 	default:
 		msg := fmt.Sprintf("unexpected Content-Type: %q", req.Header.Get("Content-Type"))
 		twerr := badRouteError(msg, req.Method, req.URL.Path)
@@ -1306,9 +2707,9 @@
 	}
 }
 
-func (s *peerServer) serveSyncJSON(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+func (s *peerServer) serveFollowJSON(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
 	var err error
-	ctx = ctxsetters.WithMethodName(ctx, "Sync")
+	ctx = ctxsetters.WithMethodName(ctx, "Follow")
 	ctx, err = callRequestRouted(ctx, s.hooks)
 	if err != nil {
 		s.writeError(ctx, resp, err)
@@ -1321,29 +2722,29 @@
 		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
 		return
 	}
-	reqContent := new(SyncRequest)
+	reqContent := new(FollowRequest)
 	unmarshaler := protojson.UnmarshalOptions{DiscardUnknown: true}
 	if err = unmarshaler.Unmarshal(rawReqBody, reqContent); err != nil {
 		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
 		return
 	}
 
-	handler := s.Peer.Sync
+	handler := s.Peer.Follow
 	if s.interceptor != nil {
-		handler = func(ctx context.Context, req *SyncRequest) (*SyncReply, error) {
+		handler = func(ctx context.Context, req *FollowRequest) (*FollowReply, error) {
 			resp, err := s.interceptor(
 				func(ctx context.Context, req interface{}) (interface{}, error) {
-					typedReq, ok := req.(*SyncRequest)
+					typedReq, ok := req.(*FollowRequest)
 					if !ok {
-						return nil, twirp.InternalError("failed type assertion req.(*SyncRequest) when calling interceptor")
+						return nil, twirp.InternalError("failed type assertion req.(*FollowRequest) when calling interceptor")
 					}
-					return s.Peer.Sync(ctx, typedReq)
+					return s.Peer.Follow(ctx, typedReq)
 				},
 			)(ctx, req)
 			if resp != nil {
-				typedResp, ok := resp.(*SyncReply)
+				typedResp, ok := resp.(*FollowReply)
 				if !ok {
-					return nil, twirp.InternalError("failed type assertion resp.(*SyncReply) when calling interceptor")
+					return nil, twirp.InternalError("failed type assertion resp.(*FollowReply) when calling interceptor")
 				}
 				return typedResp, err
 			}
@@ -1352,7 +2753,7 @@
 	}
 
 	// Call service method
-	var respContent *SyncReply
+	var respContent *FollowReply
 	func() {
 		defer ensurePanicResponses(ctx, resp, s.hooks)
 		respContent, err = handler(ctx, reqContent)
@@ -1363,7 +2764,7 @@
 		return
 	}
 	if respContent == nil {
-		s.writeError(ctx, resp, twirp.InternalError("received a nil *SyncReply and nil error while calling Sync. nil responses are not supported"))
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *FollowReply and nil error while calling Follow. nil responses are not supported"))
 		return
 	}
 
@@ -1389,9 +2790,9 @@
 	callResponseSent(ctx, s.hooks)
 }
 
-func (s *peerServer) serveSyncProtobuf(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+func (s *peerServer) serveFollowProtobuf(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
 	var err error
-	ctx = ctxsetters.WithMethodName(ctx, "Sync")
+	ctx = ctxsetters.WithMethodName(ctx, "Follow")
 	ctx, err = callRequestRouted(ctx, s.hooks)
 	if err != nil {
 		s.writeError(ctx, resp, err)
@@ -1403,28 +2804,28 @@
 		s.handleRequestBodyError(ctx, resp, "failed to read request body", err)
 		return
 	}
-	reqContent := new(SyncRequest)
+	reqContent := new(FollowRequest)
 	if err = proto.Unmarshal(buf, reqContent); err != nil {
 		s.writeError(ctx, resp, malformedRequestError("the protobuf request could not be decoded"))
 		return
 	}
 
-	handler := s.Peer.Sync
+	handler := s.Peer.Follow
 	if s.interceptor != nil {
-		handler = func(ctx context.Context, req *SyncRequest) (*SyncReply, error) {
+		handler = func(ctx context.Context, req *FollowRequest) (*FollowReply, error) {
 			resp, err := s.interceptor(
 				func(ctx context.Context, req interface{}) (interface{}, error) {
-					typedReq, ok := req.(*SyncRequest)
+					typedReq, ok := req.(*FollowRequest)
 					if !ok {
-						return nil, twirp.InternalError("failed type assertion req.(*SyncRequest) when calling interceptor")
+						return nil, twirp.InternalError("failed type assertion req.(*FollowRequest) when calling interceptor")
 					}
-					return s.Peer.Sync(ctx, typedReq)
+					return s.Peer.Follow(ctx, typedReq)
 				},
 			)(ctx, req)
 			if resp != nil {
-				typedResp, ok := resp.(*SyncReply)
+				typedResp, ok := resp.(*FollowReply)
 				if !ok {
-					return nil, twirp.InternalError("failed type assertion resp.(*SyncReply) when calling interceptor")
+					return nil, twirp.InternalError("failed type assertion resp.(*FollowReply) when calling interceptor")
 				}
 				return typedResp, err
 			}
@@ -1433,7 +2834,7 @@
 	}
 
 	// Call service method
-	var respContent *SyncReply
+	var respContent *FollowReply
 	func() {
 		defer ensurePanicResponses(ctx, resp, s.hooks)
 		respContent, err = handler(ctx, reqContent)
@@ -1444,7 +2845,7 @@
 		return
 	}
 	if respContent == nil {
-		s.writeError(ctx, resp, twirp.InternalError("received a nil *SyncReply and nil error while calling Sync. nil responses are not supported"))
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *FollowReply and nil error while calling Follow. nil responses are not supported"))
 		return
 	}
 
@@ -1468,7 +2869,7 @@
 	callResponseSent(ctx, s.hooks)
 }
 
-func (s *peerServer) serveServe(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+func (s *peerServer) serveWork(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
 	header := req.Header.Get("Content-Type")
 	i := strings.Index(header, ";")
 	if i == -1 {
@@ -1476,9 +2877,9 @@
 	}
 	switch strings.TrimSpace(strings.ToLower(header[:i])) {
 	case "application/json":
-		s.serveServeJSON(ctx, resp, req)
+		s.serveWorkJSON(ctx, resp, req)
 	case "application/protobuf":
-		s.serveServeProtobuf(ctx, resp, req)
+		s.serveWorkProtobuf(ctx, resp, req)
 	default:
 		msg := fmt.Sprintf("unexpected Content-Type: %q", req.Header.Get("Content-Type"))
 		twerr := badRouteError(msg, req.Method, req.URL.Path)
@@ -1486,9 +2887,9 @@
 	}
 }
 
-func (s *peerServer) serveServeJSON(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+func (s *peerServer) serveWorkJSON(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
 	var err error
-	ctx = ctxsetters.WithMethodName(ctx, "Serve")
+	ctx = ctxsetters.WithMethodName(ctx, "Work")
 	ctx, err = callRequestRouted(ctx, s.hooks)
 	if err != nil {
 		s.writeError(ctx, resp, err)
@@ -1501,29 +2902,29 @@
 		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
 		return
 	}
-	reqContent := new(ServeRequest)
+	reqContent := new(WorkRequest)
 	unmarshaler := protojson.UnmarshalOptions{DiscardUnknown: true}
 	if err = unmarshaler.Unmarshal(rawReqBody, reqContent); err != nil {
 		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
 		return
 	}
 
-	handler := s.Peer.Serve
+	handler := s.Peer.Work
 	if s.interceptor != nil {
-		handler = func(ctx context.Context, req *ServeRequest) (*ServeReply, error) {
+		handler = func(ctx context.Context, req *WorkRequest) (*WorkReply, error) {
 			resp, err := s.interceptor(
 				func(ctx context.Context, req interface{}) (interface{}, error) {
-					typedReq, ok := req.(*ServeRequest)
+					typedReq, ok := req.(*WorkRequest)
 					if !ok {
-						return nil, twirp.InternalError("failed type assertion req.(*ServeRequest) when calling interceptor")
+						return nil, twirp.InternalError("failed type assertion req.(*WorkRequest) when calling interceptor")
 					}
-					return s.Peer.Serve(ctx, typedReq)
+					return s.Peer.Work(ctx, typedReq)
 				},
 			)(ctx, req)
 			if resp != nil {
-				typedResp, ok := resp.(*ServeReply)
+				typedResp, ok := resp.(*WorkReply)
 				if !ok {
-					return nil, twirp.InternalError("failed type assertion resp.(*ServeReply) when calling interceptor")
+					return nil, twirp.InternalError("failed type assertion resp.(*WorkReply) when calling interceptor")
 				}
 				return typedResp, err
 			}
@@ -1532,7 +2933,7 @@
 	}
 
 	// Call service method
-	var respContent *ServeReply
+	var respContent *WorkReply
 	func() {
 		defer ensurePanicResponses(ctx, resp, s.hooks)
 		respContent, err = handler(ctx, reqContent)
@@ -1543,7 +2944,7 @@
 		return
 	}
 	if respContent == nil {
-		s.writeError(ctx, resp, twirp.InternalError("received a nil *ServeReply and nil error while calling Serve. nil responses are not supported"))
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *WorkReply and nil error while calling Work. nil responses are not supported"))
 		return
 	}
 
@@ -1569,9 +2970,9 @@
 	callResponseSent(ctx, s.hooks)
 }
 
-func (s *peerServer) serveServeProtobuf(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+func (s *peerServer) serveWorkProtobuf(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
 	var err error
-	ctx = ctxsetters.WithMethodName(ctx, "Serve")
+	ctx = ctxsetters.WithMethodName(ctx, "Work")
 	ctx, err = callRequestRouted(ctx, s.hooks)
 	if err != nil {
 		s.writeError(ctx, resp, err)
@@ -1583,28 +2984,28 @@
 		s.handleRequestBodyError(ctx, resp, "failed to read request body", err)
 		return
 	}
-	reqContent := new(ServeRequest)
+	reqContent := new(WorkRequest)
 	if err = proto.Unmarshal(buf, reqContent); err != nil {
 		s.writeError(ctx, resp, malformedRequestError("the protobuf request could not be decoded"))
 		return
 	}
 
-	handler := s.Peer.Serve
+	handler := s.Peer.Work
 	if s.interceptor != nil {
-		handler = func(ctx context.Context, req *ServeRequest) (*ServeReply, error) {
+		handler = func(ctx context.Context, req *WorkRequest) (*WorkReply, error) {
 			resp, err := s.interceptor(
 				func(ctx context.Context, req interface{}) (interface{}, error) {
-					typedReq, ok := req.(*ServeRequest)
+					typedReq, ok := req.(*WorkRequest)
 					if !ok {
-						return nil, twirp.InternalError("failed type assertion req.(*ServeRequest) when calling interceptor")
+						return nil, twirp.InternalError("failed type assertion req.(*WorkRequest) when calling interceptor")
 					}
-					return s.Peer.Serve(ctx, typedReq)
+					return s.Peer.Work(ctx, typedReq)
 				},
 			)(ctx, req)
 			if resp != nil {
-				typedResp, ok := resp.(*ServeReply)
+				typedResp, ok := resp.(*WorkReply)
 				if !ok {
-					return nil, twirp.InternalError("failed type assertion resp.(*ServeReply) when calling interceptor")
+					return nil, twirp.InternalError("failed type assertion resp.(*WorkReply) when calling interceptor")
 				}
 				return typedResp, err
 			}
@@ -1613,7 +3014,7 @@
 	}
 
 	// Call service method
-	var respContent *ServeReply
+	var respContent *WorkReply
 	func() {
 		defer ensurePanicResponses(ctx, resp, s.hooks)
 		respContent, err = handler(ctx, reqContent)
@@ -1624,7 +3025,7 @@
 		return
 	}
 	if respContent == nil {
-		s.writeError(ctx, resp, twirp.InternalError("received a nil *ServeReply and nil error while calling Serve. nil responses are not supported"))
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *WorkReply and nil error while calling Work. nil responses are not supported"))
 		return
 	}
 
@@ -1648,7 +3049,7 @@
 	callResponseSent(ctx, s.hooks)
 }
 
-func (s *peerServer) serveRoot(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+func (s *peerServer) serveFree(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
 	header := req.Header.Get("Content-Type")
 	i := strings.Index(header, ";")
 	if i == -1 {
@@ -1656,9 +3057,9 @@
 	}
 	switch strings.TrimSpace(strings.ToLower(header[:i])) {
 	case "application/json":
-		s.serveRootJSON(ctx, resp, req)
+		s.serveFreeJSON(ctx, resp, req)
 	case "application/protobuf":
-		s.serveRootProtobuf(ctx, resp, req)
+		s.serveFreeProtobuf(ctx, resp, req)
 	default:
 		msg := fmt.Sprintf("unexpected Content-Type: %q", req.Header.Get("Content-Type"))
 		twerr := badRouteError(msg, req.Method, req.URL.Path)
@@ -1666,9 +3067,9 @@
 	}
 }
 
-func (s *peerServer) serveRootJSON(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+func (s *peerServer) serveFreeJSON(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
 	var err error
-	ctx = ctxsetters.WithMethodName(ctx, "Root")
+	ctx = ctxsetters.WithMethodName(ctx, "Free")
 	ctx, err = callRequestRouted(ctx, s.hooks)
 	if err != nil {
 		s.writeError(ctx, resp, err)
@@ -1681,29 +3082,29 @@
 		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
 		return
 	}
-	reqContent := new(RootRequest)
+	reqContent := new(FreeRequest)
 	unmarshaler := protojson.UnmarshalOptions{DiscardUnknown: true}
 	if err = unmarshaler.Unmarshal(rawReqBody, reqContent); err != nil {
 		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
 		return
 	}
 
-	handler := s.Peer.Root
+	handler := s.Peer.Free
 	if s.interceptor != nil {
-		handler = func(ctx context.Context, req *RootRequest) (*RootReply, error) {
+		handler = func(ctx context.Context, req *FreeRequest) (*FreeReply, error) {
 			resp, err := s.interceptor(
 				func(ctx context.Context, req interface{}) (interface{}, error) {
-					typedReq, ok := req.(*RootRequest)
+					typedReq, ok := req.(*FreeRequest)
 					if !ok {
-						return nil, twirp.InternalError("failed type assertion req.(*RootRequest) when calling interceptor")
+						return nil, twirp.InternalError("failed type assertion req.(*FreeRequest) when calling interceptor")
 					}
-					return s.Peer.Root(ctx, typedReq)
+					return s.Peer.Free(ctx, typedReq)
 				},
 			)(ctx, req)
 			if resp != nil {
-				typedResp, ok := resp.(*RootReply)
+				typedResp, ok := resp.(*FreeReply)
 				if !ok {
-					return nil, twirp.InternalError("failed type assertion resp.(*RootReply) when calling interceptor")
+					return nil, twirp.InternalError("failed type assertion resp.(*FreeReply) when calling interceptor")
 				}
 				return typedResp, err
 			}
@@ -1712,7 +3113,7 @@
 	}
 
 	// Call service method
-	var respContent *RootReply
+	var respContent *FreeReply
 	func() {
 		defer ensurePanicResponses(ctx, resp, s.hooks)
 		respContent, err = handler(ctx, reqContent)
@@ -1723,7 +3124,7 @@
 		return
 	}
 	if respContent == nil {
-		s.writeError(ctx, resp, twirp.InternalError("received a nil *RootReply and nil error while calling Root. nil responses are not supported"))
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *FreeReply and nil error while calling Free. nil responses are not supported"))
 		return
 	}
 
@@ -1749,9 +3150,9 @@
 	callResponseSent(ctx, s.hooks)
 }
 
-func (s *peerServer) serveRootProtobuf(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+func (s *peerServer) serveFreeProtobuf(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
 	var err error
-	ctx = ctxsetters.WithMethodName(ctx, "Root")
+	ctx = ctxsetters.WithMethodName(ctx, "Free")
 	ctx, err = callRequestRouted(ctx, s.hooks)
 	if err != nil {
 		s.writeError(ctx, resp, err)
@@ -1763,28 +3164,28 @@
 		s.handleRequestBodyError(ctx, resp, "failed to read request body", err)
 		return
 	}
-	reqContent := new(RootRequest)
+	reqContent := new(FreeRequest)
 	if err = proto.Unmarshal(buf, reqContent); err != nil {
 		s.writeError(ctx, resp, malformedRequestError("the protobuf request could not be decoded"))
 		return
 	}
 
-	handler := s.Peer.Root
+	handler := s.Peer.Free
 	if s.interceptor != nil {
-		handler = func(ctx context.Context, req *RootRequest) (*RootReply, error) {
+		handler = func(ctx context.Context, req *FreeRequest) (*FreeReply, error) {
 			resp, err := s.interceptor(
 				func(ctx context.Context, req interface{}) (interface{}, error) {
-					typedReq, ok := req.(*RootRequest)
+					typedReq, ok := req.(*FreeRequest)
 					if !ok {
-						return nil, twirp.InternalError("failed type assertion req.(*RootRequest) when calling interceptor")
+						return nil, twirp.InternalError("failed type assertion req.(*FreeRequest) when calling interceptor")
 					}
-					return s.Peer.Root(ctx, typedReq)
+					return s.Peer.Free(ctx, typedReq)
 				},
 			)(ctx, req)
 			if resp != nil {
-				typedResp, ok := resp.(*RootReply)
+				typedResp, ok := resp.(*FreeReply)
 				if !ok {
-					return nil, twirp.InternalError("failed type assertion resp.(*RootReply) when calling interceptor")
+					return nil, twirp.InternalError("failed type assertion resp.(*FreeReply) when calling interceptor")
 				}
 				return typedResp, err
 			}
@@ -1793,7 +3194,7 @@
 	}
 
 	// Call service method
-	var respContent *RootReply
+	var respContent *FreeReply
 	func() {
 		defer ensurePanicResponses(ctx, resp, s.hooks)
 		respContent, err = handler(ctx, reqContent)
@@ -1804,7 +3205,7 @@
 		return
 	}
 	if respContent == nil {
-		s.writeError(ctx, resp, twirp.InternalError("received a nil *RootReply and nil error while calling Root. nil responses are not supported"))
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *FreeReply and nil error while calling Free. nil responses are not supported"))
 		return
 	}
 
@@ -1828,7 +3229,7 @@
 	callResponseSent(ctx, s.hooks)
 }
 
-func (s *peerServer) serveFragment(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+func (s *peerServer) servePlace(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
 	header := req.Header.Get("Content-Type")
 	i := strings.Index(header, ";")
 	if i == -1 {
@@ -1836,9 +3237,9 @@
 	}
 	switch strings.TrimSpace(strings.ToLower(header[:i])) {
 	case "application/json":
-		s.serveFragmentJSON(ctx, resp, req)
+		s.servePlaceJSON(ctx, resp, req)
 	case "application/protobuf":
-		s.serveFragmentProtobuf(ctx, resp, req)
+		s.servePlaceProtobuf(ctx, resp, req)
 	default:
 		msg := fmt.Sprintf("unexpected Content-Type: %q", req.Header.Get("Content-Type"))
 		twerr := badRouteError(msg, req.Method, req.URL.Path)
@@ -1846,9 +3247,9 @@
 	}
 }
 
-func (s *peerServer) serveFragmentJSON(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+func (s *peerServer) servePlaceJSON(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
 	var err error
-	ctx = ctxsetters.WithMethodName(ctx, "Fragment")
+	ctx = ctxsetters.WithMethodName(ctx, "Place")
 	ctx, err = callRequestRouted(ctx, s.hooks)
 	if err != nil {
 		s.writeError(ctx, resp, err)
@@ -1861,29 +3262,29 @@
 		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
 		return
 	}
-	reqContent := new(FragmentRequest)
+	reqContent := new(PlaceRequest)
 	unmarshaler := protojson.UnmarshalOptions{DiscardUnknown: true}
 	if err = unmarshaler.Unmarshal(rawReqBody, reqContent); err != nil {
 		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
 		return
 	}
 
-	handler := s.Peer.Fragment
+	handler := s.Peer.Place
 	if s.interceptor != nil {
-		handler = func(ctx context.Context, req *FragmentRequest) (*FragmentReply, error) {
+		handler = func(ctx context.Context, req *PlaceRequest) (*PlaceReply, error) {
 			resp, err := s.interceptor(
 				func(ctx context.Context, req interface{}) (interface{}, error) {
-					typedReq, ok := req.(*FragmentRequest)
+					typedReq, ok := req.(*PlaceRequest)
 					if !ok {
-						return nil, twirp.InternalError("failed type assertion req.(*FragmentRequest) when calling interceptor")
+						return nil, twirp.InternalError("failed type assertion req.(*PlaceRequest) when calling interceptor")
 					}
-					return s.Peer.Fragment(ctx, typedReq)
+					return s.Peer.Place(ctx, typedReq)
 				},
 			)(ctx, req)
 			if resp != nil {
-				typedResp, ok := resp.(*FragmentReply)
+				typedResp, ok := resp.(*PlaceReply)
 				if !ok {
-					return nil, twirp.InternalError("failed type assertion resp.(*FragmentReply) when calling interceptor")
+					return nil, twirp.InternalError("failed type assertion resp.(*PlaceReply) when calling interceptor")
 				}
 				return typedResp, err
 			}
@@ -1892,7 +3293,7 @@
 	}
 
 	// Call service method
-	var respContent *FragmentReply
+	var respContent *PlaceReply
 	func() {
 		defer ensurePanicResponses(ctx, resp, s.hooks)
 		respContent, err = handler(ctx, reqContent)
@@ -1903,7 +3304,7 @@
 		return
 	}
 	if respContent == nil {
-		s.writeError(ctx, resp, twirp.InternalError("received a nil *FragmentReply and nil error while calling Fragment. nil responses are not supported"))
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *PlaceReply and nil error while calling Place. nil responses are not supported"))
 		return
 	}
 
@@ -1929,9 +3330,9 @@
 	callResponseSent(ctx, s.hooks)
 }
 
-func (s *peerServer) serveFragmentProtobuf(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+func (s *peerServer) servePlaceProtobuf(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
 	var err error
-	ctx = ctxsetters.WithMethodName(ctx, "Fragment")
+	ctx = ctxsetters.WithMethodName(ctx, "Place")
 	ctx, err = callRequestRouted(ctx, s.hooks)
 	if err != nil {
 		s.writeError(ctx, resp, err)
@@ -1943,28 +3344,28 @@
 		s.handleRequestBodyError(ctx, resp, "failed to read request body", err)
 		return
 	}
-	reqContent := new(FragmentRequest)
+	reqContent := new(PlaceRequest)
 	if err = proto.Unmarshal(buf, reqContent); err != nil {
 		s.writeError(ctx, resp, malformedRequestError("the protobuf request could not be decoded"))
 		return
 	}
 
-	handler := s.Peer.Fragment
+	handler := s.Peer.Place
 	if s.interceptor != nil {
-		handler = func(ctx context.Context, req *FragmentRequest) (*FragmentReply, error) {
+		handler = func(ctx context.Context, req *PlaceRequest) (*PlaceReply, error) {
 			resp, err := s.interceptor(
 				func(ctx context.Context, req interface{}) (interface{}, error) {
-					typedReq, ok := req.(*FragmentRequest)
+					typedReq, ok := req.(*PlaceRequest)
 					if !ok {
-						return nil, twirp.InternalError("failed type assertion req.(*FragmentRequest) when calling interceptor")
+						return nil, twirp.InternalError("failed type assertion req.(*PlaceRequest) when calling interceptor")
 					}
-					return s.Peer.Fragment(ctx, typedReq)
+					return s.Peer.Place(ctx, typedReq)
 				},
 			)(ctx, req)
 			if resp != nil {
-				typedResp, ok := resp.(*FragmentReply)
+				typedResp, ok := resp.(*PlaceReply)
 				if !ok {
-					return nil, twirp.InternalError("failed type assertion resp.(*FragmentReply) when calling interceptor")
+					return nil, twirp.InternalError("failed type assertion resp.(*PlaceReply) when calling interceptor")
 				}
 				return typedResp, err
 			}
@@ -1973,7 +3374,7 @@
 	}
 
 	// Call service method
-	var respContent *FragmentReply
+	var respContent *PlaceReply
 	func() {
 		defer ensurePanicResponses(ctx, resp, s.hooks)
 		respContent, err = handler(ctx, reqContent)
@@ -1984,7 +3385,7 @@
 		return
 	}
 	if respContent == nil {
-		s.writeError(ctx, resp, twirp.InternalError("received a nil *FragmentReply and nil error while calling Fragment. nil responses are not supported"))
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *PlaceReply and nil error while calling Place. nil responses are not supported"))
 		return
 	}
 
@@ -2008,7 +3409,7 @@
 	callResponseSent(ctx, s.hooks)
 }
 
-func (s *peerServer) serveHandOver(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+func (s *peerServer) serveSettle(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
 	header := req.Header.Get("Content-Type")
 	i := strings.Index(header, ";")
 	if i == -1 {
@@ -2016,9 +3417,9 @@
 	}
 	switch strings.TrimSpace(strings.ToLower(header[:i])) {
 	case "application/json":
-		s.serveHandOverJSON(ctx, resp, req)
+		s.serveSettleJSON(ctx, resp, req)
 	case "application/protobuf":
-		s.serveHandOverProtobuf(ctx, resp, req)
+		s.serveSettleProtobuf(ctx, resp, req)
 	default:
 		msg := fmt.Sprintf("unexpected Content-Type: %q", req.Header.Get("Content-Type"))
 		twerr := badRouteError(msg, req.Method, req.URL.Path)
@@ -2026,9 +3427,9 @@
 	}
 }
 
-func (s *peerServer) serveHandOverJSON(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+func (s *peerServer) serveSettleJSON(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
 	var err error
-	ctx = ctxsetters.WithMethodName(ctx, "HandOver")
+	ctx = ctxsetters.WithMethodName(ctx, "Settle")
 	ctx, err = callRequestRouted(ctx, s.hooks)
 	if err != nil {
 		s.writeError(ctx, resp, err)
@@ -2041,29 +3442,29 @@
 		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
 		return
 	}
-	reqContent := new(HandOverRequest)
+	reqContent := new(SettleRequest)
 	unmarshaler := protojson.UnmarshalOptions{DiscardUnknown: true}
 	if err = unmarshaler.Unmarshal(rawReqBody, reqContent); err != nil {
 		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
 		return
 	}
 
-	handler := s.Peer.HandOver
+	handler := s.Peer.Settle
 	if s.interceptor != nil {
-		handler = func(ctx context.Context, req *HandOverRequest) (*HandOverReply, error) {
+		handler = func(ctx context.Context, req *SettleRequest) (*SettleReply, error) {
 			resp, err := s.interceptor(
 				func(ctx context.Context, req interface{}) (interface{}, error) {
-					typedReq, ok := req.(*HandOverRequest)
+					typedReq, ok := req.(*SettleRequest)
 					if !ok {
-						return nil, twirp.InternalError("failed type assertion req.(*HandOverRequest) when calling interceptor")
+						return nil, twirp.InternalError("failed type assertion req.(*SettleRequest) when calling interceptor")
 					}
-					return s.Peer.HandOver(ctx, typedReq)
+					return s.Peer.Settle(ctx, typedReq)
 				},
 			)(ctx, req)
 			if resp != nil {
-				typedResp, ok := resp.(*HandOverReply)
+				typedResp, ok := resp.(*SettleReply)
 				if !ok {
-					return nil, twirp.InternalError("failed type assertion resp.(*HandOverReply) when calling interceptor")
+					return nil, twirp.InternalError("failed type assertion resp.(*SettleReply) when calling interceptor")
 				}
 				return typedResp, err
 			}
@@ -2072,7 +3473,7 @@
 	}
 
 	// Call service method
-	var respContent *HandOverReply
+	var respContent *SettleReply
 	func() {
 		defer ensurePanicResponses(ctx, resp, s.hooks)
 		respContent, err = handler(ctx, reqContent)
@@ -2083,7 +3484,7 @@
 		return
 	}
 	if respContent == nil {
-		s.writeError(ctx, resp, twirp.InternalError("received a nil *HandOverReply and nil error while calling HandOver. nil responses are not supported"))
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *SettleReply and nil error while calling Settle. nil responses are not supported"))
 		return
 	}
 
@@ -2109,9 +3510,9 @@
 	callResponseSent(ctx, s.hooks)
 }
 
-func (s *peerServer) serveHandOverProtobuf(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+func (s *peerServer) serveSettleProtobuf(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
 	var err error
-	ctx = ctxsetters.WithMethodName(ctx, "HandOver")
+	ctx = ctxsetters.WithMethodName(ctx, "Settle")
 	ctx, err = callRequestRouted(ctx, s.hooks)
 	if err != nil {
 		s.writeError(ctx, resp, err)
@@ -2123,28 +3524,28 @@
 		s.handleRequestBodyError(ctx, resp, "failed to read request body", err)
 		return
 	}
-	reqContent := new(HandOverRequest)
+	reqContent := new(SettleRequest)
 	if err = proto.Unmarshal(buf, reqContent); err != nil {
 		s.writeError(ctx, resp, malformedRequestError("the protobuf request could not be decoded"))
 		return
 	}
 
-	handler := s.Peer.HandOver
+	handler := s.Peer.Settle
 	if s.interceptor != nil {
-		handler = func(ctx context.Context, req *HandOverRequest) (*HandOverReply, error) {
+		handler = func(ctx context.Context, req *SettleRequest) (*SettleReply, error) {
 			resp, err := s.interceptor(
 				func(ctx context.Context, req interface{}) (interface{}, error) {
-					typedReq, ok := req.(*HandOverRequest)
+					typedReq, ok := req.(*SettleRequest)
 					if !ok {
-						return nil, twirp.InternalError("failed type assertion req.(*HandOverRequest) when calling interceptor")
+						return nil, twirp.InternalError("failed type assertion req.(*SettleRequest) when calling interceptor")
 					}
-					return s.Peer.HandOver(ctx, typedReq)
+					return s.Peer.Settle(ctx, typedReq)
 				},
 			)(ctx, req)
 			if resp != nil {
-				typedResp, ok := resp.(*HandOverReply)
+				typedResp, ok := resp.(*SettleReply)
 				if !ok {
-					return nil, twirp.InternalError("failed type assertion resp.(*HandOverReply) when calling interceptor")
+					return nil, twirp.InternalError("failed type assertion resp.(*SettleReply) when calling interceptor")
 				}
 				return typedResp, err
 			}
@@ -2153,7 +3554,7 @@
 	}
 
 	// Call service method
-	var respContent *HandOverReply
+	var respContent *SettleReply
 	func() {
 		defer ensurePanicResponses(ctx, resp, s.hooks)
 		respContent, err = handler(ctx, reqContent)
@@ -2164,7 +3565,7 @@
 		return
 	}
 	if respContent == nil {
-		s.writeError(ctx, resp, twirp.InternalError("received a nil *HandOverReply and nil error while calling HandOver. nil responses are not supported"))
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *SettleReply and nil error while calling Settle. nil responses are not supported"))
 		return
 	}
 
@@ -2769,50 +4170,86 @@
 }
 
 var twirpFileDescriptor0 = []byte{
-	// 711 bytes of a gzipped FileDescriptorProto
-	0x1f, 0x8b, 0x08, 0x00, 0x00, 0x00, 0x00, 0x00, 0x02, 0xff, 0xb4, 0x55, 0xcf, 0x6f, 0xda, 0x4a,
-	0x10, 0x16, 0x60, 0x02, 0x0c, 0x26, 0xf0, 0x56, 0xef, 0xe0, 0xc7, 0x4b, 0x1b, 0xba, 0x51, 0x2a,
-	0xaa, 0x56, 0x44, 0x4a, 0x2f, 0x95, 0x7a, 0xa8, 0x8a, 0x9a, 0xaa, 0x3d, 0xa4, 0x89, 0x36, 0xb7,
-	0x5e, 0xd0, 0x62, 0x6f, 0x60, 0x85, 0xbd, 0x4b, 0x77, 0x0d, 0x91, 0x6f, 0x3d, 0xf4, 0x9f, 0xec,
-	0x7f, 0x53, 0xed, 0xda, 0x06, 0x43, 0x9c, 0x54, 0xaa, 0xd4, 0x0b, 0x9a, 0xf9, 0xf6, 0x9b, 0xf1,
-	0xfc, 0xf8, 0x46, 0x00, 0x2c, 0x19, 0x53, 0xa3, 0xa5, 0x92, 0xb1, 0x44, 0x3d, 0x7f, 0xce, 0xd4,
-	0x9a, 0x87, 0x4b, 0x1a, 0xcf, 0x47, 0x06, 0xc7, 0x3f, 0x2b, 0x70, 0x70, 0xc9, 0xa2, 0x29, 0x53,
-	0xe8, 0x10, 0xaa, 0x3c, 0xf0, 0x2a, 0x83, 0xca, 0xb0, 0x45, 0xaa, 0x3c, 0x40, 0x08, 0x1c, 0x41,
-	0x23, 0xe6, 0x55, 0x2d, 0x62, 0x6d, 0xe4, 0x41, 0x83, 0x06, 0x81, 0x62, 0x5a, 0x7b, 0x35, 0x0b,
-	0xe7, 0x2e, 0x3a, 0x85, 0xc3, 0x5b, 0xca, 0xc3, 0x95, 0x62, 0x93, 0x40, 0x46, 0x94, 0x0b, 0xcf,
-	0xb1, 0x84, 0x4e, 0x86, 0x7e, 0xb0, 0x20, 0xfa, 0x17, 0xea, 0x3a, 0xa6, 0x31, 0xf3, 0xea, 0x83,
-	0xca, 0xb0, 0x43, 0x52, 0x07, 0xf5, 0xa1, 0xa9, 0xd9, 0xb7, 0x15, 0x13, 0x3e, 0xf3, 0x0e, 0x06,
-	0x95, 0xa1, 0x43, 0x36, 0xbe, 0x79, 0x53, 0x6c, 0xcd, 0x35, 0x97, 0xc2, 0x6b, 0x0c, 0x2a, 0xc3,
-	0x1a, 0xd9, 0xf8, 0xe8, 0x08, 0x5a, 0x7a, 0xe5, 0xfb, 0x4c, 0x6b, 0xa9, 0xbc, 0xa6, 0xfd, 0xde,
-	0x16, 0xc0, 0x1c, 0xda, 0xd7, 0x5c, 0xcc, 0x88, 0xc9, 0xa4, 0x63, 0xf4, 0x0a, 0x9c, 0x5b, 0x25,
-	0x23, 0xdb, 0x61, 0xfb, 0xdc, 0x1b, 0xed, 0xcf, 0x62, 0x94, 0xce, 0x81, 0x58, 0x96, 0x61, 0x0b,
-	0x76, 0xa7, 0xbd, 0xea, 0xa0, 0xf6, 0x38, 0xdb, 0xb0, 0xf0, 0x0c, 0x5a, 0xe9, 0xa7, 0x96, 0x61,
-	0xf2, 0x57, 0x3f, 0xf4, 0x06, 0xdc, 0x6b, 0x25, 0xa7, 0x2c, 0x6f, 0x6a, 0x7f, 0x69, 0x85, 0x05,
-	0x55, 0x77, 0x16, 0x84, 0x87, 0x00, 0x59, 0xa4, 0xa9, 0xb1, 0x0f, 0x4d, 0x2a, 0xf4, 0x1d, 0x53,
-	0x2c, 0x8d, 0x6e, 0x92, 0x8d, 0x8f, 0xdf, 0x42, 0xfb, 0x26, 0x11, 0xfe, 0x1f, 0xcd, 0x0d, 0xbf,
-	0x83, 0x56, 0x1a, 0x6c, 0xbe, 0x72, 0x0e, 0x8d, 0xc8, 0x3e, 0x6a, 0xaf, 0xf2, 0x9b, 0xf6, 0x72,
-	0x22, 0xfe, 0x51, 0x05, 0xf7, 0x86, 0xa9, 0xf5, 0xa6, 0xc5, 0x97, 0xf0, 0x8f, 0xbc, 0x13, 0x4c,
-	0x4d, 0xb8, 0xf0, 0xa9, 0x12, 0x34, 0x36, 0x4a, 0x48, 0x3b, 0xee, 0xd9, 0x87, 0xcf, 0x5b, 0x1c,
-	0x9d, 0x40, 0x27, 0x25, 0xef, 0x4e, 0xc1, 0xb5, 0xe0, 0xfb, 0x4c, 0xab, 0x18, 0x5c, 0xa9, 0x66,
-	0x54, 0x70, 0x9d, 0x26, 0xab, 0x65, 0x9c, 0x02, 0x66, 0xd4, 0xbf, 0xe0, 0x22, 0xc8, 0x54, 0x6c,
-	0x6d, 0xd4, 0x83, 0xda, 0x82, 0x25, 0x56, 0xba, 0x2d, 0x62, 0x4c, 0xc3, 0x9a, 0xca, 0x20, 0xb1,
-	0xa2, 0x75, 0x89, 0xb5, 0xd1, 0x0b, 0xe8, 0x29, 0x66, 0xc4, 0xce, 0xc5, 0x6c, 0x12, 0xf1, 0x30,
-	0xe4, 0x3a, 0x13, 0x6e, 0x77, 0x83, 0x5f, 0x5a, 0x18, 0xfd, 0x07, 0x4d, 0xaa, 0x17, 0x13, 0x29,
-	0xc2, 0xc4, 0xca, 0xb7, 0x49, 0x1a, 0x54, 0x2f, 0xae, 0x44, 0x98, 0xe0, 0xe7, 0x00, 0xd9, 0x14,
-	0xcc, 0x20, 0x3d, 0x68, 0xc8, 0x55, 0xec, 0xcb, 0x88, 0xd9, 0xce, 0x5d, 0x92, 0xbb, 0xb8, 0x03,
-	0x6d, 0x22, 0x65, 0x9c, 0x0d, 0x0b, 0x1f, 0x43, 0x2b, 0x75, 0x4d, 0x14, 0x02, 0x47, 0x49, 0x19,
-	0x67, 0x21, 0xd6, 0xc6, 0xa7, 0xd0, 0xfd, 0xa8, 0xe8, 0x2c, 0x62, 0x22, 0x8f, 0x31, 0xb4, 0x39,
-	0xd5, 0xf3, 0x6c, 0xa6, 0xd6, 0xc6, 0x27, 0xd0, 0xd9, 0xd2, 0xb2, 0x5c, 0x01, 0x8d, 0x69, 0x9e,
-	0xcb, 0xd8, 0xf8, 0x0a, 0xba, 0x9f, 0xa8, 0x08, 0xae, 0xd6, 0x4c, 0xe5, 0xb9, 0x30, 0xb8, 0x85,
-	0x35, 0xa5, 0x6b, 0x6f, 0x91, 0x1d, 0xcc, 0x34, 0xa3, 0x98, 0x2f, 0x55, 0x90, 0x6e, 0xc7, 0x25,
-	0xb9, 0x8b, 0xbb, 0xd0, 0xd9, 0x26, 0x5c, 0x86, 0xc9, 0xf9, 0x77, 0x07, 0x9c, 0x6b, 0xc6, 0x14,
-	0x1a, 0x83, 0x63, 0x0e, 0x0c, 0x3d, 0xb9, 0x2f, 0xa0, 0xc2, 0x8d, 0xf7, 0xff, 0x7f, 0xe8, 0xd9,
-	0xb4, 0x70, 0x01, 0x75, 0x7b, 0x01, 0xe8, 0x69, 0x09, 0xab, 0x70, 0x54, 0xfd, 0xa3, 0x07, 0xdf,
-	0x4d, 0x9a, 0x31, 0x38, 0x46, 0xe1, 0x65, 0xa5, 0x14, 0xce, 0xa6, 0xac, 0x94, 0xed, 0x61, 0x5c,
-	0x40, 0xdd, 0x6e, 0xb7, 0xac, 0x94, 0xa2, 0xf8, 0xcb, 0x4a, 0x29, 0xc8, 0x62, 0x0c, 0x8e, 0xd9,
-	0x76, 0x59, 0x29, 0x05, 0x51, 0x94, 0x95, 0xb2, 0x15, 0xc9, 0x17, 0x68, 0xe6, 0x9b, 0x46, 0xcf,
-	0xee, 0x13, 0xf7, 0xc4, 0xd2, 0x3f, 0x7e, 0x8c, 0x92, 0xe5, 0xcb, 0x77, 0x58, 0x96, 0x6f, 0x4f,
-	0x30, 0x65, 0xf9, 0x76, 0x24, 0x30, 0x3e, 0xfa, 0xda, 0x2f, 0x30, 0xce, 0xb8, 0x3c, 0x33, 0x24,
-	0xfb, 0xb3, 0x9c, 0x4e, 0x0f, 0xec, 0x1f, 0xdb, 0xeb, 0x5f, 0x01, 0x00, 0x00, 0xff, 0xff, 0x6a,
-	0xfc, 0x3c, 0x98, 0xe6, 0x06, 0x00, 0x00,
+	// 1288 bytes of a gzipped FileDescriptorProto
+	0x1f, 0x8b, 0x08, 0x00, 0x00, 0x00, 0x00, 0x00, 0x02, 0xff, 0xb4, 0x57, 0xdd, 0x8e, 0xdb, 0x36,
+	0x13, 0x85, 0x6d, 0xf9, 0x47, 0x63, 0x39, 0xbb, 0x9f, 0x10, 0x04, 0xfa, 0x9c, 0x4d, 0xb3, 0x61,
+	0x92, 0xc2, 0x45, 0x8b, 0x0d, 0xb0, 0x05, 0x8a, 0x00, 0xb9, 0x28, 0xb2, 0x48, 0x82, 0xf4, 0x22,
+	0xcd, 0x82, 0x29, 0x10, 0x20, 0x37, 0x86, 0x2c, 0x8d, 0x6d, 0x75, 0x65, 0x52, 0x25, 0xa5, 0xdd,
+	0xba, 0xe8, 0x65, 0xdf, 0xa2, 0x0f, 0xd1, 0x07, 0xe9, 0x13, 0xf4, 0xba, 0x2f, 0x52, 0xf0, 0xcf,
+	0x96, 0xbd, 0x4a, 0x5a, 0x34, 0xe8, 0x8d, 0xc1, 0x33, 0x3c, 0x1c, 0x0d, 0x0f, 0x67, 0x38, 0x34,
+	0x40, 0x81, 0x28, 0x4e, 0x0a, 0xc1, 0x4b, 0x1e, 0x1e, 0x26, 0x4b, 0x14, 0x97, 0x59, 0x5e, 0xc4,
+	0xe5, 0xf2, 0x44, 0xd9, 0xc9, 0x1f, 0x2d, 0xe8, 0xbd, 0xc2, 0xd5, 0x0c, 0x45, 0x78, 0x03, 0xda,
+	0x59, 0x1a, 0xb5, 0x8e, 0x5b, 0x13, 0x9f, 0xb6, 0xb3, 0x34, 0x0c, 0xc1, 0x63, 0xf1, 0x0a, 0xa3,
+	0xb6, 0xb6, 0xe8, 0x71, 0x18, 0x41, 0x3f, 0x4e, 0x53, 0x81, 0x52, 0x46, 0x1d, 0x6d, 0x76, 0x30,
+	0x7c, 0x08, 0x37, 0xe6, 0x71, 0x96, 0x57, 0x02, 0xa7, 0x29, 0x5f, 0xc5, 0x19, 0x8b, 0x3c, 0x4d,
+	0x18, 0x59, 0xeb, 0x33, 0x6d, 0x0c, 0x6f, 0x42, 0x57, 0x96, 0x71, 0x89, 0x51, 0xf7, 0xb8, 0x35,
+	0x19, 0x51, 0x03, 0xc2, 0x31, 0x0c, 0x24, 0xfe, 0x50, 0x21, 0x4b, 0x30, 0xea, 0x1d, 0xb7, 0x26,
+	0x1e, 0xdd, 0x60, 0x35, 0x27, 0xf0, 0x32, 0x93, 0x19, 0x67, 0x51, 0xff, 0xb8, 0x35, 0xe9, 0xd0,
+	0x0d, 0x0e, 0x8f, 0xc0, 0x97, 0x55, 0x92, 0xa0, 0x94, 0x5c, 0x44, 0x03, 0xfd, 0xbd, 0xad, 0x81,
+	0x64, 0x30, 0x3c, 0xcf, 0xd8, 0x82, 0x2a, 0x4f, 0xb2, 0x0c, 0xbf, 0x00, 0x6f, 0x2e, 0xf8, 0x4a,
+	0xef, 0x70, 0x78, 0x1a, 0x9d, 0xec, 0x6b, 0x71, 0x62, 0x74, 0xa0, 0x9a, 0xa5, 0xd8, 0x0c, 0xaf,
+	0x64, 0xd4, 0x3e, 0xee, 0x7c, 0x98, 0xad, 0x58, 0x64, 0x01, 0xbe, 0xf9, 0x54, 0x91, 0xaf, 0xff,
+	0xd3, 0x0f, 0x3d, 0x86, 0xe0, 0x5c, 0xf0, 0x19, 0xba, 0x4d, 0xed, 0x1f, 0x5a, 0xed, 0x80, 0xda,
+	0x3b, 0x07, 0x44, 0x26, 0x00, 0x76, 0xa5, 0x8a, 0x71, 0x0c, 0x83, 0x98, 0xc9, 0x2b, 0x14, 0x68,
+	0x56, 0x0f, 0xe8, 0x06, 0x93, 0x27, 0x30, 0x7c, 0xb3, 0x66, 0xc9, 0xbf, 0xd2, 0x8d, 0x7c, 0x0d,
+	0xbe, 0x59, 0xac, 0xbe, 0x72, 0x0a, 0xfd, 0x95, 0x9e, 0x94, 0x51, 0xeb, 0x6f, 0xb6, 0xe7, 0x88,
+	0xe4, 0x97, 0x36, 0x04, 0x6f, 0x50, 0x5c, 0x6e, 0xb6, 0xf8, 0x39, 0xfc, 0x8f, 0x5f, 0x31, 0x14,
+	0xd3, 0x8c, 0x25, 0xb1, 0x60, 0x71, 0xa9, 0x32, 0xc1, 0xec, 0xf8, 0x50, 0x4f, 0x7c, 0xb3, 0xb5,
+	0x87, 0xf7, 0x61, 0x64, 0xc8, 0xbb, 0x2a, 0x04, 0xda, 0xf8, 0xd4, 0xe6, 0x2a, 0x81, 0x80, 0x8b,
+	0x45, 0xcc, 0x32, 0x69, 0x9c, 0x75, 0x2c, 0xa7, 0x66, 0x53, 0xd9, 0x7f, 0x91, 0xb1, 0xd4, 0x66,
+	0xb1, 0x1e, 0x87, 0x87, 0xd0, 0xb9, 0xc0, 0xb5, 0x4e, 0x5d, 0x9f, 0xaa, 0xa1, 0x62, 0xcd, 0x78,
+	0xba, 0xd6, 0x49, 0x1b, 0x50, 0x3d, 0x0e, 0x3f, 0x83, 0x43, 0x81, 0x2a, 0xd9, 0x33, 0xb6, 0x98,
+	0xae, 0xb2, 0x3c, 0xcf, 0xa4, 0x4d, 0xdc, 0x83, 0x8d, 0xfd, 0x95, 0x36, 0x87, 0xff, 0x87, 0x41,
+	0x2c, 0x2f, 0xa6, 0x9c, 0xe5, 0x6b, 0x9d, 0xbe, 0x03, 0xda, 0x8f, 0xe5, 0xc5, 0x6b, 0x96, 0xaf,
+	0xc9, 0xa7, 0x00, 0x56, 0x05, 0x25, 0x64, 0x04, 0x7d, 0x5e, 0x95, 0x09, 0x5f, 0xa1, 0xde, 0x79,
+	0x40, 0x1d, 0x24, 0x23, 0x18, 0x52, 0xce, 0x4b, 0x2b, 0x16, 0xb9, 0x0b, 0xbe, 0x81, 0x6a, 0x55,
+	0x08, 0x9e, 0xe0, 0xbc, 0xb4, 0x4b, 0xf4, 0x98, 0x3c, 0x84, 0x83, 0x17, 0x22, 0x5e, 0xac, 0x90,
+	0xb9, 0x35, 0x8a, 0xb6, 0x8c, 0xe5, 0xd2, 0x6a, 0xaa, 0xc7, 0xe4, 0x3e, 0x8c, 0xb6, 0x34, 0xeb,
+	0x2b, 0x8d, 0xcb, 0xd8, 0xf9, 0x52, 0x63, 0xf2, 0x1a, 0x0e, 0x5e, 0xc6, 0x2c, 0x7d, 0x7d, 0x89,
+	0xc2, 0xf9, 0x22, 0x10, 0xd4, 0x8e, 0xc9, 0x1c, 0xbb, 0x4f, 0x77, 0x6c, 0x6a, 0x33, 0x02, 0x13,
+	0x2e, 0x52, 0x73, 0x3a, 0x01, 0x75, 0x90, 0x1c, 0xc0, 0x68, 0xeb, 0xb0, 0xc8, 0xd7, 0xe4, 0x7b,
+	0x18, 0xbd, 0xe0, 0x79, 0xce, 0xaf, 0x9c, 0xff, 0x08, 0xfa, 0x97, 0x28, 0xa4, 0x4b, 0x81, 0x0e,
+	0x75, 0x50, 0xc9, 0x2e, 0x95, 0x60, 0x42, 0x4e, 0x37, 0xf7, 0x45, 0xdb, 0xc8, 0x6e, 0xed, 0xd4,
+	0x5d, 0x1b, 0x37, 0xa1, 0x1b, 0xe7, 0x9c, 0xa1, 0x3e, 0xf8, 0x01, 0x35, 0x80, 0xfc, 0xde, 0x82,
+	0xa1, 0xfb, 0x98, 0xda, 0xf1, 0x03, 0x18, 0x25, 0x9c, 0xcd, 0xb3, 0x45, 0x25, 0xb6, 0x39, 0x17,
+	0xd0, 0x5d, 0xa3, 0x0a, 0xc8, 0xba, 0x77, 0x9b, 0xb1, 0xb0, 0x31, 0xa0, 0x4e, 0x73, 0x40, 0x4f,
+	0x00, 0x52, 0x2c, 0x62, 0x51, 0x56, 0x02, 0x65, 0xe4, 0xe9, 0x52, 0xb9, 0x7d, 0xbd, 0x54, 0x9e,
+	0x39, 0x0e, 0xad, 0xd1, 0xd5, 0x6e, 0xe6, 0x02, 0xe5, 0x52, 0xe7, 0xe5, 0x80, 0x1a, 0x40, 0x1e,
+	0x81, 0xbf, 0xa1, 0x37, 0x5d, 0xed, 0x33, 0x2e, 0x9c, 0x3e, 0x7a, 0x4c, 0x7e, 0x6b, 0xc3, 0xf0,
+	0x2d, 0x17, 0x17, 0x35, 0xa5, 0x55, 0x98, 0x59, 0x82, 0x76, 0xa1, 0x83, 0xe6, 0xfc, 0x34, 0xc9,
+	0xdd, 0x31, 0x16, 0xda, 0xdb, 0x7d, 0x61, 0x84, 0xed, 0x52, 0x03, 0x94, 0x35, 0xc9, 0x63, 0x29,
+	0x6d, 0x2d, 0x19, 0xd0, 0x50, 0x4c, 0xb7, 0xa0, 0x97, 0xb1, 0xa2, 0x2a, 0x65, 0xd4, 0xd3, 0x59,
+	0x63, 0x91, 0xb2, 0x17, 0x19, 0x26, 0xa8, 0xca, 0xa8, 0x33, 0xe9, 0x52, 0x8b, 0x94, 0xdf, 0xd9,
+	0xba, 0x44, 0xa9, 0x4b, 0xa7, 0x43, 0x0d, 0x50, 0x7b, 0xfb, 0x49, 0x9d, 0xad, 0x6f, 0xb2, 0x59,
+	0x8d, 0xc3, 0x3b, 0x00, 0x69, 0x85, 0xd3, 0x55, 0x96, 0x08, 0x2e, 0x23, 0xd0, 0x74, 0x3f, 0xad,
+	0xf0, 0x95, 0x36, 0x84, 0x77, 0x61, 0x98, 0xe3, 0xbc, 0x74, 0xf3, 0x43, 0x3d, 0x0f, 0xca, 0x64,
+	0x09, 0x37, 0xa1, 0x7b, 0xc5, 0x45, 0xb9, 0x8c, 0x82, 0xe3, 0xd6, 0xa4, 0x45, 0x0d, 0x20, 0x3f,
+	0x83, 0x6f, 0x04, 0xb3, 0x15, 0xba, 0x8c, 0x59, 0x9a, 0xa3, 0xcb, 0x79, 0x07, 0x8d, 0x5c, 0xf3,
+	0x4a, 0x62, 0xba, 0x95, 0x4b, 0x43, 0x35, 0xb3, 0x42, 0x29, 0x9d, 0x60, 0x3e, 0x75, 0x30, 0xbc,
+	0x07, 0x81, 0xc0, 0x52, 0xac, 0x5d, 0x48, 0x9e, 0x0e, 0x69, 0xa8, 0x6d, 0x26, 0x26, 0xf2, 0x14,
+	0x86, 0x2f, 0x04, 0xe2, 0x3f, 0x3a, 0x2e, 0x17, 0x59, 0x7b, 0x27, 0x32, 0x32, 0x04, 0xdf, 0xb8,
+	0x50, 0xa5, 0xf6, 0x6b, 0x1b, 0x82, 0xf3, 0x3c, 0x4e, 0xf0, 0x63, 0x12, 0x40, 0xb5, 0x95, 0xf9,
+	0x3c, 0x63, 0x59, 0xb9, 0xb6, 0x5b, 0xda, 0x60, 0x75, 0x35, 0x17, 0x82, 0xaf, 0x8a, 0x72, 0x5a,
+	0xf2, 0x0b, 0x64, 0x6e, 0x53, 0x81, 0x31, 0x7e, 0xa7, 0x6d, 0xfa, 0xfe, 0xae, 0xca, 0xa2, 0xda,
+	0x90, 0xba, 0x86, 0x64, 0x8c, 0x96, 0x14, 0x41, 0x1f, 0x7f, 0x4c, 0xf2, 0x2a, 0x45, 0x9b, 0x29,
+	0x0e, 0x86, 0x5f, 0x41, 0xff, 0x0a, 0xb3, 0xc5, 0xb2, 0x34, 0xb9, 0x32, 0x3c, 0x3d, 0xba, 0x5e,
+	0x45, 0xef, 0x38, 0xc3, 0xb7, 0x9a, 0x44, 0x1d, 0x79, 0x3f, 0x03, 0x06, 0xfb, 0x19, 0x40, 0x1e,
+	0x03, 0x6c, 0xd7, 0x6d, 0x72, 0xac, 0x55, 0xcb, 0xb1, 0x5b, 0xd0, 0x33, 0xde, 0xb4, 0x26, 0x2d,
+	0x6a, 0x11, 0x79, 0x00, 0x60, 0x65, 0x55, 0x69, 0x72, 0x0b, 0x7a, 0xa6, 0xf8, 0xed, 0x5a, 0x8b,
+	0x48, 0x05, 0xa3, 0x37, 0x58, 0x96, 0xf9, 0x47, 0xa9, 0xbf, 0x75, 0xde, 0xa9, 0x3b, 0xaf, 0x77,
+	0x0f, 0x4f, 0x17, 0x66, 0xbd, 0x7b, 0xb8, 0xcf, 0x16, 0xf9, 0xfa, 0xf4, 0xcf, 0x1e, 0x78, 0xe7,
+	0x88, 0x22, 0x3c, 0x03, 0x4f, 0xbd, 0x67, 0xc2, 0x3b, 0xd7, 0xe5, 0xab, 0x3d, 0xa9, 0xc6, 0xb7,
+	0xdf, 0x37, 0xad, 0xb6, 0xfa, 0x1c, 0xba, 0xfa, 0xc1, 0x11, 0x7e, 0xd2, 0xc0, 0xaa, 0xbd, 0x61,
+	0xc6, 0x47, 0xef, 0x9d, 0x57, 0x6e, 0xce, 0xc0, 0x53, 0x0f, 0x8a, 0xa6, 0x50, 0x6a, 0xaf, 0x94,
+	0xa6, 0x50, 0xb6, 0xef, 0x90, 0xe7, 0xd0, 0xd5, 0xcd, 0xb4, 0x29, 0x94, 0xfa, 0x5b, 0xa3, 0x29,
+	0x94, 0x5a, 0x17, 0x3e, 0x03, 0x4f, 0x35, 0xd7, 0xa6, 0x50, 0x6a, 0x3d, 0xb8, 0x29, 0x94, 0x6d,
+	0x4f, 0xfe, 0x16, 0x06, 0xae, 0xb1, 0x86, 0xf7, 0xae, 0x13, 0xf7, 0x7a, 0xf3, 0xf8, 0xee, 0x87,
+	0x28, 0xd6, 0x9f, 0x6b, 0x99, 0x4d, 0xfe, 0xf6, 0xfa, 0x73, 0x93, 0xbf, 0x9d, 0x8e, 0x1b, 0xbe,
+	0x84, 0x9e, 0x69, 0x82, 0x61, 0xd3, 0xa7, 0xeb, 0xbd, 0x78, 0x7c, 0xe7, 0xfd, 0x04, 0xab, 0x96,
+	0xba, 0x1e, 0x9b, 0xd4, 0xaa, 0xf5, 0x99, 0x26, 0xb5, 0xb6, 0xb7, 0xea, 0x19, 0x78, 0xea, 0x86,
+	0x6a, 0xf2, 0x51, 0xbb, 0xfc, 0x9a, 0x7c, 0x6c, 0x2e, 0x36, 0x9d, 0x87, 0xaa, 0x00, 0x1b, 0xf3,
+	0xb0, 0x76, 0xe1, 0x35, 0xe6, 0xe1, 0xb6, 0x72, 0x5f, 0x42, 0xcf, 0x94, 0x4a, 0x93, 0x30, 0x3b,
+	0xb5, 0xdb, 0x24, 0x4c, 0xad, 0xca, 0xce, 0x8e, 0xde, 0x8d, 0x6b, 0xf3, 0x8f, 0x32, 0xfe, 0x48,
+	0x51, 0xf4, 0x4f, 0x31, 0x9b, 0xf5, 0xf4, 0x5f, 0xb5, 0x2f, 0xff, 0x0a, 0x00, 0x00, 0xff, 0xff,
+	0xe9, 0x0a, 0x56, 0x5c, 0xb8, 0x0d, 0x00, 0x00,
 }
--- /dev/null
+++ b/io/peer/site.go
@@ -0,0 +1,208 @@
+package peer
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/twitchtv/twirp"
+
+	"chervilpath/core/balance"
+	"chervilpath/core/engine"
+	"chervilpath/core/fault"
+	"chervilpath/core/relay"
+	"chervilpath/io/peer/peerpb"
+)
+
+const (
+	// followTimeout bounds a question for news, placeTimeout the choice of an
+	// engine: both are answered from memory.
+	followTimeout = 700 * time.Millisecond
+	placeTimeout  = 250 * time.Millisecond
+)
+
+type (
+	// Departure is a server incarnation that is leaving.
+	Departure struct {
+		ID   string
+		Born int64
+	}
+
+	// News is what an instance knows of the configuration and the servers, as
+	// far as the one who asks does not.
+	News struct {
+		Configuration   []byte
+		Servers         []byte
+		ServersRevision int64
+		Departures      []Departure
+		Fresh           bool
+	}
+
+	// Asked says what the one who asks for news has.
+	Asked struct {
+		Version         int64
+		ServersRevision int64
+		// Alone is set if the store does not serve it.
+		Alone bool
+	}
+
+	// Site answers what instances on the users' platform ask of each other.
+	Site struct {
+		Follow func(Asked) News
+		Work   func(context.Context, relay.Work) ([]string, error)
+		Free   func(service string, handles []string)
+		Place  func(service string, q engine.Query) string
+		Settle func(service, request, server string, outcome balance.Outcome)
+		Now    func() time.Time
+	}
+)
+
+// ErrSilent is wrapped by errors of calls that a peer did not answer.
+var ErrSilent = errors.New("the instance does not answer")
+
+var errNoSite = twirp.NewError(twirp.Unimplemented, "the instance does not run on the platform")
+
+// Follow implements peerpb.Peer.
+func (s *Server) Follow(_ context.Context, req *peerpb.FollowRequest) (*peerpb.FollowReply, error) {
+	if s.Site == nil {
+		return nil, errNoSite
+	}
+	n := s.Site.Follow(Asked{Version: req.Version, ServersRevision: req.ServersRevision, Alone: req.Alone})
+	out := &peerpb.FollowReply{Configuration: n.Configuration, Servers: n.Servers, ServersRevision: n.ServersRevision, Fresh: n.Fresh}
+	for _, d := range n.Departures {
+		out.Departures = append(out.Departures, &peerpb.Departure{Id: d.ID, Born: d.Born})
+	}
+	return out, nil
+}
+
+// Work implements peerpb.Peer.
+func (s *Server) Work(ctx context.Context, req *peerpb.WorkRequest) (*peerpb.WorkReply, error) {
+	if s.Site == nil {
+		return nil, errNoSite
+	}
+	pieces := make([]int, len(req.Pieces))
+	for i, p := range req.Pieces {
+		pieces[i] = int(p)
+	}
+	handles, err := s.Site.Work(ctx, relay.Work{
+		Service: req.Service, Request: req.Request, Stage: int(req.Stage), Class: req.Class, Key: req.Key, Inputs: req.Inputs,
+		Pieces: len(pieces), Bytes: req.Bytes, Zone: req.Zone,
+		Due: micros(req.DueMicros), Left: micros(req.LeftMicros), Worth: req.Worth,
+	})
+	if err != nil {
+		return &peerpb.WorkReply{Refused: fault.From(err).Kind().String(), Message: err.Error()}, nil
+	}
+	return &peerpb.WorkReply{Handles: handles}, nil
+}
+
+// Free implements peerpb.Peer.
+func (s *Server) Free(_ context.Context, req *peerpb.FreeRequest) (*peerpb.FreeReply, error) {
+	if s.Site == nil {
+		return nil, errNoSite
+	}
+	s.Site.Free(req.Service, req.Handles)
+	return &peerpb.FreeReply{}, nil
+}
+
+// Place implements peerpb.Peer.
+func (s *Server) Place(_ context.Context, req *peerpb.PlaceRequest) (*peerpb.PlaceReply, error) {
+	if s.Site == nil {
+		return nil, errNoSite
+	}
+	q := engine.Query{
+		Request: req.Request, Affinity: req.Affinity, Exclude: req.Exclude,
+		Expires: s.Site.Now().Add(micros(req.LeftMicros)),
+	}
+	if len(req.Weights) > 0 {
+		q.Weights = make(map[string]float64, len(req.Weights))
+		for _, w := range req.Weights {
+			q.Weights[w.Zone] = w.Weight
+		}
+	}
+	return &peerpb.PlaceReply{Server: s.Site.Place(req.Service, q)}, nil
+}
+
+// Settle implements peerpb.Peer.
+func (s *Server) Settle(_ context.Context, req *peerpb.SettleRequest) (*peerpb.SettleReply, error) {
+	if s.Site == nil {
+		return nil, errNoSite
+	}
+	s.Site.Settle(req.Service, req.Request, req.Server, balance.Outcome(req.Outcome))
+	return &peerpb.SettleReply{}, nil
+}
+
+// Follow asks an instance for news.
+func (c *Clients) Follow(ctx context.Context, address string, a Asked) (News, error) {
+	ctx, cancel := context.WithTimeout(ctx, followTimeout)
+	defer cancel()
+	reply, err := c.At(address).Follow(ctx, &peerpb.FollowRequest{Version: a.Version, ServersRevision: a.ServersRevision, Alone: a.Alone})
+	if err != nil {
+		return News{}, fmt.Errorf("asking %s for news: %w", address, err)
+	}
+	out := News{Configuration: reply.Configuration, Servers: reply.Servers, ServersRevision: reply.ServersRevision, Fresh: reply.Fresh}
+	for _, d := range reply.Departures {
+		out.Departures = append(out.Departures, Departure{ID: d.Id, Born: d.Born})
+	}
+	return out, nil
+}
+
+// Work has an instance make the pieces of a stage. An error that wraps
+// ErrSilent says nothing of the pieces.
+func (c *Clients) Work(ctx context.Context, address string, w relay.Work) ([]string, error) {
+	pieces := make([]int32, w.Pieces)
+	for i := range pieces {
+		pieces[i] = int32(i)
+	}
+	reply, err := c.At(address).Work(ctx, &peerpb.WorkRequest{
+		Service: w.Service, Request: w.Request, Stage: int32(w.Stage), Class: w.Class, Key: w.Key, Inputs: w.Inputs, Pieces: pieces,
+		Bytes: w.Bytes, Zone: w.Zone, DueMicros: w.Due.Microseconds(), LeftMicros: w.Left.Microseconds(), Worth: w.Worth,
+	})
+	if err != nil {
+		return nil, fmt.Errorf("asking %s for pieces: %w: %w", address, ErrSilent, err)
+	}
+	if reply.Refused != "" {
+		return nil, fault.Errorf(fault.KindNamed(reply.Refused), "%s", reply.Message)
+	}
+	return reply.Handles, nil
+}
+
+// Free gives results up at the instance that had them made.
+func (c *Clients) Free(ctx context.Context, address, service string, handles []string) error {
+	ctx, cancel := context.WithTimeout(ctx, placeTimeout)
+	defer cancel()
+	if _, err := c.At(address).Free(ctx, &peerpb.FreeRequest{Service: service, Handles: handles}); err != nil {
+		return fmt.Errorf("freeing results at %s: %w: %w", address, ErrSilent, err)
+	}
+	return nil
+}
+
+// Place asks an instance to choose an engine.
+func (c *Clients) Place(ctx context.Context, address, service string, q engine.Query, left time.Duration) (string, error) {
+	ctx, cancel := context.WithTimeout(ctx, placeTimeout)
+	defer cancel()
+	req := &peerpb.PlaceRequest{
+		Service: service, Request: q.Request, Affinity: q.Affinity, Exclude: q.Exclude, LeftMicros: left.Microseconds(),
+	}
+	for zone, weight := range q.Weights {
+		req.Weights = append(req.Weights, &peerpb.ZoneWeight{Zone: zone, Weight: weight})
+	}
+	reply, err := c.At(address).Place(ctx, req)
+	if err != nil {
+		return "", fmt.Errorf("asking %s for an engine: %w: %w", address, ErrSilent, err)
+	}
+	return reply.Server, nil
+}
+
+// Settle ends a placement at the instance that made it.
+func (c *Clients) Settle(ctx context.Context, address, service, request, server string, outcome balance.Outcome) error {
+	ctx, cancel := context.WithTimeout(ctx, placeTimeout)
+	defer cancel()
+	_, err := c.At(address).Settle(ctx, &peerpb.SettleRequest{Service: service, Request: request, Server: server, Outcome: int32(outcome)})
+	if err != nil {
+		return fmt.Errorf("settling a placement at %s: %w: %w", address, ErrSilent, err)
+	}
+	return nil
+}
+
+func micros(n int64) time.Duration { return time.Duration(n) * time.Microsecond }
