--- a/cmd/entry.go
+++ b/cmd/entry.go
@@ -5,6 +5,8 @@
 	"errors"
 	"fmt"
 	"os"
+	"os/signal"
+	"syscall"
 
 	"go.uber.org/zap"
 
@@ -40,9 +42,12 @@
 	if file == "" {
 		file = os.Getenv(platform.SettingsVariable)
 	}
+	if file == "" {
+		return &exitError{exitUsage, fmt.Errorf("no settings are named; give --settings FILE or set %s", platform.SettingsVariable)}
+	}
 	data, err := os.ReadFile(file)
 	if err != nil {
-		return &exitError{exitInvalid, fmt.Errorf("reading settings; give --settings or set %s: %w", platform.SettingsVariable, err)}
+		return &exitError{exitInvalid, fmt.Errorf("reading settings: %w", err)}
 	}
 	if settings.IsSite(data) {
 		return c.runSite(file, data)
@@ -76,6 +81,9 @@
 	if err != nil {
 		return &exitError{exitInvalid, err}
 	}
+	changed := make(chan os.Signal, 1)
+	signal.Notify(changed, syscall.SIGHUP)
+	defer signal.Stop(changed)
 	out := lines.New(c.out)
 	log, err := newLogger(out, cfg.LogLevel())
 	if err != nil {
@@ -90,8 +98,7 @@
 		return err
 	}
 	log.Info("instance started", zap.String("instance", cfg.Name()), zap.String("callers", cfg.CallerAddress()))
-	<-c.ctx.Done()
-	c.endSignals()
+	n.Follow(c.ctx, edge.Source{File: file, Data: data, Changed: changed})
 	ctx, cancel := context.WithTimeout(context.Background(), n.StopTimeout())
 	defer cancel()
 	err = errors.Join(k.Drain(ctx), k.Stop(context.Background()))
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -35,6 +35,7 @@
 		cfg         atomic.Pointer[settings.Site]
 		name        string
 		incarnation string
+		peerAddress string
 		log         *zap.Logger
 		clock       stage.Clock
 		registry    *prometheus.Registry
@@ -63,7 +64,7 @@
 // New returns an instance whose services have been added to the kernel.
 func New(k *kernel.Kernel, cfg settings.Site, log *zap.Logger) (*Instance, error) {
 	n := &Instance{
-		name: cfg.Name(), incarnation: cfg.Name() + "-" + rand.Text()[:10],
+		name: cfg.Name(), incarnation: cfg.Name() + "-" + rand.Text()[:10], peerAddress: cfg.PeerAddress(),
 		log:      log.With(zap.String("instance", cfg.Name())),
 		registry: prometheus.NewRegistry(),
 		clock: stage.Clock{
--- a/edge/owners.go
+++ b/edge/owners.go
@@ -92,7 +92,7 @@
 			best, bestRank = m.Address, rank
 		}
 	}
-	if best == o.instance.cfg.Load().PeerAddress() {
+	if best == o.instance.peerAddress {
 		return ""
 	}
 	return best
