Watch the store from three instances; own services by capacity

The log showed the owners of all stage services on machines of 0.192 cores and 10 Mbit/s, whose links the pieces of the whole fleet fill.

Three instances by rank watch the store; others ask them and watch it themselves while nobody has what the store confirmed within 1.3 s. An owner has at least half of the most capacity that any instance has.

--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -16,6 +16,9 @@
 	// lapse is how long after the store's return an entry that is missing from
 	// it is still believed; the protocol says about two seconds.
 	lapse = 2200 * time.Millisecond
+
+	// maxRemovals is how many removals are kept to be told to other instances.
+	maxRemovals = 256
 )
 
 type (
@@ -41,25 +44,47 @@
 
 	// Snapshot is an immutable list of servers that may get work.
 	Snapshot struct {
-		services map[string][]Server
-		byID     map[string]Server
+		services  map[string][]Server
+		byID      map[string]Server
+		byAddress map[string]Server
+	}
+
+	// Changes are what changed after a revision, as one instance tells another.
+	Changes struct {
+		// Whole is set if Servers is the whole list.
+		Whole   bool     `json:"whole,omitempty"`
+		Servers []Server `json:"servers,omitempty"`
+		Removed []string `json:"removed,omitempty"`
+		// Missing are servers that may come back, since the store has just done so.
+		Missing  []string `json:"missing,omitempty"`
+		Revision int64    `json:"revision"`
+	}
+
+	// removal is a server that was removed at about a revision.
+	removal struct {
+		id       string
+		revision int64
 	}
 
 	// View is what is believed now. Use New.
 	View struct {
 		known map[string]Server
-		// missing holds when a server was first missed by a store that had
-		// been out of reach.
-		missing map[string]time.Time
+		// missing holds the revision at which a server was first missed by a
+		// store that had been out of reach.
+		missing map[string]int64
 		// lost is when the store last failed, regained when it answered after.
 		lost, regained time.Time
 		revision       int64
+		// removals are the latest ones; what was removed up to the revision
+		// oldest is no longer known.
+		removals []removal
+		oldest   int64
 	}
 )
 
 // New returns a view that knows no servers.
 func New() *View {
-	return &View{known: make(map[string]Server), missing: make(map[string]time.Time)}
+	return &View{known: make(map[string]Server), missing: make(map[string]int64)}
 }
 
 // Revision returns the store's revision up to which changes were taken.
@@ -70,7 +95,7 @@
 
 // Answered notes that the store answered.
 func (v *View) Answered(now time.Time) {
-	if v.regained.Before(v.lost) {
+	if !v.lost.IsZero() && !v.regained.After(v.lost) && now.After(v.lost) {
 		v.regained = now
 	}
 }
@@ -128,12 +153,11 @@
 		return false
 	}
 	if !v.doubtful(now) {
-		delete(v.known, id)
-		delete(v.missing, id)
+		v.forget(id)
 		return true
 	}
 	if _, ok := v.missing[id]; !ok {
-		v.missing[id] = now
+		v.missing[id] = v.revision
 	}
 	return false
 }
@@ -146,35 +170,25 @@
 	}
 	var gone []string
 	for id := range v.missing {
-		delete(v.missing, id)
-		delete(v.known, id)
+		v.forget(id)
 		gone = append(gone, id)
 	}
 	return gone
 }
 
-// Depart marks a server as leaving by what a peer says, whatever the store
-// told so far, if it is the same incarnation.
-func (v *View) Depart(id string, born int64) bool {
-	s, ok := v.known[id]
-	if !ok || s.Draining || s.Born != born {
-		return false
+// forget removes a server and keeps for other instances that it was removed.
+func (v *View) forget(id string) {
+	delete(v.known, id)
+	delete(v.missing, id)
+	v.removals = append(v.removals, removal{id: id, revision: v.revision})
+	if n := len(v.removals) - maxRemovals; n > 0 {
+		v.oldest = v.removals[n-1].revision
+		v.removals = slices.Delete(v.removals, 0, n)
 	}
-	s.Draining = true
-	v.known[id] = s
-	return true
 }
 
-// Draining returns the servers that said they are leaving.
-func (v *View) Draining() []Server {
-	var out []Server
-	for _, s := range v.known {
-		if s.Draining {
-			out = append(out, s)
-		}
-	}
-	return out
-}
+// Missing returns the number of servers that may still come back.
+func (v *View) Missing() int { return len(v.missing) }
 
 // Snapshot returns the servers that may get work. Of several entries with one
 // address only the one changed last counts.
@@ -185,7 +199,7 @@
 			newest[s.Address] = s
 		}
 	}
-	out := &Snapshot{services: make(map[string][]Server), byID: make(map[string]Server)}
+	out := &Snapshot{services: make(map[string][]Server), byID: make(map[string]Server), byAddress: newest}
 	for _, s := range newest {
 		if s.Draining {
 			continue
@@ -209,34 +223,64 @@
 	return server, ok
 }
 
+// Zone returns the zone of the server at an address, leaving ones included, or "".
+func (s *Snapshot) Zone(address string) string { return s.byAddress[address].Zone }
+
 // Len returns the number of servers.
 func (s *Snapshot) Len() int { return len(s.byID) }
 
-// All returns every server that is believed, also those that are leaving.
-func (v *View) All() []Server {
-	out := make([]Server, 0, len(v.known))
+// Since returns the changes after a revision, for another instance. It returns
+// the whole list if it no longer knows what was removed since.
+func (v *View) Since(revision int64) Changes {
+	out := Changes{Revision: v.revision}
+	if revision >= v.revision {
+		return out
+	}
+	out.Whole = revision == 0 || len(v.removals) > 0 && revision < v.oldest
 	for _, s := range v.known {
-		out = append(out, s)
+		if _, lapsed := v.missing[s.ID]; !lapsed && (out.Whole || s.Revision > revision) {
+			out.Servers = append(out.Servers, s)
+		}
+	}
+	for id, at := range v.missing {
+		if at > revision {
+			out.Missing = append(out.Missing, id)
+		}
+	}
+	if !out.Whole {
+		for _, r := range v.removals {
+			if r.revision > revision {
+				out.Removed = append(out.Removed, r.id)
+			}
+		}
 	}
 	return out
 }
 
-// Copy takes the list that another instance has from the store, if it is newer
-// than this one's.
-func (v *View) Copy(now time.Time, servers []Server, revision int64) {
-	if revision <= v.revision {
-		return
+// Apply takes changes that another instance has from the store, if they are
+// newer, and returns the ids that went.
+func (v *View) Apply(now time.Time, c Changes) []string {
+	if c.Revision <= v.revision {
+		return nil
 	}
-	v.revision = revision
-	listed := make(map[string]bool, len(servers))
-	for _, s := range servers {
-		listed[s.ID] = true
-		v.set(s)
+	if len(c.Missing) > 0 {
+		v.lost, v.regained = now, now
 	}
-	for id := range v.known {
-		if !listed[id] {
-			delete(v.known, id)
-			delete(v.missing, id)
+	if c.Whole {
+		return v.Replace(now, c.Servers, c.Revision)
+	}
+	v.revision = c.Revision
+	var gone []string
+	for _, id := range c.Missing {
+		v.remove(now, id)
+	}
+	for _, id := range c.Removed {
+		if v.remove(now, id) {
+			gone = append(gone, id)
 		}
 	}
+	for _, s := range c.Servers {
+		v.set(s)
+	}
+	return gone
 }
--- a/core/gather/gather.go
+++ b/core/gather/gather.go
@@ -21,8 +21,8 @@
 	// told that it failed.
 	maxTries = 4
 
-	// bulkBytes is the size of a result from which the zone of its server
-	// matters: smaller ones cost less than the wait.
+	// bulkBytes is the number of bytes moved between zones from which the zone
+	// of a server matters: fewer cost less than the wait.
 	bulkBytes = 100_000
 
 	// roomPart is the part of a server's room that is planned with, since the
@@ -56,8 +56,10 @@
 		Key    string
 		Inputs []string
 		Bytes  int64
-		// Zone is where the result is read, or "".
-		Zone string
+		// Zone is where the item is best made, or "", and Moved the bytes that
+		// move between zones if it is made elsewhere.
+		Zone  string
+		Moved int64
 		// Class groups pieces that take alike.
 		Class string
 		// Due is when the result is needed for the request to keep its aim, and
@@ -334,7 +336,7 @@
 // serverFor returns the open server for an item, or nil if it has to wait. A
 // bulky item waits for a server in its own zone as long as it can.
 func (q *Queue) serverFor(now time.Time, it *Item) *server {
-	bulky := it.Bytes >= bulkBytes && it.Zone != ""
+	bulky := it.bulky()
 	var best *server
 	for _, s := range q.order {
 		if !q.open(now, s) || !q.fits(s, it.Bytes) {
@@ -353,6 +355,8 @@
 	return best
 }
 
+func (it *Item) bulky() bool { return it.Moved >= bulkBytes && it.Zone != "" }
+
 // better reports whether a is to be preferred to b for the item.
 func (q *Queue) better(it *Item, a, b *server) bool {
 	if inA, inB := a.Zone == it.Zone, b.Zone == it.Zone; inA != inB && it.Zone != "" {
@@ -400,7 +404,7 @@
 	if !q.fits(s, it.Bytes) {
 		return false
 	}
-	if it.Bytes < bulkBytes || it.Zone == "" || it.Zone == s.Zone {
+	if !it.bulky() || it.Zone == s.Zone {
 		return true
 	}
 	if best := q.serverFor(now, it); best != nil && best != s {
--- a/core/member/member.go
+++ b/core/member/member.go
@@ -66,6 +66,8 @@
 		Revision int64
 		// Successor is the address of the instance that took over its keys.
 		Successor string
+		// Weight is its capacity for work that it does for others.
+		Weight float64
 	}
 
 	// Table is all members that one instance knows, itself included. Use New.
--- a/core/relay/stages.go
+++ b/core/relay/stages.go
@@ -72,12 +72,13 @@
 	}
 	w := Work{
 		Service: decl.Service, Request: u.req.ID, Stage: i, Class: u.route.Name + "/" + strconv.Itoa(i),
-		Inputs: inputs, Pieces: u.req.Pieces[i], Bytes: decl.Bytes, Zone: s.zone,
+		Inputs: inputs, Pieces: u.req.Pieces[i], Bytes: decl.Bytes,
 		Due: u.aim.Sub(u.now()) - s.after(i), Left: u.left() - s.after(i),
 	}
 	if len(inputs) == 0 {
 		w.Key = u.req.PieceKey
 	}
+	w.Zone, w.Moved = s.home(i, inputs)
 	handles, err := u.relay.deps.Work(ctx, w)
 	if err != nil {
 		s.fail(i, err)
@@ -89,6 +90,32 @@
 	s.freeUsed(i)
 }
 
+// home returns the zone in which a piece of stage i is best made, and the bytes
+// that move if it is made elsewhere: its inputs, or its result where the engine
+// reads it.
+func (s *stageRun) home(i int, inputs []string) (zone string, moved int64) {
+	u := s.run
+	byZone := make(map[string]int64)
+	n := 0
+	for _, before := range u.route.Stages[i].After {
+		for range u.req.Pieces[before] {
+			if n < len(inputs) {
+				byZone[u.relay.deps.ZoneOf(inputs[n])] += u.route.Stages[before].Bytes
+			}
+			n++
+		}
+	}
+	if slices.Contains(u.route.Last(), i) {
+		byZone[s.zone] += u.route.Stages[i].Bytes
+	}
+	for z, bytes := range byZone {
+		if bytes > moved && z != "" {
+			zone, moved = z, bytes
+		}
+	}
+	return zone, moved
+}
+
 // fail gives all stages up.
 func (s *stageRun) fail(i int, err error) {
 	s.mu.Lock()
--- a/core/relay/types.go
+++ b/core/relay/types.go
@@ -93,7 +93,10 @@
 		Inputs  []string
 		Pieces  int
 		Bytes   int64
-		Zone    string
+		// Zone is where the pieces are best made, or "", and Moved the bytes that
+		// move between zones for each one that is made elsewhere.
+		Zone  string
+		Moved int64
 		// Due and Left say when the results are needed and of use, from now.
 		Due, Left time.Duration
 		Worth     float64
@@ -139,6 +142,8 @@
 		Work func(ctx context.Context, w Work) ([]string, error)
 		// Free gives results up.
 		Free func(service string, handles []string)
+		// ZoneOf returns the zone of the server that holds a result, or "".
+		ZoneOf func(handle string) string
 		// Place returns the id of an engine, or "".
 		Place func(ctx context.Context, service string, q engine.Query) string
 		// Settle ends a placement.
--- a/core/settings/site.go
+++ b/core/settings/site.go
@@ -20,6 +20,7 @@
 		logLevel        string
 		store           string
 		bounds          Bounds
+		weight          float64
 	}
 
 	// Bounds are the times and rates that the platform's rules state.
@@ -77,9 +78,21 @@
 				{Key: "repeatSlack", Kind: option.Number, Default: "10", Min: 0, Max: 100000, Doc: "Repeats that are allowed in a window beside that part."},
 			},
 		},
+		{
+			Kind: "machine",
+			Doc:  "What the machine has. Instances with more do more work for the others.",
+			Options: []option.Option{
+				{Key: "cores", Kind: option.Number, Default: "1", Min: 0.001, Max: 1024, Doc: "Part of a core, or number of cores."},
+				{Key: "linkMbps", Kind: option.Number, Default: "1000", Min: 0.1, Max: 1000000, Doc: "Bandwidth of its link in Mbit/s."},
+			},
+		},
 	},
 }
 
+// mbpsPerCore is the bandwidth in Mbit/s that work for other instances uses
+// with one core, by the sizes of their calls.
+const mbpsPerCore = 250
+
 // IsSite reports whether a settings file is of an instance on the platform.
 func IsSite(data []byte) bool {
 	for _, b := range sectionsOf(data) {
@@ -105,11 +118,12 @@
 	if err != nil {
 		return Site{}, err
 	}
-	site, bounds := found["site"], found["bounds"]
+	site, bounds, machine := found["site"], found["bounds"], found["machine"]
 	return Site{
 		name: site.Text("name"), failureDomain: site.Text("failureDomain"),
 		callerAddress: site.Text("callerAddress"), peerAddress: site.Text("peerAddress"), operatorAddress: site.Text("operatorAddress"),
 		seeds: site.List("seeds"), logLevel: site.Text("logLevel"), store: found["store"].Text("address"),
+		weight: min(machine.Number("cores"), machine.Number("linkMbps")/mbpsPerCore),
 		bounds: Bounds{
 			Contact: bounds.Duration("contact"), Drain: bounds.Duration("drain"), Config: bounds.Duration("config"),
 			Grace: bounds.Duration("grace"), RepeatRatio: bounds.Number("repeatRatio"),
@@ -142,5 +156,8 @@
 // Store returns the address of the platform's store.
 func (s Site) Store() string { return s.store }
 
+// Weight returns the machine's capacity for work that it does for others, in cores.
+func (s Site) Weight() float64 { return s.weight }
+
 // Bounds returns the times and rates of the platform's rules.
 func (s Site) Bounds() Bounds { return s.bounds }
--- a/edge/beliefs.go
+++ b/edge/beliefs.go
@@ -1,7 +1,9 @@
 package edge
 
 import (
+	"context"
 	"encoding/json"
+	"math"
 	mathrand "math/rand/v2"
 	"sync"
 	"sync/atomic"
@@ -26,9 +28,8 @@
 	// than a watch, shorter than the bound on a configuration.
 	freshFor = 1800 * time.Millisecond
 
-	// aloneAfter is how long the store may be silent before peers are asked
-	// for the whole list of servers.
-	aloneAfter = 1500 * time.Millisecond
+	// maxNewsWait bounds the wait of a peer for news.
+	maxNewsWait = time.Second
 )
 
 type (
@@ -44,7 +45,8 @@
 		// spec is the configuration in force as it was read.
 		spec      []byte
 		confirmed time.Time
-		answered  time.Time
+		// changed is closed and replaced at each change that peers are told of.
+		changed   chan struct{}
 		instances int
 		plains    map[string]*stage.Stage
 		repeats   map[string]*retry.Share
@@ -53,7 +55,7 @@
 
 func newBeliefs(n *Instance) *beliefs {
 	b := &beliefs{
-		instance: n, view: fleet.New(), instances: 1,
+		instance: n, view: fleet.New(), instances: 1, changed: make(chan struct{}),
 		plains: make(map[string]*stage.Stage), repeats: make(map[string]*retry.Share),
 	}
 	b.snapshot.Store(b.view.Snapshot())
@@ -70,17 +72,23 @@
 	return !b.confirmed.IsZero() && time.Since(b.confirmed) < freshFor
 }
 
-func (b *beliefs) confirm() {
+// confirm notes that the store confirmed the configuration at a time.
+func (b *beliefs) confirm(at time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.confirmed = time.Now()
+	if at.After(b.confirmed) {
+		b.confirmed = at
+	}
 }
 
-// alone reports whether the store does not serve this instance.
-func (b *beliefs) alone() bool {
+// age returns the time since the store confirmed the configuration.
+func (b *beliefs) age() time.Duration {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return time.Since(b.answered) > aloneAfter
+	if b.confirmed.IsZero() {
+		return math.MaxInt64
+	}
+	return time.Since(b.confirmed)
 }
 
 // accept takes a configuration if it is newer and whole.
@@ -98,6 +106,7 @@
 	}
 	b.current.Store(table)
 	b.spec = spec
+	b.wake()
 	b.spread()
 	b.mu.Unlock()
 	b.instance.log.Info("configuration in force", zap.Int64("version", table.Version()), zap.String("from", from))
@@ -115,19 +124,36 @@
 // change applies a change to the view of the servers.
 func (b *beliefs) change(apply func(v *fleet.View, now time.Time)) {
 	b.mu.Lock()
-	apply(b.view, time.Now())
+	before := b.view.Revision()
+	now := time.Now()
+	apply(b.view, now)
+	for _, id := range b.view.Expire(now) {
+		b.instance.log.Info("server gone", zap.String("server", id), zap.String("from", "lapse"))
+	}
 	b.snapshot.Store(b.view.Snapshot())
 	b.spread()
+	if b.view.Revision() != before {
+		b.wake()
+	}
 	b.mu.Unlock()
 	b.noteReady()
 }
 
+// expire removes the servers that did not come back after an outage.
+func (b *beliefs) expire() {
+	b.mu.Lock()
+	waiting := b.view.Missing() > 0
+	b.mu.Unlock()
+	if waiting {
+		b.change(func(*fleet.View, time.Time) {})
+	}
+}
+
 // storeAnswered and storeFailed note what the store did.
 func (b *beliefs) storeAnswered() {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.answered = time.Now()
-	b.view.Answered(b.answered)
+	b.view.Answered(time.Now())
 }
 
 func (b *beliefs) storeFailed() {
@@ -211,27 +237,44 @@
 	return b.share(service).Allow(time.Now(), b.instances)
 }
 
-// news answers another instance that asks what it does not know.
-func (b *beliefs) news(a peer.Asked) peer.News {
-	fresh := b.fresh()
+// news answers another instance that asks what it does not know. It waits for
+// news as long as the question says.
+func (b *beliefs) news(ctx context.Context, a peer.Asked) peer.News {
+	timer := time.NewTimer(min(a.Wait, maxNewsWait))
+	defer timer.Stop()
+	for {
+		out, any, changed := b.newsNow(a)
+		if any {
+			return out
+		}
+		select {
+		case <-changed:
+		case <-timer.C:
+			out, _, _ = b.newsNow(a)
+			return out
+		case <-ctx.Done():
+			return out
+		}
+	}
+}
+
+// newsNow returns the news, whether there are any, and a channel that is closed
+// at the next change.
+func (b *beliefs) newsNow(a peer.Asked) (out peer.News, any bool, changed <-chan struct{}) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	out := peer.News{ServersRevision: b.view.Revision(), Fresh: fresh}
+	out.Confirmed, out.Age = !b.confirmed.IsZero(), time.Since(b.confirmed)
 	if t := b.current.Load(); t != nil && t.Version() > a.Version {
-		out.Configuration = b.spec
-	}
-	for _, s := range b.view.Draining() {
-		out.Departures = append(out.Departures, peer.Departure{ID: s.ID, Born: s.Born})
+		out.Configuration, any = b.spec, true
 	}
-	if a.Alone && b.view.Revision() > a.ServersRevision && time.Since(b.answered) < aloneAfter {
-		data, err := json.Marshal(b.view.All())
+	if changes := b.view.Since(a.ServersRevision); changes.Revision > a.ServersRevision {
+		data, err := json.Marshal(changes)
 		if err != nil {
 			b.instance.log.Error("encoding the servers for a peer", zap.Error(err))
-			return out
 		}
-		out.Servers = data
+		out.Servers, any = data, true
 	}
-	return out
+	return out, any, b.changed
 }
 
 // hear takes the news of another instance.
@@ -239,23 +282,30 @@
 	if len(n.Configuration) > 0 {
 		b.accept(n.Configuration, from)
 	}
-	if n.Fresh && len(n.Configuration) == 0 {
-		b.confirm()
-	}
-	b.change(func(v *fleet.View, now time.Time) {
-		for _, d := range n.Departures {
-			if v.Depart(d.ID, d.Born) {
-				b.instance.log.Info("server leaving", zap.String("server", d.ID), zap.String("from", from))
-			}
+	if n.Confirmed {
+		b.confirm(time.Now().Add(-n.Age))
+		if n.Age < staleAfter {
+			b.storeAnswered()
 		}
-	})
+	}
 	if len(n.Servers) == 0 {
+		b.expire()
 		return
 	}
-	var servers []fleet.Server
-	if err := json.Unmarshal(n.Servers, &servers); err != nil {
+	var changes fleet.Changes
+	if err := json.Unmarshal(n.Servers, &changes); err != nil {
 		b.instance.log.Warn("servers of a peer refused", zap.String("from", from), zap.Error(err))
 		return
 	}
-	b.change(func(v *fleet.View, now time.Time) { v.Copy(now, servers, n.ServersRevision) })
+	b.change(func(v *fleet.View, now time.Time) {
+		for _, id := range v.Apply(now, changes) {
+			b.instance.log.Info("server gone", zap.String("server", id), zap.String("from", from))
+		}
+	})
+}
+
+// wake tells those who wait for news of a change. The caller holds mu.
+func (b *beliefs) wake() {
+	close(b.changed)
+	b.changed = make(chan struct{})
 }
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -53,7 +53,9 @@
 
 		ready    atomic.Bool
 		draining atomic.Bool
-		servers  []*http.Server
+		// direct is set while this instance watches the store itself.
+		direct  atomic.Bool
+		servers []*http.Server
 
 		loopCtx   context.Context
 		stopLoops context.CancelFunc
@@ -73,13 +75,14 @@
 		},
 	}
 	n.cfg.Store(&cfg)
+	n.direct.Store(true)
 	n.loopCtx, n.stopLoops = context.WithCancel(context.Background())
 	n.metrics = newMetrics(n.registry)
 	n.store = platform.NewStore(cfg.Store(), &http.Client{Transport: upstream.Transport()})
 	n.upstream = upstream.New(upstream.Transport(), platform.Outgoing, platform.ReadReply)
 	n.pieces = &http.Client{Transport: upstream.Transport()}
 	n.clients = peer.NewClients("", peerTransport(), nil, time.Now)
-	self := member.Member{ID: n.incarnation, Name: cfg.Name(), Address: cfg.PeerAddress(), FailureDomain: cfg.FailureDomain()}
+	self := member.Member{ID: n.incarnation, Name: cfg.Name(), Address: cfg.PeerAddress(), FailureDomain: cfg.FailureDomain(), Weight: cfg.Weight()}
 	n.members = peer.NewMembers(self, cfg.Seeds(), n.clients, time.Now, newRand(), n.behind, n.serving)
 	n.beliefs = newBeliefs(n)
 	n.owners = newOwners(n)
@@ -108,7 +111,8 @@
 	return relay.Deps{
 		Clock: n.clock, Table: n.beliefs.table, Fresh: n.beliefs.fresh, Servers: n.beliefs.servers,
 		Send: n.upstream.Send, Work: n.owners.work, Free: n.owners.free, Place: n.owners.place, Settle: n.owners.settle,
-		Plain: n.beliefs.plain, Count: n.beliefs.count, Allow: n.beliefs.allow,
+		ZoneOf: func(handle string) string { return n.beliefs.servers().Zone(platform.Maker(handle)) },
+		Plain:  n.beliefs.plain, Count: n.beliefs.count, Allow: n.beliefs.allow,
 		Draw: mathrand.Float64, Log: n.logDecision,
 	}
 }
--- a/edge/follow.go
+++ b/edge/follow.go
@@ -1,14 +1,18 @@
 package edge
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	mathrand "math/rand/v2"
+	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"go.uber.org/zap"
 
 	"chervilpath/core/fleet"
+	"chervilpath/core/member"
 	"chervilpath/io/peer"
 	"chervilpath/platform"
 )
@@ -18,6 +22,10 @@
 	// within the bound on a configuration.
 	watchFor = time.Second
 
+	// idleWatcher is the time between two looks at whether the store is to be
+	// watched from here.
+	idleWatcher = 100 * time.Millisecond
+
 	// watchGrace is how much longer than that an answer may take, and readGrace
 	// how long one to a call that does not wait.
 	watchGrace = 600 * time.Millisecond
@@ -28,8 +36,17 @@
 	minBackoff = 50 * time.Millisecond
 	maxBackoff = 400 * time.Millisecond
 
-	// followEvery is the time between two questions to a peer for news.
-	followEvery = 400 * time.Millisecond
+	// storeWatchers is how many instances watch the store for all others, so
+	// that its calls do not grow with the fleet.
+	storeWatchers = 3
+
+	// followWait is how long a question to a peer waits for news.
+	followWait = 500 * time.Millisecond
+
+	// staleAfter is the age of the store's last confirmation at which an
+	// instance watches the store itself: above the time between two answers to
+	// a watch, and early enough to meet the bound on a configuration.
+	staleAfter = 1300 * time.Millisecond
 )
 
 // follower follows one kind of object in the store.
@@ -57,6 +74,12 @@
 	revision, failures := int64(0), 0
 	lost := false
 	for ctx.Err() == nil {
+		if !f.instance.direct.Load() {
+			// The changes in between are read again, or come from peers.
+			revision = 0
+			f.instance.pause(ctx, idleWatcher)
+			continue
+		}
 		var err error
 		if revision == 0 {
 			revision, err = f.bounded(ctx, readGrace, func(ctx context.Context) (int64, error) { return f.read(ctx) })
@@ -104,15 +127,11 @@
 }
 
 func (f *follower) sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d/2 + mathrand.N(d/2+1))
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
+	f.instance.pause(ctx, d/2+mathrand.N(d/2+1))
 }
 
 func (n *Instance) readConfig(ctx context.Context) (int64, error) {
+	asked := time.Now()
 	objects, revision, err := n.store.ListConfig(ctx)
 	if err != nil {
 		return 0, err
@@ -120,12 +139,13 @@
 	for _, o := range objects {
 		n.takeConfig(o)
 	}
-	n.beliefs.confirm()
+	n.beliefs.confirm(asked)
 	return revision, nil
 }
 
 func (n *Instance) watchConfig(ctx context.Context, after int64) (int64, error) {
 	changes, revision, err := n.store.WatchConfig(ctx, after, watchFor)
+	asked := time.Now()
 	if err != nil {
 		return 0, err
 	}
@@ -134,7 +154,7 @@
 			n.takeConfig(c.Object)
 		}
 	}
-	n.beliefs.confirm()
+	n.beliefs.confirm(asked)
 	return max(after, revision), nil
 }
 
@@ -172,13 +192,10 @@
 		return 0, err
 	}
 	n.beliefs.change(func(v *fleet.View, now time.Time) {
-		for _, id := range v.Expire(now) {
-			n.log.Info("server gone", zap.String("server", id), zap.String("from", "lapse"))
-		}
+		v.Advance(revision)
 		for _, c := range changes {
 			n.takeServer(v, now, c)
 		}
-		v.Advance(revision)
 	})
 	return max(after, revision), nil
 }
@@ -202,36 +219,68 @@
 	v.Set(s)
 }
 
-// followPeers asks one peer after the other for news until ctx is done.
+// followPeers follows the store by way of the instances that watch it, until
+// ctx is done. While none of them has what the store confirmed of late, the
+// instance watches the store itself.
 func (n *Instance) followPeers(ctx context.Context) {
+	next := 0
 	for ctx.Err() == nil {
-		t := time.NewTimer(followEvery/2 + mathrand.N(followEvery))
-		select {
-		case <-t.C:
-		case <-ctx.Done():
-			t.Stop()
-			return
+		others := n.watchers()
+		if others == nil {
+			n.direct.Store(true)
+			n.pause(ctx, followWait)
+			continue
+		}
+		if n.beliefs.age() < staleAfter && n.direct.CompareAndSwap(true, false) {
+			n.log.Info("following peers", zap.Strings("watchers", others))
 		}
-		for _, m := range n.members.Live(1) {
-			n.ask(ctx, m.Address)
+		if !n.ask(ctx, others[next%len(others)], followWait) {
+			next++
+			n.pause(ctx, minBackoff)
 		}
+		if n.beliefs.age() >= staleAfter && n.direct.CompareAndSwap(false, true) {
+			n.log.Warn("peers do not have what the store confirmed", zap.Duration("age", n.beliefs.age()))
+		}
+	}
+}
+
+// watchers returns the addresses of the instances that watch the store for
+// all, or nil if this is one of them or none is known.
+func (n *Instance) watchers() []string {
+	rank := func(m member.Member) uint64 { return xxhash.Sum64String(m.Name) }
+	var live []member.Member
+	for _, m := range n.members.List() {
+		if m.State == member.Live {
+			live = append(live, m)
+		}
+	}
+	slices.SortFunc(live, func(a, b member.Member) int { return cmp.Compare(rank(b), rank(a)) })
+	var out []string
+	for _, m := range live[:min(storeWatchers, len(live))] {
+		if m.ID == n.incarnation {
+			return nil
+		}
+		out = append(out, m.Address)
 	}
+	return out
 }
 
 // behind is called when a member has a higher version in force.
-func (n *Instance) behind(address string, _ int64) { go n.ask(n.loopCtx, address) }
+func (n *Instance) behind(address string, _ int64) { go n.ask(n.loopCtx, address, 0) }
 
-func (n *Instance) ask(ctx context.Context, address string) {
-	a := peer.Asked{ServersRevision: n.beliefs.revision(), Alone: n.beliefs.alone()}
+// ask asks a peer for news and reports whether what it has was confirmed of late.
+func (n *Instance) ask(ctx context.Context, address string, wait time.Duration) bool {
+	a := peer.Asked{ServersRevision: n.beliefs.revision(), Wait: wait}
 	if t := n.beliefs.table(); t != nil {
 		a.Version = t.Version()
 	}
 	news, err := n.clients.Follow(ctx, address, a)
 	if err != nil {
 		n.log.Debug("peer gave no news", zap.String("peer", address), zap.Error(err))
-		return
+		return false
 	}
 	n.beliefs.hear(address, news)
+	return news.Confirmed && news.Age < staleAfter
 }
 
 func (b *beliefs) revision() int64 {
@@ -239,3 +288,12 @@
 	defer b.mu.Unlock()
 	return b.view.Revision()
 }
+
+func (n *Instance) pause(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-ctx.Done():
+	}
+}
--- a/edge/owners.go
+++ b/edge/owners.go
@@ -28,6 +28,10 @@
 	// does the work itself.
 	maxOwners = 2
 
+	// ownerPart is the capacity of an owner at least, as a part of the most that
+	// any instance has.
+	ownerPart = 0.5
+
 	// freeTimeout bounds the call that gives results up.
 	freeTimeout = 400 * time.Millisecond
 )
@@ -79,15 +83,24 @@
 }
 
 // owner returns the address of the instance that owns a service, or "" if it
-// is this one.
+// is this one. Owners are chosen among the instances of most capacity.
 func (o *owners) owner(service string) string {
 	now := time.Now()
-	best, bestRank := "", uint64(0)
+	var able []member.Member
+	most := 0.0
 	for _, m := range o.instance.members.List() {
 		self := m.ID == o.instance.incarnation
 		if m.State != member.Live || !self && o.isShunned(m.Address, now) {
 			continue
 		}
+		able = append(able, m)
+		most = max(most, m.Weight)
+	}
+	best, bestRank := "", uint64(0)
+	for _, m := range able {
+		if m.Weight < ownerPart*most {
+			continue
+		}
 		if rank := xxhash.Sum64String(service + "\x00" + m.Name); best == "" || rank > bestRank {
 			best, bestRank = m.Address, rank
 		}
@@ -163,7 +176,7 @@
 	items := make([]*gather.Item, w.Pieces)
 	for i := range items {
 		items[i] = &gather.Item{
-			Request: w.Request, Stage: w.Stage, Piece: i, Key: w.Key, Inputs: w.Inputs, Bytes: w.Bytes, Zone: w.Zone,
+			Request: w.Request, Stage: w.Stage, Piece: i, Key: w.Key, Inputs: w.Inputs, Bytes: w.Bytes, Zone: w.Zone, Moved: w.Moved,
 			Class: w.Class, Due: now.Add(w.Due), Deadline: now.Add(w.Left), Worth: w.Worth,
 		}
 	}
--- a/io/peer/peer.go
+++ b/io/peer/peer.go
@@ -294,7 +294,7 @@
 func toWire(m member.Member) *peerpb.Member {
 	return &peerpb.Member{
 		Id: m.ID, Name: m.Name, Address: m.Address, FailureDomain: m.FailureDomain,
-		State: uint32(m.State), Sequence: m.Sequence, Revision: m.Revision, Successor: m.Successor,
+		State: uint32(m.State), Sequence: m.Sequence, Revision: m.Revision, Successor: m.Successor, Weight: m.Weight,
 	}
 }
 
@@ -307,6 +307,6 @@
 	}
 	return member.Member{
 		ID: m.Id, Name: m.Name, Address: m.Address, FailureDomain: m.FailureDomain,
-		State: member.State(m.State), Sequence: m.Sequence, Revision: m.Revision, Successor: m.Successor,
+		State: member.State(m.State), Sequence: m.Sequence, Revision: m.Revision, Successor: m.Successor, Weight: m.Weight,
 	}, nil
 }
--- a/io/peer/site.go
+++ b/io/peer/site.go
@@ -16,40 +16,33 @@
 )
 
 const (
-	// followTimeout bounds a question for news, placeTimeout the choice of an
+	// followTimeout bounds a question for news beyond its wait, placeTimeout the choice of an
 	// engine: both are answered from memory.
-	followTimeout = 700 * time.Millisecond
+	followTimeout = 400 * time.Millisecond
 	placeTimeout  = 250 * time.Millisecond
 )
 
 type (
-	// Departure is a server incarnation that is leaving.
-	Departure struct {
-		ID   string
-		Born int64
-	}
-
 	// News is what an instance knows of the configuration and the servers, as
 	// far as the one who asks does not.
 	News struct {
-		Configuration   []byte
-		Servers         []byte
-		ServersRevision int64
-		Departures      []Departure
-		Fresh           bool
+		Configuration []byte
+		Servers       []byte
+		// Confirmed is set if the store ever confirmed the news, Age ago.
+		Confirmed bool
+		Age       time.Duration
 	}
 
-	// Asked says what the one who asks for news has.
+	// Asked says what the one who asks for news has, and how long it waits.
 	Asked struct {
 		Version         int64
 		ServersRevision int64
-		// Alone is set if the store does not serve it.
-		Alone bool
+		Wait            time.Duration
 	}
 
 	// Site answers what instances on the users' platform ask of each other.
 	Site struct {
-		Follow func(Asked) News
+		Follow func(context.Context, Asked) News
 		Work   func(context.Context, relay.Work) ([]string, error)
 		Free   func(service string, handles []string)
 		Place  func(service string, q engine.Query) string
@@ -64,14 +57,14 @@
 var errNoSite = twirp.NewError(twirp.Unimplemented, "the instance does not run on the platform")
 
 // Follow implements peerpb.Peer.
-func (s *Server) Follow(_ context.Context, req *peerpb.FollowRequest) (*peerpb.FollowReply, error) {
+func (s *Server) Follow(ctx context.Context, req *peerpb.FollowRequest) (*peerpb.FollowReply, error) {
 	if s.Site == nil {
 		return nil, errNoSite
 	}
-	n := s.Site.Follow(Asked{Version: req.Version, ServersRevision: req.ServersRevision, Alone: req.Alone})
-	out := &peerpb.FollowReply{Configuration: n.Configuration, Servers: n.Servers, ServersRevision: n.ServersRevision, Fresh: n.Fresh}
-	for _, d := range n.Departures {
-		out.Departures = append(out.Departures, &peerpb.Departure{Id: d.ID, Born: d.Born})
+	n := s.Site.Follow(ctx, Asked{Version: req.Version, ServersRevision: req.ServersRevision, Wait: micros(req.WaitMicros)})
+	out := &peerpb.FollowReply{Configuration: n.Configuration, Servers: n.Servers, AgeMicros: -1}
+	if n.Confirmed {
+		out.AgeMicros = n.Age.Microseconds()
 	}
 	return out, nil
 }
@@ -87,7 +80,7 @@
 	}
 	handles, err := s.Site.Work(ctx, relay.Work{
 		Service: req.Service, Request: req.Request, Stage: int(req.Stage), Class: req.Class, Key: req.Key, Inputs: req.Inputs,
-		Pieces: len(pieces), Bytes: req.Bytes, Zone: req.Zone,
+		Pieces: len(pieces), Bytes: req.Bytes, Zone: req.Zone, Moved: req.Moved,
 		Due: micros(req.DueMicros), Left: micros(req.LeftMicros), Worth: req.Worth,
 	})
 	if err != nil {
@@ -134,17 +127,16 @@
 
 // Follow asks an instance for news.
 func (c *Clients) Follow(ctx context.Context, address string, a Asked) (News, error) {
-	ctx, cancel := context.WithTimeout(ctx, followTimeout)
+	ctx, cancel := context.WithTimeout(ctx, a.Wait+followTimeout)
 	defer cancel()
-	reply, err := c.At(address).Follow(ctx, &peerpb.FollowRequest{Version: a.Version, ServersRevision: a.ServersRevision, Alone: a.Alone})
+	reply, err := c.At(address).Follow(ctx, &peerpb.FollowRequest{Version: a.Version, ServersRevision: a.ServersRevision, WaitMicros: a.Wait.Microseconds()})
 	if err != nil {
 		return News{}, fmt.Errorf("asking %s for news: %w", address, err)
 	}
-	out := News{Configuration: reply.Configuration, Servers: reply.Servers, ServersRevision: reply.ServersRevision, Fresh: reply.Fresh}
-	for _, d := range reply.Departures {
-		out.Departures = append(out.Departures, Departure{ID: d.Id, Born: d.Born})
-	}
-	return out, nil
+	return News{
+		Configuration: reply.Configuration, Servers: reply.Servers,
+		Confirmed: reply.AgeMicros >= 0, Age: micros(reply.AgeMicros),
+	}, nil
 }
 
 // Work has an instance make the pieces of a stage. An error that wraps
@@ -156,7 +148,7 @@
 	}
 	reply, err := c.At(address).Work(ctx, &peerpb.WorkRequest{
 		Service: w.Service, Request: w.Request, Stage: int32(w.Stage), Class: w.Class, Key: w.Key, Inputs: w.Inputs, Pieces: pieces,
-		Bytes: w.Bytes, Zone: w.Zone, DueMicros: w.Due.Microseconds(), LeftMicros: w.Left.Microseconds(), Worth: w.Worth,
+		Bytes: w.Bytes, Zone: w.Zone, Moved: w.Moved, DueMicros: w.Due.Microseconds(), LeftMicros: w.Left.Microseconds(), Worth: w.Worth,
 	})
 	if err != nil {
 		return nil, fmt.Errorf("asking %s for pieces: %w: %w", address, ErrSilent, err)
