--- a/core/gather/gather.go
+++ b/core/gather/gather.go
@@ -7,6 +7,7 @@
 package gather
 
 import (
+	"container/heap"
 	"slices"
 	"sync"
 	"time"
@@ -73,6 +74,8 @@
 		added   time.Time
 		dropped bool
 		running bool
+		// late is set if the item is not planned to keep its aim.
+		late bool
 	}
 
 	// Outcome is what became of an item in a call.
@@ -184,7 +187,7 @@
 	if len(q.order) == 0 {
 		return fault.Errorf(fault.EndpointUnavailable, "the stage has no servers")
 	}
-	wait := q.wait(now)
+	wait := q.waitFor(now, items)
 	if need := wait + q.time(items); len(items) > 0 && now.Add(need).After(items[0].Deadline) {
 		return fault.Errorf(fault.Overloaded, "the stage needs %v, of which %v is the wait, and %v remain", need.Round(time.Millisecond), wait.Round(time.Millisecond), items[0].Deadline.Sub(now).Round(time.Millisecond))
 	}
@@ -210,11 +213,25 @@
 func (q *Queue) Wait(now time.Time) time.Duration {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	return q.wait(now)
+	return q.wait(now, func(*Item) bool { return true })
 }
 
-// wait is the time until the servers have worked off what waits.
-func (q *Queue) wait(now time.Time) time.Duration {
+// waitFor is the time until the servers have worked off what goes before new
+// items: everything, or what is planned and due earlier if they can keep their aim.
+func (q *Queue) waitFor(now time.Time, items []*Item) time.Duration {
+	if len(items) == 0 {
+		return 0
+	}
+	first := items[0]
+	wait := q.wait(now, func(it *Item) bool { return !it.late && it.Due.Before(first.Due) })
+	if now.Add(wait + q.time(items)).Before(first.Due) {
+		return wait
+	}
+	return q.wait(now, func(it *Item) bool { return !it.late || it.Deadline.Before(first.Deadline) })
+}
+
+// wait is the time until the servers have worked off the chosen ones of what waits.
+func (q *Queue) wait(now time.Time, chosen func(*Item) bool) time.Duration {
 	able := 0
 	soonest := time.Duration(-1)
 	for _, s := range q.order {
@@ -233,11 +250,14 @@
 	if able == 0 {
 		return minPause
 	}
-	work := 0.0
+	work, n := 0.0, 0
 	for _, it := range q.waiting {
-		work += q.itemTime(it.Class)
+		if chosen(it) {
+			work += q.itemTime(it.Class)
+			n++
+		}
 	}
-	calls := float64(len(q.waiting)) / float64(q.pieces.Batch)
+	calls := float64(n) / float64(q.pieces.Batch)
 	return soonest + time.Duration((calls*q.pieces.CallTime.Seconds()+work)/float64(able*q.pieces.Slots)*float64(time.Second))
 }
 
@@ -306,24 +326,74 @@
 	return late
 }
 
-// sort orders the waiting items: first those that can still keep their aim, by
-// when they are due, then the others by deadline.
+// sort orders the waiting items: first those that are planned to keep their
+// aim, by when they are due, then the others by deadline.
+//
+// Where not all can keep it, the plan gives up the ones of least worth for
+// their time, after Moore and Hodgson's rule for the fewest late jobs.
 func (q *Queue) sort(now time.Time) {
-	horizon := now.Add(q.pieces.CallTime)
+	slices.SortStableFunc(q.waiting, func(a, b *Item) int { return a.Due.Compare(b.Due) })
+	able := 0
+	for _, s := range q.order {
+		if !now.Before(s.until) {
+			able += q.pieces.Slots
+		}
+	}
+	share := q.pieces.CallTime.Seconds() / float64(q.pieces.Batch)
+	var kept worthHeap
+	busy := 0.0
+	for _, it := range q.waiting {
+		it.late = false
+		took := (share + q.itemTime(it.Class)) / float64(max(1, able))
+		until := it.Due.Sub(now).Seconds() - q.pieces.CallTime.Seconds()
+		if until < 0 {
+			it.late = true
+			continue
+		}
+		heap.Push(&kept, planned{item: it, took: took})
+		for busy += took; busy > until && len(kept) > 0; {
+			least := heap.Pop(&kept).(planned)
+			least.item.late = true
+			busy -= least.took
+		}
+	}
 	slices.SortStableFunc(q.waiting, func(a, b *Item) int {
-		lateA, lateB := horizon.After(a.Due), horizon.After(b.Due)
 		switch {
-		case lateA != lateB && lateA:
+		case a.late != b.late && a.late:
 			return 1
-		case lateA != lateB:
+		case a.late != b.late:
 			return -1
-		case lateA:
+		case a.late:
 			return a.Deadline.Compare(b.Deadline)
 		}
 		return a.Due.Compare(b.Due)
 	})
 }
 
+type (
+	// planned is an item that is planned to keep its aim, and its time.
+	planned struct {
+		item *Item
+		took float64
+	}
+
+	// worthHeap holds planned items, the one of least worth for its time first.
+	worthHeap []planned
+)
+
+func (h worthHeap) Len() int      { return len(h) }
+func (h worthHeap) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
+func (h worthHeap) Less(i, j int) bool {
+	return h[i].item.Worth/h[i].took < h[j].item.Worth/h[j].took
+}
+func (h *worthHeap) Push(x any) { *h = append(*h, x.(planned)) }
+func (h *worthHeap) Pop() any {
+	n := len(*h) - 1
+	x := (*h)[n]
+	*h = (*h)[:n]
+	return x
+}
+
 // open reports whether the server can begin a call now.
 func (q *Queue) open(now time.Time, s *server) bool {
 	return len(s.calls) < q.pieces.Slots && !now.Before(s.until)
--- a/core/relay/relay.go
+++ b/core/relay/relay.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math"
 	"sync"
 	"time"
 
@@ -27,6 +28,25 @@
 	// if nothing better is known.
 	comeBack = 200 * time.Millisecond
 
+	// The worth of a generation is basePart and the rest by its size against
+	// the mean of its kind, at most maxRelative times; an output token counts as
+	// outputWeight of the prompt (rules of the platform).
+	basePart     = 0.3
+	maxRelative  = 4
+	outputWeight = 10
+
+	// sizeWeight is the weight of the newest request in the mean size.
+	sizeWeight = 0.02
+
+	// tookWeight is the weight of the newest request in the mean time, and
+	// stopFactor the multiple of it that has to be left before a planned stop.
+	tookWeight = 0.1
+	stopFactor = 3
+
+	// answerMargin is kept free at the end of a request's time, so that its
+	// answer reaches the caller.
+	answerMargin = 15 * time.Millisecond
+
 	// maxWhole is the largest answer that is held until it is whole; a larger
 	// one is relayed as it comes.
 	maxWhole = 1 << 20
@@ -46,6 +66,10 @@
 		// wait is the longest time that a caller said it waits. Callers that
 		// come back after a refusal say less.
 		wait time.Duration
+		// size is the mean size of requests in tokens, and took the mean time of
+		// those that were answered.
+		size float64
+		took time.Duration
 		// first is the time from the send to an engine to its first event.
 		first time.Duration
 	}
@@ -59,9 +83,11 @@
 		service string
 		org     *declare.Organisation
 		orgName string
-		caller  Caller
-		end     time.Time
-		aim     time.Time
+		// priority is the organisation's rank, or -1 if the route's counts.
+		priority int
+		caller   Caller
+		end      time.Time
+		aim      time.Time
 
 		// sends counts what reached a server and may have run, unrun what
 		// provably did not.
@@ -96,6 +122,9 @@
 	defer cancel()
 	defer run.freeAll()
 	err = run.serve(ctx)
+	if err == nil {
+		r.observe(run)
+	}
 	begun = run.stream != nil && run.stream.begun
 	run.log("end", outcomeName(err), "")
 	return begun, err
@@ -123,21 +152,42 @@
 	if !ok && table.Keyed() && !out.route.Public {
 		return nil, r.deny(table, fault.Unauthenticated, "the key belongs to no organisation in version %d", table.Version())
 	}
+	out.priority = -1
 	if ok {
 		out.orgName = org.Name
+		if org.HasPriority {
+			out.priority = org.Priority
+		}
 	}
 	out.org = declare.NewOrganisation(out.orgName, 1)
 	if len(req.Pieces) != 0 && len(req.Pieces) != len(out.route.Stages) {
 		return nil, fault.Errorf(fault.BadRequest, "the request has pieces of %d stages and its route has %d stages", len(req.Pieces), len(out.route.Stages))
 	}
 	out.service = out.route.Choose(r.deps.Draw())
-	wait := out.wait()
-	out.end = req.Arrived.Add(wait)
+	out.end = req.Arrived.Add(out.wait() - answerMargin)
+	if err := out.fitsStop(); err != nil {
+		return nil, err
+	}
 	out.aim = req.Arrived.Add(out.route.Aim - r.spent(out.route, req.Wait))
 	out.log("route", "matched", "")
 	return out, nil
 }
 
+// fitsStop refuses a request that would be cut off by a planned stop under way.
+func (u *run) fitsStop() error {
+	stop := u.relay.deps.Stop()
+	if stop.IsZero() || !stop.Before(u.end) {
+		return nil
+	}
+	u.relay.mu.Lock()
+	took := u.relay.learnt(u.route.Name).took
+	u.relay.mu.Unlock()
+	if u.now().Add(stopFactor * took).Before(stop) {
+		return nil
+	}
+	return u.relay.refuse(fault.Errorf(fault.Draining, "the instance stops in %v and the request may take longer", stop.Sub(u.now()).Round(time.Millisecond)), 0)
+}
+
 // deny returns the denial, or a refusal if the configuration may be out of date.
 func (r *Relay) deny(table *route.Table, kind fault.Kind, format string, args ...any) error {
 	if !r.deps.Fresh() {
@@ -173,6 +223,41 @@
 	return l.wait - wait
 }
 
+// worth returns what the request is worth to its caller against others, by its
+// rank and its size: the configuration says no more.
+func (u *run) worth() float64 {
+	rank := u.route.Priority
+	if u.priority >= 0 {
+		rank = u.priority
+	}
+	size := float64(u.req.PromptTokens + outputWeight*u.req.OutputTokens)
+	r := u.relay
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	l := r.learnt(u.route.Name)
+	if l.size == 0 {
+		l.size = size
+	}
+	l.size += sizeWeight * (size - l.size)
+	relative := 1.0
+	if l.size > 0 {
+		relative = size / l.size
+	}
+	return (basePart + (1-basePart)*min(relative, maxRelative)) * math.Exp2(-float64(rank))
+}
+
+// observe learns from a request that was answered.
+func (r *Relay) observe(u *run) {
+	took := u.now().Sub(u.req.Arrived)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	l := r.learnt(u.route.Name)
+	if l.took == 0 {
+		l.took = took
+	}
+	l.took += time.Duration(tookWeight * float64(took-l.took))
+}
+
 // learnt returns what is known of a route. The caller holds mu.
 func (r *Relay) learnt(name string) *learnt {
 	l, ok := r.routes[name]
--- a/core/relay/types.go
+++ b/core/relay/types.go
@@ -154,6 +154,9 @@
 		// the budget.
 		Count func(service string)
 		Allow func(service string) bool
+		// Stop returns when the process ends by a planned stop, or the zero time
+		// if none is under way.
+		Stop func() time.Time
 		// Draw returns a random number in [0, 1).
 		Draw func() float64
 		Log  func(Decision)
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -53,6 +53,8 @@
 
 		ready    atomic.Bool
 		draining atomic.Bool
+		// stopAt is when a planned stop ends the process, or the zero time.
+		stopAt atomic.Pointer[time.Time]
 		// direct is set while this instance watches the store itself.
 		direct  atomic.Bool
 		servers []*http.Server
@@ -76,6 +78,7 @@
 	}
 	n.cfg.Store(&cfg)
 	n.direct.Store(true)
+	n.stopAt.Store(&time.Time{})
 	n.loopCtx, n.stopLoops = context.WithCancel(context.Background())
 	n.metrics = newMetrics(n.registry)
 	n.store = platform.NewStore(cfg.Store(), &http.Client{Transport: upstream.Transport()})
@@ -113,6 +116,7 @@
 		Send: n.upstream.Send, Work: n.owners.work, Free: n.owners.free, Place: n.owners.place, Settle: n.owners.settle,
 		ZoneOf: func(handle string) string { return n.beliefs.servers().Zone(platform.Maker(handle)) },
 		Plain:  n.beliefs.plain, Count: n.beliefs.count, Allow: n.beliefs.allow,
+		Stop: func() time.Time { return *n.stopAt.Load() },
 		Draw: mathrand.Float64, Log: n.logDecision,
 	}
 }
--- a/edge/services.go
+++ b/edge/services.go
@@ -37,6 +37,10 @@
 	// the platform asks for readiness each second and acts after two misses.
 	noticeFor = 2800 * time.Millisecond
 
+	// idleEvery is the time between two looks at whether a stopping instance
+	// still has requests in flight.
+	idleEvery = 20 * time.Millisecond
+
 	// stopMargin is kept free before the end of the grace time.
 	stopMargin = 400 * time.Millisecond
 )
@@ -83,12 +87,15 @@
 	server := n.servers[len(n.servers)-1]
 	s.Drain = func(ctx context.Context) error {
 		n.draining.Store(true)
+		stop := time.Now().Add(n.StopTimeout())
+		n.stopAt.Store(&stop)
 		n.log.Info("instance leaving", zap.Int64("inFlight", n.callers.Active()))
 		n.callers.Leave()
 		n.members.Leave(ctx, "")
-		select {
-		case <-time.After(noticeFor):
-		case <-ctx.Done():
+		n.pause(ctx, noticeFor)
+		// Callers that have nowhere else to go are still taken and told so.
+		for n.callers.Active() > 0 && ctx.Err() == nil {
+			n.pause(ctx, idleEvery)
 		}
 		if err := server.Shutdown(ctx); err != nil {
 			return fmt.Errorf("ending requests in flight: %w", err)
