--- a/core/gather/gather.go
+++ b/core/gather/gather.go
@@ -345,8 +345,8 @@
 	for _, it := range q.waiting {
 		it.late = false
 		took := (share + q.itemTime(it.Class)) / float64(max(1, able))
-		until := it.Due.Sub(now).Seconds() - q.pieces.CallTime.Seconds()
-		if until < 0 {
+		until := it.Due.Sub(now).Seconds()
+		if until < q.pieces.CallTime.Seconds() {
 			it.late = true
 			continue
 		}
--- /dev/null
+++ b/core/gather/gather_test.go
@@ -0,0 +1,254 @@
+package gather_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"chervilpath/core/fault"
+	"chervilpath/core/fleet"
+	"chervilpath/core/gather"
+	"chervilpath/core/route"
+)
+
+var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+var pieces = route.Pieces{
+	Slots: 1, Queue: 2, Batch: 4, CallTime: 200 * time.Millisecond, ItemTime: 10 * time.Millisecond,
+	Room: 1000, ResultLife: 4 * time.Second,
+}
+
+func servers(zones ...string) []fleet.Server {
+	var out []fleet.Server
+	for i, z := range zones {
+		out = append(out, fleet.Server{ID: fmt.Sprint("s-", i), Address: fmt.Sprint("10.0.0.", i, ":80"), Zone: z})
+	}
+	return out
+}
+
+func item(name string, due time.Duration) *gather.Item {
+	return &gather.Item{
+		Request: name, Key: "k", Bytes: 10, Worth: 1, Due: start.Add(due), Deadline: start.Add(due + 5*time.Second),
+		Done: func(string, error) {},
+	}
+}
+
+func queue(t *testing.T, zones ...string) *gather.Queue {
+	t.Helper()
+	q := gather.New(pieces)
+	q.Replace(servers(zones...), pieces)
+	return q
+}
+
+func add(t *testing.T, q *gather.Queue, items ...*gather.Item) {
+	t.Helper()
+	if err := q.Add(start, items); err != nil {
+		t.Fatal(err)
+	}
+}
+
+func made(b *gather.Batch) []gather.Outcome {
+	out := make([]gather.Outcome, len(b.Items))
+	for i, it := range b.Items {
+		out[i] = gather.Outcome{Handle: fmt.Sprintf("%s/%s-%d", b.Server.Address, it.Request, it.Piece)}
+	}
+	return out
+}
+
+func TestOneCallForEachSlotAndFullBatches(t *testing.T) {
+	q := queue(t, "a")
+	for i := range 6 {
+		add(t, q, item(fmt.Sprint(i), 2*time.Second))
+	}
+	b, _ := q.Next(start)
+	if b == nil || len(b.Items) != pieces.Batch {
+		t.Fatalf("first call: %+v", b)
+	}
+	if second, _ := q.Next(start); second != nil {
+		t.Error("a second call went to a server whose slot is taken")
+	}
+	q.End(start.Add(240*time.Millisecond), b, gather.Answered, made(b))
+	if b, _ := q.Next(start.Add(240 * time.Millisecond)); b == nil || len(b.Items) != 2 {
+		t.Errorf("second call: %+v", b)
+	}
+}
+
+func TestLeastWorthIsLateWhenNotAllCanKeepTheirAim(t *testing.T) {
+	q := queue(t, "a")
+	busy := item("busy", 3*time.Second)
+	add(t, q, busy)
+	b, _ := q.Next(start)
+	for i := range 8 {
+		it := item(fmt.Sprint("low-", i), 460*time.Millisecond)
+		it.Worth = 0.1
+		add(t, q, it)
+	}
+	for i := range 4 {
+		add(t, q, item(fmt.Sprint("high-", i), 470*time.Millisecond))
+	}
+	now := start.Add(210 * time.Millisecond)
+	q.End(now, b, gather.Answered, made(b))
+	next, _ := q.Next(now)
+	if next == nil {
+		t.Fatal("no call")
+	}
+	for _, it := range next.Items {
+		if it.Worth != 1 {
+			t.Errorf("%s goes before work of more worth", it.Request)
+		}
+	}
+}
+
+func TestBulkyPieceIsMadeInItsZoneWhileThereIsTime(t *testing.T) {
+	q := queue(t, "a", "b")
+	first := item("first", 2*time.Second)
+	first.Zone, first.Moved = "b", 1_000_000
+	add(t, q, first)
+	b, _ := q.Next(start)
+	if b.Server.Zone != "b" {
+		t.Fatalf("made in zone %s", b.Server.Zone)
+	}
+	patient, urgent := item("patient", 2*time.Second), item("urgent", 230*time.Millisecond)
+	patient.Zone, patient.Moved = "b", 1_000_000
+	urgent.Zone, urgent.Moved = "b", 1_000_000
+	add(t, q, patient)
+	if b, _ := q.Next(start); b != nil {
+		t.Errorf("a piece with time went to zone %s", b.Server.Zone)
+	}
+	add(t, q, urgent)
+	if b, _ := q.Next(start); b == nil || b.Items[0] != urgent || b.Server.Zone != "a" {
+		t.Errorf("the urgent piece waits for its zone: %+v", b)
+	}
+}
+
+func TestRoomIsPlannedAndGivenBack(t *testing.T) {
+	q := queue(t, "a")
+	var handles []string
+	for i := range 3 {
+		it := item(fmt.Sprint(i), 2*time.Second)
+		it.Bytes = 400
+		add(t, q, it)
+	}
+	b, _ := q.Next(start)
+	if len(b.Items) != 2 {
+		t.Fatalf("%d pieces of 400 bytes in a room of 1000", len(b.Items))
+	}
+	done, _ := q.End(start, b, gather.Answered, made(b))
+	for _, f := range done {
+		handles = append(handles, f.Handle)
+	}
+	if b, _ := q.Next(start); b != nil {
+		t.Error("a piece went to a server without room")
+	}
+	q.Freed(handles)
+	if b, _ := q.Next(start); b == nil {
+		t.Error("the room that was given up is not used")
+	}
+}
+
+func TestWhatCannotBeDoneIsRefusedAtOnce(t *testing.T) {
+	q := queue(t, "a")
+	it := item("late", 0)
+	it.Deadline = start.Add(100 * time.Millisecond)
+	err := q.Add(start, []*gather.Item{it})
+	if fault.From(err).Kind() != fault.Overloaded {
+		t.Errorf("error %v, want one of kind overloaded", err)
+	}
+}
+
+func TestRefusedCallsDoNotCountAsTries(t *testing.T) {
+	q := queue(t, "a", "a")
+	add(t, q, item("1", 3*time.Second))
+	now := start
+	for range 10 {
+		b, _ := q.Next(now)
+		if b == nil {
+			now = now.Add(50 * time.Millisecond)
+			continue
+		}
+		if done, _ := q.End(now, b, gather.Refused, nil); len(done) != 0 {
+			t.Fatalf("a piece that no server took has ended: %v", done[0].Err)
+		}
+	}
+}
+
+// Every piece ends exactly once whatever servers answer, and room is given back.
+func TestEveryPieceEndsOnce(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		q := gather.New(pieces)
+		q.Replace(servers("a", "b"), pieces)
+		ends := make(map[*gather.Item]int)
+		dropped := make(map[*gather.Item]bool)
+		var calls []*gather.Batch
+		now := start
+		note := func(done []gather.Finished) {
+			for _, f := range done {
+				ends[f.Item]++
+			}
+		}
+		var all []*gather.Item
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 100).Draw(t, "ms")) * time.Millisecond)
+			switch op := rapid.IntRange(0, 3).Draw(t, "op"); {
+			case op == 0:
+				it := &gather.Item{
+					Request: fmt.Sprint(len(all)), Bytes: 100, Worth: rapid.Float64Range(0.1, 4).Draw(t, "worth"),
+					Due: now.Add(time.Second), Deadline: now.Add(3 * time.Second),
+				}
+				if q.Add(now, []*gather.Item{it}) == nil {
+					all = append(all, it)
+				}
+			case op == 1 && len(all) > 0:
+				it := all[rapid.IntRange(0, len(all)-1).Draw(t, "drop")]
+				q.Drop([]*gather.Item{it})
+				dropped[it] = true
+			case op == 2 && len(calls) > 0:
+				b := calls[0]
+				calls = calls[1:]
+				ending := gather.Ending(rapid.IntRange(0, 2).Draw(t, "ending"))
+				out := made(b)
+				for i := range out {
+					if reason := gather.Reason(rapid.IntRange(0, 4).Draw(t, "reason")); reason != gather.Made {
+						out[i] = gather.Outcome{Reason: reason}
+					}
+				}
+				done, unwanted := q.End(now, b, ending, out)
+				note(done)
+				q.Freed(unwanted)
+			default:
+				b, late := q.Next(now)
+				for _, it := range late {
+					ends[it]++
+				}
+				if b != nil {
+					calls = append(calls, b)
+				}
+			}
+		}
+		for _, b := range calls {
+			done, _ := q.End(now, b, gather.Answered, made(b))
+			note(done)
+		}
+		for {
+			now = now.Add(500 * time.Millisecond)
+			b, late := q.Next(now)
+			for _, it := range late {
+				ends[it]++
+			}
+			if b != nil {
+				done, _ := q.End(now, b, gather.Answered, made(b))
+				note(done)
+			}
+			if now.Sub(start) > time.Minute {
+				break
+			}
+		}
+		for i, it := range all {
+			if n := ends[it]; n > 1 || n == 0 && !dropped[it] {
+				t.Fatalf("piece %d ended %d times", i, n)
+			}
+		}
+	})
+}
--- a/core/retry/share.go
+++ b/core/retry/share.go
@@ -6,9 +6,9 @@
 	// buckets is the number of parts into which a window is divided.
 	buckets = 10
 
-	// usedPart is the part of the allowed repeats that is planned with, since
-	// instances see each other's number late.
-	usedPart = 0.6
+	// usedPart is the part of the allowed repeats that is planned with: an
+	// instance that was just replaced may have used its own part already.
+	usedPart = 0.5
 )
 
 // Share is one instance's part of a budget of repeats that all instances
@@ -44,7 +44,10 @@
 		calls += s.calls[i]
 		repeats += s.repeats[i]
 	}
-	allowed := usedPart * (s.ratio*float64(calls) + s.slack/float64(max(1, instances)))
+	// The slack grows with the age of the process, so that one that starts
+	// again and again gets no more of it than one that stays.
+	age := min(1, float64(now.Sub(s.base))/float64(buckets*s.part))
+	allowed := usedPart * (s.ratio*float64(calls) + age*s.slack/float64(max(1, instances)))
 	if float64(repeats+1) > allowed {
 		return false
 	}
--- /dev/null
+++ b/core/retry/share_test.go
@@ -0,0 +1,64 @@
+package retry_test
+
+import (
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"chervilpath/core/retry"
+)
+
+// The shares of all instances together stay under the budget in every window,
+// also when their requests are uneven and they come and go.
+func TestSharesTogetherKeepTheBudget(t *testing.T) {
+	const ratio, slack, window = 0.2, 50.0, 10 * time.Second
+	rapid.Check(t, func(t *rapid.T) {
+		type event struct {
+			at     time.Time
+			repeat bool
+		}
+		n := rapid.IntRange(1, 8).Draw(t, "instances")
+		shares := make([]*retry.Share, n)
+		for i := range shares {
+			shares[i] = retry.NewShare(ratio, slack, window)
+		}
+		now := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+		var events []event
+		for range rapid.IntRange(1, 400).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 200).Draw(t, "ms")) * time.Millisecond)
+			i := rapid.IntRange(0, n-1).Draw(t, "instance")
+			if rapid.IntRange(0, 50).Draw(t, "restart") == 0 {
+				shares[i] = retry.NewShare(ratio, slack, window)
+			}
+			if rapid.Bool().Draw(t, "repeat") {
+				if shares[i].Allow(now, n) {
+					events = append(events, event{now, true})
+				}
+				continue
+			}
+			shares[i].Call(now)
+			events = append(events, event{now, false})
+		}
+		for i := range events {
+			calls, repeats := 0, 0
+			for _, e := range events[i:] {
+				if e.at.Sub(events[i].at) >= window {
+					break
+				}
+				if e.repeat {
+					repeats++
+				}
+			}
+			// Requests of the window before may count instead.
+			for _, e := range events {
+				if d := events[i].at.Sub(e.at); d > -window && d < window && !e.repeat {
+					calls++
+				}
+			}
+			if float64(repeats) > ratio*float64(calls)+slack {
+				t.Fatalf("%d repeats for %d requests from %v on", repeats, calls, events[i].at)
+			}
+		}
+	})
+}
--- /dev/null
+++ b/core/route/route_test.go
@@ -0,0 +1,60 @@
+package route_test
+
+import (
+	"testing"
+
+	"chervilpath/core/route"
+)
+
+func table(t *testing.T) *route.Table {
+	t.Helper()
+	to := []route.Target{{Service: "desk", Weight: 1}}
+	out, err := route.New(3, []route.Route{
+		{Name: "short", Host: "a.example", Prefix: "/x/", Targets: to},
+		{Name: "long", Host: "a.example", Prefix: "/x/y/", Targets: to},
+		{Name: "other", Host: "b.example", Prefix: "/", Targets: to},
+	}, []route.Service{{Name: "desk"}}, []route.Organisation{{Name: "org", Keys: []string{"k"}}}, route.Limits{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return out
+}
+
+func TestLongestPrefixOfTheHostMatches(t *testing.T) {
+	tests := []struct{ host, path, want string }{
+		{"a.example", "/x/1", "short"},
+		{"a.example", "/x/y/1", "long"},
+		{"A.Example:8080", "/x/y/", "long"},
+		{"a.example", "/x", ""},
+		{"a.example", "/z/", ""},
+		{"b.example", "/x/", "other"},
+		{"c.example", "/x/", ""},
+	}
+	for _, tt := range tests {
+		got := ""
+		if r := table(t).Match(tt.host, tt.path); r != nil {
+			got = r.Name
+		}
+		if got != tt.want {
+			t.Errorf("%s%s matches %q, want %q", tt.host, tt.path, got, tt.want)
+		}
+	}
+}
+
+func TestStagesFollowEarlierOnesOnly(t *testing.T) {
+	_, err := route.New(1, []route.Route{{
+		Name: "r", Targets: []route.Target{{Service: "desk"}}, Stages: []route.Stage{{Service: "photos", After: []int{0}}},
+	}}, []route.Service{{Name: "photos", Pieces: &route.Pieces{}}}, nil, route.Limits{})
+	if err == nil {
+		t.Error("a stage that follows itself is taken")
+	}
+}
+
+func TestTargetsAreChosenByWeight(t *testing.T) {
+	r := route.Route{Targets: []route.Target{{Service: "a", Weight: 90}, {Service: "b", Weight: 10}}}
+	for draw, want := range map[float64]string{0: "a", 0.89: "a", 0.91: "b", 0.999: "b"} {
+		if got := r.Choose(draw); got != want {
+			t.Errorf("draw %v: %s, want %s", draw, got, want)
+		}
+	}
+}
