--- a/cmd/cmd.go
+++ b/cmd/cmd.go
@@ -86,7 +86,7 @@
 func (p *program) subcommands() []subcommand {
 	return []subcommand{
 		p.newEntry(), p.newCheck(), p.newPublish(), p.newHistory(), p.newRollback(), p.newStatus(),
-		p.newCost(), p.newSweep(), p.newReplay(), p.newTrace(), p.newDemo(), p.newStandin(), p.newHashKey(), p.newVersion(),
+		p.newCost(), p.newSweep(), p.newReplay(), p.newTrace(), p.newExplain(), p.newDemo(), p.newStandin(), p.newHashKey(), p.newVersion(),
 	}
 }
 
--- /dev/null
+++ b/cmd/explain.go
@@ -0,0 +1,161 @@
+package cmd
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"slices"
+	"strings"
+	"time"
+
+	"chervilpath/core/fault"
+)
+
+type (
+	explainCommand struct {
+		*program
+		Args struct {
+			ID    string   `positional-arg-name:"ID" required:"yes" description:"Request id, as the caller sent it"`
+			Files []string `positional-arg-name:"FILE" description:"Logs of any instances; standard input if none is given"`
+		} `positional-args:"yes"`
+	}
+
+	// logLine is what is shown of a line of a log.
+	logLine struct {
+		Time      time.Time `json:"time"`
+		Message   string    `json:"message"`
+		Instance  string    `json:"instance"`
+		RequestID string    `json:"requestId"`
+		Step      string    `json:"step"`
+		Version   int64     `json:"version"`
+		Route     string    `json:"route"`
+		Service   string    `json:"service"`
+		Server    string    `json:"server"`
+		Attempt   int       `json:"attempt"`
+		Outcome   string    `json:"outcome"`
+		WaitedMs  int64     `json:"waitedMs"`
+		LeftMs    int64     `json:"leftMs"`
+		Kind      string    `json:"kind"`
+		Status    int       `json:"status"`
+		Ran       string    `json:"ran"`
+		Cause     string    `json:"cause"`
+	}
+)
+
+// maxLogLine is the longest line of a log that is read, in bytes.
+const maxLogLine = 1 << 20
+
+func (p *program) newExplain() subcommand {
+	return subcommand{
+		name: "explain", short: "Print one request's way from the logs of instances",
+		long: `Reads log lines of any number of instances and prints those of one request in
+the order of their time, with the cause of its end. Text before the first brace
+of a line is passed over, so that the logs of a collector can be read too.
+
+Example:
+  chervilpath explain 9c41d07be2a35f68 edge-1.log edge-2.log`,
+		data: &explainCommand{program: p},
+	}
+}
+
+// Execute implements flags.Commander.
+func (c *explainCommand) Execute([]string) error {
+	lines, err := c.collect()
+	if err != nil {
+		return err
+	}
+	if len(lines) == 0 {
+		return fault.Errorf(fault.NotFound, "no line names request %s; look at the logs of every instance", c.Args.ID)
+	}
+	slices.SortStableFunc(lines, func(a, b logLine) int { return a.Time.Compare(b.Time) })
+	for _, l := range lines {
+		if _, err := fmt.Fprintln(c.out, l.text(lines[0].Time)); err != nil {
+			return fmt.Errorf("printing the request's way: %w", err)
+		}
+	}
+	_, err = fmt.Fprintln(c.out, ending(lines))
+	return err
+}
+
+func (c *explainCommand) collect() ([]logLine, error) {
+	if len(c.Args.Files) == 0 {
+		return readLines(os.Stdin, c.Args.ID)
+	}
+	var out []logLine
+	for _, name := range c.Args.Files {
+		f, err := os.Open(name)
+		if err != nil {
+			return nil, fmt.Errorf("reading a log: %w", err)
+		}
+		lines, err := readLines(f, c.Args.ID)
+		if err := errors.Join(err, f.Close()); err != nil {
+			return nil, fmt.Errorf("reading %s: %w", name, err)
+		}
+		out = append(out, lines...)
+	}
+	return out, nil
+}
+
+// readLines returns the lines of a log that name a request. Lines that are not
+// of a log are passed over.
+func readLines(r io.Reader, id string) ([]logLine, error) {
+	var out []logLine
+	scan := bufio.NewScanner(r)
+	scan.Buffer(nil, maxLogLine)
+	for scan.Scan() {
+		i := bytes.IndexByte(scan.Bytes(), '{')
+		if i < 0 || !bytes.Contains(scan.Bytes(), []byte(id)) {
+			continue
+		}
+		var l logLine
+		if json.Unmarshal(scan.Bytes()[i:], &l) == nil && l.RequestID == id {
+			out = append(out, l)
+		}
+	}
+	return out, scan.Err()
+}
+
+// text returns the line as it is shown, with the time since the first one.
+func (l logLine) text(first time.Time) string {
+	words := []string{fmt.Sprintf("%8.3fs", l.Time.Sub(first).Seconds()), l.Instance}
+	add := func(name, value string) {
+		if value != "" && value != "0" {
+			words = append(words, strings.TrimSpace(name+" "+value))
+		}
+	}
+	if l.Step == "" {
+		add("", l.Message)
+		add("kind", l.Kind)
+		add("status", fmt.Sprint(l.Status))
+		add("ran", l.Ran)
+		add("cause:", l.Cause)
+		return strings.Join(words, "  ")
+	}
+	add("", l.Step)
+	add("", l.Outcome)
+	add("server", l.Server)
+	add("attempt", fmt.Sprint(l.Attempt))
+	add("route", l.Route)
+	add("service", l.Service)
+	add("version", fmt.Sprint(l.Version))
+	add("waited ms", fmt.Sprint(l.WaitedMs))
+	add("left ms", fmt.Sprint(l.LeftMs))
+	return strings.Join(words, "  ")
+}
+
+// ending returns the cause of the request's end.
+func ending(lines []logLine) string {
+	for _, l := range slices.Backward(lines) {
+		switch {
+		case l.Cause != "":
+			return fmt.Sprintf("end: status %d, ran: %s, since %s", l.Status, l.Ran, l.Cause)
+		case l.Step == "end":
+			return "end: " + l.Outcome
+		}
+	}
+	return "end: not in these logs; the instance may have died with the request"
+}
--- a/core/relay/stages.go
+++ b/core/relay/stages.go
@@ -80,6 +80,7 @@
 	}
 	w.Zone, w.Moved = s.home(i, inputs)
 	handles, err := u.relay.deps.Work(ctx, w)
+	s.log(i, w, err)
 	if err != nil {
 		s.fail(i, err)
 		return
@@ -90,6 +91,19 @@
 	s.freeUsed(i)
 }
 
+// log notes how a stage went.
+func (s *stageRun) log(i int, w Work, err error) {
+	u := s.run
+	outcome := "made"
+	if err != nil {
+		outcome = outcomeName(err)
+	}
+	u.relay.deps.Log(Decision{
+		RequestID: u.req.ID, Step: "stage " + strconv.Itoa(i), Version: u.table.Version(), Route: u.route.Name, Service: w.Service,
+		Organisation: u.orgName, Zone: w.Zone, Pieces: w.Pieces, Outcome: outcome, Waited: u.now().Sub(u.req.Arrived), Left: u.left(),
+	})
+}
+
 // home returns the zone in which a piece of stage i is best made, and the bytes
 // that move if it is made elsewhere: its inputs, or its result where the engine
 // reads it.
--- a/core/relay/types.go
+++ b/core/relay/types.go
@@ -122,7 +122,7 @@
 		Server       string
 		Zone         string
 		Attempt      int
-		Stage        int
+		Pieces       int
 		Outcome      string
 		Waited       time.Duration
 		Left         time.Duration
--- a/docs/docs_test.go
+++ b/docs/docs_test.go
@@ -19,10 +19,11 @@
 
 func TestPagesAreMadeFromTheirTables(t *testing.T) {
 	pages := map[string]string{
-		"DECLARATIONS.md": declare.Table.Markdown(),
-		"SETTINGS.md":     settings.Table.Markdown(),
-		"OUTCOMES.md":     trace.ExpectTable.Markdown(),
-		"ERRORS.md":       errorsPage(),
+		"DECLARATIONS.md":  declare.Table.Markdown(),
+		"SETTINGS.md":      settings.Table.Markdown(),
+		"SETTINGS-SITE.md": settings.SiteTable.Markdown(),
+		"OUTCOMES.md":      trace.ExpectTable.Markdown(),
+		"ERRORS.md":        errorsPage(),
 	}
 	for name, want := range pages {
 		if *update {
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -140,7 +140,8 @@
 func (n *Instance) logDecision(d relay.Decision) {
 	n.log.Info("decision", zap.String("requestId", d.RequestID), zap.String("step", d.Step), zap.Int64("version", d.Version),
 		zap.String("route", d.Route), zap.String("service", d.Service), zap.String("organisation", d.Organisation),
-		zap.String("server", d.Server), zap.Int("attempt", d.Attempt), zap.String("outcome", d.Outcome),
+		zap.String("server", d.Server), zap.String("zone", d.Zone),
+		zap.Int("attempt", d.Attempt), zap.Int("pieces", d.Pieces), zap.String("outcome", d.Outcome),
 		zap.Int64("waitedMs", d.Waited.Milliseconds()), zap.Int64("leftMs", d.Left.Milliseconds()))
 }
 
