--- a/core/gather/gather.go
+++ b/core/gather/gather.go
@@ -294,7 +294,7 @@
 	defer q.mu.Unlock()
 	q.expire(now)
 	late := q.takeLate(now)
-	if len(q.waiting) == 0 {
+	if len(q.waiting) == 0 || !slices.ContainsFunc(q.order, func(s *server) bool { return q.open(now, s) }) {
 		return nil, late
 	}
 	q.sort(now)
@@ -632,7 +632,9 @@
 		note(s.until)
 	}
 	for _, it := range q.waiting {
-		note(it.Due.Add(-q.pieces.CallTime - zoneMargin))
+		if it.bulky() {
+			note(it.Due.Add(-q.pieces.CallTime - zoneMargin))
+		}
 		note(it.Deadline.Add(-q.pieces.CallTime))
 	}
 	return first
