--- a/edge/believe_test.go
+++ b/edge/believe_test.go
@@ -157,7 +157,7 @@
 		s.kill(s.instances[victim])
 		began := time.Now()
 		got := s.send(t.Context(), 0, http.MethodPost, "/draft/1", fmt.Sprintf("r-%d", victim), http.Header{
-			"Chervilpath-Pieces": {"2"}, "Chervilpath-Piece-Key": {"k"},
+			stand.HeaderPieces: {"2"}, stand.HeaderPieceKey: {"k"},
 		}, "")
 		if took := time.Since(began); got.status != http.StatusOK || took > time.Second {
 			t.Errorf("after instance %d died: status %d in %v, want 200 within a second", victim, got.status, took)
--- a/edge/edge_test.go
+++ b/edge/edge_test.go
@@ -18,13 +18,13 @@
 	server := stand.NewServer("i-1", "desk", "a")
 	s := newSite(t, 1, configuration(1, keys, route("book", "non_idempotent", "desk", nil)), server)
 	got := s.send(t.Context(), 0, http.MethodPost, "/book/a%2Fb//c?x=1&y=%20", "r-1", http.Header{
-		"X-Own": {"kept"}, "Connection": {"X-Hop"}, "X-Hop": {"dropped"}, "Chervilpath-Tenant": {"forged"}, "Chervilpath-Hold": {"forged"},
-		"Kv-From": {"forged"}, "Chervilpath-Inputs": {"forged"},
+		"X-Own": {"kept"}, "Connection": {"X-Hop"}, "X-Hop": {"dropped"}, stand.HeaderTenant: {"forged"}, stand.HeaderHold: {"forged"},
+		stand.HeaderFrom: {"forged"}, stand.HeaderInputs: {"forged"},
 	}, "the body")
 	if got.status != http.StatusOK || got.body != "answer to r-1" {
 		t.Fatalf("answer: %+v", got)
 	}
-	if stamp := got.header.Get("Chervilpath-Server-Stamp"); stamp != "i-1.r-1" {
+	if stamp := got.header.Get(stand.HeaderStamp); stamp != "i-1.r-1" {
 		t.Errorf("stamp: %q", stamp)
 	}
 	seen, bodies := server.Seen()
@@ -33,8 +33,8 @@
 		t.Errorf("the server saw %s %s for %s with %q", r.Method, r.RequestURI, r.Host, bodies[0])
 	}
 	for name, want := range map[string]string{
-		"X-Own": "kept", "X-Hop": "", "Chervilpath-Tenant": "sandton", "Chervilpath-Hold": "", "Kv-From": "",
-		"Chervilpath-Inputs": "", "Authorization": "", "Chervilpath-Expect-Instance": "i-1", "Chervilpath-Request-Id": "r-1",
+		"X-Own": "kept", "X-Hop": "", stand.HeaderTenant: "sandton", stand.HeaderHold: "", stand.HeaderFrom: "",
+		stand.HeaderInputs: "", "Authorization": "", stand.HeaderExpect: "i-1", stand.HeaderRequestID: "r-1",
 	} {
 		if got := r.Header.Get(name); got != want {
 			t.Errorf("header %s: %q, want %q", name, got, want)
@@ -91,7 +91,7 @@
 func (discard) Write(p []byte) (int, error) { return len(p), nil }
 
 func refuse(w http.ResponseWriter, r *http.Request) bool {
-	w.Header().Set("Chervilpath-Not-Executed", "1")
+	w.Header().Set(stand.HeaderNotExecuted, "1")
 	w.WriteHeader(http.StatusServiceUnavailable)
 	return true
 }
@@ -149,8 +149,8 @@
 	t.Parallel()
 	a := stand.NewServer("i-1", "desk", "a")
 	a.Answer = func(w http.ResponseWriter, r *http.Request) bool {
-		w.Header().Set("Chervilpath-Request-Id", "another")
-		w.Header().Set("Chervilpath-Server-Stamp", "x")
+		w.Header().Set(stand.HeaderRequestID, "another")
+		w.Header().Set(stand.HeaderStamp, "x")
 		_, _ = fmt.Fprint(w, "answer to another")
 		return true
 	}
@@ -164,7 +164,7 @@
 	t.Parallel()
 	a := stand.NewServer("i-1", "desk", "a")
 	a.Answer = func(w http.ResponseWriter, r *http.Request) bool {
-		w.Header().Set("Chervilpath-Server-Stamp", "x")
+		w.Header().Set(stand.HeaderStamp, "x")
 		w.Header().Set("Content-Length", "100")
 		_, _ = fmt.Fprint(w, "a part")
 		panic(http.ErrAbortHandler)
@@ -179,13 +179,13 @@
 	t.Parallel()
 	a := stand.NewServer("i-1", "desk", "a")
 	a.Answer = func(w http.ResponseWriter, r *http.Request) bool {
-		w.Header().Set("Chervilpath-Server-Stamp", "x")
+		w.Header().Set(stand.HeaderStamp, "x")
 		w.WriteHeader(http.StatusInternalServerError)
 		return true
 	}
 	s := newSite(t, 1, configuration(1, keys, route("book", "non_idempotent", "desk", nil)), a)
-	if got := s.post(0, "/book/1", "r-1"); got.status != http.StatusInternalServerError || got.header.Get("Chervilpath-Server-Stamp") != "x" {
-		t.Errorf("answer: %d with stamp %q", got.status, got.header.Get("Chervilpath-Server-Stamp"))
+	if got := s.post(0, "/book/1", "r-1"); got.status != http.StatusInternalServerError || got.header.Get(stand.HeaderStamp) != "x" {
+		t.Errorf("answer: %d with stamp %q", got.status, got.header.Get(stand.HeaderStamp))
 	}
 }
 
@@ -228,7 +228,7 @@
 		e.Events, e.Gap = 6, 5*time.Millisecond
 	}
 	a.Answer = func(w http.ResponseWriter, r *http.Request) bool {
-		w.Header().Set("Chervilpath-Server-Stamp", "first")
+		w.Header().Set(stand.HeaderStamp, "first")
 		_, _ = fmt.Fprint(w, "id: 1\ndata: event 1\n\nid: 2\ndata: event 2\n\nid: 3\nda")
 		_ = http.NewResponseController(w).Flush()
 		panic(http.ErrAbortHandler)
@@ -256,7 +256,7 @@
 	if got.err != nil || !stand.Whole(got.body, 6) {
 		t.Errorf("stream: %v\n%s", got.err, got.body)
 	}
-	if stamp := got.header.Get("Chervilpath-Server-Stamp"); stamp != "first" {
+	if stamp := got.header.Get(stand.HeaderStamp); stamp != "first" {
 		t.Errorf("stamp %q, want that of the first server", stamp)
 	}
 }
@@ -269,7 +269,7 @@
 		t.Errorf("the stream ended as if it were complete:\n%s", got.body)
 	}
 	seen, _ := a.Seen()
-	if id := seen[0].Header.Get("Chervilpath-Request-Id"); b.Runs(id) != 0 {
+	if id := seen[0].Header.Get(stand.HeaderRequestID); b.Runs(id) != 0 {
 		t.Error("a stream that may not be resumed ran twice")
 	}
 }
@@ -286,14 +286,14 @@
 	s := newSite(t, 2, configuration(1, keys, r), engine, photos[0], photos[1])
 	for i := range 4 {
 		got := s.send(t.Context(), i%2, http.MethodPost, "/draft/1", fmt.Sprintf("r-%d", i), http.Header{
-			"Chervilpath-Pieces": {"3,2"}, "Chervilpath-Piece-Key": {"k"},
+			stand.HeaderPieces: {"3,2"}, stand.HeaderPieceKey: {"k"},
 		}, "")
 		if got.status != http.StatusOK || !stand.Whole(got.body, 2) {
 			t.Fatalf("answer: %+v", got)
 		}
 	}
 	seen, _ := engine.Seen()
-	if n := len(strings.Split(seen[0].Header.Get("Chervilpath-Inputs"), ",")); n != 2 {
+	if n := len(strings.Split(seen[0].Header.Get(stand.HeaderInputs), ",")); n != 2 {
 		t.Errorf("the engine got %d results, want the 2 of the last stage", n)
 	}
 	s.eventually("all results are freed", func() bool { return photos[0].Held()+photos[1].Held() == 0 })
--- a/edge/harness_test.go
+++ b/edge/harness_test.go
@@ -172,8 +172,8 @@
 		s.t.Fatal(err)
 	}
 	req.Host = host
-	req.Header.Set("Chervilpath-Request-Id", id)
-	req.Header.Set("Chervilpath-Deadline-Ms", "3000")
+	req.Header.Set(stand.HeaderRequestID, id)
+	req.Header.Set(stand.HeaderDeadline, "3000")
 	req.Header.Set("Authorization", "Bearer "+key)
 	for name, values := range more {
 		req.Header[name] = values
