--- a/cmd/check.go
+++ b/cmd/check.go
@@ -2,11 +2,13 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"fmt"
 	"slices"
 
 	"chervilpath/core/declare"
 	"chervilpath/core/option"
+	"chervilpath/core/settings"
 )
 
 type (
@@ -30,8 +32,9 @@
 
 func (p *program) newCheck() subcommand {
 	return subcommand{
-		name: "check", short: "Check declaration files",
-		long: `Checks the files as one whole and reports every problem as
+		name: "check", short: "Check declaration files and settings of the platform",
+		long: `Checks the files as one whole, files with a section [site] as settings of an
+instance on the users' platform, and reports every problem as
 "file:line: section key: what is wrong and what would be right".
 
 Examples:
@@ -47,7 +50,13 @@
 	if err != nil {
 		return err
 	}
-	set, problems := declare.Build(fragments)
+	fragments, sites, problems := checkSites(fragments)
+	var set *declare.Set
+	if len(fragments) > 0 || sites == 0 {
+		var found option.Problems
+		set, found = declare.Build(fragments)
+		problems = append(problems, found...)
+	}
 	problems = unique(problems)
 	if c.Format == "json" {
 		if err := c.printJSON(problems); err != nil {
@@ -58,14 +67,34 @@
 		if c.Format == "text" {
 			_, _ = fmt.Fprintln(c.out, problems.Error())
 		}
-		return &exitError{exitInvalid, fmt.Errorf("%d problems in %d files", len(problems), len(fragments))}
+		return &exitError{exitInvalid, fmt.Errorf("%d problems in %d files", len(problems), len(fragments)+sites)}
+	}
+	if c.Format == "text" && sites > 0 {
+		_, _ = fmt.Fprintf(c.out, "%d settings files are valid\n", sites)
 	}
-	if c.Format == "text" {
+	if c.Format == "text" && set != nil {
 		_, _ = fmt.Fprintf(c.out, "%d files are valid: %d kinds, %d stages, %d endpoints, %d organisations\n", len(fragments), len(set.Kinds()), len(set.Stages()), len(set.Endpoints()), set.Organisations())
 	}
 	return nil
 }
 
+// checkSites checks the settings files of instances on the platform. It returns
+// the other files, the number of settings files and their problems.
+func checkSites(fragments []declare.Fragment) (rest []declare.Fragment, sites int, problems option.Problems) {
+	for _, f := range fragments {
+		if !settings.IsSite(f.Data) {
+			rest = append(rest, f)
+			continue
+		}
+		sites++
+		_, err := settings.ParseSite(f.Name, f.Data)
+		if found, ok := errors.AsType[option.Problems](err); ok {
+			problems = append(problems, found...)
+		}
+	}
+	return rest, sites, problems
+}
+
 func (c *checkCommand) printJSON(problems option.Problems) error {
 	lines := make([]problemLine, len(problems))
 	for i, p := range problems {
