Plan the stages of a stream by when its caller leaves

Callers of streams leave after the longest of 2 s, four aims and eight pauses. Ruled out: a lost answer; no server had been reached.

A test of edge failed once with a port in use: another test's connection had taken it between choice and use. Ports now come from below those.

--- a/core/relay/relay.go
+++ b/core/relay/relay.go
@@ -47,6 +47,13 @@
 	// answer reaches the caller.
 	answerMargin = 15 * time.Millisecond
 
+	// Callers of streams leave after minPatience, patienceAims times the aim or
+	// patienceGaps times the longest pause, whichever is longest (protocol of
+	// the platform).
+	minPatience  = 2 * time.Second
+	patienceAims = 4
+	patienceGaps = 8
+
 	// maxWhole is the largest answer that is held until it is whole; a larger
 	// one is relayed as it comes.
 	maxWhole = 1 << 20
@@ -88,6 +95,8 @@
 		caller   Caller
 		end      time.Time
 		aim      time.Time
+		// firstBy is when the caller of a stream leaves if no event has come.
+		firstBy time.Time
 
 		// sends counts what reached a server and may have run, unrun what
 		// provably did not.
@@ -165,6 +174,10 @@
 	}
 	out.service = out.route.Choose(r.deps.Draw())
 	out.end = req.Arrived.Add(out.wait() - answerMargin)
+	out.firstBy = out.end
+	if by := req.Arrived.Add(patience(out.route) - answerMargin); out.route.Repeat == route.Streaming && by.Before(out.end) {
+		out.firstBy = by
+	}
 	if err := out.fitsStop(); err != nil {
 		return nil, err
 	}
@@ -173,6 +186,11 @@
 	return out, nil
 }
 
+// patience is how long the caller of a stream waits for its next event.
+func patience(rt *route.Route) time.Duration {
+	return max(minPatience, patienceAims*rt.Aim, patienceGaps*rt.GapAim)
+}
+
 // fitsStop refuses a request that would be cut off by a planned stop under way.
 func (u *run) fitsStop() error {
 	stop := u.relay.deps.Stop()
--- a/core/relay/stages.go
+++ b/core/relay/stages.go
@@ -73,7 +73,7 @@
 	w := Work{
 		Service: decl.Service, Request: u.req.ID, Stage: i, Class: u.route.Name + "/" + strconv.Itoa(i),
 		Inputs: inputs, Pieces: u.req.Pieces[i], Bytes: decl.Bytes,
-		Due: u.aim.Sub(u.now()) - s.after(i), Left: u.left() - s.after(i), Worth: u.worth(),
+		Due: u.aim.Sub(u.now()) - s.after(i), Left: u.firstBy.Sub(u.now()) - s.after(i), Worth: u.worth(),
 	}
 	if len(inputs) == 0 {
 		w.Key = u.req.PieceKey
--- a/edge/harness_test.go
+++ b/edge/harness_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -125,14 +126,21 @@
 	}
 }
 
+// ports are below those that the system gives to outgoing connections, one of
+// which took a port between its choice and its use.
+var ports atomic.Int32
+
 func address(t *testing.T) string {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
+	for range 1000 {
+		a := fmt.Sprintf("127.0.0.1:%d", 21000+ports.Add(1))
+		if l, err := net.Listen("tcp", a); err == nil {
+			_ = l.Close()
+			return a
+		}
 	}
-	defer func() { _ = l.Close() }()
-	return l.Addr().String()
+	t.Fatal("no port is free")
+	return ""
 }
 
 func (s *site) status(target string) int {
