--- a/core/gather/choose.go
+++ b/core/gather/choose.go
@@ -33,7 +33,7 @@
 	return best
 }
 
-func (it *Item) bulky() bool { return it.Moved >= bulkBytes && it.Zone != "" }
+func (it *Item) bulky() bool { return it.Moved >= BulkBytes && it.Zone != "" }
 
 // better reports whether a is to be preferred to b for the item.
 func (q *Queue) better(it *Item, a, b *server) bool {
--- a/core/gather/gather.go
+++ b/core/gather/gather.go
@@ -21,9 +21,9 @@
 	// told that it failed.
 	maxTries = 4
 
-	// bulkBytes is the number of bytes moved between zones from which the zone
+	// BulkBytes is the number of bytes moved between zones from which the zone
 	// of a server matters: fewer cost less than the wait.
-	bulkBytes = 100_000
+	BulkBytes = 100_000
 
 	// roomPart is the part of a server's room that is planned with, since the
 	// sizes of results are approximate.
--- a/core/relay/engine.go
+++ b/core/relay/engine.go
@@ -10,6 +10,7 @@
 	"chervilpath/core/engine"
 	"chervilpath/core/fault"
 	"chervilpath/core/fleet"
+	"chervilpath/core/gather"
 )
 
 const (
@@ -123,7 +124,7 @@
 			largest = i
 		}
 	}
-	if largest < 0 || u.route.Stages[largest].Bytes < bulkBytes {
+	if largest < 0 || u.route.Stages[largest].Bytes < gather.BulkBytes {
 		return nil
 	}
 	snapshot := u.relay.deps.Servers()
@@ -140,9 +141,6 @@
 	return stages
 }
 
-// bulkBytes is the size of a result from which its zone matters.
-const bulkBytes = 100_000
-
 func (u *run) settle(server fleet.Server, outcome balance.Outcome) {
 	u.relay.deps.Settle(u.service, u.req.ID, server.ID, outcome)
 }
--- /dev/null
+++ b/io/upstream/upstream_test.go
@@ -0,0 +1,116 @@
+package upstream_test
+
+import (
+	"bufio"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"chervilpath/core/fleet"
+	"chervilpath/core/relay"
+	"chervilpath/io/upstream"
+)
+
+// server answers the first request of each connection and closes it on the
+// second without an answer.
+func server(t *testing.T) (address string, arrivals *atomic.Int64) {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	arrivals = &atomic.Int64{}
+	go func() {
+		for {
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer func() { _ = conn.Close() }()
+				r := bufio.NewReader(conn)
+				for range 2 {
+					req, err := http.ReadRequest(r)
+					if err != nil {
+						return
+					}
+					if _, err := io.Copy(io.Discard, req.Body); err != nil {
+						return
+					}
+					if arrivals.Add(1)%2 == 1 {
+						_, _ = fmt.Fprint(conn, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+					}
+				}
+			}()
+		}
+	}()
+	return l.Addr().String(), arrivals
+}
+
+func client() *upstream.Client {
+	outgoing := func(a relay.Attempt) http.Header {
+		out := make(http.Header)
+		for name, values := range a.Request.Header {
+			out[name] = values
+		}
+		return out
+	}
+	read := func(resp *http.Response, _ string) (*relay.Reply, error) {
+		return &relay.Reply{Status: resp.StatusCode}, nil
+	}
+	return upstream.New(upstream.Transport(), outgoing, read)
+}
+
+// net/http repeats some requests by itself; none of ours may reach a server twice.
+func TestNoRequestIsRepeatedBelowTheRelay(t *testing.T) {
+	for _, tt := range []struct {
+		method, body string
+		header       map[string][]string
+	}{
+		{"GET", "", nil}, {"POST", "", nil}, {"POST", "body", nil}, {"DELETE", "", nil},
+		{"POST", "", map[string][]string{"Idempotency-Key": {"k"}}}, {"POST", "body", map[string][]string{"Idempotency-Key": {"k"}}},
+	} {
+		address, arrivals := server(t)
+		c := client()
+		a := relay.Attempt{Server: fleet.Server{Address: address}, Left: time.Second, Request: &relay.Request{
+			Method: tt.method, Target: "/x", Host: "h", Body: []byte(tt.body), Header: tt.header,
+		}}
+		reply, err := c.Send(t.Context(), a)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := io.ReadAll(reply.Body); err != nil {
+			t.Fatal(err)
+		}
+		_, err = c.Send(t.Context(), a)
+		var send *relay.SendError
+		if !errors.As(err, &send) || send.NotSent {
+			t.Errorf("%s: error %v, want one of a request that was sent", tt.method, err)
+		}
+		if n := arrivals.Load(); n != 2 {
+			t.Errorf("%s with header %v: %d arrivals for two sends", tt.method, tt.header, n)
+		}
+	}
+}
+
+func TestRefusedConnectionProvesThatNothingWasSent(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	address := l.Addr().String()
+	_ = l.Close()
+	_, err = client().Send(t.Context(), relay.Attempt{
+		Server: fleet.Server{Address: address}, Request: &relay.Request{Method: "POST", Target: "/x", Host: "h", Body: []byte("b")},
+	})
+	var send *relay.SendError
+	if !errors.As(err, &send) || !send.NotSent {
+		t.Errorf("error %v, want one that says that nothing was sent", err)
+	}
+}
