Do the stages of a request in one place

serveEngine mixed the placement, the stages and what may be done again; the view of servers had each change twice. Results that are left when the stages are done again are now given up first.

--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -118,21 +118,19 @@
 	listed := make(map[string]bool, len(servers))
 	for _, s := range servers {
 		listed[s.ID] = true
-		v.set(s)
+		v.Set(s)
 	}
 	var gone []string
 	for id := range v.known {
-		if !listed[id] && v.remove(now, id) {
+		if !listed[id] && v.Remove(now, id) {
 			gone = append(gone, id)
 		}
 	}
 	return gone
 }
 
-// Set takes one changed entry.
-func (v *View) Set(s Server) { v.set(s) }
-
-func (v *View) set(s Server) {
+// Set takes one changed entry. An entry older than the known one is left out.
+func (v *View) Set(s Server) {
 	have, ok := v.known[s.ID]
 	if ok && s.Revision < have.Revision {
 		return
@@ -146,9 +144,7 @@
 
 // Remove takes the removal of an entry and reports whether the server is to be
 // treated as gone at once.
-func (v *View) Remove(now time.Time, id string) bool { return v.remove(now, id) }
-
-func (v *View) remove(now time.Time, id string) bool {
+func (v *View) Remove(now time.Time, id string) bool {
 	if _, ok := v.known[id]; !ok {
 		return false
 	}
@@ -272,15 +268,15 @@
 	v.revision = c.Revision
 	var gone []string
 	for _, id := range c.Missing {
-		v.remove(now, id)
+		v.Remove(now, id)
 	}
 	for _, id := range c.Removed {
-		if v.remove(now, id) {
+		if v.Remove(now, id) {
 			gone = append(gone, id)
 		}
 	}
 	for _, s := range c.Servers {
-		v.set(s)
+		v.Set(s)
 	}
 	return gone
 }
--- a/core/relay/engine.go
+++ b/core/relay/engine.go
@@ -32,9 +32,6 @@
 // serveEngine does the stages of a request and sends it to a model engine.
 func (u *run) serveEngine(ctx context.Context) error {
 	u.stream = &stream{caller: u.caller, last: u.req.LastEvent}
-	var inputs []string
-	made := false
-	remakes := 0
 	for {
 		server, ok := u.place(ctx)
 		if ctx.Err() != nil {
@@ -46,42 +43,49 @@
 		if !ok {
 			return u.refused(fault.Errorf(fault.EndpointUnavailable, "no engine of service %q is free", u.service))
 		}
-		if !made {
-			var err error
-			if inputs, err = u.doStages(ctx, server.Zone); err != nil {
-				u.settle(server, balance.Abandoned)
-				if ctx.Err() != nil {
-					return u.ended(ctx)
-				}
-				if fault.From(err).Kind() == fault.InputGone && remakes < maxRemakes {
-					remakes++
-					continue
-				}
-				return u.refused(fault.From(err))
+		if err := u.prepare(ctx, server.Zone); err != nil {
+			u.settle(server, balance.Abandoned)
+			if ctx.Err() != nil {
+				return u.ended(ctx)
 			}
-			made = true
-			// The engine may have left while the stages were done.
-			if _, still := u.relay.deps.Servers().Server(server.ID); !still {
-				u.settle(server, balance.Abandoned)
+			if fault.From(err).Kind() == fault.InputGone && u.mayRemake() {
 				continue
 			}
+			return u.refused(fault.From(err))
+		}
+		// The engine may have left while the stages were done.
+		if _, still := u.relay.deps.Servers().Server(server.ID); !still {
+			u.settle(server, balance.Abandoned)
+			continue
 		}
-		next, err := u.sendEngine(ctx, server, inputs)
-		switch next {
-		case finish:
+		next, err := u.sendEngine(ctx, server)
+		if next == finish {
 			return err
-		case remake:
-			if remakes++; remakes > maxRemakes {
-				return u.refused(fault.Errorf(fault.InputGone, "results of the request's stages went %d times", remakes))
-			}
-			made = false
 		}
-		if len(u.results) == 0 {
-			made = false
+		if next == remake && !u.mayRemake() {
+			return u.refused(fault.Errorf(fault.InputGone, "results of the request's stages went %d times", u.remakes))
 		}
 	}
 }
 
+// prepare does the stages, unless their results are still held.
+func (u *run) prepare(ctx context.Context, zone string) error {
+	if len(u.results) > 0 {
+		return nil
+	}
+	inputs, err := u.doStages(ctx, zone)
+	u.inputs = inputs
+	return err
+}
+
+// mayRemake reports whether the stages may be done again, and gives up what is
+// left of their results.
+func (u *run) mayRemake() bool {
+	u.freeAll()
+	u.remakes++
+	return u.remakes <= maxRemakes
+}
+
 // next says what follows an attempt at an engine.
 type next uint8
 
@@ -146,10 +150,10 @@
 }
 
 // sendEngine makes one attempt at an engine.
-func (u *run) sendEngine(ctx context.Context, server fleet.Server, inputs []string) (next, error) {
+func (u *run) sendEngine(ctx context.Context, server fleet.Server) (next, error) {
 	u.attempt++
 	u.log("send", "engine", server.ID)
-	a := u.toServer(server, inputs)
+	a := u.toServer(server, u.inputs)
 	a.LastEvent = u.stream.last
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
--- a/core/relay/relay.go
+++ b/core/relay/relay.go
@@ -103,8 +103,13 @@
 		sends, unrun int
 		tried        []string
 		stream       *stream
-		results      []held
-		attempt      int
+		// results are what the stages made for the request, inputs the handles
+		// of those that an engine needs.
+		results []held
+		inputs  []string
+		// remakes counts how often the stages were done again.
+		remakes int
+		attempt int
 	}
 
 	// held is results that have to be given up.
