Take late in a stop only what fits; answer what was not sent before it ends

From 2.5 s after SIGTERM on a request is taken only if all of its time fits, and 0.3 s before the end what is still in its stages is refused as not run; both with tests that failed first.

--- a/core/relay/engine.go
+++ b/core/relay/engine.go
@@ -73,7 +73,13 @@
 	if len(u.results) > 0 {
 		return nil
 	}
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	defer context.AfterFunc(u.relay.deps.Stopping, func() { cancel(errStopping) })()
 	inputs, err := u.doStages(ctx, zone)
+	if errors.Is(context.Cause(ctx), errStopping) {
+		return fault.Errorf(fault.Draining, "%w", errStopping)
+	}
 	u.inputs = inputs
 	return err
 }
--- a/core/relay/patience_test.go
+++ b/core/relay/patience_test.go
@@ -33,7 +33,7 @@
 			}
 			return table
 		},
-		Draw: func() float64 { return 0 }, Stop: func() time.Time { return time.Time{} }, Log: func(Decision) {},
+		Draw: func() float64 { return 0 }, Stop: func() Stop { return Stop{} }, Log: func(Decision) {},
 	}
 	deps.Clock.Now = time.Now
 	now := time.Now()
--- a/core/relay/relay.go
+++ b/core/relay/relay.go
@@ -38,11 +38,6 @@
 	// sizeWeight is the weight of the newest request in the mean size.
 	sizeWeight = 0.02
 
-	// tookWeight is the weight of the newest request in the mean time, and
-	// stopFactor the multiple of it that has to be left before a planned stop.
-	tookWeight = 0.1
-	stopFactor = 3
-
 	// answerMargin is kept free at the end of a request's time, so that its
 	// answer reaches the caller.
 	answerMargin = 15 * time.Millisecond
@@ -73,10 +68,8 @@
 		// wait is the longest time that a caller said it waits. Callers that
 		// come back after a refusal say less.
 		wait time.Duration
-		// size is the mean size of requests in tokens, and took the mean time of
-		// those that were answered.
+		// size is the mean size of requests in tokens.
 		size float64
-		took time.Duration
 		// first is the time from the send to an engine to its first event.
 		first time.Duration
 	}
@@ -119,7 +112,10 @@
 	}
 )
 
-var errStalled = errors.New("no event came for too long")
+var (
+	errStalled  = errors.New("no event came for too long")
+	errStopping = errors.New("the instance stops before the request's stages are done")
+)
 
 // New returns a relay.
 func New(deps Deps) *Relay { return &Relay{deps: deps, routes: make(map[string]*learnt)} }
@@ -136,9 +132,6 @@
 	defer cancel()
 	defer run.freeAll()
 	err = run.serve(ctx)
-	if err == nil {
-		r.observe(run)
-	}
 	begun = run.stream != nil && run.stream.begun
 	run.log("end", outcomeName(err), "")
 	return begun, err
@@ -196,19 +189,14 @@
 	return max(minPatience, patienceAims*rt.Aim, patienceGaps*rt.GapAim)
 }
 
-// fitsStop refuses a request that would be cut off by a planned stop under way.
+// fitsStop refuses a request that a planned stop under way might cut off.
 func (u *run) fitsStop() error {
 	stop := u.relay.deps.Stop()
-	if stop.IsZero() || !stop.Before(u.end) {
-		return nil
-	}
-	u.relay.mu.Lock()
-	took := u.relay.learnt(u.route.Name).took
-	u.relay.mu.Unlock()
-	if u.now().Add(stopFactor * took).Before(stop) {
+	now := u.now()
+	if stop.End.IsZero() || now.Before(stop.Late) || u.end.Before(stop.End) {
 		return nil
 	}
-	return u.relay.refuse(fault.Errorf(fault.Draining, "the instance stops in %v and the request may take longer", stop.Sub(u.now()).Round(time.Millisecond)), 0)
+	return u.relay.refuse(fault.Errorf(fault.Draining, "the instance stops in %v and the request may take %v", stop.End.Sub(now).Round(time.Millisecond), u.end.Sub(now).Round(time.Millisecond)), 0)
 }
 
 // deny returns the denial, or a refusal if the configuration may be out of date.
@@ -269,18 +257,6 @@
 	return (basePart + (1-basePart)*min(relative, maxRelative)) * math.Exp2(-float64(rank))
 }
 
-// observe learns from a request that was answered.
-func (r *Relay) observe(u *run) {
-	took := u.now().Sub(u.req.Arrived)
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	l := r.learnt(u.route.Name)
-	if l.took == 0 {
-		l.took = took
-	}
-	l.took += time.Duration(tookWeight * float64(took-l.took))
-}
-
 // learnt returns what is known of a route. The caller holds mu.
 func (r *Relay) learnt(name string) *learnt {
 	l, ok := r.routes[name]
--- a/core/relay/stages.go
+++ b/core/relay/stages.go
@@ -51,7 +51,9 @@
 	wg.Wait()
 	if s.err != nil {
 		for i, handles := range s.handles {
-			u.relay.deps.Free(u.route.Stages[i].Service, handles)
+			if len(handles) > 0 {
+				u.relay.deps.Free(u.route.Stages[i].Service, handles)
+			}
 		}
 		return nil, s.err
 	}
--- /dev/null
+++ b/core/relay/stop_test.go
@@ -0,0 +1,88 @@
+package relay
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"chervilpath/core/balance"
+	"chervilpath/core/engine"
+	"chervilpath/core/fault"
+	"chervilpath/core/fleet"
+	"chervilpath/core/route"
+)
+
+// Found by a hunt on kgotso-patchline (herd-kill-in-a-roll, seed 776742758199):
+// a stream of a route whose streams are short on average was taken 5.5 s after
+// SIGTERM and cut at the end of the grace time.
+func TestRequestTakenLateInAStopHasToFitItsWholeTime(t *testing.T) {
+	table, err := route.New(1, []route.Route{{
+		Name: "draft", Host: "h", Prefix: "/", Repeat: route.Streaming, Aim: time.Second, Timeout: 6 * time.Second, Public: true,
+		Targets: []route.Target{{Service: "llm", Weight: 1}},
+	}}, nil, nil, route.Limits{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	term := time.Now()
+	stop := Stop{Late: term.Add(2500 * time.Millisecond), End: term.Add(7600 * time.Millisecond)}
+	now := term
+	deps := Deps{
+		Table: func() *route.Table { return table }, Draw: func() float64 { return 0 }, Log: func(Decision) {},
+		Stop: func() Stop { return stop }, Stopping: t.Context(),
+	}
+	deps.Clock.Now = func() time.Time { return now }
+	r := New(deps)
+	for _, tt := range []struct {
+		after, wait time.Duration
+		taken       bool
+	}{
+		{time.Second, 6 * time.Second, true},
+		{2 * time.Second, 6 * time.Second, true},
+		{3 * time.Second, 6 * time.Second, false},
+		{5500 * time.Millisecond, 6 * time.Second, false},
+		{5500 * time.Millisecond, time.Second, true},
+		{7 * time.Second, time.Second, false},
+	} {
+		now = term.Add(tt.after)
+		_, err := r.begin(&Request{ID: "r", Host: "h", Path: "/x", Wait: tt.wait, Arrived: now}, Caller{})
+		if taken := err == nil; taken != tt.taken {
+			t.Errorf("%v after SIGTERM with %v to go: taken %v, want %v (%v)", tt.after, tt.wait, taken, tt.taken, err)
+		}
+		if err != nil && fault.From(err).Ran() != fault.RanNo {
+			t.Errorf("the refusal does not say that nothing ran: %v", err)
+		}
+	}
+}
+
+// A request whose stages are not done when the stop ends is answered, not cut.
+func TestRequestInItsStagesIsAnsweredBeforeAStopEnds(t *testing.T) {
+	table, err := route.New(1, []route.Route{{
+		Name: "draft", Host: "h", Prefix: "/", Repeat: route.Streaming, Aim: time.Second, Timeout: 6 * time.Second, Public: true,
+		Targets: []route.Target{{Service: "llm", Weight: 1}}, Stages: []route.Stage{{Service: "photos"}},
+	}}, []route.Service{{Name: "llm", Engine: &route.Engine{Slots: 8}}, {Name: "photos", Pieces: &route.Pieces{}}}, nil, route.Limits{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	view := fleet.New()
+	view.Replace(time.Now(), []fleet.Server{{ID: "e-1", Service: "llm", Address: "a:1"}}, 1)
+	stopping, stop := context.WithCancel(t.Context())
+	deps := Deps{
+		Table: func() *route.Table { return table }, Draw: func() float64 { return 0 }, Log: func(Decision) {},
+		Stop: func() Stop { return Stop{} }, Stopping: stopping, Count: func(string) {},
+		Servers: view.Snapshot, ZoneOf: func(string) string { return "" },
+		Place:  func(context.Context, string, engine.Query) string { return "e-1" },
+		Settle: func(string, string, string, balance.Outcome) {},
+		Work: func(ctx context.Context, _ Work) ([]string, error) {
+			stop()
+			<-ctx.Done()
+			return nil, ctx.Err()
+		},
+	}
+	deps.Clock.Now = time.Now
+	_, err = New(deps).Serve(t.Context(), &Request{
+		ID: "r", Host: "h", Path: "/x", Wait: 5 * time.Second, Pieces: []int{1}, PieceKey: "k", Arrived: time.Now(),
+	}, Caller{})
+	if e := fault.From(err); e.Kind() != fault.Draining || e.Ran() != fault.RanNo {
+		t.Errorf("the request ends with %v (%v, ran %v), want a refusal since the instance stops", err, e.Kind(), e.Ran())
+	}
+}
--- a/core/relay/types.go
+++ b/core/relay/types.go
@@ -111,6 +111,12 @@
 		Write func([]byte) error
 	}
 
+	// Stop is a planned stop of the process. Requests that come from Late on are
+	// taken only if all of their time fits before End.
+	Stop struct {
+		Late, End time.Time
+	}
+
 	// Decision is one decision about a request, for the log.
 	Decision struct {
 		RequestID    string
@@ -154,9 +160,11 @@
 		// the budget.
 		Count func(service string)
 		Allow func(service string) bool
-		// Stop returns when the process ends by a planned stop, or the zero time
-		// if none is under way.
-		Stop func() time.Time
+		// Stop returns the planned stop under way, or the zero Stop.
+		Stop func() Stop
+		// Stopping is done shortly before a planned stop ends, so that requests
+		// that have not been sent are still answered.
+		Stopping context.Context
 		// Draw returns a random number in [0, 1).
 		Draw func() float64
 		Log  func(Decision)
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -53,12 +53,16 @@
 
 		ready    atomic.Bool
 		draining atomic.Bool
-		// stopAt is when a planned stop ends the process, or the zero time.
-		stopAt atomic.Pointer[time.Time]
+		// stop is the planned stop under way, or the zero Stop.
+		stop atomic.Pointer[relay.Stop]
 		// direct is set while this instance watches the store itself.
 		direct  atomic.Bool
 		servers []*http.Server
 
+		// stopping is done shortly before a planned stop ends.
+		stopping    context.Context
+		endStopping context.CancelFunc
+
 		loopCtx   context.Context
 		stopLoops context.CancelFunc
 		running   sync.WaitGroup
@@ -78,7 +82,8 @@
 	}
 	n.cfg.Store(&cfg)
 	n.direct.Store(true)
-	n.stopAt.Store(&time.Time{})
+	n.stop.Store(&relay.Stop{})
+	n.stopping, n.endStopping = context.WithCancel(context.Background())
 	n.loopCtx, n.stopLoops = context.WithCancel(context.Background())
 	n.metrics = newMetrics(n.registry)
 	n.store = platform.NewStore(cfg.Store(), &http.Client{Transport: upstream.Transport()})
@@ -116,8 +121,9 @@
 		Send: n.upstream.Send, Work: n.owners.work, Free: n.owners.free, Place: n.owners.place, Settle: n.owners.settle,
 		ZoneOf: func(handle string) string { return n.beliefs.servers().Zone(platform.Maker(handle)) },
 		Plain:  n.beliefs.plain, Count: n.beliefs.count, Allow: n.beliefs.allow,
-		Stop: func() time.Time { return *n.stopAt.Load() },
-		Draw: mathrand.Float64, Log: n.logDecision,
+		Stopping: n.stopping,
+		Stop:     func() relay.Stop { return *n.stop.Load() },
+		Draw:     mathrand.Float64, Log: n.logDecision,
 	}
 }
 
--- a/edge/services.go
+++ b/edge/services.go
@@ -11,6 +11,7 @@
 	"go.uber.org/zap"
 
 	"chervilpath/core/kernel"
+	"chervilpath/core/relay"
 	"chervilpath/io/peer"
 	"chervilpath/platform"
 )
@@ -37,6 +38,15 @@
 	// the platform asks for readiness each second and acts after two misses.
 	noticeFor = 2800 * time.Millisecond
 
+	// lateAfter is the time from the start of a planned stop from which requests
+	// have to fit before its end: the rules excuse a cut only of those that were
+	// sent within 3 s.
+	lateAfter = 2500 * time.Millisecond
+
+	// answerTime is kept at the end of a planned stop to answer the requests
+	// that were not sent to a server.
+	answerTime = 300 * time.Millisecond
+
 	// idleEvery is the time between two looks at whether a stopping instance
 	// still has requests in flight.
 	idleEvery = 20 * time.Millisecond
@@ -87,8 +97,10 @@
 	server := n.servers[len(n.servers)-1]
 	s.Drain = func(ctx context.Context) error {
 		n.draining.Store(true)
-		stop := time.Now().Add(n.StopTimeout())
-		n.stopAt.Store(&stop)
+		now := time.Now()
+		n.stop.Store(&relay.Stop{Late: now.Add(lateAfter), End: now.Add(n.StopTimeout())})
+		last := time.AfterFunc(n.StopTimeout()-answerTime, n.endStopping)
+		defer last.Stop()
 		n.log.Info("instance leaving", zap.Int64("inFlight", n.callers.Active()))
 		n.callers.Leave()
 		n.members.Leave(ctx, "")
