--- a/core/balance/pick.go
+++ b/core/balance/pick.go
@@ -30,8 +30,9 @@
 	return max(1, d.Sum64())
 }
 
-// mix combines two hashes; it is the finaliser of MurmurHash3 by Appleby.
-func mix(a, b uint64) uint64 {
+// Mix combines two hashes for rendezvous hashing; it is the finaliser of
+// MurmurHash3 by Appleby.
+func Mix(a, b uint64) uint64 {
 	x := a ^ b
 	x ^= x >> 33
 	x *= 0xff51afd7ed558ccd
@@ -81,7 +82,7 @@
 	perSlot := affinityBound * float64(g.inFlight+1) / float64(g.slots)
 	best, bestRank := -1, uint64(0)
 	for i, h := range g.hashes {
-		rank := mix(h, q.Prefix)
+		rank := Mix(h, q.Prefix)
 		if rank < bestRank || slices.Contains(q.Exclude, i) {
 			continue
 		}
--- a/core/balance/subset.go
+++ b/core/balance/subset.go
@@ -25,7 +25,7 @@
 		domains[e.FailureDomain()] = append(domains[e.FailureDomain()], e)
 	}
 	own := hashName(instance)
-	rank := func(e *declare.Endpoint) uint64 { return mix(hashName(e.Name()), own) }
+	rank := func(e *declare.Endpoint) uint64 { return Mix(hashName(e.Name()), own) }
 	var out []*declare.Endpoint
 	for _, members := range domains {
 		n := max(1, (size*len(members)+len(endpoints)-1)/len(endpoints))
--- a/core/engine/desk.go
+++ b/core/engine/desk.go
@@ -172,12 +172,7 @@
 
 // rank is the weighted rendezvous rank of an engine for a prompt.
 func rank(u *unit, q Query) float64 {
-	h := xxhash.Sum64String(q.Affinity) ^ u.hash
-	h ^= h >> 33
-	h *= 0xff51afd7ed558ccd
-	h ^= h >> 33
-	h *= 0xc4ceb9fe1a85ec53
-	h ^= h >> 33
+	h := balance.Mix(xxhash.Sum64String(q.Affinity), u.hash)
 	share := (float64(h>>11) + 0.5) / (1 << 53)
 	weight, ok := q.Weights[u.Zone]
 	if !ok {
--- a/core/gather/choose.go
+++ b/core/gather/choose.go
@@ -70,7 +70,6 @@
 			continue
 		}
 		s.used += it.Bytes
-		it.running = true
 		it.tries++
 		b.Items = append(b.Items, it)
 	}
--- a/core/gather/end.go
+++ b/core/gather/end.go
@@ -68,7 +68,6 @@
 
 // again puts an item back, or ends it with the error after too many tries.
 func (q *Queue) again(done []Finished, it *Item, err *fault.Error) []Finished {
-	it.running = false
 	if it.dropped {
 		return done
 	}
--- a/core/gather/gather.go
+++ b/core/gather/gather.go
@@ -72,7 +72,6 @@
 		tries   int
 		added   time.Time
 		dropped bool
-		running bool
 		// late is set if the item is not planned to keep its aim.
 		late bool
 	}
--- a/core/gather/plan.go
+++ b/core/gather/plan.go
@@ -74,13 +74,6 @@
 	return x
 }
 
-// Wait predicts how long a new piece waits.
-func (q *Queue) Wait(now time.Time) time.Duration {
-	q.mu.Lock()
-	defer q.mu.Unlock()
-	return q.wait(now, func(*Item) bool { return true })
-}
-
 // waitFor is the time until the servers have worked off what goes before new
 // items: everything, or what is planned and due earlier if they can keep their aim.
 func (q *Queue) waitFor(now time.Time, items []*Item) time.Duration {
