Speak the platform's store through one client for both interfaces

Cause: pipelines spoke a wire for the store that we had invented (io/platform with io/standplatform), beside platform.Store for routes.

platform.Store.Objects gives the store as core/object in the published protocol: POST creates, PUT and DELETE name the revision, 409, 410 and 429 are told apart, lists go by pages from a prefix on, watches are of a kind. What is left of io/platform, the instance's part of the call rates, is io/objects. platform/stand is the one stand-in, with lost and late writes, pages, 410 and refusals; core's histories run through the product's client against it. Departures of pipelines' endpoints come from the list of servers by watches of 2 s in place of a read each second, and a removed entry counts as a departure.

The largest value is 780,000 bytes now, since base64 has to fit into 1 MiB.

--- a/cmd/publish.go
+++ b/cmd/publish.go
@@ -8,14 +8,16 @@
 	"fmt"
 	"net/http"
 	"os/user"
+	"strings"
 	"time"
 
 	"github.com/pmezard/go-difflib/difflib"
 
 	"chervilpath/core/fault"
 	"chervilpath/core/publish"
+	"chervilpath/io/objects"
 	"chervilpath/io/operator"
-	"chervilpath/io/platform"
+	"chervilpath/platform"
 )
 
 const (
@@ -94,8 +96,9 @@
 	}
 }
 
-func (o platformOptions) client() *platform.Client {
-	return platform.New(platform.Config{URL: o.Platform, ReadsPerSecond: operatorRate, WritesPerSecond: operatorRate}, http.DefaultClient)
+func (o platformOptions) client() *objects.Client {
+	store := platform.NewStore(strings.TrimSuffix(o.Platform, "/"), http.DefaultClient)
+	return objects.New(store.Objects(objects.WatchWait), operatorRate, operatorRate)
 }
 
 func (o platformOptions) publisher() *publish.Publisher {
--- a/cmd/standin.go
+++ b/cmd/standin.go
@@ -8,7 +8,7 @@
 	"time"
 
 	"chervilpath/io/standin"
-	"chervilpath/io/standplatform"
+	"chervilpath/platform/stand"
 )
 
 type standinCommand struct {
@@ -66,7 +66,9 @@
 func (c *standinCommand) handler() (http.Handler, error) {
 	switch c.Args.Kind {
 	case "platform":
-		return standplatform.New(c.Lag).Handler(), nil
+		s := stand.New(time.Now)
+		s.Lag(c.Lag)
+		return s, nil
 	case "engine":
 		return standin.NewEngine(standin.EngineConfig{
 			Slots: c.Slots, FirstToken: c.Time, Token: c.Token, Lag: c.Lag, CachedPrefixes: 64, ChecksFence: c.Fenced,
--- a/core/cost/cost_test.go
+++ b/core/cost/cost_test.go
@@ -8,7 +8,7 @@
 
 	"chervilpath/core/cost"
 	"chervilpath/core/pipeline"
-	"chervilpath/io/standplatform"
+	"chervilpath/platform/stand"
 )
 
 var (
@@ -20,9 +20,9 @@
 	return pipeline.Charge{Organisation: org, Stage: "generate", Units: units, Known: true, Cost: 2 * units, Busy: time.Second}
 }
 
-func total(t *testing.T, objects *standplatform.Objects) (units float64, calls int64) {
+func total(t *testing.T, objects *stand.Store) (units float64, calls int64) {
 	t.Helper()
-	windows, err := cost.Read(ctx, objects.Store(), start, -1)
+	windows, err := cost.Read(ctx, objects.Objects(), start, -1)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -34,19 +34,19 @@
 }
 
 func TestRepeatedWriteIsTheSameRecord(t *testing.T) {
-	objects := standplatform.NewObjects(func() time.Time { return start })
+	objects := stand.New(func() time.Time { return start })
 	l := cost.New(start, "entry-1", "i1")
 	for i := range 5 {
 		l.Charge(charge("roofs", 10))
 		if i%2 == 0 {
-			objects.SetFaults(standplatform.Faults{LoseAnswers: 1})
+			objects.SetFaults(stand.Faults{LoseAnswers: 1})
 		}
-		_ = l.Flush(ctx, start.Add(time.Duration(i+1)*time.Second), objects.Store())
+		_ = l.Flush(ctx, start.Add(time.Duration(i+1)*time.Second), objects.Objects())
 	}
-	if err := l.Flush(ctx, start.Add(time.Minute), objects.Store()); err != nil {
+	if err := l.Flush(ctx, start.Add(time.Minute), objects.Objects()); err != nil {
 		t.Fatal(err)
 	}
-	if err := l.Flush(ctx, start.Add(2*time.Minute), objects.Store()); err != nil {
+	if err := l.Flush(ctx, start.Add(2*time.Minute), objects.Objects()); err != nil {
 		t.Fatal(err)
 	}
 	if units, calls := total(t, objects); units != 50 || calls != 5 {
@@ -55,23 +55,23 @@
 }
 
 func TestOutageKeepsAllInBoundedMemory(t *testing.T) {
-	objects := standplatform.NewObjects(func() time.Time { return start })
-	objects.SetFaults(standplatform.Faults{Down: true})
+	objects := stand.New(func() time.Time { return start })
+	objects.SetFaults(stand.Faults{Down: true})
 	l := cost.New(start, "entry-1", "i1")
 	for hour := range 5 {
 		for i := range 1000 {
 			l.Charge(charge(fmt.Sprint("o", i%10), 1))
 		}
-		if err := l.Flush(ctx, start.Add(time.Duration(hour)*time.Hour), objects.Store()); err == nil {
+		if err := l.Flush(ctx, start.Add(time.Duration(hour)*time.Hour), objects.Objects()); err == nil {
 			t.Fatal("Flush() in an outage succeeded")
 		}
 	}
 	if n, _ := l.Waiting(start); n != 1 || len(l.Lines()) != 10 {
 		t.Errorf("%d objects and %d lines wait", n, len(l.Lines()))
 	}
-	objects.SetFaults(standplatform.Faults{})
+	objects.SetFaults(stand.Faults{})
 	for range 2 {
-		if err := l.Flush(ctx, start.Add(6*time.Hour), objects.Store()); err != nil {
+		if err := l.Flush(ctx, start.Add(6*time.Hour), objects.Objects()); err != nil {
 			t.Fatal(err)
 		}
 	}
@@ -81,12 +81,12 @@
 }
 
 func TestManyOrganisationsAreSplit(t *testing.T) {
-	objects := standplatform.NewObjects(func() time.Time { return start })
+	objects := stand.New(func() time.Time { return start })
 	l := cost.New(start, "entry-1", "i1")
 	for i := range 30000 {
 		l.Charge(charge(fmt.Sprint("organisation-", i), 1))
 	}
-	if err := l.Flush(ctx, start.Add(time.Minute), objects.Store()); err != nil {
+	if err := l.Flush(ctx, start.Add(time.Minute), objects.Objects()); err != nil {
 		t.Fatal(err)
 	}
 	if units, _ := total(t, objects); units != 30000 {
@@ -105,15 +105,15 @@
 }
 
 func TestByHourAddsUpWindowsOfAnHour(t *testing.T) {
-	objects := standplatform.NewObjects(func() time.Time { return start })
+	objects := stand.New(func() time.Time { return start })
 	l := cost.New(start, "entry-1", "i1")
 	for i := range 6 {
 		l.Charge(charge("roofs", 10))
-		if err := l.Flush(ctx, start.Add(time.Duration(i+1)*20*time.Minute), objects.Store()); err != nil {
+		if err := l.Flush(ctx, start.Add(time.Duration(i+1)*20*time.Minute), objects.Objects()); err != nil {
 			t.Fatal(err)
 		}
 	}
-	windows, err := cost.Read(ctx, objects.Store(), start, -1)
+	windows, err := cost.Read(ctx, objects.Objects(), start, -1)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -8,6 +8,8 @@
 
 import (
 	"cmp"
+	"iter"
+	"maps"
 	"slices"
 	"time"
 )
@@ -222,6 +224,9 @@
 // Zone returns the zone of the server at an address, leaving ones included, or "".
 func (s *Snapshot) Zone(address string) string { return s.byAddress[address].Zone }
 
+// All returns the servers by id, in no order.
+func (s *Snapshot) All() iter.Seq2[string, Server] { return maps.All(s.byID) }
+
 // Len returns the number of servers.
 func (s *Snapshot) Len() int { return len(s.byID) }
 
--- a/core/lease/lease_test.go
+++ b/core/lease/lease_test.go
@@ -12,7 +12,7 @@
 
 	"chervilpath/core/lease"
 	"chervilpath/core/object"
-	"chervilpath/io/standplatform"
+	"chervilpath/platform/stand"
 )
 
 const (
@@ -45,7 +45,7 @@
 
 	world struct {
 		now     time.Time
-		objects *standplatform.Objects
+		objects *stand.Store
 		ids     int
 		late    []object.Object
 		choice  int
@@ -65,8 +65,8 @@
 
 func newWorld(fenced bool, plant string) *world {
 	w := &world{now: time.Unix(1_700_000_000, 0), plant: plant, engine: engine{fenced: fenced}}
-	w.objects = standplatform.NewObjects(func() time.Time { return w.now })
-	store := w.objects.Store()
+	w.objects = stand.New(func() time.Time { return w.now })
+	store := w.objects.Objects()
 	store.Put = w.put
 	for i := range holders {
 		name := fmt.Sprint("i", i)
@@ -82,13 +82,13 @@
 	choice := w.choice
 	w.choice = 0
 	if w.plant == "unconditional" {
-		if old, err := w.objects.Get(ctx, obj.Kind, obj.Name); err == nil {
+		if old, err := w.objects.Objects().Get(ctx, obj.Kind, obj.Name); err == nil {
 			obj.Version = old.Version
 		}
 	}
 	switch choice {
 	case 1:
-		if _, err := w.objects.Put(ctx, obj); err != nil {
+		if _, err := w.objects.Objects().Put(ctx, obj); err != nil {
 			return 0, err
 		}
 		return 0, object.ErrUncertain
@@ -98,7 +98,7 @@
 	case 3:
 		w.now = w.now.Add(8 * time.Second)
 	case 4:
-		v, err := w.objects.Put(ctx, obj)
+		v, err := w.objects.Objects().Put(ctx, obj)
 		w.now = w.now.Add(8 * time.Second)
 		return v, err
 	case 5, 6:
@@ -107,7 +107,7 @@
 		_, _ = w.nodes[w.ids%holders].lease.Step(ctx, w.time)
 		w.order(w.nodes[w.ids%holders])
 	}
-	return w.objects.Put(ctx, obj)
+	return w.objects.Objects().Put(ctx, obj)
 }
 
 func (w *world) apply(s step) {
@@ -127,7 +127,7 @@
 		w.now = w.now.Add(time.Duration(1+s.Choice) * time.Second)
 	case 7:
 		for _, obj := range w.late {
-			_, _ = w.objects.Put(context.Background(), obj)
+			_, _ = w.objects.Objects().Put(context.Background(), obj)
 		}
 		w.late = nil
 	case 8:
--- a/core/object/object.go
+++ b/core/object/object.go
@@ -1,7 +1,7 @@
 // Package object owns the terms in which this module uses the platform's
 // object API: versions, conditional updates and watches.
 //
-// It holds no objects and speaks no protocol; io/platform does.
+// It holds no objects and speaks no protocol; platform does.
 package object
 
 import (
@@ -10,15 +10,17 @@
 )
 
 const (
-	// MaxBytes is the largest value that the platform takes.
-	MaxBytes = 1_000_000
+	// MaxBytes is the largest value that is stored. The platform takes objects of
+	// 1 MiB, in which values stand in base64 beside their metadata.
+	MaxBytes = 780_000
 
 	// Absent as the version of a Put asks for an object that does not exist yet.
 	Absent int64 = 0
 )
 
 type (
-	// Object is one value with its version. Versions of one name only grow.
+	// Object is one value with its version. Versions of one name only grow, and
+	// each write gives a new one.
 	Object struct {
 		Kind    string
 		Name    string
@@ -60,4 +62,10 @@
 	ErrUnavailable = errors.New("object API is unavailable; nothing was written")
 	ErrUncertain   = errors.New("object API gave no answer; the write may take effect")
 	ErrUnchanged   = errors.New("object is unchanged")
+	ErrHistory     = errors.New("object API no longer has this history")
 )
+
+// Failed reports whether an error says that the store did not serve a call.
+func Failed(err error) bool {
+	return errors.Is(err, ErrUnavailable) || errors.Is(err, ErrUncertain)
+}
--- a/core/once/once_test.go
+++ b/core/once/once_test.go
@@ -15,7 +15,7 @@
 	"chervilpath/core/fault"
 	"chervilpath/core/object"
 	"chervilpath/core/once"
-	"chervilpath/io/standplatform"
+	"chervilpath/platform/stand"
 )
 
 const (
@@ -36,7 +36,7 @@
 
 	// world is a few instances, a store and the endpoint that counts runs.
 	world struct {
-		objects *standplatform.Objects
+		objects *stand.Store
 		now     time.Time
 		ids     int
 		plant   plant
@@ -81,7 +81,7 @@
 		plant: p, now: time.Unix(1_700_000_000, 0),
 		runs: map[string]int{}, notRun: map[string]bool{}, done: map[string]string{},
 	}
-	w.objects = standplatform.NewObjects(func() time.Time { return w.now })
+	w.objects = stand.New(func() time.Time { return w.now })
 	for i := range instances {
 		w.nodes = append(w.nodes, w.newNode(i))
 	}
@@ -94,7 +94,7 @@
 	n.keeper = once.New(once.Config{Owner: n.owner, Secret: []byte(secret), TicketLife: time.Minute, Remember: time.Minute, Limit: 1000}, once.Seams{
 		Now:   func() time.Time { return w.now },
 		NewID: func() string { w.ids++; return fmt.Sprint(w.ids) },
-		Store: object.Store{Get: w.objects.Get, Put: w.put, List: w.objects.List},
+		Store: object.Store{Get: w.objects.Objects().Get, Put: w.put, List: w.objects.Objects().List},
 		Run:   func(_ context.Context, a once.Attempt) once.Outcome { return w.run(n, a) },
 		Go: func(f func()) {
 			if w.slow {
@@ -115,13 +115,13 @@
 		w.puts = 0
 	}
 	if w.plant == unconditional {
-		if old, err := w.objects.Get(ctx, obj.Kind, obj.Name); err == nil {
+		if old, err := w.objects.Objects().Get(ctx, obj.Kind, obj.Name); err == nil {
 			obj.Version = old.Version
 		}
 	}
 	switch choice {
 	case 1: // The answer is lost.
-		if _, err := w.objects.Put(ctx, obj); errors.Is(err, object.ErrConflict) {
+		if _, err := w.objects.Objects().Put(ctx, obj); errors.Is(err, object.ErrConflict) {
 			return 0, err
 		}
 		return 0, object.ErrUncertain
@@ -134,7 +134,7 @@
 	case 3:
 		return 0, object.ErrUnavailable
 	}
-	return w.objects.Put(ctx, obj)
+	return w.objects.Objects().Put(ctx, obj)
 }
 
 // run is the endpoint's side: it counts, and may refuse, or the instance dies.
@@ -237,7 +237,7 @@
 // settle lets delayed writes take effect and slow requests end.
 func (w *world) settle() {
 	for _, obj := range w.late {
-		_, _ = w.objects.Put(context.Background(), obj)
+		_, _ = w.objects.Objects().Put(context.Background(), obj)
 	}
 	w.late = nil
 	running := w.running
@@ -321,7 +321,7 @@
 
 func TestOutageServesTickets(t *testing.T) {
 	w := newWorld(nothing)
-	w.objects.SetFaults(standplatform.Faults{Down: true})
+	w.objects.SetFaults(stand.Faults{Down: true})
 	text, _, err := w.nodes[0].keeper.Issue("roofs")
 	if err != nil {
 		t.Fatal(err)
--- a/core/publish/publish_test.go
+++ b/core/publish/publish_test.go
@@ -14,7 +14,7 @@
 	"chervilpath/core/fault"
 	"chervilpath/core/object"
 	"chervilpath/core/publish"
-	"chervilpath/io/standplatform"
+	"chervilpath/platform/stand"
 )
 
 var ctx = context.Background()
@@ -39,7 +39,7 @@
 }
 
 func TestPublishAndRollBack(t *testing.T) {
-	store := standplatform.NewObjects(fixedNow).Store()
+	store := stand.New(fixedNow).Objects()
 	p := publish.New(store, fixedNow)
 	for i := 1; i <= 3; i++ {
 		root, err := p.Publish(ctx, change(fmt.Sprint(i), file("a", i)))
@@ -69,7 +69,7 @@
 }
 
 func TestInvalidWholeIsNeverPublished(t *testing.T) {
-	store := standplatform.NewObjects(fixedNow).Store()
+	store := stand.New(fixedNow).Objects()
 	p := publish.New(store, fixedNow)
 	if _, err := p.Publish(ctx, change("1", file("a", 1))); err != nil {
 		t.Fatal(err)
@@ -86,7 +86,7 @@
 }
 
 func TestRacingOperators(t *testing.T) {
-	store := standplatform.NewObjects(fixedNow).Store()
+	store := stand.New(fixedNow).Objects()
 	race := func(first, second publish.Change) error {
 		raced := false
 		slow := store
@@ -116,8 +116,8 @@
 }
 
 func TestHolderNeverReverts(t *testing.T) {
-	objects := standplatform.NewObjects(fixedNow)
-	store := objects.Store()
+	objects := stand.New(fixedNow)
+	store := objects.Objects()
 	p := publish.New(store, fixedNow)
 	var roots []publish.Root
 	for i := 1; i <= 3; i++ {
@@ -141,8 +141,8 @@
 }
 
 func TestHolderRefusesDamageAndKeepsTheLastGood(t *testing.T) {
-	objects := standplatform.NewObjects(fixedNow)
-	store := objects.Store()
+	objects := stand.New(fixedNow)
+	store := objects.Objects()
 	p := publish.New(store, fixedNow)
 	h := publish.NewHolder()
 	first, _ := p.Publish(ctx, change("1", file("a", 1)))
@@ -150,14 +150,14 @@
 		t.Fatal(err)
 	}
 	second, _ := p.Publish(ctx, change("2", file("a", 2)))
-	objects.SetFaults(standplatform.Faults{Damage: "fragments"})
+	objects.SetFaults(stand.Faults{Damage: "fragments"})
 	if ok, err := offer(t, h, store, second); ok || err == nil {
 		t.Error("a damaged fragment was put in force")
 	}
 	if h.Revision() != 1 || h.Refused() == nil || h.Refused().Revision != 2 {
 		t.Errorf("revision %d in force, refused %+v", h.Revision(), h.Refused())
 	}
-	objects.SetFaults(standplatform.Faults{})
+	objects.SetFaults(stand.Faults{})
 	if ok, err := offer(t, h, store, second); !ok || err != nil || h.Refused() != nil {
 		t.Errorf("the whole revision: %v, %v", ok, err)
 	}
@@ -266,8 +266,8 @@
 }
 
 func races(choices []int, blind bool) error {
-	objects := standplatform.NewObjects(fixedNow)
-	r := &racer{store: objects.Store(), choices: choices, accepted: map[string]publish.Root{}, refused: map[string]bool{}, bases: map[string]int64{}, blind: blind}
+	objects := stand.New(fixedNow)
+	r := &racer{store: objects.Objects(), choices: choices, accepted: map[string]publish.Root{}, refused: map[string]bool{}, bases: map[string]int64{}, blind: blind}
 	for range 6 {
 		r.publish()
 	}
@@ -311,9 +311,9 @@
 }
 
 func TestOutageIsReported(t *testing.T) {
-	objects := standplatform.NewObjects(fixedNow)
-	objects.SetFaults(standplatform.Faults{Down: true})
-	_, err := publish.New(objects.Store(), fixedNow).Publish(ctx, change("1", file("a", 1)))
+	objects := stand.New(fixedNow)
+	objects.SetFaults(stand.Faults{Down: true})
+	_, err := publish.New(objects.Objects(), fixedNow).Publish(ctx, change("1", file("a", 1)))
 	if fault.From(err).Kind() != fault.StoreUnavailable || !errors.Is(err, object.ErrUnavailable) {
 		t.Errorf("Publish() in an outage = %v", err)
 	}
--- a/core/sweep/sweep_test.go
+++ b/core/sweep/sweep_test.go
@@ -13,7 +13,7 @@
 	"chervilpath/core/pipeline"
 	"chervilpath/core/publish"
 	"chervilpath/core/sweep"
-	"chervilpath/io/standplatform"
+	"chervilpath/platform/stand"
 )
 
 var ctx = context.Background()
@@ -31,10 +31,10 @@
 
 func newWorld(t *testing.T) *world {
 	w := &world{now: time.Date(2026, 12, 1, 0, 0, 0, 0, time.UTC), t: t}
-	w.store = standplatform.NewObjects(func() time.Time {
+	w.store = stand.New(func() time.Time {
 		w.calls++
 		return w.now.Add(time.Duration(w.calls) * time.Second)
-	}).Store()
+	}).Objects()
 	return w
 }
 
--- a/demo/chaos.go
+++ b/demo/chaos.go
@@ -7,7 +7,7 @@
 	"time"
 
 	"chervilpath/io/standin"
-	"chervilpath/io/standplatform"
+	"chervilpath/platform/stand"
 )
 
 type (
@@ -40,14 +40,14 @@
 )
 
 var disasters = []disaster{
-	{"platform down", 2, func(c *chaos, _ context.Context) string { return c.platform(standplatform.Faults{Down: true}) }},
+	{"platform down", 2, func(c *chaos, _ context.Context) string { return c.platform(stand.Faults{Down: true}) }},
 	{"platform loses answers", 3, func(c *chaos, _ context.Context) string {
-		return c.platform(standplatform.Faults{LoseAnswers: 1 + c.rng.IntN(10)})
+		return c.platform(stand.Faults{LoseAnswers: 1 + c.rng.IntN(10)})
 	}},
 	{"platform slow", 2, func(c *chaos, _ context.Context) string {
-		return c.platform(standplatform.Faults{DelayMs: 50 + c.rng.IntN(500)})
+		return c.platform(stand.Faults{DelayMs: 50 + c.rng.IntN(500)})
 	}},
-	{"platform stale", 1, func(c *chaos, _ context.Context) string { return c.platform(standplatform.Faults{Stale: true}) }},
+	{"platform stale", 1, func(c *chaos, _ context.Context) string { return c.platform(stand.Faults{Stale: true}) }},
 	{"endpoint down", 3, func(c *chaos, _ context.Context) string { return c.endpoint(standin.ServerFaults{Down: true}) }},
 	{"endpoint slow", 3, func(c *chaos, _ context.Context) string { return c.endpoint(standin.ServerFaults{Slow: 10}) }},
 	{"endpoint refuses", 3, func(c *chaos, _ context.Context) string { return c.endpoint(standin.ServerFaults{Refuse: true}) }},
@@ -111,10 +111,10 @@
 	c.healing = nil
 }
 
-func (c *chaos) platform(f standplatform.Faults) string {
-	objects := c.deployment.platform.Objects()
+func (c *chaos) platform(f stand.Faults) string {
+	objects := c.deployment.platform
 	objects.SetFaults(f)
-	c.healing = append(c.healing, func() { objects.SetFaults(standplatform.Faults{}) })
+	c.healing = append(c.healing, func() { objects.SetFaults(stand.Faults{}) })
 	return fmt.Sprintf("%+v", f)
 }
 
--- a/demo/remote.go
+++ b/demo/remote.go
@@ -10,7 +10,7 @@
 	"chervilpath/core/declare"
 	"chervilpath/core/publish"
 	"chervilpath/io/standin"
-	"chervilpath/io/standplatform"
+	"chervilpath/platform/stand"
 )
 
 // Reply is what a caller got for one request, for scenarios.
@@ -95,17 +95,28 @@
 
 // SetPlatformFaults switches the faults of the object API by their JSON.
 func (d *Deployment) SetPlatformFaults(text string) error {
-	var f standplatform.Faults
+	var f stand.Faults
 	if err := json.Unmarshal([]byte(text), &f); err != nil {
 		return fmt.Errorf("reading faults: %w", err)
 	}
-	d.platform.Objects().SetFaults(f)
+	d.platform.SetFaults(f)
 	return nil
 }
 
-// SetEndpointState lists an endpoint as live or leaving.
+// SetEndpointState lists an endpoint as live or leaving, or takes it off the
+// list if the state is "gone".
 func (d *Deployment) SetEndpointState(endpoint, state string) {
-	d.platform.SetInstance(standplatform.Instance{Name: endpoint, State: state})
+	switch state {
+	case "gone":
+		d.platform.RemoveServer(endpoint)
+		return
+	case "leaving":
+		state = stand.Draining
+	default:
+		state = stand.Ready
+	}
+	e, _ := d.set.Endpoint(endpoint)
+	d.platform.PutServer(endpoint, d.addresses[endpoint], e.FailureDomain(), state)
 }
 
 // Publish puts one declaration file in force.
--- a/demo/replay.go
+++ b/demo/replay.go
@@ -14,7 +14,7 @@
 	"chervilpath/core/trace"
 	"chervilpath/examples"
 	"chervilpath/io/standin"
-	"chervilpath/io/standplatform"
+	"chervilpath/platform/stand"
 )
 
 type (
@@ -132,7 +132,7 @@
 // strike switches the faults of the endpoints that a fault names.
 func (d *Deployment) strike(f trace.Fault) {
 	if f.Endpoint == trace.Platform {
-		d.platform.Objects().SetFaults(standplatform.Faults{Down: f.Down})
+		d.platform.SetFaults(stand.Faults{Down: f.Down})
 		return
 	}
 	prefix, many := strings.CutSuffix(f.Endpoint, "*")
--- a/demo/world.go
+++ b/demo/world.go
@@ -28,8 +28,8 @@
 	"chervilpath/core/publish"
 	"chervilpath/core/settings"
 	"chervilpath/io/standin"
-	"chervilpath/io/standplatform"
 	"chervilpath/node"
+	"chervilpath/platform/stand"
 )
 
 const (
@@ -52,11 +52,13 @@
 	Deployment struct {
 		name     string
 		set      *declare.Set
-		platform *standplatform.Platform
+		platform *stand.Store
 		// publisher keeps what it published, so that it can also publish while
 		// reads are damaged.
 		publisher *publish.Publisher
 		servers   map[string]*endpointServer
+		// addresses holds where each endpoint's stand-in listens, by name.
+		addresses map[string]string
 		log       *zap.Logger
 		// platformAddress is where the platform's stand-in listens.
 		platformAddress string
@@ -89,11 +91,13 @@
 // declarations, and adds the given number of entry instances to a kernel.
 func New(ctx context.Context, files fs.FS, dir string, instances int, log *zap.Logger) (*Deployment, error) {
 	d := &Deployment{
-		name:     path.Base(dir),
-		log:      log,
-		platform: standplatform.New(listLag),
-		servers:  make(map[string]*endpointServer),
+		name:      path.Base(dir),
+		log:       log,
+		platform:  stand.New(time.Now),
+		servers:   make(map[string]*endpointServer),
+		addresses: make(map[string]string),
 	}
+	d.platform.Lag(listLag)
 	fragments, err := readFragments(files, dir)
 	if err != nil {
 		return nil, err
@@ -101,11 +105,11 @@
 	if fragments, err = d.startEndpoints(fragments); err != nil {
 		return nil, err
 	}
-	d.platformAddress, err = d.serve(d.platform.Handler())
+	d.platformAddress, err = d.serve(d.platform)
 	if err != nil {
 		return nil, err
 	}
-	d.publisher = publish.New(d.platform.Objects().Store(), time.Now)
+	d.publisher = publish.New(d.platform.Objects(), time.Now)
 	if _, err := d.publisher.Publish(ctx, publish.Change{Fragments: fragments, By: "demo", ID: "demo-1"}); err != nil {
 		return nil, fmt.Errorf("publishing the declarations of %s: %w", d.name, err)
 	}
@@ -188,7 +192,8 @@
 	go func() { _ = s.server.Serve(l) }()
 	d.servers[e.Name()] = s
 	d.closers = append(d.closers, func() { _ = s.server.Close() })
-	d.platform.SetInstance(standplatform.Instance{Name: e.Name(), Address: l.Addr().String(), FailureDomain: e.FailureDomain(), State: "live"})
+	d.addresses[e.Name()] = l.Addr().String()
+	d.platform.PutServer(e.Name(), l.Addr().String(), e.FailureDomain(), stand.Ready)
 	return l.Addr().String(), nil
 }
 
@@ -378,7 +383,7 @@
 
 // attributed returns the cost that reached the platform's store.
 func (d *Deployment) attributed(ctx context.Context, since time.Time) ([]cost.Line, error) {
-	store := d.platform.Objects().Store()
+	store := d.platform.Objects()
 	windows, err := cost.Read(ctx, store, since, -1)
 	if err != nil {
 		return nil, err
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -86,7 +86,7 @@
 	n.stopping, n.endStopping = context.WithCancel(context.Background())
 	n.loopCtx, n.stopLoops = context.WithCancel(context.Background())
 	n.metrics = newMetrics(n.registry)
-	n.store = platform.NewStore(cfg.Store(), &http.Client{Transport: upstream.Transport()})
+	n.store = platform.NewStore("http://"+cfg.Store(), &http.Client{Transport: upstream.Transport()})
 	n.upstream = upstream.New(upstream.Transport(), platform.Outgoing, platform.ReadReply)
 	n.pieces = &http.Client{Transport: upstream.Transport()}
 	n.clients = peer.NewClients("", peerTransport(), nil, time.Now)
--- a/edge/follow.go
+++ b/edge/follow.go
@@ -13,6 +13,7 @@
 
 	"chervilpath/core/fleet"
 	"chervilpath/core/member"
+	"chervilpath/core/object"
 	"chervilpath/io/peer"
 	"chervilpath/platform"
 )
@@ -90,7 +91,7 @@
 				revision = after
 			}
 		}
-		if errors.Is(err, platform.ErrHistory) || errors.Is(err, platform.ErrAbsent) {
+		if errors.Is(err, object.ErrHistory) || errors.Is(err, object.ErrNotFound) {
 			f.instance.beliefs.storeAnswered()
 			f.instance.log.Info("store read again", zap.String("kind", f.kind), zap.Error(err))
 			revision, err = 0, nil
@@ -158,9 +159,9 @@
 	return max(after, revision), nil
 }
 
-func (n *Instance) takeConfig(o platform.Object) {
+func (n *Instance) takeConfig(o object.Object) {
 	if platform.IsMain(o) {
-		n.beliefs.accept(o.Spec, "store")
+		n.beliefs.accept(o.Data, "store")
 	}
 }
 
--- a/io/caller/caller_test.go
+++ b/io/caller/caller_test.go
@@ -23,7 +23,7 @@
 	"chervilpath/core/once"
 	"chervilpath/core/pipeline"
 	"chervilpath/io/caller"
-	"chervilpath/io/standplatform"
+	"chervilpath/platform/stand"
 )
 
 const (
@@ -73,7 +73,7 @@
 	var ids atomic.Int64
 	newID := func() string { return fmt.Sprint("id", ids.Add(1)) }
 	keeper := once.New(once.Config{Owner: once.Owner{Incarnation: "i1"}, Secret: []byte("x"), TicketLife: time.Minute, Limit: 10}, once.Seams{
-		Now: time.Now, NewID: newID, Store: standplatform.NewObjects(time.Now).Store(), Go: func(f func()) { f() },
+		Now: time.Now, NewID: newID, Store: stand.New(time.Now).Objects(), Go: func(f func()) { f() },
 		Run: func(ctx context.Context, a once.Attempt) once.Outcome {
 			answer, err := run(ctx, pipeline.Request{ID: "r"})
 			if e := fault.From(err); e != nil {
--- /dev/null
+++ b/io/objects/objects_test.go
@@ -0,0 +1,39 @@
+package objects_test
+
+import (
+	"errors"
+	"testing"
+	"time"
+
+	"chervilpath/core/object"
+	"chervilpath/io/objects"
+	"chervilpath/platform/stand"
+)
+
+func TestCallsBeyondTheRateWaitAndAreCounted(t *testing.T) {
+	s := stand.New(time.Now)
+	c := objects.New(s.Objects(), 1000, 20)
+	began := time.Now()
+	version := object.Absent
+	for range 25 {
+		v, err := c.Store().Put(t.Context(), object.Object{Kind: "k", Name: "n", Version: version, Data: []byte("1")})
+		if err != nil {
+			t.Fatal(err)
+		}
+		version = v
+	}
+	// 20 calls go at once, the others at 20 a second.
+	if took := time.Since(began); took < 200*time.Millisecond {
+		t.Errorf("25 writes at 20 a second took %v", took)
+	}
+	if _, err := c.Store().Get(t.Context(), "k", "n"); err != nil {
+		t.Error(err)
+	}
+	s.SetFaults(stand.Faults{Down: true})
+	if _, err := c.Store().Get(t.Context(), "k", "n"); !errors.Is(err, object.ErrUnavailable) {
+		t.Errorf("a refused read: %v", err)
+	}
+	if got, want := c.Counts(), (objects.Counts{Reads: 2, Writes: 25, Failed: 1}); got != want {
+		t.Errorf("counts %+v, want %+v", got, want)
+	}
+}
--- a/io/peer/peer_test.go
+++ b/io/peer/peer_test.go
@@ -14,7 +14,7 @@
 	"chervilpath/core/member"
 	"chervilpath/core/once"
 	"chervilpath/io/peer/peerpb"
-	"chervilpath/io/standplatform"
+	"chervilpath/platform/stand"
 )
 
 const testSecret = "secret of the test"
@@ -23,7 +23,7 @@
 func newPeer(t *testing.T, run func(once.Attempt) once.Outcome) (string, *Members, *once.Keeper) {
 	t.Helper()
 	keeper := once.New(once.Config{Owner: once.Owner{Incarnation: "i1"}, Secret: []byte("s"), TicketLife: time.Minute, Limit: 10}, once.Seams{
-		Now: time.Now, NewID: func() string { return "n" }, Store: standplatform.NewObjects(time.Now).Store(), Go: func(f func()) { f() },
+		Now: time.Now, NewID: func() string { return "n" }, Store: stand.New(time.Now).Objects(), Go: func(f func()) { f() },
 		Run: func(_ context.Context, a once.Attempt) once.Outcome { return run(a) },
 	})
 	members := newTestMembers("i1", "127.0.0.1:1")
--- a/node/fleet_test.go
+++ b/node/fleet_test.go
@@ -18,8 +18,8 @@
 	"chervilpath/core/kernel"
 	"chervilpath/core/publish"
 	"chervilpath/core/settings"
-	"chervilpath/io/standplatform"
 	"chervilpath/node"
+	"chervilpath/platform/stand"
 )
 
 var (
@@ -49,14 +49,14 @@
 	if n == 0 {
 		n = *fleetSize
 	}
-	platform := standplatform.New(0)
-	p := publish.New(platform.Objects().Store(), time.Now)
+	platform := stand.New(time.Now)
+	p := publish.New(platform.Objects(), time.Now)
 	if *fleetFirst == 0 {
 		l, err := net.Listen("tcp", platformAddress)
 		if err != nil {
 			t.Fatal(err)
 		}
-		server := &http.Server{Handler: platform.Handler()}
+		server := &http.Server{Handler: platform}
 		go func() { _ = server.Serve(l) }()
 		defer func() { _ = server.Close() }()
 		change(t, p, 0)
@@ -73,9 +73,9 @@
 	defer func() { _ = k.Stop(context.Background()) }()
 	time.Sleep(warmUp)
 	memoryEach := float64(memory()-before) / float64(n) / (1 << 20)
-	bytes0, cpu0, calls0 := peerBytes(fleet), cpuTime(), platform.Objects().Counts()
+	bytes0, cpu0, calls0 := peerBytes(fleet), cpuTime(), platform.Counts()
 	time.Sleep(*measured)
-	bytes1, cpu1, calls1 := peerBytes(fleet), cpuTime(), platform.Objects().Counts()
+	bytes1, cpu1, calls1 := peerBytes(fleet), cpuTime(), platform.Counts()
 	seconds := (*measured).Seconds()
 	known := len(fleet[0].Status().Members)
 	inForce := timeChanges(t, p, fleet)
--- a/node/node.go
+++ b/node/node.go
@@ -12,6 +12,7 @@
 	mathrand "math/rand/v2"
 	"net"
 	"net/http"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -31,8 +32,9 @@
 	"chervilpath/core/stage"
 	"chervilpath/io/caller"
 	"chervilpath/io/endpoint"
+	"chervilpath/io/objects"
 	"chervilpath/io/peer"
-	"chervilpath/io/platform"
+	"chervilpath/platform"
 )
 
 var errCut = errors.New("the instance is kept apart from this peer")
@@ -43,7 +45,8 @@
 	log   *zap.Logger
 	owner once.Owner
 
-	platform  *platform.Client
+	store     *platform.Store
+	platform  *objects.Client
 	runner    *pipeline.Runner
 	holder    *publish.Holder
 	members   *peer.Members
@@ -88,7 +91,8 @@
 		return nil, err
 	}
 	n.endpoints = endpoint.New(&http.Client{Transport: secure.endpoints}, n.noteLoad)
-	n.platform = platform.New(platform.Config{URL: cfg.PlatformURL(), ReadsPerSecond: cfg.Reads(), WritesPerSecond: cfg.Writes()}, &http.Client{Transport: secure.platform})
+	n.store = platform.NewStore(strings.TrimSuffix(cfg.PlatformURL(), "/"), &http.Client{Transport: secure.platform})
+	n.platform = objects.New(n.store.Objects(objects.WatchWait), cfg.Reads(), cfg.Writes())
 	n.ledger = cost.New(time.Now(), cfg.Name(), n.owner.Incarnation)
 	n.metrics = newMetrics(n)
 	n.runner = pipeline.New(n.pipelineSeams(), stage.Policy{}, newRand())
--- a/node/proxy_test.go
+++ b/node/proxy_test.go
@@ -21,8 +21,8 @@
 	"chervilpath/core/publish"
 	"chervilpath/core/settings"
 	"chervilpath/io/standin"
-	"chervilpath/io/standplatform"
 	"chervilpath/node"
+	"chervilpath/platform/stand"
 )
 
 const (
@@ -36,11 +36,11 @@
 // the URL for callers.
 func newEntry(b *testing.B, stage, engine string) string {
 	b.Helper()
-	p := standplatform.New(0)
-	platform := httptest.NewServer(p.Handler())
+	p := stand.New(time.Now)
+	platform := httptest.NewServer(p)
 	b.Cleanup(platform.Close)
 	text := fmt.Sprintf("[pipeline one]\nstages = s\n[pipeline stream]\nstages = g\n[stage s]\n[stage g]\nunit = tokens\n[kind one]\npipeline = one\n[kind stream]\npipeline = stream\ndeadline = 60s\n[endpoint e]\naddress = %s\nkind = pool\nstages = s\nfailureDomain = d\nslots = 1000\n[endpoint g]\naddress = %s\nkind = engine\nstages = g\nfailureDomain = d\nslots = 1000\n[organisation o]\nkeyHashes = %s\n", stage, engine, declare.HashKey(benchKey))
-	if _, err := publish.New(p.Objects().Store(), time.Now).Publish(context.Background(), publish.Change{Fragments: []declare.Fragment{{Name: "b.ini", Data: []byte(text)}}, ID: "1"}); err != nil {
+	if _, err := publish.New(p.Objects(), time.Now).Publish(context.Background(), publish.Change{Fragments: []declare.Fragment{{Name: "b.ini", Data: []byte(text)}}, ID: "1"}); err != nil {
 		b.Fatal(err)
 	}
 	ini := fmt.Sprintf("[instance]\nname = bench\nfailureDomain = d\ncallerAddress = 127.249.0.1:8080\npeerAddress = 127.249.0.1:8081\noperatorAddress = 127.249.0.1:8082\n[platform]\nurl = %s\n[peers]\nsecretFile = s\n", platform.URL)
--- a/node/secure_test.go
+++ b/node/secure_test.go
@@ -19,8 +19,8 @@
 	"chervilpath/core/publish"
 	"chervilpath/core/settings"
 	"chervilpath/io/standin"
-	"chervilpath/io/standplatform"
 	"chervilpath/node"
+	"chervilpath/platform/stand"
 )
 
 const joinLimit = 20 * time.Second
@@ -67,7 +67,7 @@
 // by TLS only, and keeps one with a stranger's certificate out.
 func TestEverySideByTLS(t *testing.T) {
 	ours, strange := newAuthority(t), newAuthority(t)
-	p := standplatform.New(0)
+	p := stand.New(time.Now)
 	cert, key, err := ours.Issue("platform", "127.0.0.1")
 	if err != nil {
 		t.Fatal(err)
@@ -76,11 +76,11 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	platform := httptest.NewUnstartedServer(p.Handler())
+	platform := httptest.NewUnstartedServer(p)
 	platform.TLS = &tls.Config{Certificates: []tls.Certificate{pair}}
 	platform.StartTLS()
 	t.Cleanup(platform.Close)
-	change(t, publish.New(p.Objects().Store(), time.Now), 0)
+	change(t, publish.New(p.Objects(), time.Now), 0)
 
 	first := startSecure(t, 1, platform.URL, ours.CA(), ours)
 	second := startSecure(t, 2, platform.URL, ours.CA(), ours)
--- a/node/watch.go
+++ b/node/watch.go
@@ -5,19 +5,26 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
+	"net/url"
 	"sync"
 	"time"
 
 	"go.uber.org/zap"
 
 	"chervilpath/core/declare"
+	"chervilpath/core/fleet"
 	"chervilpath/core/object"
+	"chervilpath/platform"
 )
 
 const (
-	// listPeriod is the time between two reads of the platform's list of
-	// instances. An endpoint that leaves gets no new work soon after.
-	listPeriod = time.Second
+	// listWait is how long a watch of the platform's list of servers waits, so
+	// that a store that stays silent is noticed within the few seconds in which
+	// an endpoint that leaves gets no new work.
+	listWait = 2 * time.Second
+
+	// listRetry is the longest wait after a failed call for the list.
+	listRetry = time.Second
 
 	// loadsPerSecond is shared by all instances as the number of questions for
 	// a load; each asks at least leastLoads and at most mostLoads a second.
@@ -28,8 +35,6 @@
 
 	// freshReport is how long a report that came with an answer is enough.
 	freshReport = time.Second
-
-	leavingState = "leaving"
 )
 
 // reports notes when each endpoint last reported its load.
@@ -45,32 +50,117 @@
 	return nil
 }
 
-// followList shuts out the endpoints that the platform lists as leaving. While
-// the platform does not answer, the last list stays.
+// followList excludes the endpoints that the platform lists as leaving, or that
+// it listed and lists no more. While the platform does not answer, the last list
+// stays.
 func (n *Instance) followList(ctx context.Context) {
-	var last, tag string
-	for n.every(ctx, listPeriod) {
-		listed, newTag, err := n.platform.Instances(ctx, tag)
-		if isUnchanged(err) {
+	view, listed := fleet.New(), make(map[string]string)
+	revision, last := int64(0), ""
+	for ctx.Err() == nil {
+		next, err := n.readList(ctx, view, revision)
+		switch {
+		case errors.Is(err, object.ErrHistory):
+			revision = 0
+			n.sleep(ctx, jitter(listRetry))
 			continue
-		}
-		tag = newTag
-		if err != nil {
-			n.log.Debug("list of instances not read", zap.Error(err))
+		case err != nil:
+			n.log.Debug("list of servers not read", zap.Error(err))
+			view.Failed(time.Now())
+			n.sleep(ctx, jitter(listRetry))
 			continue
 		}
-		var leaving []string
-		for _, i := range listed {
-			if i.State == leavingState {
-				leaving = append(leaving, i.Name)
-			}
-		}
+		revision = next
+		view.Expire(time.Now())
+		leaving := n.leaving(view.Snapshot(), listed)
 		if now := fmt.Sprint(leaving); now != last {
 			last = now
 			n.runner.SetLeaving(leaving)
-			n.log.Info("leaving endpoints shut out", zap.Strings("endpoints", leaving))
+			n.log.Info("leaving endpoints excluded", zap.Strings("endpoints", leaving))
+		}
+	}
+}
+
+// readList takes the list of servers, or what changed after a revision, and
+// returns the revision to go on from.
+func (n *Instance) readList(ctx context.Context, view *fleet.View, revision int64) (next int64, err error) {
+	if revision == 0 {
+		err = n.platform.Read(ctx, func(ctx context.Context) error {
+			var objects []object.Object
+			if objects, next, err = n.store.ListServers(ctx); err == nil {
+				view.Replace(time.Now(), n.decodeServers(objects), next)
+			}
+			return err
+		})
+		return next, err
+	}
+	err = n.platform.Wait(ctx, func(ctx context.Context) error {
+		var changes []platform.Change
+		if changes, next, err = n.store.WatchServers(ctx, revision, listWait); err != nil {
+			return err
+		}
+		view.Answered(time.Now())
+		view.Advance(next)
+		for _, c := range changes {
+			if servers := n.decodeServers([]object.Object{c.Object}); !c.Removed && len(servers) == 1 {
+				view.Set(servers[0])
+			} else {
+				view.Remove(time.Now(), c.Object.Name)
+			}
+		}
+		return nil
+	})
+	return max(revision, next), err
+}
+
+// decodeServers decodes entries. Those that name no server are left out.
+func (n *Instance) decodeServers(objects []object.Object) []fleet.Server {
+	out := make([]fleet.Server, 0, len(objects))
+	for _, o := range objects {
+		s, err := platform.Server(o)
+		if err != nil {
+			n.log.Debug("server entry refused", zap.Error(err))
+			continue
 		}
+		out = append(out, s)
+	}
+	return out
+}
+
+// leaving returns the endpoints that were listed at some time and get no more
+// work. listed holds the address of each server that was ever listed; an entry
+// is of the endpoint with its id or its address.
+func (n *Instance) leaving(now *fleet.Snapshot, listed map[string]string) []string {
+	for _, s := range now.All() {
+		listed[s.ID] = s.Address
+	}
+	set := n.declarations()
+	if set == nil {
+		return nil
+	}
+	serving, known := make(map[string]bool), make(map[string]bool)
+	for id, address := range listed {
+		s, ok := now.Server(id)
+		known[id], known[address] = true, true
+		if ok {
+			serving[id], serving[s.Address] = true, true
+		}
+	}
+	var out []string
+	for _, name := range set.Endpoints() {
+		e, _ := set.Endpoint(name)
+		if address := hostOf(e.Address()); (known[name] || known[address]) && !serving[name] && !serving[address] {
+			out = append(out, name)
+		}
+	}
+	return out
+}
+
+// hostOf returns the address in an URL, or the text itself.
+func hostOf(address string) string {
+	if u, err := url.Parse(address); err == nil && u.Host != "" {
+		return u.Host
 	}
+	return address
 }
 
 // followLoads asks the endpoints that report their load and have not done so
