--- a/core/settings/settings.go
+++ b/core/settings/settings.go
@@ -69,7 +69,7 @@
 		},
 		{
 			Kind: "platform",
-			Doc:  "The platform's object API and instance list.",
+			Doc:  "The platform's store: objects of the system's own kinds, and the list of servers.",
 			Options: []option.Option{
 				{Key: "url", Kind: option.URL, Required: true, Doc: "Where the platform listens."},
 				{Key: "readsPerSecond", Kind: option.Number, Default: "20", Min: 0.1, Max: 2000, Doc: "This instance's part of the platform's rate of reads."},
