Derive the times of following the store from the deployment's bounds

Views are rebuilt only when what is believed of the servers has changed. Lines that the log's queue dropped are counted at the metrics address.

--- a/cmd/entry.go
+++ b/cmd/entry.go
@@ -90,7 +90,7 @@
 		return err
 	}
 	k := kernel.New()
-	n, err := edge.New(k, cfg, log)
+	n, err := edge.New(k, cfg, log, out.Dropped)
 	if err != nil {
 		return err
 	}
@@ -104,6 +104,5 @@
 	err = errors.Join(k.Drain(ctx), k.Stop(context.Background()))
 	log.Info("instance stopped", zap.String("instance", cfg.Name()), zap.Error(err))
 	out.Close()
-	<-out.Done()
 	return err
 }
--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -77,6 +77,8 @@
 		// lost is when the store last failed, regained when it answered after.
 		lost, regained time.Time
 		revision       int64
+		// generation grows with each change of what is believed of the servers.
+		generation int64
 		// removals are the latest ones; what was removed up to the revision
 		// oldest is no longer known.
 		removals []removal
@@ -138,9 +140,16 @@
 		return
 	}
 	delete(v.missing, s.ID)
+	if !ok || s != have {
+		v.generation++
+	}
 	v.known[s.ID] = s
 }
 
+// Generation returns a number that grows with each change of what a Snapshot
+// holds.
+func (v *View) Generation() int64 { return v.generation }
+
 // Advance notes that changes up to a revision were taken.
 func (v *View) Advance(revision int64) { v.revision = max(v.revision, revision) }
 
@@ -176,6 +185,7 @@
 
 // forget removes a server and keeps for other instances that it was removed.
 func (v *View) forget(id string) {
+	v.generation++
 	delete(v.known, id)
 	delete(v.missing, id)
 	v.removals = append(v.removals, removal{id: id, revision: v.revision})
--- a/core/settings/site.go
+++ b/core/settings/site.go
@@ -25,8 +25,6 @@
 
 	// Bounds are the times and rates that the platform's rules state.
 	Bounds struct {
-		// Contact is how long a machine has to be undisturbed for rules to hold.
-		Contact time.Duration
 		// Drain is the time after which a leaving server gets nothing more.
 		Drain time.Duration
 		// Config is the time in which a configuration is in force.
@@ -69,7 +67,6 @@
 			Kind: "bounds",
 			Doc:  "The times and rates of the platform's rules.",
 			Options: []option.Option{
-				{Key: "contact", Kind: option.Duration, Default: "3s", Min: 0.1, Max: 60, Doc: "How long a machine has to be undisturbed for rules to hold."},
 				{Key: "drain", Kind: option.Duration, Default: "2s", Min: 0.1, Max: 600, Doc: "Time after which a leaving server gets nothing more."},
 				{Key: "config", Kind: option.Duration, Default: "2s", Min: 0.1, Max: 600, Doc: "Time in which a configuration is in force."},
 				{Key: "grace", Kind: option.Duration, Default: "8s", Min: 0.5, Max: 3600, Doc: "Time from SIGTERM until the process is killed."},
@@ -125,7 +122,7 @@
 		seeds: site.List("seeds"), logLevel: site.Text("logLevel"), store: found["store"].Text("address"),
 		weight: min(machine.Number("cores"), machine.Number("linkMbps")/mbpsPerCore),
 		bounds: Bounds{
-			Contact: bounds.Duration("contact"), Drain: bounds.Duration("drain"), Config: bounds.Duration("config"),
+			Drain: bounds.Duration("drain"), Config: bounds.Duration("config"),
 			Grace: bounds.Duration("grace"), RepeatRatio: bounds.Number("repeatRatio"),
 			RepeatSlack: bounds.Number("repeatSlack"), RepeatWindow: bounds.Duration("repeatWindow"),
 		},
--- a/edge/beliefs.go
+++ b/edge/beliefs.go
@@ -24,9 +24,15 @@
 	// plainQueue is how many requests may wait for a plain service here.
 	plainQueue = 512
 
-	// freshFor is how long a confirmation of the configuration counts: longer
-	// than a watch, shorter than the bound on a configuration.
-	freshFor = 1800 * time.Millisecond
+	// freshPart is how long a confirmation of the configuration counts, as a part
+	// of the time in which news have to be in force: shorter than that, so that
+	// nothing is denied by a version that is no longer in force.
+	freshPart = 0.9
+
+	// stalePart is the age of the store's last confirmation at which an instance
+	// watches the store itself, as a part of the same time: early enough to read
+	// the store within it.
+	stalePart = 0.65
 
 	// maxNewsWait bounds the wait of a peer for news.
 	maxNewsWait = time.Second
@@ -69,9 +75,19 @@
 func (b *beliefs) fresh() bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return !b.confirmed.IsZero() && time.Since(b.confirmed) < freshFor
+	return !b.confirmed.IsZero() && time.Since(b.confirmed) < b.part(freshPart)
+}
+
+// part returns a part of the time in which news have to be in force: the
+// shorter one of the bounds on a configuration and on a server's departure.
+func (b *beliefs) part(of float64) time.Duration {
+	bounds := b.instance.cfg.Load().Bounds()
+	return time.Duration(of * float64(min(bounds.Config, bounds.Drain)))
 }
 
+// stale reports whether the store's last confirmation is too old to rely on peers.
+func (b *beliefs) stale() bool { return b.age() >= b.part(stalePart) }
+
 // confirm notes that the store confirmed the configuration at a time.
 func (b *beliefs) confirm(at time.Time) {
 	b.mu.Lock()
@@ -124,14 +140,16 @@
 // change applies a change to the view of the servers.
 func (b *beliefs) change(apply func(v *fleet.View, now time.Time)) {
 	b.mu.Lock()
-	before := b.view.Revision()
+	before, generation := b.view.Revision(), b.view.Generation()
 	now := time.Now()
 	apply(b.view, now)
 	for _, id := range b.view.Expire(now) {
 		b.instance.log.Info("server gone", zap.String("server", id), zap.String("from", "lapse"))
 	}
-	b.snapshot.Store(b.view.Snapshot())
-	b.spread()
+	if b.view.Generation() != generation {
+		b.snapshot.Store(b.view.Snapshot())
+		b.spread()
+	}
 	if b.view.Revision() != before {
 		b.wake()
 	}
@@ -284,7 +302,7 @@
 	}
 	if n.Confirmed {
 		b.confirm(time.Now().Add(-n.Age))
-		if n.Age < staleAfter {
+		if n.Age < b.part(stalePart) {
 			b.storeAnswered()
 		}
 	}
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -69,8 +69,9 @@
 	}
 )
 
-// New returns an instance whose services have been added to the kernel.
-func New(k *kernel.Kernel, cfg settings.Site, log *zap.Logger) (*Instance, error) {
+// New returns an instance whose services have been added to the kernel. dropped
+// returns the number of log lines that were dropped.
+func New(k *kernel.Kernel, cfg settings.Site, log *zap.Logger, dropped func() int64) (*Instance, error) {
 	n := &Instance{
 		name: cfg.Name(), incarnation: cfg.Name() + "-" + rand.Text()[:10], peerAddress: cfg.PeerAddress(),
 		log:      log.With(zap.String("instance", cfg.Name())),
@@ -85,7 +86,7 @@
 	n.stop.Store(&relay.Stop{})
 	n.stopping, n.endStopping = context.WithCancel(context.Background())
 	n.loopCtx, n.stopLoops = context.WithCancel(context.Background())
-	n.metrics = newMetrics(n.registry)
+	n.metrics = newMetrics(n.registry, dropped)
 	n.store = platform.NewStore("http://"+cfg.Store(), &http.Client{Transport: upstream.Transport()})
 	n.upstream = upstream.New(upstream.Transport(), platform.Outgoing, platform.ReadReply)
 	n.pieces = &http.Client{Transport: upstream.Transport()}
--- a/edge/follow.go
+++ b/edge/follow.go
@@ -19,18 +19,18 @@
 )
 
 const (
-	// watchFor bounds one watch, so that a store that stays silent is noticed
-	// within the bound on a configuration.
-	watchFor = time.Second
+	// watchPart bounds one watch as a part of the time in which news have to be
+	// in force, so that a store that stays silent is noticed within it.
+	watchPart = 0.5
 
 	// idleWatcher is the time between two looks at whether the store is to be
 	// watched from here.
 	idleWatcher = 100 * time.Millisecond
 
-	// watchGrace is how much longer than that an answer may take, and readGrace
-	// how long one to a call that does not wait.
-	watchGrace = 600 * time.Millisecond
-	readGrace  = 1500 * time.Millisecond
+	// gracePart is how much longer than that an answer may take, and readPart
+	// how long one to a call that does not wait, as parts of the same time.
+	gracePart = 0.3
+	readPart  = 0.75
 
 	// A failed call is made again after minBackoff, doubled each time in a row,
 	// up to maxBackoff, half of it at random.
@@ -41,13 +41,9 @@
 	// that its calls do not grow with the fleet.
 	storeWatchers = 3
 
-	// followWait is how long a question to a peer waits for news.
-	followWait = 500 * time.Millisecond
-
-	// staleAfter is the age of the store's last confirmation at which an
-	// instance watches the store itself: above the time between two answers to
-	// a watch, and early enough to meet the bound on a configuration.
-	staleAfter = 1300 * time.Millisecond
+	// followPart is how long a question to a peer waits for news, as a part of
+	// the same time.
+	followPart = 0.25
 )
 
 // follower follows one kind of object in the store.
@@ -83,10 +79,10 @@
 		}
 		var err error
 		if revision == 0 {
-			revision, err = f.bounded(ctx, readGrace, func(ctx context.Context) (int64, error) { return f.read(ctx) })
+			revision, err = f.bounded(ctx, f.instance.beliefs.part(readPart), func(ctx context.Context) (int64, error) { return f.read(ctx) })
 		} else {
 			after := revision
-			revision, err = f.bounded(ctx, watchFor+watchGrace, func(ctx context.Context) (int64, error) { return f.watch(ctx, after) })
+			revision, err = f.bounded(ctx, f.instance.beliefs.part(watchPart+gracePart), func(ctx context.Context) (int64, error) { return f.watch(ctx, after) })
 			if err != nil {
 				revision = after
 			}
@@ -145,7 +141,7 @@
 }
 
 func (n *Instance) watchConfig(ctx context.Context, after int64) (int64, error) {
-	changes, revision, err := n.store.WatchConfig(ctx, after, watchFor)
+	changes, revision, err := n.store.WatchConfig(ctx, after, n.beliefs.part(watchPart))
 	asked := time.Now()
 	if err != nil {
 		return 0, err
@@ -188,7 +184,7 @@
 }
 
 func (n *Instance) watchServers(ctx context.Context, after int64) (int64, error) {
-	changes, revision, err := n.store.WatchServers(ctx, after, watchFor)
+	changes, revision, err := n.store.WatchServers(ctx, after, n.beliefs.part(watchPart))
 	if err != nil {
 		return 0, err
 	}
@@ -229,17 +225,17 @@
 		others := n.watchers()
 		if others == nil {
 			n.direct.Store(true)
-			n.pause(ctx, followWait)
+			n.pause(ctx, n.beliefs.part(followPart))
 			continue
 		}
-		if n.beliefs.age() < staleAfter && n.direct.CompareAndSwap(true, false) {
+		if !n.beliefs.stale() && n.direct.CompareAndSwap(true, false) {
 			n.log.Info("following peers", zap.Strings("watchers", others))
 		}
-		if !n.ask(ctx, others[next%len(others)], followWait) {
+		if !n.ask(ctx, others[next%len(others)], n.beliefs.part(followPart)) {
 			next++
 			n.pause(ctx, minBackoff)
 		}
-		if n.beliefs.age() >= staleAfter && n.direct.CompareAndSwap(false, true) {
+		if n.beliefs.stale() && n.direct.CompareAndSwap(false, true) {
 			n.log.Warn("peers do not have what the store confirmed", zap.Duration("age", n.beliefs.age()))
 		}
 	}
@@ -281,7 +277,7 @@
 		return false
 	}
 	n.beliefs.hear(address, news)
-	return news.Confirmed && news.Age < staleAfter
+	return news.Confirmed && news.Age < n.beliefs.part(stalePart)
 }
 
 func (b *beliefs) revision() int64 {
--- a/edge/harness_test.go
+++ b/edge/harness_test.go
@@ -104,7 +104,7 @@
 		s.t.Fatal(err)
 	}
 	k := kernel.New()
-	if _, err := edge.New(k, cfg, zap.NewNop()); err != nil {
+	if _, err := edge.New(k, cfg, zap.NewNop(), func() int64 { return 0 }); err != nil {
 		s.t.Fatal(err)
 	}
 	if err := k.Start(s.t.Context()); err != nil {
--- a/edge/metrics.go
+++ b/edge/metrics.go
@@ -21,7 +21,7 @@
 
 var timeBuckets = []float64{.01, .025, .05, .1, .25, .5, 1, 2.5, 5, 10, 20}
 
-func newMetrics(r *prometheus.Registry) *metrics {
+func newMetrics(r *prometheus.Registry, dropped func() int64) *metrics {
 	m := &metrics{
 		version:       prometheus.NewGauge(prometheus.GaugeOpts{Name: "chervilpath_configuration_version", Help: "Version of the configuration in force."}),
 		storeCalls:    prometheus.NewCounter(prometheus.CounterOpts{Name: "chervilpath_store_calls_total", Help: "Calls of the platform's store."}),
@@ -33,6 +33,10 @@
 		batchPieces:   prometheus.NewHistogram(prometheus.HistogramOpts{Name: "chervilpath_batch_pieces", Help: "Pieces in a call of a stage server.", Buckets: prometheus.ExponentialBuckets(1, 2, 8)}),
 		batchTook:     prometheus.NewHistogram(prometheus.HistogramOpts{Name: "chervilpath_batch_seconds", Help: "Time of a call of a stage server.", Buckets: timeBuckets}),
 	}
+	r.MustRegister(prometheus.NewCounterFunc(
+		prometheus.CounterOpts{Name: "chervilpath_log_lines_dropped_total", Help: "Log lines that did not fit into the queue before standard output."},
+		func() float64 { return float64(dropped()) },
+	))
 	r.MustRegister(m.version, m.storeCalls, m.storeFailures, m.requests, m.faults, m.took, m.batches, m.batchPieces, m.batchTook)
 	return m
 }
--- a/io/lines/lines.go
+++ b/io/lines/lines.go
@@ -7,10 +7,17 @@
 import (
 	"io"
 	"sync/atomic"
+	"time"
 )
 
-// maxWaiting is the most lines that wait to be written.
-const maxWaiting = 4096
+const (
+	// maxWaiting is the most lines that wait to be written.
+	maxWaiting = 4096
+
+	// closeTimeout bounds the wait for a reader of the log at the end of a
+	// process, which a planned stop has to end in its grace time.
+	closeTimeout = 200 * time.Millisecond
+)
 
 // Writer queues lines for another writer. Use New. It is safe for concurrent use.
 type Writer struct {
@@ -45,8 +52,14 @@
 // Dropped returns the number of lines that did not fit.
 func (w *Writer) Dropped() int64 { return w.dropped.Load() }
 
-// Close ends the writer after the lines that wait. Nothing may be written after.
-func (w *Writer) Close() { close(w.queue) }
-
-// Done is closed once all lines have been written after Close.
-func (w *Writer) Done() <-chan struct{} { return w.done }
+// Close ends the writer after the lines that wait, or when they cannot be
+// written for closeTimeout. Nothing may be written after.
+func (w *Writer) Close() {
+	close(w.queue)
+	t := time.NewTimer(closeTimeout)
+	defer t.Stop()
+	select {
+	case <-w.done:
+	case <-t.C:
+	}
+}
