Keep news of a large fleet in time: watchers by capacity, packed configurations, doubt only after an outage for all

Every follower asked the same one of the three watchers first, which were chosen without regard to their links (10 Mbit/s on some), so that each change filled those links for seconds, and owners did not answer either. Followers noticed a stale watcher only after their question had timed out, went back to it as soon as they had asked the store themselves, and read the whole list again each time. The failures of a single instance put the removals that it heard of off, again and again: i-a04f8d1d60 was believed 7.8 s after its entry was removed.

Change: instances that watch are chosen among the able ones, as owners are; followers spread over them; configurations go between instances compressed; staleness is looked at apart from questions; an instance follows again only when a peer has fresh news; entries that are missing may come back only if the store answered nobody for two heartbeats; what another instance is sure is removed is removed.

Ruled out: the store (reachable from the traced instances all the while).

--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -74,9 +74,13 @@
 		// missing holds the revision at which a server was first missed by a
 		// store that had been out of reach.
 		missing map[string]int64
-		// lost is when the store last failed, regained when it answered after.
-		lost, regained time.Time
-		revision       int64
+		// outage is the time without an answer of the store after which entries
+		// may have lapsed in it.
+		outage time.Duration
+		// answered is when the store last answered any instance, and doubtUntil
+		// how long what is missing now may still come back.
+		answered, doubtUntil time.Time
+		revision             int64
 		// generation grows with each change of what is believed of the servers.
 		generation int64
 		// removals are the latest ones; what was removed up to the revision
@@ -86,35 +90,33 @@
 	}
 )
 
-// New returns a view that knows no servers.
-func New() *View {
-	return &View{known: make(map[string]Server), missing: make(map[string]int64)}
+// New returns a view that knows no servers. Entries of live servers may be
+// missing after the store has answered nobody for as long as outage.
+func New(outage time.Duration) *View {
+	return &View{known: make(map[string]Server), missing: make(map[string]int64), outage: outage}
 }
 
 // Revision returns the store's revision up to which changes were taken.
 func (v *View) Revision() int64 { return v.revision }
 
-// Failed notes that the store did not answer.
-func (v *View) Failed(now time.Time) { v.lost = now }
-
-// Answered notes that the store answered.
-func (v *View) Answered(now time.Time) {
-	if !v.lost.IsZero() && !v.regained.After(v.lost) && now.After(v.lost) {
-		v.regained = now
+// Answered notes that the store answered some instance at a time. A failure
+// that only some instances see lets no entries lapse, so what counts is the
+// time in which nobody had an answer.
+func (v *View) Answered(now, at time.Time) {
+	if !v.answered.IsZero() && at.Sub(v.answered) > v.outage {
+		v.doubtUntil = now.Add(lapse)
+	}
+	if at.After(v.answered) {
+		v.answered = at
 	}
 }
 
 // doubtful reports whether entries that are missing now may come back.
-func (v *View) doubtful(now time.Time) bool {
-	if v.lost.IsZero() {
-		return false
-	}
-	return v.regained.Before(v.lost) || now.Sub(v.regained) < lapse
-}
+func (v *View) doubtful(now time.Time) bool { return now.Before(v.doubtUntil) }
 
 // Replace takes the whole list as of a revision and returns the ids that went.
 func (v *View) Replace(now time.Time, servers []Server, revision int64) []string {
-	v.Answered(now)
+	v.Answered(now, now)
 	if revision < v.revision {
 		return nil
 	}
@@ -172,7 +174,7 @@
 // Expire removes entries that stayed missing after the store's return and
 // returns their ids.
 func (v *View) Expire(now time.Time) []string {
-	if v.doubtful(now) {
+	if v.doubtful(now) || now.Sub(v.answered) > v.outage {
 		return nil
 	}
 	var gone []string
@@ -254,7 +256,7 @@
 		}
 	}
 	for id, at := range v.missing {
-		if at > revision {
+		if out.Whole || at > revision {
 			out.Missing = append(out.Missing, id)
 		}
 	}
@@ -274,24 +276,45 @@
 	if c.Revision <= v.revision {
 		return nil
 	}
-	if len(c.Missing) > 0 {
-		v.lost, v.regained = now, now
-	}
+	v.revision = c.Revision
+	gone := c.Removed
 	if c.Whole {
-		return v.Replace(now, c.Servers, c.Revision)
+		gone = v.unlisted(c)
+	}
+	if len(c.Missing) > 0 && v.doubtUntil.Before(now.Add(lapse)) {
+		v.doubtUntil = now.Add(lapse)
 	}
-	v.revision = c.Revision
-	var gone []string
 	for _, id := range c.Missing {
 		v.Remove(now, id)
 	}
-	for _, id := range c.Removed {
-		if v.Remove(now, id) {
-			gone = append(gone, id)
+	var out []string
+	for _, id := range gone {
+		// The other instance does not expect it to come back.
+		if _, ok := v.known[id]; ok {
+			v.forget(id)
+			out = append(out, id)
 		}
 	}
 	for _, s := range c.Servers {
 		v.Set(s)
 	}
-	return gone
+	return out
+}
+
+// unlisted returns the known servers that a whole list no longer names.
+func (v *View) unlisted(c Changes) []string {
+	listed := make(map[string]bool, len(c.Servers)+len(c.Missing))
+	for _, s := range c.Servers {
+		listed[s.ID] = true
+	}
+	for _, id := range c.Missing {
+		listed[id] = true
+	}
+	var out []string
+	for id := range v.known {
+		if !listed[id] {
+			out = append(out, id)
+		}
+	}
+	return out
 }
--- a/core/relay/stop_test.go
+++ b/core/relay/stop_test.go
@@ -63,7 +63,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	view := fleet.New()
+	view := fleet.New(time.Second)
 	view.Replace(time.Now(), []fleet.Server{{ID: "e-1", Service: "llm", Address: "a:1"}}, 1)
 	stopping, stop := context.WithCancel(t.Context())
 	deps := Deps{
--- a/core/settings/site.go
+++ b/core/settings/site.go
@@ -27,6 +27,8 @@
 	Bounds struct {
 		// Drain is the time after which a leaving server gets nothing more.
 		Drain time.Duration
+		// Heartbeat is the time between two reports of a server to the store.
+		Heartbeat time.Duration
 		// Config is the time in which a configuration is in force.
 		Config time.Duration
 		// Grace is the time from SIGTERM to SIGKILL.
@@ -69,6 +71,7 @@
 			Options: []option.Option{
 				{Key: "drain", Kind: option.Duration, Default: "2s", Min: 0.1, Max: 600, Doc: "Time after which a leaving server gets nothing more."},
 				{Key: "config", Kind: option.Duration, Default: "2s", Min: 0.1, Max: 600, Doc: "Time in which a configuration is in force."},
+				{Key: "heartbeat", Kind: option.Duration, Default: "1200ms", Min: 0.01, Max: 600, Doc: "Time between two reports of a server to the store."},
 				{Key: "grace", Kind: option.Duration, Default: "8s", Min: 0.5, Max: 3600, Doc: "Time from SIGTERM until the process is killed."},
 				{Key: "repeatRatio", Kind: option.Number, Default: "0.1", Min: 0, Max: 10, Doc: "Repeats that all instances together may send to a service, as a part of its requests."},
 				{Key: "repeatWindow", Kind: option.Duration, Default: "10s", Min: 0.1, Max: 600, Doc: "Time over which repeats are counted."},
@@ -122,7 +125,7 @@
 		seeds: site.List("seeds"), logLevel: site.Text("logLevel"), store: found["store"].Text("address"),
 		weight: min(machine.Number("cores"), machine.Number("linkMbps")/mbpsPerCore),
 		bounds: Bounds{
-			Drain: bounds.Duration("drain"), Config: bounds.Duration("config"),
+			Drain: bounds.Duration("drain"), Config: bounds.Duration("config"), Heartbeat: bounds.Duration("heartbeat"),
 			Grace: bounds.Duration("grace"), RepeatRatio: bounds.Number("repeatRatio"),
 			RepeatSlack: bounds.Number("repeatSlack"), RepeatWindow: bounds.Duration("repeatWindow"),
 		},
--- a/edge/beliefs.go
+++ b/edge/beliefs.go
@@ -34,6 +34,14 @@
 	// the store within it.
 	stalePart = 0.65
 
+	// Entries of live servers lapse after three heartbeats of silence, one of
+	// which may pass before an outage of the store: one of lapseBeats is needed.
+	lapseBeats = 2
+
+	// maxSpec is the largest configuration that is taken from another instance,
+	// in bytes: above the largest value of the store.
+	maxSpec = 4 << 20
+
 	// maxNewsWait bounds the wait of a peer for news.
 	maxNewsWait = time.Second
 )
@@ -48,9 +56,10 @@
 
 		mu   sync.Mutex
 		view *fleet.View
-		// spec is the configuration in force as it was read.
-		spec      []byte
-		confirmed time.Time
+		// spec is the configuration in force as it was read, and packed what
+		// other instances are told of it; one of them may be nil.
+		spec, packed []byte
+		confirmed    time.Time
 		// changed is closed and replaced at each change that peers are told of.
 		changed   chan struct{}
 		instances int
@@ -61,7 +70,7 @@
 
 func newBeliefs(n *Instance) *beliefs {
 	b := &beliefs{
-		instance: n, view: fleet.New(), instances: 1, changed: make(chan struct{}),
+		instance: n, view: fleet.New(lapseBeats * n.cfg.Load().Bounds().Heartbeat), instances: 1, changed: make(chan struct{}),
 		plains: make(map[string]*stage.Stage), repeats: make(map[string]*retry.Share),
 	}
 	b.snapshot.Store(b.view.Snapshot())
@@ -92,6 +101,7 @@
 func (b *beliefs) confirm(at time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	b.view.Answered(time.Now(), at)
 	if at.After(b.confirmed) {
 		b.confirmed = at
 	}
@@ -107,6 +117,16 @@
 	return time.Since(b.confirmed)
 }
 
+// acceptPacked takes a configuration that another instance tells.
+func (b *beliefs) acceptPacked(packed []byte, from string) {
+	spec, err := peer.Unpack(packed, maxSpec)
+	if err != nil {
+		b.instance.log.Warn("configuration of a peer refused", zap.String("from", from), zap.Error(err))
+		return
+	}
+	b.accept(spec, from)
+}
+
 // accept takes a configuration if it is newer and whole.
 func (b *beliefs) accept(spec []byte, from string) {
 	table, err := platform.Config(spec)
@@ -121,7 +141,7 @@
 		return
 	}
 	b.current.Store(table)
-	b.spec = spec
+	b.spec, b.packed = spec, nil
 	b.wake()
 	b.spread()
 	b.mu.Unlock()
@@ -167,17 +187,12 @@
 	}
 }
 
-// storeAnswered and storeFailed note what the store did.
+// storeAnswered notes that the store answered this instance.
 func (b *beliefs) storeAnswered() {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.view.Answered(time.Now())
-}
-
-func (b *beliefs) storeFailed() {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.view.Failed(time.Now())
+	now := time.Now()
+	b.view.Answered(now, now)
 }
 
 func (b *beliefs) setInstances(count int) {
@@ -283,7 +298,10 @@
 	defer b.mu.Unlock()
 	out.Confirmed, out.Age = !b.confirmed.IsZero(), time.Since(b.confirmed)
 	if t := b.current.Load(); t != nil && t.Version() > a.Version {
-		out.Configuration, any = b.spec, true
+		if b.packed == nil {
+			b.packed = peer.Pack(b.spec)
+		}
+		out.Configuration, any = b.packed, true
 	}
 	if changes := b.view.Since(a.ServersRevision); changes.Revision > a.ServersRevision {
 		data, err := json.Marshal(changes)
@@ -298,13 +316,10 @@
 // hear takes the news of another instance.
 func (b *beliefs) hear(from string, n peer.News) {
 	if len(n.Configuration) > 0 {
-		b.accept(n.Configuration, from)
+		b.acceptPacked(n.Configuration, from)
 	}
 	if n.Confirmed {
 		b.confirm(time.Now().Add(-n.Age))
-		if n.Age < b.part(stalePart) {
-			b.storeAnswered()
-		}
 	}
 	if len(n.Servers) == 0 {
 		b.expire()
--- a/edge/follow.go
+++ b/edge/follow.go
@@ -71,7 +71,7 @@
 	revision, failures := int64(0), 0
 	lost := false
 	for ctx.Err() == nil {
-		if !f.instance.direct.Load() {
+		if !f.instance.watches() {
 			// The changes in between are read again, or come from peers.
 			revision = 0
 			f.instance.pause(ctx, idleWatcher)
@@ -110,7 +110,6 @@
 		}
 		lost = true
 		f.instance.metrics.storeFailures.Inc()
-		f.instance.beliefs.storeFailed()
 		f.sleep(ctx, min(maxBackoff, minBackoff<<min(failures, 8)))
 		failures++
 	}
@@ -189,6 +188,7 @@
 		return 0, err
 	}
 	n.beliefs.change(func(v *fleet.View, now time.Time) {
+		v.Answered(now, now)
 		v.Advance(revision)
 		for _, c := range changes {
 			n.takeServer(v, now, c)
@@ -220,7 +220,8 @@
 // ctx is done. While none of them has what the store confirmed of late, the
 // instance watches the store itself.
 func (n *Instance) followPeers(ctx context.Context) {
-	next := 0
+	// The instances spread over those that watch.
+	next := xxhash.Sum64String(n.incarnation)
 	for ctx.Err() == nil {
 		others := n.watchers()
 		if others == nil {
@@ -228,29 +229,31 @@
 			n.pause(ctx, n.beliefs.part(followPart))
 			continue
 		}
-		if !n.beliefs.stale() && n.direct.CompareAndSwap(true, false) {
-			n.log.Info("following peers", zap.Strings("watchers", others))
-		}
-		if !n.ask(ctx, others[next%len(others)], n.beliefs.part(followPart)) {
+		if !n.ask(ctx, others[next%uint64(len(others))], n.beliefs.part(followPart)) {
 			next++
 			n.pause(ctx, minBackoff)
+			continue
 		}
-		if n.beliefs.stale() && n.direct.CompareAndSwap(false, true) {
-			n.log.Warn("peers do not have what the store confirmed", zap.Duration("age", n.beliefs.age()))
+		if n.direct.CompareAndSwap(true, false) {
+			n.log.Info("following peers", zap.Strings("watchers", others))
 		}
 	}
 }
 
+// watches reports whether this instance is to watch the store itself: if it
+// does so for others, or if they do not have what the store confirmed.
+func (n *Instance) watches() bool {
+	if n.beliefs.stale() && n.direct.CompareAndSwap(false, true) {
+		n.log.Warn("peers do not have what the store confirmed", zap.Duration("age", n.beliefs.age()))
+	}
+	return n.direct.Load()
+}
+
 // watchers returns the addresses of the instances that watch the store for
 // all, or nil if this is one of them or none is known.
 func (n *Instance) watchers() []string {
 	rank := func(m member.Member) uint64 { return xxhash.Sum64String(m.Name) }
-	var live []member.Member
-	for _, m := range n.members.List() {
-		if m.State == member.Live {
-			live = append(live, m)
-		}
-	}
+	live := able(n.members.List(), func(m member.Member) bool { return m.State == member.Live })
 	slices.SortFunc(live, func(a, b member.Member) int { return cmp.Compare(rank(b), rank(a)) })
 	var out []string
 	for _, m := range live[:min(storeWatchers, len(live))] {
--- a/edge/owners.go
+++ b/edge/owners.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"sync"
 	"time"
 
@@ -28,8 +29,8 @@
 	// does the work itself.
 	maxOwners = 2
 
-	// ownerPart is the capacity of an owner at least, as a part of the most that
-	// any instance has.
+	// ownerPart is the capacity at least of an instance that works for others, as
+	// a part of the most that any instance has.
 	ownerPart = 0.5
 
 	// freeTimeout bounds the call that gives results up.
@@ -86,21 +87,11 @@
 // is this one. Owners are chosen among the instances of most capacity.
 func (o *owners) owner(service string) string {
 	now := time.Now()
-	var able []member.Member
-	most := 0.0
-	for _, m := range o.instance.members.List() {
-		self := m.ID == o.instance.incarnation
-		if m.State != member.Live || !self && o.isShunned(m.Address, now) {
-			continue
-		}
-		able = append(able, m)
-		most = max(most, m.Weight)
-	}
+	candidates := able(o.instance.members.List(), func(m member.Member) bool {
+		return m.State == member.Live && (m.ID == o.instance.incarnation || !o.isShunned(m.Address, now))
+	})
 	best, bestRank := "", uint64(0)
-	for _, m := range able {
-		if m.Weight < ownerPart*most {
-			continue
-		}
+	for _, m := range candidates {
 		if rank := xxhash.Sum64String(service + "\x00" + m.Name); best == "" || rank > bestRank {
 			best, bestRank = m.Address, rank
 		}
@@ -111,6 +102,17 @@
 	return best
 }
 
+// able returns the chosen members that have at least ownerPart of the most
+// capacity of all chosen ones.
+func able(members []member.Member, chosen func(member.Member) bool) []member.Member {
+	members = slices.DeleteFunc(slices.Clone(members), func(m member.Member) bool { return !chosen(m) })
+	most := 0.0
+	for _, m := range members {
+		most = max(most, m.Weight)
+	}
+	return slices.DeleteFunc(members, func(m member.Member) bool { return m.Weight < ownerPart*most })
+}
+
 func (o *owners) isShunned(address string, now time.Time) bool {
 	o.mu.Lock()
 	defer o.mu.Unlock()
--- a/io/peer/site.go
+++ b/io/peer/site.go
@@ -26,6 +26,7 @@
 	// News is what an instance knows of the configuration and the servers, as
 	// far as the one who asks does not.
 	News struct {
+		// Configuration is compressed by Pack.
 		Configuration []byte
 		Servers       []byte
 		// Confirmed is set if the store ever confirmed the news, Age ago.
--- a/node/watch.go
+++ b/node/watch.go
@@ -23,6 +23,10 @@
 	// an endpoint that leaves gets no new work.
 	listWait = 2 * time.Second
 
+	// listOutage is the time without an answer of the store after which entries
+	// of live servers may be missing: two of their reports.
+	listOutage = 2400 * time.Millisecond
+
 	// listRetry is the longest wait after a failed call for the list.
 	listRetry = time.Second
 
@@ -54,7 +58,7 @@
 // it listed and lists no more. While the platform does not answer, the last list
 // stays.
 func (n *Instance) followList(ctx context.Context) {
-	view, listed := fleet.New(), make(map[string]string)
+	view, listed := fleet.New(listOutage), make(map[string]string)
 	revision, last := int64(0), ""
 	for ctx.Err() == nil {
 		next, err := n.readList(ctx, view, revision)
@@ -65,7 +69,6 @@
 			continue
 		case err != nil:
 			n.log.Debug("list of servers not read", zap.Error(err))
-			view.Failed(time.Now())
 			n.sleep(ctx, jitter(listRetry))
 			continue
 		}
@@ -98,7 +101,7 @@
 		if changes, next, err = n.store.WatchServers(ctx, revision, listWait); err != nil {
 			return err
 		}
-		view.Answered(time.Now())
+		view.Answered(time.Now(), time.Now())
 		view.Advance(next)
 		for _, c := range changes {
 			if servers := n.decodeServers([]object.Object{c.Object}); !c.Removed && len(servers) == 1 {
