Plan stages by observed times, first attempts by their whole aim; late pieces wait for their zone

Most pieces left their zone because their due time had passed, though 875 of 889 requests kept their aim: callers wait for times that differ by 15 %, and the relay took each that waits less than the longest wait seen for one that had come back. Due times also counted later stages without their wait.

Change: the wait of first attempts is a low quantile; the time after a stage is the observed median of the following ones (core/estimate, their wait included) and what 95 of 100 first events stay below; a piece that cannot keep its aim waits for a server of its zone up to its deadline.

--- a/core/gather/choose.go
+++ b/core/gather/choose.go
@@ -47,14 +47,19 @@
 }
 
 // zoneLater reports whether a server in the item's zone will be open early
-// enough.
+// enough. An item that cannot keep its aim loses nothing by waiting, as long as
+// it is done by its deadline.
 func (q *Queue) zoneLater(now time.Time, it *Item) bool {
+	by := it.Due
+	if now.Add(q.pieces.CallTime).After(by) {
+		by = it.Deadline
+	}
 	for _, s := range q.order {
 		if s.Zone != it.Zone || now.Before(s.until) || len(s.calls) == 0 {
 			continue
 		}
 		took := time.Duration(float64(q.pieces.CallTime+q.pieces.ItemTime) * max(1, s.slowness))
-		if end := s.ends(); end.After(now) && end.Add(took+zoneMargin).Before(it.Due) {
+		if end := s.ends(); end.After(now) && end.Add(took+zoneMargin).Before(by) {
 			return true
 		}
 	}
--- a/core/relay/engine.go
+++ b/core/relay/engine.go
@@ -15,9 +15,8 @@
 
 const (
 	// firstGuess is the time from a send to an engine to its first event before
-	// any has been observed, and firstWeight the weight of the newest one.
-	firstGuess  = 300 * time.Millisecond
-	firstWeight = 0.1
+	// any has been observed.
+	firstGuess = 300 * time.Millisecond
 
 	// maxRemakes is how often the stages of a request are done again because
 	// their results are gone.
@@ -261,22 +260,15 @@
 
 // observeFirst learns from the time to the first event.
 func (u *run) observeFirst(took time.Duration) {
-	r := u.relay
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	l := r.learnt(u.route.Name)
-	if l.first == 0 {
-		l.first = took
-	}
-	l.first += time.Duration(firstWeight * float64(took-l.first))
+	u.relay.mu.Lock()
+	defer u.relay.mu.Unlock()
+	u.learnt().first.Observe(u.now(), took, 1, 1)
 }
 
-// expectFirst returns the time from a send to the first event.
+// expectFirst returns the time from a send to the first event, which few
+// requests exceed.
 func (u *run) expectFirst() time.Duration {
 	u.relay.mu.Lock()
 	defer u.relay.mu.Unlock()
-	if l := u.relay.learnt(u.route.Name); l.first > 0 {
-		return l.first
-	}
-	return firstGuess
+	return u.learnt().first.High()
 }
--- a/core/relay/relay.go
+++ b/core/relay/relay.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"chervilpath/core/declare"
+	"chervilpath/core/estimate"
 	"chervilpath/core/fault"
 	"chervilpath/core/route"
 )
@@ -38,6 +39,12 @@
 	// sizeWeight is the weight of the newest request in the mean size.
 	sizeWeight = 0.02
 
+	// waitQuantile is the part of callers that wait less than what first attempts
+	// are taken to wait, and waitStep moves that by each request, as a part of
+	// its wait: the waits of first attempts differ.
+	waitQuantile = 0.1
+	waitStep     = 0.02
+
 	// answerMargin is kept free at the end of a request's time, so that its
 	// answer reaches the caller.
 	answerMargin = 15 * time.Millisecond
@@ -65,13 +72,15 @@
 
 	// learnt is what is known of the requests of one route.
 	learnt struct {
-		// wait is the longest time that a caller said it waits. Callers that
-		// come back after a refusal say less.
+		// wait is a low quantile of the times that callers say they wait. Those
+		// that come back after a refusal say less.
 		wait time.Duration
 		// size is the mean size of requests in tokens.
 		size float64
-		// first is the time from the send to an engine to its first event.
-		first time.Duration
+		// first is the time from the send to an engine to its first event, and
+		// stages that of each stage with its wait.
+		first  *estimate.Stage
+		stages []*estimate.Stage
 	}
 
 	// run is one request on its way.
@@ -222,7 +231,8 @@
 	return wait
 }
 
-// spent returns how much of its time a caller used up before this attempt.
+// spent returns how much of its time a caller has at least used up before this
+// attempt.
 func (r *Relay) spent(rt *route.Route, wait time.Duration) time.Duration {
 	if wait <= 0 {
 		return 0
@@ -230,8 +240,17 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	l := r.learnt(rt.Name)
-	l.wait = max(l.wait, wait)
-	return l.wait - wait
+	if l.wait == 0 {
+		l.wait = wait
+	}
+	spent := max(0, l.wait-wait)
+	step := waitStep * float64(wait)
+	if wait < l.wait {
+		l.wait -= time.Duration(step * (1 - waitQuantile))
+	} else {
+		l.wait += time.Duration(step * waitQuantile)
+	}
+	return spent
 }
 
 // worth returns what the request is worth to its caller against others, by its
--- a/core/relay/stages.go
+++ b/core/relay/stages.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"chervilpath/core/estimate"
 	"chervilpath/core/fault"
 )
 
@@ -81,12 +82,14 @@
 		w.Key = u.req.PieceKey
 	}
 	w.Zone, w.Moved = s.home(i, inputs)
+	began := u.now()
 	handles, err := u.relay.deps.Work(ctx, w)
 	s.log(i, w, err)
 	if err != nil {
 		s.fail(i, err)
 		return
 	}
+	u.observeStage(i, u.now().Sub(began))
 	s.mu.Lock()
 	s.handles[i] = handles
 	s.mu.Unlock()
@@ -151,7 +154,7 @@
 			if a != i || u.req.Pieces[j] == 0 {
 				continue
 			}
-			longest = max(longest, s.takes(j)+s.after(j))
+			longest = max(longest, u.expectStage(j)+s.after(j))
 		}
 	}
 	if longest > 0 {
@@ -160,14 +163,40 @@
 	return u.expectFirst()
 }
 
-// takes returns the time of a call with the pieces of one request.
-func (s *stageRun) takes(j int) time.Duration {
-	u := s.run
+// learnt returns what is known of the request's route, with an estimate for
+// each of its stages. The caller holds the relay's mu.
+func (u *run) learnt() *learnt {
+	l := u.relay.learnt(u.route.Name)
+	if l.first == nil {
+		l.first = estimate.New(u.now(), firstGuess)
+	}
+	for len(l.stages) < len(u.route.Stages) {
+		l.stages = append(l.stages, estimate.New(u.now(), u.guessStage(len(l.stages))))
+	}
+	return l
+}
+
+// guessStage returns the time of a full call of a stage's service.
+func (u *run) guessStage(j int) time.Duration {
 	svc, ok := u.table.Service(u.route.Stages[j].Service)
 	if !ok || svc.Pieces == nil {
 		return 0
 	}
-	return svc.Pieces.CallTime + time.Duration(u.req.Pieces[j])*svc.Pieces.ItemTime
+	return svc.Pieces.CallTime + time.Duration(svc.Pieces.Batch)*svc.Pieces.ItemTime
+}
+
+// observeStage learns from the time that a stage took with its wait.
+func (u *run) observeStage(j int, took time.Duration) {
+	u.relay.mu.Lock()
+	defer u.relay.mu.Unlock()
+	u.learnt().stages[j].Observe(u.now(), took, 1, 1)
+}
+
+// expectStage returns the time that half of the requests need for a stage.
+func (u *run) expectStage(j int) time.Duration {
+	u.relay.mu.Lock()
+	defer u.relay.mu.Unlock()
+	return u.learnt().stages[j].Median()
 }
 
 // freeUsed gives up the results that only stage i needed.
