--- a/core/relay/stages.go
+++ b/core/relay/stages.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"slices"
 	"strconv"
 	"sync"
@@ -11,6 +12,10 @@
 	"chervilpath/core/fault"
 )
 
+// expiryMargin is kept before results are given up: what is known of when they
+// were made is as old as an answer between two instances.
+const expiryMargin = 200 * time.Millisecond
+
 // stageRun is the stages of one request while they are done.
 type stageRun struct {
 	run  *run
@@ -19,6 +24,8 @@
 	// are there or the stages were given up.
 	handles [][]string
 	done    []chan struct{}
+	// expires holds when the results of each stage are no longer kept.
+	expires []time.Time
 	cancel  context.CancelFunc
 
 	mu  sync.Mutex
@@ -38,7 +45,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	n := len(u.route.Stages)
-	s := &stageRun{run: u, zone: zone, handles: make([][]string, n), done: make([]chan struct{}, n), cancel: cancel}
+	s := &stageRun{run: u, zone: zone, handles: make([][]string, n), done: make([]chan struct{}, n), expires: make([]time.Time, n), cancel: cancel}
 	for i := range s.done {
 		s.done[i] = make(chan struct{})
 	}
@@ -81,6 +88,7 @@
 	if len(inputs) == 0 {
 		w.Key = u.req.PieceKey
 	}
+	w.Left = min(w.Left, s.inputsLast(i))
 	w.Zone, w.Moved = s.home(i, inputs)
 	began := u.now()
 	handles, err := u.relay.deps.Work(ctx, w)
@@ -92,10 +100,33 @@
 	u.observeStage(i, u.now().Sub(began))
 	s.mu.Lock()
 	s.handles[i] = handles
+	s.expires[i] = u.now().Add(u.keeps(i) - expiryMargin)
 	s.mu.Unlock()
 	s.freeUsed(i)
 }
 
+// inputsLast returns how long the inputs of stage i are kept: a piece that
+// begins later finds them gone.
+func (s *stageRun) inputsLast(i int) time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	last := time.Duration(math.MaxInt64)
+	for _, before := range s.run.route.Stages[i].After {
+		if s.run.req.Pieces[before] > 0 {
+			last = min(last, s.expires[before].Sub(s.run.now()))
+		}
+	}
+	return last
+}
+
+// keeps returns how long the results of a stage are kept at their server.
+func (u *run) keeps(i int) time.Duration {
+	if svc, ok := u.table.Service(u.route.Stages[i].Service); ok && svc.Pieces != nil && svc.Pieces.ResultLife > 0 {
+		return svc.Pieces.ResultLife
+	}
+	return math.MaxInt64 / 2
+}
+
 // log notes how a stage went.
 func (s *stageRun) log(i int, w Work, err error) {
 	u := s.run
