Soak the product's processes under faults from outside

Stand-ins of platform/stand, a proxy on each link, faults by seed, and a judge of seven promises that reads only what callers, servers and the operator saw.

SIGHUP is taken from the beginning of the entry command: one that came before the settings were read ended the process (read in the code, not seen).

--- a/cmd/entry.go
+++ b/cmd/entry.go
@@ -27,8 +27,9 @@
 	return subcommand{
 		name: "entry", short: "Serve callers as one entry instance",
 		long: `Serves callers until SIGTERM or Ctrl-C. It then fails its readiness, lets
-requests in flight end, and hands its keys to another instance. A second
-signal ends it at once.
+requests in flight end, and hands its keys to another instance. For
+pipelines a second signal ends it at once; on the users' platform, where a
+kill follows anyway, later ones are ignored.
 
 Example:
   chervilpath entry --settings /etc/chervilpath/entry.ini`,
@@ -38,6 +39,11 @@
 
 // Execute implements flags.Commander.
 func (c *entryCommand) Execute([]string) error {
+	// A signal that comes before the settings have been read must not end the
+	// process.
+	changed := make(chan os.Signal, 1)
+	signal.Notify(changed, syscall.SIGHUP)
+	defer signal.Stop(changed)
 	file := c.Settings
 	if file == "" {
 		file = os.Getenv(platform.SettingsVariable)
@@ -50,7 +56,7 @@
 		return &exitError{exitInvalid, fmt.Errorf("reading settings: %w", err)}
 	}
 	if settings.IsSite(data) {
-		return c.runSite(file, data)
+		return c.runSite(file, data, changed)
 	}
 	cfg, err := settings.ParseEntry(file, data, os.ReadFile)
 	if err != nil {
@@ -76,14 +82,11 @@
 }
 
 // runSite serves the callers of the users' platform.
-func (c *entryCommand) runSite(file string, data []byte) error {
+func (c *entryCommand) runSite(file string, data []byte, changed <-chan os.Signal) error {
 	cfg, err := settings.ParseSite(file, data)
 	if err != nil {
 		return &exitError{exitInvalid, err}
 	}
-	changed := make(chan os.Signal, 1)
-	signal.Notify(changed, syscall.SIGHUP)
-	defer signal.Stop(changed)
 	out := lines.New(c.out)
 	log, err := newLogger(out, cfg.LogLevel())
 	if err != nil {
--- /dev/null
+++ b/soak/main.go
@@ -0,0 +1,121 @@
+// Command soak runs the product's processes against stand-ins under faults and
+// checks its promises by what callers, servers and the operator saw.
+//
+//	go run ./soak --seed 7 --duration 1m --instances 4
+//
+// It owns the faults and the judgement. It starts processes on loopback only
+// and ends those that it started, by their ids. It exits with 1 if a promise
+// was broken; the same seed draws the same faults at the same times.
+package main
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"time"
+
+	"github.com/jessevdk/go-flags"
+)
+
+type options struct {
+	Seed      uint64        `long:"seed" default:"1" description:"Seed of the faults and the callers"`
+	Duration  time.Duration `long:"duration" default:"30s" description:"How long faults strike"`
+	Instances int           `long:"instances" default:"4" description:"Number of instances"`
+	Callers   int           `long:"callers" default:"12" description:"Number of callers at the same time"`
+	Port      int           `long:"port" default:"18000" description:"First of three ports for each instance"`
+	Keep      bool          `long:"keep" description:"Keep the folder with settings and logs"`
+	Quiet     bool          `long:"quiet" description:"Do not print faults"`
+}
+
+const (
+	startTimeout = 30 * time.Second
+
+	// settleTime is how long callers go on after the last fault.
+	settleTime = 4 * time.Second
+)
+
+func main() {
+	var o options
+	if _, err := flags.Parse(&o); err != nil {
+		os.Exit(2)
+	}
+	broken, err := soak(o, os.Stdout)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(2)
+	}
+	if len(broken) > 0 {
+		os.Exit(1)
+	}
+}
+
+// soak runs once and returns the broken promises.
+func soak(o options, out io.Writer) (broken []string, err error) {
+	dir, err := os.MkdirTemp("", "soak")
+	if err != nil {
+		return nil, fmt.Errorf("making a folder: %w", err)
+	}
+	if o.Keep {
+		_, _ = fmt.Fprintln(out, "settings and logs in", dir)
+	} else {
+		defer func() { _ = os.RemoveAll(dir) }()
+	}
+	binary := filepath.Join(dir, "chervilpath")
+	build := exec.Command("go", "build", "-o", binary, "chervilpath")
+	if text, err := build.CombinedOutput(); err != nil {
+		return nil, fmt.Errorf("building the product: %w\n%s", err, text)
+	}
+	w, err := newWorld(dir, binary, o.Instances, o.Port)
+	if err != nil {
+		return nil, err
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), startTimeout)
+	err = w.waitReady(ctx)
+	cancel()
+	if err == nil {
+		w.run(o, out)
+	}
+	if closeErr := w.close(); err == nil {
+		err = closeErr
+	}
+	if err != nil {
+		return nil, err
+	}
+	broken = w.judge.verdict()
+	answered := 0
+	for _, r := range w.judge.requests {
+		if r.status == 200 {
+			answered++
+		}
+	}
+	_, _ = fmt.Fprintf(out, "seed %d: %d requests, %d answered, %d versions, %d broken promises\n", o.Seed, len(w.judge.requests), answered, len(w.judge.versions), len(broken))
+	for _, b := range broken {
+		_, _ = fmt.Fprintln(out, "BROKEN", b)
+	}
+	return broken, nil
+}
+
+// run has callers call while faults strike, and some time after.
+func (w *world) run(o options, out io.Writer) {
+	var wg sync.WaitGroup
+	began := time.Now()
+	calls, stopCalls := context.WithTimeout(context.Background(), o.Duration+settleTime)
+	defer stopCalls()
+	for i := range o.Callers {
+		rng := rand.New(rand.NewPCG(o.Seed, uint64(i+1)))
+		wg.Go(func() { w.call(calls, i, rng) })
+	}
+	strikes, stopStrikes := context.WithTimeout(context.Background(), o.Duration)
+	defer stopStrikes()
+	w.plague(strikes, rand.New(rand.NewPCG(o.Seed, 0)), func(format string, args ...any) {
+		if !o.Quiet {
+			_, _ = fmt.Fprintf(out, "%7.3f %s\n", time.Since(began).Seconds(), fmt.Sprintf(format, args...))
+		}
+	})
+	wg.Wait()
+}
