--- a/core/once/ask.go
+++ b/core/once/ask.go
@@ -13,7 +13,7 @@
 	if o, ok := k.table.look(tableKey(a)); ok {
 		return o, nil
 	}
-	r, err := recorded(ctx, k.seams.Store, owner, tableKey(a))
+	r, err := recorded(ctx, k.deps.Store, owner, tableKey(a))
 	if err != nil {
 		return unknown("the instance that owned the key is gone and left no record"), nil
 	}
@@ -26,7 +26,7 @@
 // Ask returns what is known of a key without running anything. Its owner is
 // asked if it lives.
 func (k *Keeper) Ask(ctx context.Context, organisation, key string) (Outcome, error) {
-	a := Attempt{Organisation: organisation, Key: key, Deadline: k.seams.Now().Add(askLimit), AskOnly: true}
+	a := Attempt{Organisation: organisation, Key: key, Deadline: k.deps.Now().Add(queryTimeout), AskOnly: true}
 	t, isTicket, err := k.issuer.parse(key)
 	if err != nil {
 		return Outcome{}, err
@@ -36,7 +36,7 @@
 		if o, ok := k.table.look(tableKey(a)); ok {
 			return o, nil
 		}
-		c, err := readClaim(ctx, k.seams.Store, claimName(organisation, key))
+		c, err := readClaim(ctx, k.deps.Store, claimName(organisation, key))
 		switch {
 		case errors.Is(err, object.ErrNotFound):
 			return Outcome{}, unused()
@@ -56,7 +56,7 @@
 func (k *Keeper) askHere(ctx context.Context, owner Owner, a Attempt) (Outcome, error) {
 	o, err := k.known(ctx, owner, a)
 	t, isTicket, _ := k.issuer.parse(a.Key)
-	if err == nil && o.State == Unknown && isTicket && k.seams.Now().Before(t.Expires) {
+	if err == nil && o.State == Unknown && isTicket && k.deps.Now().Before(t.Expires) {
 		if _, held := k.table.look(tableKey(a)); !held {
 			return Outcome{}, unused()
 		}
--- a/core/once/keeper.go
+++ b/core/once/keeper.go
@@ -21,8 +21,8 @@
 		AskOnly bool
 	}
 
-	// Seams are what a Keeper uses of the world around it.
-	Seams struct {
+	// Deps are what a Keeper depends on.
+	Deps struct {
 		Now   func() time.Time
 		NewID func() string
 		Store object.Store
@@ -40,10 +40,10 @@
 	Config struct {
 		Owner  Owner
 		Secret []byte
-		// TicketLife is how long a ticket can be used.
-		TicketLife time.Duration
-		// Remember is how long an outcome is held in memory.
-		Remember time.Duration
+		// TicketTTL is how long a ticket can be used.
+		TicketTTL time.Duration
+		// Retention is how long an outcome is held in memory.
+		Retention time.Duration
 		// Limit is the most keys held in memory.
 		Limit int
 	}
@@ -51,7 +51,7 @@
 	// Keeper answers attempts. Use New. It is safe for concurrent use.
 	Keeper struct {
 		cfg    Config
-		seams  Seams
+		deps   Deps
 		issuer *Issuer
 		table  *Table
 
@@ -74,11 +74,11 @@
 	// maxRun is the longest deadline of a request.
 	maxRun = 10 * time.Minute
 
-	// maxMoves bounds how often keys are followed from one owner to the next.
-	maxMoves = 16
+	// maxRedirects bounds how often keys are followed from one owner to the next.
+	maxRedirects = 16
 
-	// askLimit bounds a question for an outcome.
-	askLimit = 2 * time.Second
+	// queryTimeout bounds a question for an outcome.
+	queryTimeout = 2 * time.Second
 )
 
 // ErrOwnerGone means that a key's owner does not answer.
@@ -87,13 +87,13 @@
 // New returns a keeper that owns no keys yet. Outcomes are held for at least as
 // long as a ticket can be used and a request can run: a ticket whose outcome
 // was forgotten too early would run again.
-func New(cfg Config, seams Seams) *Keeper {
-	cfg.Remember = max(cfg.Remember, cfg.TicketLife+maxRun)
+func New(cfg Config, deps Deps) *Keeper {
+	cfg.Retention = max(cfg.Retention, cfg.TicketTTL+maxRun)
 	return &Keeper{
 		cfg:        cfg,
-		seams:      seams,
+		deps:       deps,
 		issuer:     NewIssuer(cfg.Secret),
-		table:      NewTable(cfg.Remember, cfg.Limit),
+		table:      NewTable(cfg.Retention, cfg.Limit),
 		adopted:    make(map[string]bool),
 		moved:      make(map[string]Owner),
 		unanswered: make(map[string][]string),
@@ -106,8 +106,8 @@
 // Issue returns a ticket for an organisation and the time at which it expires.
 // It needs no store.
 func (k *Keeper) Issue(organisation string) (string, time.Time, error) {
-	expires := k.seams.Now().Add(k.cfg.TicketLife).UTC().Truncate(time.Second)
-	t := ticket{Owner: k.cfg.Owner, ID: k.seams.NewID(), Organisation: organisation, Expires: expires}
+	expires := k.deps.Now().Add(k.cfg.TicketTTL).UTC().Truncate(time.Second)
+	t := ticket{Owner: k.cfg.Owner, ID: k.deps.NewID(), Organisation: organisation, Expires: expires}
 	text, err := k.issuer.issue(t)
 	return text, expires, err
 }
@@ -122,7 +122,7 @@
 	k.mu.Lock()
 	number := k.number
 	k.mu.Unlock()
-	if err := flush(ctx, k.seams.Store, k.cfg.Owner, number, records); err != nil {
+	if err := flush(ctx, k.deps.Store, k.cfg.Owner, number, records); err != nil {
 		return 0, err
 	}
 	k.mu.Lock()
--- a/core/once/move.go
+++ b/core/once/move.go
@@ -13,9 +13,9 @@
 // decides.
 func (k *Keeper) forward(ctx context.Context, owner Owner, a Attempt) (Outcome, error) {
 	at := owner
-	for range maxMoves {
+	for range maxRedirects {
 		if !k.hasMoved(at) {
-			o, err := k.seams.Forward(ctx, Owner{Incarnation: owner.Incarnation, Address: at.Address}, a)
+			o, err := k.deps.Forward(ctx, Owner{Incarnation: owner.Incarnation, Address: at.Address}, a)
 			if err == nil || !errors.Is(err, ErrOwnerGone) {
 				return o, err
 			}
@@ -80,7 +80,7 @@
 	if err != nil {
 		return err
 	}
-	_, err = k.seams.Store.Put(ctx, object.Object{Kind: moveKind, Name: k.cfg.Owner.Incarnation, Version: object.Absent, Data: data})
+	_, err = k.deps.Store.Put(ctx, object.Object{Kind: moveKind, Name: k.cfg.Owner.Incarnation, Version: object.Absent, Data: data})
 	return err
 }
 
@@ -98,7 +98,7 @@
 	if ok {
 		return to, true
 	}
-	obj, err := k.seams.Store.Get(ctx, moveKind, owner.Incarnation)
+	obj, err := k.deps.Store.Get(ctx, moveKind, owner.Incarnation)
 	if err != nil {
 		return Owner{}, false
 	}
--- a/core/once/once_test.go
+++ b/core/once/once_test.go
@@ -91,7 +91,7 @@
 func (w *world) newNode(i int) *node {
 	w.ids++
 	n := &node{owner: once.Owner{Incarnation: fmt.Sprintf("i%d-%d", i, w.ids), Address: fmt.Sprint(i)}}
-	n.keeper = once.New(once.Config{Owner: n.owner, Secret: []byte(secret), TicketLife: time.Minute, Remember: time.Minute, Limit: 1000}, once.Seams{
+	n.keeper = once.New(once.Config{Owner: n.owner, Secret: []byte(secret), TicketTTL: time.Minute, Retention: time.Minute, Limit: 1000}, once.Deps{
 		Now:   func() time.Time { return w.now },
 		NewID: func() string { w.ids++; return fmt.Sprint(w.ids) },
 		Store: object.Store{Get: w.objects.Objects().Get, Put: w.put, List: w.objects.Objects().List},
--- a/core/once/serve.go
+++ b/core/once/serve.go
@@ -63,10 +63,10 @@
 // serveTicket decides on a ticket that is owned here. A ticket that has
 // expired never starts, so that it can be forgotten.
 func (k *Keeper) serveTicket(ctx context.Context, t ticket, a Attempt) (Outcome, error) {
-	if !k.seams.Now().Before(t.Expires) {
+	if !k.deps.Now().Before(t.Expires) {
 		return k.known(ctx, t.Owner, a)
 	}
-	v, e, err := k.table.begin(k.seams.Now(), tableKey(a), bodyHash(a))
+	v, e, err := k.table.begin(k.deps.Now(), tableKey(a), bodyHash(a))
 	if err != nil {
 		return Outcome{}, err
 	}
@@ -78,7 +78,7 @@
 
 // serveOwnKey binds the key to an owner before anything runs.
 func (k *Keeper) serveOwnKey(ctx context.Context, a Attempt) (Outcome, error) {
-	v, e, err := k.table.begin(k.seams.Now(), tableKey(a), bodyHash(a))
+	v, e, err := k.table.begin(k.deps.Now(), tableKey(a), bodyHash(a))
 	if err != nil {
 		return Outcome{}, err
 	}
@@ -86,8 +86,8 @@
 		return k.await(ctx, e)
 	}
 	name := claimName(a.Organisation, a.Key)
-	want := claim{Owner: k.cfg.Owner, Nonce: k.seams.NewID(), BodyHash: bodyHash(a), At: k.seams.Now()}
-	held, err := bind(ctx, k.seams.Store, name, want)
+	want := claim{Owner: k.cfg.Owner, Nonce: k.deps.NewID(), BodyHash: bodyHash(a), At: k.deps.Now()}
+	held, err := bind(ctx, k.deps.Store, name, want)
 	if err != nil {
 		// The write may have taken effect, also later. This instance then owns
 		// the key and knows that it has not started the request.
@@ -121,11 +121,11 @@
 		return k.await(ctx, e)
 	}
 	name := claimName(a.Organisation, a.Key)
-	held, err := readClaim(ctx, k.seams.Store, name)
+	held, err := readClaim(ctx, k.deps.Store, name)
 	if err != nil || !k.takeUnanswered(name, held.Nonce) {
 		return k.known(ctx, owner, a)
 	}
-	v, e, err := k.table.begin(k.seams.Now(), tableKey(a), bodyHash(a))
+	v, e, err := k.table.begin(k.deps.Now(), tableKey(a), bodyHash(a))
 	if err != nil {
 		return Outcome{}, err
 	}
@@ -162,11 +162,11 @@
 // start runs the request apart from the attempt that brought it: its caller
 // may go away, and a second attempt may wait for it.
 func (k *Keeper) start(ctx context.Context, e *entry, a Attempt) {
-	runCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), a.Deadline.Sub(k.seams.Now()))
-	k.seams.Go(func() {
+	runCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), a.Deadline.Sub(k.deps.Now()))
+	k.deps.Go(func() {
 		defer cancel()
-		o := k.seams.Run(runCtx, a)
-		k.table.end(k.seams.Now(), e, o)
+		o := k.deps.Run(runCtx, a)
+		k.table.end(k.deps.Now(), e, o)
 	})
 }
 
--- a/core/pipeline/attempt.go
+++ b/core/pipeline/attempt.go
@@ -33,7 +33,7 @@
 	r := c.run
 	c.attempts++
 	a := c.describe(g)
-	r.runner.seams.Decide(c.decision(a, g, hedge))
+	r.runner.deps.Decide(c.decision(a, g, hedge))
 	if c.counts() {
 		r.open++
 	}
@@ -52,7 +52,7 @@
 func (c *stageCall) describe(g stage.Grant) Attempt {
 	r := c.run
 	return Attempt{
-		ID:           r.runner.seams.NewID(),
+		ID:           r.runner.deps.NewID(),
 		RequestID:    r.req.ID,
 		Organisation: r.req.Organisation.Name(),
 		Stage:        c.decl,
@@ -98,20 +98,20 @@
 
 // call makes the call and passes its text on if the caller streams.
 func (c *stageCall) call(ctx context.Context, a Attempt) (Result, error) {
-	seams := c.run.runner.seams
+	deps := c.run.runner.deps
 	if !c.streams() {
-		return seams.Call(ctx, a, func(string) {})
+		return deps.Call(ctx, a, func(string) {})
 	}
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	s := &stream{
 		call:   c,
-		clock:  seams.Clock,
+		clock:  deps.Clock,
 		limit:  max(minStall, stallFactor*c.stage.Expect(c.run.plan.cost[c.index])),
 		cancel: cancel,
 	}
 	s.watch()
-	result, err := seams.Call(ctx, a, s.emit)
+	result, err := deps.Call(ctx, a, s.emit)
 	s.close()
 	if err != nil && errors.Is(context.Cause(ctx), errStalled) {
 		return result, &CallError{Err: fault.Errorf(fault.EndpointFailed, "endpoint %q: %w", a.Endpoint.Name(), errStalled), Units: float64(c.tokens - a.ResumeAfter)}
@@ -180,16 +180,16 @@
 	r := s.call.run
 	now := s.clock.Now()
 	if s.call.tokens == 0 {
-		r.runner.seams.Token(s.call.decl.Name(), true, now.Sub(r.began))
+		r.runner.deps.Token(s.call.decl.Name(), true, now.Sub(r.began))
 	} else if !s.last.IsZero() {
-		r.runner.seams.Token(s.call.decl.Name(), false, now.Sub(s.last))
+		r.runner.deps.Token(s.call.decl.Name(), false, now.Sub(s.last))
 	}
 }
 
 // settle notes the end of an attempt with the stage, and its cost.
 func (c *stageCall) settle(ctx context.Context, g stage.Grant, result Result, err error) {
 	r := c.run
-	now := r.runner.seams.Clock.Now()
+	now := r.runner.deps.Clock.Now()
 	charge := Charge{
 		Organisation: r.req.Organisation.Name(),
 		Stage:        c.decl.Name(),
@@ -203,7 +203,7 @@
 		return
 	}
 	charge.Cost = charge.Units * c.decl.Price()
-	r.runner.seams.Charge(charge)
+	r.runner.deps.Charge(charge)
 }
 
 func (c *stageCall) settleWhole(ctx context.Context, g stage.Grant, result Result, charge *Charge) {
--- a/core/pipeline/load_test.go
+++ b/core/pipeline/load_test.go
@@ -125,7 +125,7 @@
 		l.servers[name] = &server{slots: make(chan struct{}, e.Slots()), slow: always(1), down: never}
 	}
 	for i := range instances {
-		r := pipeline.New(l.seams(), policy, rand.New(rand.NewPCG(seed, uint64(i))))
+		r := pipeline.New(l.deps(), policy, rand.New(rand.NewPCG(seed, uint64(i))))
 		r.SetInstances(instances)
 		r.Replace(l.set)
 		l.runners = append(l.runners, r)
@@ -133,8 +133,8 @@
 	return l
 }
 
-func (l *load) seams() pipeline.Seams {
-	return pipeline.Seams{
+func (l *load) deps() pipeline.Deps {
+	return pipeline.Deps{
 		Clock: stage.Clock{
 			Now:       time.Now,
 			AfterFunc: func(d time.Duration, f func()) func() bool { return time.AfterFunc(d, f).Stop },
--- a/core/pipeline/pipeline_test.go
+++ b/core/pipeline/pipeline_test.go
@@ -69,7 +69,7 @@
 	var out one
 	synctest.Test(t, func(t *testing.T) {
 		n := 0
-		r := pipeline.New(pipeline.Seams{
+		r := pipeline.New(pipeline.Deps{
 			Clock: stage.Clock{Now: time.Now, AfterFunc: func(d time.Duration, f func()) func() bool { return time.AfterFunc(d, f).Stop }},
 			Call: func(ctx context.Context, a pipeline.Attempt, emit func(string)) (pipeline.Result, error) {
 				n++
@@ -219,7 +219,7 @@
 func TestHopelessRequestIsRefusedBeforeAnythingIsSent(t *testing.T) {
 	set, _ := declare.Build([]declare.Fragment{{Name: "t.ini", Data: []byte(scripted + "[organisation roofs]\nkeyHashes = " + declare.HashKey("k"))}})
 	synctest.Test(t, func(t *testing.T) {
-		r := pipeline.New(pipeline.Seams{Clock: stage.Clock{Now: time.Now}}, stage.Policy{}, rand.New(rand.NewPCG(1, 1)))
+		r := pipeline.New(pipeline.Deps{Clock: stage.Clock{Now: time.Now}}, stage.Policy{}, rand.New(rand.NewPCG(1, 1)))
 		r.Replace(set)
 		k, _ := set.Kind("book")
 		org, _ := set.Organisation("roofs")
@@ -327,7 +327,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		slow := false
 		n := 0
-		r := pipeline.New(pipeline.Seams{
+		r := pipeline.New(pipeline.Deps{
 			Clock: stage.Clock{Now: time.Now, AfterFunc: func(d time.Duration, f func()) func() bool { return time.AfterFunc(d, f).Stop }},
 			Call: func(ctx context.Context, a pipeline.Attempt, _ func(string)) (pipeline.Result, error) {
 				mu.Lock()
@@ -382,7 +382,7 @@
 	set, _ := declare.Build([]declare.Fragment{{Name: "t.ini", Data: []byte(scripted + "[organisation roofs]\nkeyHashes = " + declare.HashKey("k"))}})
 	synctest.Test(t, func(t *testing.T) {
 		cancelled := false
-		r := pipeline.New(pipeline.Seams{
+		r := pipeline.New(pipeline.Deps{
 			Clock: stage.Clock{Now: time.Now, AfterFunc: func(d time.Duration, f func()) func() bool { return time.AfterFunc(d, f).Stop }},
 			Call: func(ctx context.Context, _ pipeline.Attempt, _ func(string)) (pipeline.Result, error) {
 				<-ctx.Done()
--- a/core/pipeline/run.go
+++ b/core/pipeline/run.go
@@ -132,7 +132,7 @@
 // run1 runs the stage until an attempt gives a whole answer or no further
 // attempt is allowed.
 func (c *stageCall) run1(ctx context.Context) (Result, error) {
-	began := c.run.runner.seams.Clock.Now()
+	began := c.run.runner.deps.Clock.Now()
 	c.stage.CountCall(c.run.req.Organisation.Name())
 	for {
 		end := c.attempt(ctx)
@@ -146,7 +146,7 @@
 			return Result{}, end.err
 		}
 		c.tried = append(c.tried, end.grant.Index)
-		if err := sleep(ctx, c.run.runner.seams.Clock, c.stage.Delay(c.attempts)); err != nil {
+		if err := sleep(ctx, c.run.runner.deps.Clock, c.stage.Delay(c.attempts)); err != nil {
 			c.observe(began, err)
 			return Result{}, end.err
 		}
@@ -180,7 +180,7 @@
 }
 
 func (c *stageCall) report(began time.Time, end ended) {
-	now := c.run.runner.seams.Clock.Now()
+	now := c.run.runner.deps.Clock.Now()
 	c.run.reports = append(c.run.reports, StageReport{
 		Stage:    c.decl.Name(),
 		Endpoint: end.grant.Endpoint.Name(),
@@ -195,8 +195,8 @@
 }
 
 func (c *stageCall) observe(began time.Time, err error) {
-	now := c.run.runner.seams.Clock.Now()
-	c.run.runner.seams.Observe(c.decl.Name(), c.waited, now.Sub(began), err)
+	now := c.run.runner.deps.Clock.Now()
+	c.run.runner.deps.Observe(c.decl.Name(), c.waited, now.Sub(began), err)
 }
 
 // attempt waits for the stage, calls one endpoint, and a second one if the
@@ -232,7 +232,7 @@
 		Deadline:     r.req.Deadline,
 		Need:         c.stage.Expect(cost) + r.plan.after(c.index),
 		Query:        q,
-		Arrived:      r.runner.seams.Clock.Now(),
+		Arrived:      r.runner.deps.Clock.Now(),
 	}
 }
 
@@ -302,7 +302,7 @@
 		return <-done
 	}
 	slow := make(chan struct{})
-	stop := c.run.runner.seams.Clock.AfterFunc(high, func() { close(slow) })
+	stop := c.run.runner.deps.Clock.AfterFunc(high, func() { close(slow) })
 	defer stop()
 	select {
 	case end := <-done:
--- a/core/pipeline/runner.go
+++ b/core/pipeline/runner.go
@@ -25,7 +25,7 @@
 	// Runner takes requests through their stages. Use New. It is safe for
 	// concurrent use.
 	Runner struct {
-		seams  Seams
+		deps   Deps
 		policy stage.Policy
 
 		mu        sync.RWMutex
@@ -48,8 +48,8 @@
 )
 
 // New returns a runner without stages; Replace gives it some.
-func New(seams Seams, policy stage.Policy, rng *rand.Rand) *Runner {
-	return &Runner{seams: seams, policy: policy, stages: make(map[string]*stage.Stage), instances: 1, rng: rng}
+func New(deps Deps, policy stage.Policy, rng *rand.Rand) *Runner {
+	return &Runner{deps: deps, policy: policy, stages: make(map[string]*stage.Stage), instances: 1, rng: rng}
 }
 
 // Replace puts a set of declarations in force. Requests that run keep the
@@ -65,7 +65,7 @@
 			s.Replace(decl)
 		} else {
 			rng := rand.New(rand.NewPCG(r.rng.Uint64(), r.rng.Uint64()))
-			s = stage.New(decl, r.seams.Instance, r.instances, r.seams.Clock, rng, r.policy)
+			s = stage.New(decl, r.deps.Instance, r.instances, r.deps.Clock, rng, r.policy)
 		}
 		stages[name] = s
 	}
@@ -120,7 +120,7 @@
 
 // Status returns the state of every stage, ordered by name.
 func (r *Runner) Status() []stage.Status {
-	now := r.seams.Clock.Now()
+	now := r.deps.Clock.Now()
 	r.mu.RLock()
 	defer r.mu.RUnlock()
 	out := make([]stage.Status, 0, len(r.stages))
@@ -142,7 +142,7 @@
 // names the stage and says whether non-idempotent work ran; for a request that
 // is idempotent, whether any call was sent.
 func (r *Runner) Run(ctx context.Context, req Request) (Answer, error) {
-	now := r.seams.Clock.Now()
+	now := r.deps.Clock.Now()
 	left := req.Deadline.Sub(now)
 	if left <= 0 {
 		return Answer{}, fault.Errorf(fault.DeadlineTooShort, "the deadline has passed")
--- a/core/pipeline/types.go
+++ b/core/pipeline/types.go
@@ -150,8 +150,8 @@
 		Waste Waste
 	}
 
-	// Seams are what a Runner uses of the world around it.
-	Seams struct {
+	// Deps are what a Runner depends on.
+	Deps struct {
 		// Instance is the name of the instance.
 		Instance string
 		Clock    stage.Clock
--- a/core/settings/settings.go
+++ b/core/settings/settings.go
@@ -28,7 +28,7 @@
 	maxConnections  int
 	drain           time.Duration
 	notice          time.Duration
-	ticketLife      time.Duration
+	ticketTTL       time.Duration
 	remember        time.Duration
 	keys            int
 	costWindow      time.Duration
@@ -225,7 +225,7 @@
 		maxConnections:  limits.Int("maxConnections"),
 		drain:           limits.Duration("drain"),
 		notice:          limits.Duration("notice"),
-		ticketLife:      limits.Duration("ticketLife"),
+		ticketTTL:       limits.Duration("ticketLife"),
 		remember:        limits.Duration("remember"),
 		keys:            limits.Int("keys"),
 		costWindow:      limits.Duration("costWindow"),
@@ -293,11 +293,11 @@
 // Notice returns how long a stopping instance still takes requests.
 func (e Entry) Notice() time.Duration { return e.notice }
 
-// TicketLife returns how long a ticket can be used.
-func (e Entry) TicketLife() time.Duration { return e.ticketLife }
+// TicketTTL returns how long a ticket can be used.
+func (e Entry) TicketTTL() time.Duration { return e.ticketTTL }
 
-// Remember returns how long outcomes are held in memory.
-func (e Entry) Remember() time.Duration { return e.remember }
+// Retention returns how long outcomes are held in memory.
+func (e Entry) Retention() time.Duration { return e.remember }
 
 // Keys returns the most outcomes held in memory.
 func (e Entry) Keys() int { return e.keys }
--- a/demo/chaos.go
+++ b/demo/chaos.go
@@ -25,7 +25,7 @@
 	disaster struct {
 		name   string
 		weight int
-		strike func(*chaos, context.Context) string
+		inject func(*chaos, context.Context) string
 	}
 )
 
@@ -72,7 +72,7 @@
 	return &chaos{deployment: d, rng: rand.New(rand.NewPCG(seed, 99)), out: out, began: time.Now()}
 }
 
-// run strikes until ctx ends and then heals everything.
+// run injects faults until ctx ends and then heals everything.
 func (c *chaos) run(ctx context.Context) {
 	defer c.heal()
 	for i := 1; ; i++ {
@@ -86,7 +86,7 @@
 			continue
 		}
 		d := c.draw()
-		c.out("%6.1fs  %s: %s\n", time.Since(c.began).Seconds(), d.name, d.strike(c, ctx))
+		c.out("%6.1fs  %s: %s\n", time.Since(c.began).Seconds(), d.name, d.inject(c, ctx))
 	}
 }
 
@@ -179,7 +179,7 @@
 	return c.deployment.CrashEntry(candidates[c.rng.IntN(len(candidates))])
 }
 
-// stop drains an instance while the next faults already strike.
+// stop drains an instance while the next faults are already injected.
 func (c *chaos) stop(ctx context.Context) string {
 	candidates := c.replaceable()
 	if candidates == nil {
--- a/demo/replay.go
+++ b/demo/replay.go
@@ -106,7 +106,7 @@
 		}
 		if e.Fault != nil {
 			if d != nil {
-				d.strike(*e.Fault)
+				d.inject(*e.Fault)
 			}
 		} else {
 			wg.Go(func() { l.note(l.replay(i, e)) })
@@ -129,8 +129,8 @@
 	return out, nil
 }
 
-// strike switches the faults of the endpoints that a fault names.
-func (d *Deployment) strike(f trace.Fault) {
+// inject switches the faults of the endpoints that a fault names.
+func (d *Deployment) inject(f trace.Fault) {
 	if f.Endpoint == trace.Platform {
 		d.platform.SetFaults(stand.Faults{Down: f.Down})
 		return
--- a/demo/run.go
+++ b/demo/run.go
@@ -28,7 +28,7 @@
 		Seed uint64
 		// Calm leaves out the loss of an endpoint and of an instance.
 		Calm bool
-		// Chaos strikes with faults that follow from the seed instead.
+		// Chaos injects faults that follow from the seed instead.
 		Chaos bool
 		Log   *zap.Logger
 		Out   io.Writer
--- a/io/caller/answer.go
+++ b/io/caller/answer.go
@@ -33,7 +33,7 @@
 		stream = &events{call: c, cancel: cancel}
 		req.Emit = stream.token
 	}
-	answer, err := c.server.seams.Run(ctx, req)
+	answer, err := c.server.deps.Run(ctx, req)
 	c.end(fault.From(err))
 	switch {
 	case err != nil && stream != nil && stream.begun:
@@ -52,7 +52,7 @@
 func (c *call) serveOnce() {
 	ctx, cancel := context.WithDeadline(c.r.Context(), c.deadline)
 	defer cancel()
-	outcome, err := c.server.seams.Keeper.Serve(ctx, once.Attempt{
+	outcome, err := c.server.deps.Keeper.Serve(ctx, once.Attempt{
 		Organisation: c.org.Name(),
 		Kind:         c.kind.Name(),
 		Key:          c.r.Header.Get(headerKey),
@@ -99,7 +99,7 @@
 		c.fail(fault.From(err))
 		return
 	}
-	text, expires, err := s.seams.Keeper.Issue(c.org.Name())
+	text, expires, err := s.deps.Keeper.Issue(c.org.Name())
 	if err != nil {
 		c.fail(fault.From(err))
 		return
@@ -113,7 +113,7 @@
 		c.fail(fault.From(err))
 		return
 	}
-	o, err := s.seams.Keeper.Ask(r.Context(), c.org.Name(), r.PathValue("key"))
+	o, err := s.deps.Keeper.Ask(r.Context(), c.org.Name(), r.PathValue("key"))
 	if err != nil {
 		c.fail(fault.From(err))
 		return
@@ -151,14 +151,14 @@
 
 // end logs and counts the end of a request.
 func (c *call) end(err *fault.Error) {
-	e := End{RequestID: c.id, Took: c.server.seams.Now().Sub(c.began), Deadline: c.limit, Err: err}
+	e := End{RequestID: c.id, Took: c.server.deps.Now().Sub(c.began), Deadline: c.limit, Err: err}
 	if c.org != nil {
 		e.Organisation = c.org.Name()
 	}
 	if c.kind != nil {
 		e.Kind = c.kind.Name()
 	}
-	c.server.seams.Observe(e)
+	c.server.deps.Observe(e)
 	fields := []zap.Field{
 		zap.String("requestId", e.RequestID),
 		zap.String("callerRequestId", c.r.Header.Get(headerRequestID)),
@@ -167,11 +167,11 @@
 		zap.Duration("took", e.Took),
 	}
 	if err == nil {
-		c.server.seams.Log.Info("request answered", fields...)
+		c.server.deps.Log.Info("request answered", fields...)
 		return
 	}
 	fields = append(fields, zap.Stringer("error", err.Kind()), zap.String("stage", err.Stage()), zap.Stringer("ran", err.Ran()), zap.String("reason", err.Error()))
-	c.server.seams.Log.Log(err.Kind().Answer().Level, "request not answered", fields...)
+	c.server.deps.Log.Log(err.Kind().Answer().Level, "request not answered", fields...)
 }
 
 // token writes one token. It blocks while the caller does not read, so that a
--- a/io/caller/caller.go
+++ b/io/caller/caller.go
@@ -51,8 +51,8 @@
 		MaxBodyBytes int64
 	}
 
-	// Seams are what a Server uses of the world around it.
-	Seams struct {
+	// Deps are what a Server depends on.
+	Deps struct {
 		Now func() time.Time
 		// NewID returns a new unique id.
 		NewID func() string
@@ -79,8 +79,8 @@
 
 	// Server answers callers. Use New. It is safe for concurrent use.
 	Server struct {
-		cfg   Config
-		seams Seams
+		cfg  Config
+		deps Deps
 
 		mu       sync.Mutex
 		inFlight map[string]int
@@ -146,8 +146,8 @@
 var openAPI []byte
 
 // New returns a server for callers.
-func New(cfg Config, seams Seams) *Server {
-	return &Server{cfg: cfg, seams: seams, inFlight: make(map[string]int)}
+func New(cfg Config, deps Deps) *Server {
+	return &Server{cfg: cfg, deps: deps, inFlight: make(map[string]int)}
 }
 
 // Handler returns the interface for callers.
@@ -179,7 +179,7 @@
 }
 
 func (s *Server) newCall(w http.ResponseWriter, r *http.Request) *call {
-	c := &call{server: s, w: w, r: r, id: s.seams.NewID(), began: s.seams.Now()}
+	c := &call{server: s, w: w, r: r, id: s.deps.NewID(), began: s.deps.Now()}
 	w.Header().Set(headerRequestID, c.id)
 	return c
 }
@@ -240,7 +240,7 @@
 }
 
 func (c *call) authenticate() error {
-	c.set = c.server.seams.Declarations()
+	c.set = c.server.deps.Declarations()
 	if c.set == nil {
 		return fault.Errorf(fault.Draining, "the instance has no declarations yet")
 	}
--- a/io/endpoint/endpoint.go
+++ b/io/endpoint/endpoint.go
@@ -77,7 +77,7 @@
 	return &Client{http: client, reported: reported}
 }
 
-// Call makes one attempt. It implements the field Call of pipeline.Seams.
+// Call makes one attempt. It implements the field Call of pipeline.Deps.
 func (c *Client) Call(ctx context.Context, a pipeline.Attempt, emit func(string)) (pipeline.Result, error) {
 	if a.Endpoint.Kind() == "engine" {
 		return c.callEngine(ctx, a, emit)
--- a/io/operator/operator.go
+++ b/io/operator/operator.go
@@ -18,8 +18,8 @@
 )
 
 type (
-	// Seams are what a Server shows.
-	Seams struct {
+	// Deps are what a Server shows.
+	Deps struct {
 		// Ready returns why the instance takes no new requests, or nil.
 		Ready func() error
 		// Status returns the instance's state.
@@ -31,12 +31,12 @@
 
 	// Server answers operators. Use New.
 	Server struct {
-		seams Seams
+		deps Deps
 	}
 )
 
 // New returns a server for operators.
-func New(seams Seams) *Server { return &Server{seams: seams} }
+func New(deps Deps) *Server { return &Server{deps: deps} }
 
 // Handler returns the interface for operators.
 func (s *Server) Handler() http.Handler {
@@ -44,7 +44,7 @@
 	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, r *http.Request) { _, _ = w.Write([]byte("ok\n")) })
 	mux.HandleFunc("GET /readyz", s.ready)
 	mux.Handle("GET /status", s.guard(http.HandlerFunc(s.status)))
-	mux.Handle("GET /metrics", s.guard(promhttp.HandlerFor(s.seams.Registry, promhttp.HandlerOpts{})))
+	mux.Handle("GET /metrics", s.guard(promhttp.HandlerFor(s.deps.Registry, promhttp.HandlerOpts{})))
 	mux.Handle("GET /debug/pprof/", s.guard(http.HandlerFunc(pprof.Index)))
 	mux.Handle("GET /debug/pprof/profile", s.guard(http.HandlerFunc(pprof.Profile)))
 	mux.Handle("GET /debug/pprof/trace", s.guard(http.HandlerFunc(pprof.Trace)))
@@ -55,7 +55,7 @@
 func (s *Server) guard(h http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		got := strings.TrimPrefix(r.Header.Get("Authorization"), "Bearer ")
-		if s.seams.Token != "" && subtle.ConstantTimeCompare([]byte(got), []byte(s.seams.Token)) != 1 {
+		if s.deps.Token != "" && subtle.ConstantTimeCompare([]byte(got), []byte(s.deps.Token)) != 1 {
 			w.Header().Set("WWW-Authenticate", "Bearer")
 			http.Error(w, "the operators' token is missing or wrong", http.StatusUnauthorized)
 			return
@@ -65,7 +65,7 @@
 }
 
 func (s *Server) ready(w http.ResponseWriter, r *http.Request) {
-	if err := s.seams.Ready(); err != nil {
+	if err := s.deps.Ready(); err != nil {
 		http.Error(w, err.Error(), http.StatusServiceUnavailable)
 		return
 	}
@@ -74,7 +74,7 @@
 
 func (s *Server) status(w http.ResponseWriter, r *http.Request) {
 	w.Header().Set("Content-Type", "application/json")
-	_ = json.NewEncoder(w).Encode(s.seams.Status())
+	_ = json.NewEncoder(w).Encode(s.deps.Status())
 }
 
 // Fetch returns the state of the instance whose operators' address is given, or
--- a/io/operator/operator_test.go
+++ b/io/operator/operator_test.go
@@ -17,7 +17,7 @@
 
 func TestOnlyHealthNeedsNoToken(t *testing.T) {
 	ready := errors.New("leaving")
-	srv := httptest.NewServer(operator.New(operator.Seams{
+	srv := httptest.NewServer(operator.New(operator.Deps{
 		Ready: func() error { return ready }, Status: func() status.Instance { return status.Instance{Name: "entry-1"} },
 		Registry: prometheus.NewRegistry(), Token: token,
 	}).Handler())
--- a/node/node.go
+++ b/node/node.go
@@ -95,16 +95,16 @@
 	n.platform = objects.New(n.store.Objects(objects.WatchWait), cfg.Reads(), cfg.Writes())
 	n.ledger = cost.New(time.Now(), cfg.Name(), n.owner.Incarnation)
 	n.metrics = newMetrics(n)
-	n.runner = pipeline.New(n.pipelineSeams(), stage.Policy{}, newRand())
+	n.runner = pipeline.New(n.pipelineDeps(), stage.Policy{}, newRand())
 	n.clients = peer.NewClients(cfg.Secret(), n.peerTransport(), secure.peers, time.Now)
 	n.members = peer.NewMembers(n.self(), cfg.Seeds(), n.clients, time.Now, newRand(), n.noteBehind, n.noteServing)
 	n.keeper = once.New(once.Config{
-		Owner: n.owner, Secret: []byte(cfg.Secret()), TicketLife: cfg.TicketLife(), Remember: cfg.Remember(), Limit: cfg.Keys(),
-	}, once.Seams{
+		Owner: n.owner, Secret: []byte(cfg.Secret()), TicketTTL: cfg.TicketTTL(), Retention: cfg.Retention(), Limit: cfg.Keys(),
+	}, once.Deps{
 		Now: time.Now, NewID: rand.Text, Store: n.platform.Store(), Run: n.runOnce,
 		Go: func(f func()) { go f() }, Forward: n.clients.Forward,
 	})
-	n.callers = caller.New(caller.Config{MaxBodyBytes: cfg.MaxBody()}, caller.Seams{
+	n.callers = caller.New(caller.Config{MaxBodyBytes: cfg.MaxBody()}, caller.Deps{
 		Now: time.Now, NewID: rand.Text, Declarations: n.declarations, Run: n.runner.Run,
 		Observe: n.observe, Keeper: n.keeper, Log: n.log,
 	})
@@ -180,8 +180,8 @@
 	return nil
 }
 
-func (n *Instance) pipelineSeams() pipeline.Seams {
-	return pipeline.Seams{
+func (n *Instance) pipelineDeps() pipeline.Deps {
+	return pipeline.Deps{
 		Instance: n.cfg.Name(),
 		Clock: stage.Clock{
 			Now:       time.Now,
--- a/node/services.go
+++ b/node/services.go
@@ -94,7 +94,7 @@
 }
 
 func (n *Instance) operatorService(secure *secured) kernel.Service {
-	server := operator.New(operator.Seams{Ready: n.ready, Status: n.Status, Registry: n.registry, Token: n.cfg.OperatorToken()})
+	server := operator.New(operator.Deps{Ready: n.ready, Status: n.Status, Registry: n.registry, Token: n.cfg.OperatorToken()})
 	s := kernel.Service{Name: OperatorService, Needs: []string{DeclarationsService, CostService}, Value: server}
 	return n.serve(s, listener{address: n.cfg.OperatorAddress(), handler: server.Handler(), secure: secure.operatorServer})
 }
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -20,7 +20,7 @@
 type fault struct {
 	name   string
 	weight int
-	strike func(w *world, rng *rand.Rand) string
+	inject func(w *world, rng *rand.Rand) string
 }
 
 var faults = []fault{
@@ -57,8 +57,8 @@
 	return 300*time.Millisecond + time.Duration(rng.Int64N(int64(2*time.Second)))
 }
 
-// plague strikes faults until ctx is done.
-func (w *world) plague(ctx context.Context, rng *rand.Rand, log func(format string, args ...any)) {
+// injectAll injects faults until ctx is done.
+func (w *world) injectAll(ctx context.Context, rng *rand.Rand, log func(format string, args ...any)) {
 	total := 0
 	for _, f := range faults {
 		total += f.weight
@@ -73,7 +73,7 @@
 		k := rng.IntN(total)
 		for _, f := range faults {
 			if k -= f.weight; k < 0 {
-				log("%s: %s", f.name, f.strike(w, rng))
+				log("%s: %s", f.name, f.inject(w, rng))
 				break
 			}
 		}
--- a/soak/main.go
+++ b/soak/main.go
@@ -24,7 +24,7 @@
 
 type options struct {
 	Seed      uint64        `long:"seed" default:"1" description:"Seed of the faults and the callers"`
-	Duration  time.Duration `long:"duration" default:"30s" description:"How long faults strike"`
+	Duration  time.Duration `long:"duration" default:"30s" description:"How long faults are injected"`
 	Instances int           `long:"instances" default:"4" description:"Number of instances"`
 	Callers   int           `long:"callers" default:"12" description:"Number of callers at the same time"`
 	Port      int           `long:"port" default:"18000" description:"First of three ports for each instance"`
@@ -100,7 +100,7 @@
 	return broken, nil
 }
 
-// run has callers call while faults strike, and some time after.
+// run has callers call while faults are injected, and some time after.
 func (w *world) run(o options, out io.Writer) {
 	var wg sync.WaitGroup
 	began := time.Now()
@@ -110,9 +110,9 @@
 		rng := rand.New(rand.NewPCG(o.Seed, uint64(i+1)))
 		wg.Go(func() { w.call(calls, i, rng) })
 	}
-	strikes, stopStrikes := context.WithTimeout(context.Background(), o.Duration)
-	defer stopStrikes()
-	w.plague(strikes, rand.New(rand.NewPCG(o.Seed, 0)), func(format string, args ...any) {
+	faulty, stopFaults := context.WithTimeout(context.Background(), o.Duration)
+	defer stopFaults()
+	w.injectAll(faulty, rand.New(rand.NewPCG(o.Seed, 0)), func(format string, args ...any) {
 		if !o.Quiet {
 			_, _ = fmt.Fprintf(out, "%7.3f %s\n", time.Since(began).Seconds(), fmt.Sprintf(format, args...))
 		}
