--- a/soak/faults.go
+++ b/soak/faults.go
@@ -148,17 +148,12 @@
 // harmAll treats a link badly that all instances use.
 func harmAll(w *world, link *proxy, rng *rand.Rand) string {
 	m := mode(1 + rng.IntN(len(modeNames)-1))
-	var ends []func()
-	for _, in := range w.instances {
-		ends = append(ends, w.judge.trouble(in.number))
-	}
+	end := w.judge.troubleAll(w.instances)
 	link.set(m)
 	time.AfterFunc(harmFor(rng), func() {
 		link.set(reset)
 		link.set(pass)
-		for _, end := range ends {
-			end()
-		}
+		end()
 	})
 	return modeNames[m]
 }
@@ -201,12 +196,12 @@
 	s.leaving = true
 	w.mu.Unlock()
 	if rng.IntN(2) == 0 {
-		w.store.Put("servers", s.ID, s.Entry(stand.Draining))
+		w.store.PutEntry(s.Server, stand.Draining)
 	} else {
-		w.store.Remove("servers", s.ID)
+		w.store.RemoveServer(s.ID)
 	}
 	w.judge.note(func() { w.judge.leaves[s.ID] = time.Now() })
-	time.AfterFunc(2*drainBound+grace, func() { w.store.Remove("servers", s.ID) })
+	time.AfterFunc(2*drainBound+grace, func() { w.store.RemoveServer(s.ID) })
 	return s.ID
 }
 
@@ -220,16 +215,11 @@
 	w.mu.Lock()
 	s.leaving = true
 	w.mu.Unlock()
-	var ends []func()
-	for _, in := range w.instances {
-		ends = append(ends, w.judge.trouble(in.number))
-	}
+	end := w.judge.troubleAll(w.instances)
 	s.link.set(reset)
 	time.AfterFunc(harmFor(rng), func() {
-		w.store.Remove("servers", s.ID)
-		for _, end := range ends {
-			end()
-		}
+		w.store.RemoveServer(s.ID)
+		end()
 	})
 	return s.ID
 }
--- a/soak/judge.go
+++ b/soak/judge.go
@@ -95,6 +95,19 @@
 	return func() { j.note(func() { s.to = time.Now() }) }
 }
 
+// troubleAll begins trouble of some instances and returns its end.
+func (j *judge) troubleAll(instances []*instance) (end func()) {
+	var ends []func()
+	for _, in := range instances {
+		ends = append(ends, j.trouble(in.number))
+	}
+	return func() {
+		for _, end := range ends {
+			end()
+		}
+	}
+}
+
 // calm reports whether an instance and the store were without trouble from one
 // contact time before the first moment to the second.
 func (j *judge) calm(instance int, from, to time.Time) bool {
--- a/soak/world.go
+++ b/soak/world.go
@@ -211,7 +211,7 @@
 	w.mu.Lock()
 	w.servers = append(w.servers, s)
 	w.mu.Unlock()
-	w.store.Put("servers", id, s.Entry(stand.Ready))
+	w.store.PutEntry(s.Server, stand.Ready)
 	return s, nil
 }
 
