--- a/core/gather/gather_test.go
+++ b/core/gather/gather_test.go
@@ -123,6 +123,31 @@
 	}
 }
 
+// A piece that cannot keep its aim loses nothing by waiting for its zone, as
+// long as it ends by its deadline.
+func TestPieceThatIsLateAnywayWaitsForItsZone(t *testing.T) {
+	q := queue(t, "a", "b")
+	first := item("first", 2*time.Second)
+	first.Zone, first.Moved = "b", 1_000_000
+	add(t, q, first)
+	if b, _ := q.Next(start); b.Server.Zone != "b" {
+		t.Fatalf("made in zone %s", b.Server.Zone)
+	}
+	late := item("late", 100*time.Millisecond)
+	late.Zone, late.Moved = "b", 1_000_000
+	add(t, q, late)
+	if b, _ := q.Next(start); b != nil {
+		t.Errorf("a piece whose aim is past went to zone %s", b.Server.Zone)
+	}
+	soon := item("soon", 100*time.Millisecond)
+	soon.Zone, soon.Moved = "b", 1_000_000
+	soon.Deadline = start.Add(300 * time.Millisecond)
+	add(t, q, soon)
+	if b, _ := q.Next(start); b == nil || b.Items[0] != soon || b.Server.Zone != "a" {
+		t.Errorf("a piece that would end after its deadline waits: %+v", b)
+	}
+}
+
 func TestRoomIsPlannedAndGivenBack(t *testing.T) {
 	q := queue(t, "a")
 	var handles []string
