--- a/soak/callers.go
+++ b/soak/callers.go
@@ -34,7 +34,7 @@
 	}
 	for n := 0; ctx.Err() == nil; n++ {
 		i := rng.IntN(len(w.instances))
-		r := &request{id: fmt.Sprintf("c%d-%d", caller, n), route: routes[rng.IntN(len(routes))], instance: i}
+		r := &request{id: fmt.Sprintf("c%d-%d", caller, n), route: routes[rng.IntN(len(routes))], key: w.anyKey(rng), instance: i}
 		w.send(clients[i], r, rng.Float64() < leaves)
 		select {
 		case <-time.After(time.Duration(rng.Int64N(int64(2 * callerPause)))):
@@ -46,7 +46,7 @@
 // send sends a request and notes what the caller saw.
 func (w *world) send(client *http.Client, r *request, leave bool) {
 	wait := 1500 * time.Millisecond
-	c := stand.Call{ID: r.id, Key: callerKey, Path: "/" + r.route + "/1", Wait: wait, Body: "body of " + r.id}
+	c := stand.Call{ID: r.id, Key: r.key, Path: "/" + r.route + "/1", Wait: wait, Body: "body of " + r.id}
 	if r.route == routeDraft {
 		c.Wait, c.Pieces = 4*time.Second, []int{2, 1}
 	}
--- a/soak/judge.go
+++ b/soak/judge.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"sync"
 	"time"
 )
@@ -24,6 +25,7 @@
 	request struct {
 		id       string
 		route    string
+		key      string
 		instance int
 		process  int
 		sent     time.Time
@@ -44,10 +46,12 @@
 		at                  time.Time
 	}
 
-	// version is a configuration with the service of the route that moves.
+	// version is a configuration with the service of the route that moves and
+	// the keys of callers.
 	version struct {
 		number  int
 		service string
+		keys    []string
 		// sent and acked are when the operator wrote it.
 		sent, acked time.Time
 	}
@@ -152,16 +156,11 @@
 	if stopped && r.status == 0 && !r.excused && r.sent.Before(stop.Add(late)) && r.ended.After(stop) && j.calm(r.instance, r.sent, r.ended) {
 		say("%s: cut by the planned stop of instance %d", r.id, r.instance)
 	}
-	if r.route == routeMoves && r.status == 200 {
-		j.judgeVersion(r, say)
-	}
+	j.judgeVersion(r, say)
 }
 
-// judgeVersion checks that a request on the route that moves was served as a
-// version allows that may be in force, and on one process never by an older one
-// than before.
-func (j *judge) judgeVersion(r *request, say func(string, ...any)) {
-	served := r.server
+// inForce returns the versions that may be in force for a request.
+func (j *judge) inForce(r *request) []version {
 	newest := -1
 	for i, v := range j.versions {
 		if !v.acked.IsZero() && v.acked.Add(configBound).Before(r.sent) && j.calm(r.instance, v.acked, r.sent) {
@@ -169,14 +168,42 @@
 		}
 	}
 	if newest < 0 {
-		return
+		return nil
 	}
+	var out []version
 	for _, v := range j.versions[newest:] {
-		if v.service == served && v.sent.Before(r.ended) {
-			return
+		if v.sent.Before(r.ended) {
+			out = append(out, v)
 		}
 	}
-	say("%s: served by %s, as only versions before %d allow", r.id, served, j.versions[newest].number)
+	return out
+}
+
+// judgeVersion checks that a request was handled as a version allows that may be
+// in force.
+func (j *judge) judgeVersion(r *request, say func(string, ...any)) {
+	versions := j.inForce(r)
+	if len(versions) == 0 {
+		return
+	}
+	moved, with, without := false, false, false
+	for _, v := range versions {
+		moved = moved || v.service == r.server
+		if slices.Contains(v.keys, r.key) {
+			with = true
+		} else {
+			without = true
+		}
+	}
+	oldest := versions[0].number
+	switch {
+	case r.route == routeMoves && r.status == 200 && !moved:
+		say("%s: served by %s, as only versions before %d allow", r.id, r.server, oldest)
+	case r.status == 200 && !with:
+		say("%s: served with key %s, as only versions before %d allow", r.id, r.key, oldest)
+	case r.status == 401 && !without:
+		say("%s: key %s denied, as no version from %d on does", r.id, r.key, oldest)
+	}
 }
 
 func (j *judge) judgeArrival(a arrival, say func(string, ...any)) {
--- a/soak/judge_test.go
+++ b/soak/judge_test.go
@@ -10,12 +10,21 @@
 func calmRequest(route string) (*judge, *request) {
 	j := newJudge()
 	at := time.Now()
-	r := &request{id: "r", route: route, sent: at, ended: at.Add(20 * time.Millisecond), status: 200, own: true, server: serviceDesk}
+	r := &request{id: "r", route: route, key: "k", sent: at, ended: at.Add(20 * time.Millisecond), status: 200, own: true, server: serviceDesk}
 	j.requests[r.id] = r
 	j.runs[r.id] = 1
 	return j, r
 }
 
+// twoVersions returns two versions, the second in force since 3 s.
+func twoVersions(r *request, first, second []string) []version {
+	before, now := r.sent.Add(-20*time.Second), r.sent.Add(-5*time.Second)
+	return []version{
+		{number: 1, service: serviceDesk, keys: first, sent: before, acked: before},
+		{number: 2, service: serviceMoved, keys: second, sent: now, acked: now},
+	}
+}
+
 // Each promise can be seen to be broken.
 func TestJudgeFindsPlantedFaults(t *testing.T) {
 	for name, plant := range map[string]struct {
@@ -30,10 +39,14 @@
 			j.stops[[2]int{0, 0}] = r.sent.Add(time.Millisecond)
 		}},
 		"old version": {routeMoves, "only versions before 2", func(j *judge, r *request) {
-			j.versions = []version{
-				{number: 1, service: serviceDesk, sent: r.sent.Add(-20 * time.Second), acked: r.sent.Add(-20 * time.Second)},
-				{number: 2, service: serviceMoved, sent: r.sent.Add(-5 * time.Second), acked: r.sent.Add(-5 * time.Second)},
-			}
+			j.versions = twoVersions(r, []string{"k"}, []string{"k"})
+		}},
+		"revoked key": {routeStatus, "served with key k, as only versions before 2", func(j *judge, r *request) {
+			j.versions = twoVersions(r, []string{"k"}, nil)
+		}},
+		"key denied": {routeStatus, "key k denied", func(j *judge, r *request) {
+			r.status = 401
+			j.versions = twoVersions(r, nil, []string{"k"})
 		}},
 		"late arrival": {routeStatus, "after it had said that it leaves", func(j *judge, r *request) {
 			j.leaves["s"] = r.sent.Add(-3 * time.Second)
--- a/soak/world.go
+++ b/soak/world.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net/http"
 	"os"
 	"os/exec"
@@ -28,6 +29,11 @@
 	serviceMoved  = "moved"
 	serviceLlm    = "llm"
 	servicePhotos = "photos"
+
+	// keptKeys is how many of the latest keys a version has, and otherKeys the
+	// part of requests that use one of them or one that was revoked.
+	keptKeys  = 3
+	otherKeys = 0.2
 )
 
 type (
@@ -42,6 +48,9 @@
 		servers   []*server
 		version   int
 		started   int
+		// keys are those of the newest version, and given all that ever were.
+		keys  []string
+		given []string
 	}
 
 	// instance is one place where processes of the product run, one at a time.
@@ -215,6 +224,16 @@
 	return s, nil
 }
 
+// anyKey returns the key that stays or, now and then, one that a version had.
+func (w *world) anyKey(rng *rand.Rand) string {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if rng.Float64() >= otherKeys {
+		return callerKey
+	}
+	return w.given[max(0, len(w.given)-2*keptKeys)+rng.IntN(min(2*keptKeys, len(w.given)))]
+}
+
 // live returns the servers that are not leaving.
 func (w *world) live() []*server {
 	w.mu.Lock()
@@ -233,8 +252,11 @@
 	w.mu.Lock()
 	w.version += 1 + w.version%3
 	number := w.version
+	// Each version has one new key; the two before stay.
+	w.given = append(w.given, fmt.Sprintf("key-%d", number))
+	w.keys = append([]string{callerKey}, w.given[max(0, len(w.given)-keptKeys):]...)
+	v := version{number: number, service: moves, keys: w.keys, sent: time.Now()}
 	w.mu.Unlock()
-	v := version{number: number, service: moves, sent: time.Now()}
 	routes := []stand.Route{
 		{Name: routeBook, Service: serviceDesk, Kind: stand.NonIdempotent, Timeout: 1500 * time.Millisecond, Aim: 300 * time.Millisecond},
 		{Name: routeStatus, Service: serviceDesk, Kind: stand.Idempotent, Timeout: 1500 * time.Millisecond, Aim: 300 * time.Millisecond},
@@ -242,7 +264,7 @@
 		{Name: routeMoves, Service: moves, Kind: stand.Idempotent, Timeout: 1500 * time.Millisecond, Aim: 300 * time.Millisecond},
 	}
 	services := []stand.Service{{Name: serviceDesk}, {Name: serviceMoved}, {Name: serviceLlm, Engine: true}, {Name: servicePhotos, Pieces: true}}
-	w.store.PutConfig(number, map[string][]string{"roofs": {callerKey}}, services, routes)
+	w.store.PutConfig(number, map[string][]string{"roofs": v.keys}, services, routes)
 	v.acked = time.Now()
 	w.judge.note(func() { w.judge.versions = append(w.judge.versions, v) })
 }
