--- a/core/relay/engine.go
+++ b/core/relay/engine.go
@@ -14,10 +14,6 @@
 )
 
 const (
-	// firstGuess is the time from a send to an engine to its first event before
-	// any has been observed.
-	firstGuess = 300 * time.Millisecond
-
 	// maxRemakes is how often the stages of a request are done again because
 	// their results are gone.
 	maxRemakes = 2
@@ -182,7 +178,7 @@
 		watch.seen()
 		if events > 0 && first {
 			first = false
-			u.observeFirst(u.now().Sub(began))
+			u.relay.learnt.ObserveFirst(u.now(), u.route.Name, u.now().Sub(began))
 			u.freeAll()
 		}
 	})
@@ -257,18 +253,3 @@
 	}
 	return finish, final
 }
-
-// observeFirst learns from the time to the first event.
-func (u *run) observeFirst(took time.Duration) {
-	u.relay.mu.Lock()
-	defer u.relay.mu.Unlock()
-	u.learnt().first.Observe(u.now(), took, 1, 1)
-}
-
-// expectFirst returns the time from a send to the first event, which few
-// requests exceed.
-func (u *run) expectFirst() time.Duration {
-	u.relay.mu.Lock()
-	defer u.relay.mu.Unlock()
-	return u.learnt().first.High()
-}
--- a/core/relay/relay.go
+++ b/core/relay/relay.go
@@ -4,11 +4,10 @@
 	"context"
 	"errors"
 	"math"
-	"sync"
 	"time"
 
 	"chervilpath/core/declare"
-	"chervilpath/core/estimate"
+	"chervilpath/core/expect"
 	"chervilpath/core/fault"
 	"chervilpath/core/route"
 )
@@ -36,15 +35,6 @@
 	maxRelative  = 4
 	outputWeight = 10
 
-	// sizeWeight is the weight of the newest request in the mean size.
-	sizeWeight = 0.02
-
-	// waitQuantile is the part of callers that wait less than what first attempts
-	// are taken to wait, and waitStep moves that by each request, as a part of
-	// its wait: the waits of first attempts differ.
-	waitQuantile = 0.1
-	waitStep     = 0.02
-
 	// answerMargin is kept free at the end of a request's time, so that its
 	// answer reaches the caller.
 	answerMargin = 15 * time.Millisecond
@@ -64,23 +54,8 @@
 type (
 	// Relay takes requests to servers. Use New. It is safe for concurrent use.
 	Relay struct {
-		deps Deps
-
-		mu     sync.Mutex
-		routes map[string]*learnt
-	}
-
-	// learnt is what is known of the requests of one route.
-	learnt struct {
-		// wait is a low quantile of the times that callers say they wait. Those
-		// that come back after a refusal say less.
-		wait time.Duration
-		// size is the mean size of requests in tokens.
-		size float64
-		// first is the time from the send to an engine to its first event, and
-		// stages that of each stage with its wait.
-		first  *estimate.Stage
-		stages []*estimate.Stage
+		deps   Deps
+		learnt *expect.Routes
 	}
 
 	// run is one request on its way.
@@ -127,7 +102,7 @@
 )
 
 // New returns a relay.
-func New(deps Deps) *Relay { return &Relay{deps: deps, routes: make(map[string]*learnt)} }
+func New(deps Deps) *Relay { return &Relay{deps: deps, learnt: expect.New()} }
 
 // Serve takes a request to a server and gives the answer to the caller. An
 // error is a *fault.Error or a *Refusal; if the answer has begun, the caller's
@@ -188,7 +163,7 @@
 	if err := out.fitsStop(); err != nil {
 		return nil, err
 	}
-	out.aim = req.Arrived.Add(out.route.Aim - r.spent(out.route, req.Wait))
+	out.aim = req.Arrived.Add(out.route.Aim - r.learnt.Spent(out.route.Name, req.Wait))
 	out.log("route", "matched", "")
 	return out, nil
 }
@@ -231,28 +206,6 @@
 	return wait
 }
 
-// spent returns how much of its time a caller has at least used up before this
-// attempt.
-func (r *Relay) spent(rt *route.Route, wait time.Duration) time.Duration {
-	if wait <= 0 {
-		return 0
-	}
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	l := r.learnt(rt.Name)
-	if l.wait == 0 {
-		l.wait = wait
-	}
-	spent := max(0, l.wait-wait)
-	step := waitStep * float64(wait)
-	if wait < l.wait {
-		l.wait -= time.Duration(step * (1 - waitQuantile))
-	} else {
-		l.wait += time.Duration(step * waitQuantile)
-	}
-	return spent
-}
-
 // worth returns what the request is worth to its caller against others, by its
 // rank and its size: the configuration says no more.
 func (u *run) worth() float64 {
@@ -261,31 +214,10 @@
 		rank = u.priority
 	}
 	size := float64(u.req.PromptTokens + outputWeight*u.req.OutputTokens)
-	r := u.relay
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	l := r.learnt(u.route.Name)
-	if l.size == 0 {
-		l.size = size
-	}
-	l.size += sizeWeight * (size - l.size)
-	relative := 1.0
-	if l.size > 0 {
-		relative = size / l.size
-	}
+	relative := u.relay.learnt.Relative(u.route.Name, size)
 	return (basePart + (1-basePart)*min(relative, maxRelative)) * math.Exp2(-float64(rank))
 }
 
-// learnt returns what is known of a route. The caller holds mu.
-func (r *Relay) learnt(name string) *learnt {
-	l, ok := r.routes[name]
-	if !ok {
-		l = &learnt{}
-		r.routes[name] = l
-	}
-	return l
-}
-
 func (u *run) now() time.Time { return u.relay.deps.Clock.Now() }
 
 func (u *run) left() time.Duration { return u.end.Sub(u.now()) }
--- a/core/relay/stages.go
+++ b/core/relay/stages.go
@@ -8,7 +8,6 @@
 	"sync"
 	"time"
 
-	"chervilpath/core/estimate"
 	"chervilpath/core/fault"
 )
 
@@ -97,7 +96,7 @@
 		s.fail(i, err)
 		return
 	}
-	u.observeStage(i, u.now().Sub(began))
+	u.relay.learnt.ObserveStage(u.now(), u.route.Name, i, u.guessStage(i), u.now().Sub(began))
 	s.mu.Lock()
 	s.handles[i] = handles
 	s.expires[i] = u.now().Add(u.keeps(i) - expiryMargin)
@@ -191,20 +190,7 @@
 	if longest > 0 {
 		return longest
 	}
-	return u.expectFirst()
-}
-
-// learnt returns what is known of the request's route, with an estimate for
-// each of its stages. The caller holds the relay's mu.
-func (u *run) learnt() *learnt {
-	l := u.relay.learnt(u.route.Name)
-	if l.first == nil {
-		l.first = estimate.New(u.now(), firstGuess)
-	}
-	for len(l.stages) < len(u.route.Stages) {
-		l.stages = append(l.stages, estimate.New(u.now(), u.guessStage(len(l.stages))))
-	}
-	return l
+	return u.relay.learnt.First(u.now(), u.route.Name)
 }
 
 // guessStage returns the time of a full call of a stage's service.
@@ -216,18 +202,9 @@
 	return svc.Pieces.CallTime + time.Duration(svc.Pieces.Batch)*svc.Pieces.ItemTime
 }
 
-// observeStage learns from the time that a stage took with its wait.
-func (u *run) observeStage(j int, took time.Duration) {
-	u.relay.mu.Lock()
-	defer u.relay.mu.Unlock()
-	u.learnt().stages[j].Observe(u.now(), took, 1, 1)
-}
-
 // expectStage returns the time that half of the requests need for a stage.
 func (u *run) expectStage(j int) time.Duration {
-	u.relay.mu.Lock()
-	defer u.relay.mu.Unlock()
-	return u.learnt().stages[j].Median()
+	return u.relay.learnt.Stage(u.now(), u.route.Name, j, u.guessStage(j))
 }
 
 // freeUsed gives up the results that only stage i needed.
--- a/edge/beliefs.go
+++ b/edge/beliefs.go
@@ -214,13 +214,14 @@
 	}
 	for _, svc := range table.Services() {
 		servers := snapshot.Service(svc.Name)
-		switch {
-		case svc.Engine != nil:
+		if svc.Engine != nil {
 			b.instance.owners.desk(svc.Name).Replace(servers, svc.Engine.Slots)
-		case svc.Pieces != nil:
+			continue
+		}
+		if svc.Pieces != nil {
 			b.instance.owners.shop(svc.Name, *svc.Pieces).Replace(servers, *svc.Pieces)
 		}
-		// A route may send requests to any service.
+		// A route may send requests to a service of stages too.
 		b.spreadPlain(svc.Name, servers)
 	}
 }
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -92,7 +92,7 @@
 	n.pieces = &http.Client{Transport: upstream.Transport()}
 	n.clients = peer.NewClients("", peerTransport(), nil, time.Now)
 	self := member.Member{ID: n.incarnation, Name: cfg.Name(), Address: cfg.PeerAddress(), FailureDomain: cfg.FailureDomain(), Weight: cfg.Weight()}
-	n.members = peer.NewMembers(self, cfg.Seeds(), n.clients, time.Now, newRand(), n.behind, n.serving)
+	n.members = peer.NewMembers(self, cfg.Seeds(), n.clients, time.Now, peer.NewRand(), n.behind, n.serving)
 	n.beliefs = newBeliefs(n)
 	n.owners = newOwners(n)
 	n.relay = relay.New(n.relayDeps())
@@ -110,12 +110,6 @@
 	return t
 }
 
-func newRand() *mathrand.Rand {
-	var seed [32]byte
-	_, _ = rand.Read(seed[:])
-	return mathrand.New(mathrand.NewChaCha8(seed))
-}
-
 func (n *Instance) relayDeps() relay.Deps {
 	return relay.Deps{
 		Clock: n.clock, Table: n.beliefs.table, Fresh: n.beliefs.fresh, Servers: n.beliefs.servers,
--- a/node/node.go
+++ b/node/node.go
@@ -9,7 +9,6 @@
 	"context"
 	"crypto/rand"
 	"errors"
-	mathrand "math/rand/v2"
 	"net"
 	"net/http"
 	"strings"
@@ -95,9 +94,9 @@
 	n.platform = objects.New(n.store.Objects(objects.WatchWait), cfg.Reads(), cfg.Writes())
 	n.ledger = cost.New(time.Now(), cfg.Name(), n.owner.Incarnation)
 	n.metrics = newMetrics(n)
-	n.runner = pipeline.New(n.pipelineDeps(), stage.Policy{}, newRand())
+	n.runner = pipeline.New(n.pipelineDeps(), stage.Policy{}, peer.NewRand())
 	n.clients = peer.NewClients(cfg.Secret(), n.peerTransport(), secure.peers, time.Now)
-	n.members = peer.NewMembers(n.self(), cfg.Seeds(), n.clients, time.Now, newRand(), n.noteBehind, n.noteServing)
+	n.members = peer.NewMembers(n.self(), cfg.Seeds(), n.clients, time.Now, peer.NewRand(), n.noteBehind, n.noteServing)
 	n.keeper = once.New(once.Config{
 		Owner: n.owner, Secret: []byte(cfg.Secret()), TicketTTL: cfg.TicketTTL(), Retention: cfg.Retention(), Limit: cfg.Keys(),
 	}, once.Deps{
@@ -126,12 +125,6 @@
 	return t
 }
 
-func newRand() *mathrand.Rand {
-	var seed [32]byte
-	_, _ = rand.Read(seed[:])
-	return mathrand.New(mathrand.NewChaCha8(seed))
-}
-
 func (n *Instance) self() member.Member {
 	return member.Member{ID: n.owner.Incarnation, Name: n.cfg.Name(), Address: n.cfg.PeerAddress(), FailureDomain: n.cfg.FailureDomain()}
 }
