Leave stage servers that take no more alone for longer each time

Cause: after a restart of everything instances that have not found each other gather for themselves, and each tries a full server again every 30 ms.

TestFullServerIsLeftAloneForLongerEachTime fails without it.

--- a/core/gather/end.go
+++ b/core/gather/end.go
@@ -80,7 +80,8 @@
 
 func (q *Queue) failed(now time.Time, s *server, b *Batch, ending Ending) {
 	if ending == Refused {
-		s.until = now.Add(retryAfterFull)
+		s.refusals++
+		s.until = now.Add(min(maxAfterFull, retryAfterFull<<min(s.refusals-1, 8)))
 		return
 	}
 	s.failures++
@@ -89,7 +90,7 @@
 
 // answered learns from the time of a call.
 func (q *Queue) answered(now time.Time, s *server, b *Batch) {
-	s.failures = 0
+	s.failures, s.refusals = 0, 0
 	took := now.Sub(b.began).Seconds()
 	planned := q.time(b.Items).Seconds()
 	s.slowness += 0.3 * (took/planned - s.slowness)
--- a/core/gather/gather.go
+++ b/core/gather/gather.go
@@ -41,8 +41,11 @@
 	minPause = 200 * time.Millisecond
 	maxPause = 3 * time.Second
 
-	// retryAfterFull is how long a server without room is left alone.
+	// retryAfterFull is how long a server that takes no more is left alone,
+	// doubled each time in a row, up to maxAfterFull, the time of a call: others
+	// use it.
 	retryAfterFull = 30 * time.Millisecond
+	maxAfterFull   = 240 * time.Millisecond
 )
 
 type (
@@ -113,6 +116,7 @@
 		calls    []*Batch
 		used     int64
 		failures int
+		refusals int
 		until    time.Time
 		// slowness is the ratio of observed to expected time.
 		slowness float64
--- a/core/gather/gather_test.go
+++ b/core/gather/gather_test.go
@@ -199,6 +199,38 @@
 	}
 }
 
+// A server that others keep full is asked less and less often, and at once again
+// after it has taken a call.
+func TestFullServerIsLeftAloneForLongerEachTime(t *testing.T) {
+	q := queue(t, "a")
+	add(t, q, item("1", 10*time.Second))
+	now := start
+	calls := 0
+	for ; now.Sub(start) < 2*time.Second; now = now.Add(10 * time.Millisecond) {
+		if b, _ := q.Next(now); b != nil {
+			calls++
+			q.End(now, b, gather.Refused, nil)
+		}
+	}
+	if calls > 15 {
+		t.Errorf("a full server got %d calls in 2 s", calls)
+	}
+	now = now.Add(time.Second)
+	b, _ := q.Next(now)
+	if b == nil {
+		t.Fatal("the server is not asked any more")
+	}
+	q.End(now, b, gather.Answered, made(b))
+	add(t, q, item("2", 10*time.Second))
+	if b, _ = q.Next(now); b == nil {
+		t.Fatal("a server that took a call is left alone")
+	}
+	q.End(now, b, gather.Refused, nil)
+	if b, _ = q.Next(now.Add(40 * time.Millisecond)); b == nil {
+		t.Error("the first refusal after a call counts like one of many")
+	}
+}
+
 // Every piece ends exactly once whatever servers answer, and room is given back.
 func TestEveryPieceEndsOnce(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
