Answer questions for news with each later confirmation of the store

Seen in the log of questions, a trial. The fixed limit of before was looked at only after a question and hid most of it.

Change: a question says how old what one has is; a confirmation that is 0.1 s later is news.

--- a/edge/beliefs.go
+++ b/edge/beliefs.go
@@ -38,6 +38,10 @@
 	// which may pass before an outage of the store: one of lapseBeats is needed.
 	lapseBeats = 2
 
+	// fresher is how much later the store has to have confirmed what an instance
+	// has, that this alone is news: above the time between two instances.
+	fresher = 100 * time.Millisecond
+
 	// maxSpec is the largest configuration that is taken from another instance,
 	// in bytes: above the largest value of the store.
 	maxSpec = 4 << 20
@@ -60,7 +64,8 @@
 		// other instances are told of it; one of them may be nil.
 		spec, packed []byte
 		confirmed    time.Time
-		// changed is closed and replaced at each change that peers are told of.
+		// changed is closed and replaced at each change and each confirmation that
+		// peers are told of.
 		changed   chan struct{}
 		instances int
 		plains    map[string]*stage.Stage
@@ -104,6 +109,7 @@
 	b.view.Answered(time.Now(), at)
 	if at.After(b.confirmed) {
 		b.confirmed = at
+		b.wake()
 	}
 }
 
@@ -272,24 +278,22 @@
 }
 
 // news answers another instance that asks what it does not know. It waits for
-// news as long as the question says.
+// news, which a later confirmation of the store is too, as long as the question
+// says.
 func (b *beliefs) news(ctx context.Context, a peer.Asked) peer.News {
+	out, any, changed := b.newsNow(a)
+	if any {
+		return out
+	}
 	timer := time.NewTimer(min(a.Wait, maxNewsWait))
 	defer timer.Stop()
-	for {
-		out, any, changed := b.newsNow(a)
-		if any {
-			return out
-		}
-		select {
-		case <-changed:
-		case <-timer.C:
-			out, _, _ = b.newsNow(a)
-			return out
-		case <-ctx.Done():
-			return out
-		}
+	select {
+	case <-changed:
+	case <-timer.C:
+	case <-ctx.Done():
 	}
+	out, _, _ = b.newsNow(a)
+	return out
 }
 
 // newsNow returns the news, whether there are any, and a channel that is closed
@@ -298,6 +302,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	out.Confirmed, out.Age = !b.confirmed.IsZero(), time.Since(b.confirmed)
+	any = out.Confirmed && (!a.Confirmed || a.Age-out.Age > fresher)
 	if t := b.current.Load(); t != nil && t.Version() > a.Version {
 		if b.packed == nil {
 			b.packed = peer.Pack(b.spec)
--- a/edge/follow.go
+++ b/edge/follow.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"context"
 	"errors"
+	"math"
 	mathrand "math/rand/v2"
 	"slices"
 	"time"
@@ -270,7 +271,8 @@
 
 // ask asks a peer for news and reports whether what it has was confirmed of late.
 func (n *Instance) ask(ctx context.Context, address string, wait time.Duration) bool {
-	a := peer.Asked{ServersRevision: n.beliefs.revision(), Wait: wait}
+	age := n.beliefs.age()
+	a := peer.Asked{ServersRevision: n.beliefs.revision(), Wait: wait, Confirmed: age < math.MaxInt64, Age: age}
 	if t := n.beliefs.table(); t != nil {
 		a.Version = t.Version()
 	}
--- a/io/peer/site.go
+++ b/io/peer/site.go
@@ -38,7 +38,11 @@
 	Asked struct {
 		Version         int64
 		ServersRevision int64
-		Wait            time.Duration
+		// Confirmed is set if the store ever confirmed what the one who asks has,
+		// Age ago.
+		Confirmed bool
+		Age       time.Duration
+		Wait      time.Duration
 	}
 
 	// Site answers what instances on the users' platform ask of each other.
@@ -62,7 +66,10 @@
 	if s.Site == nil {
 		return nil, errNoSite
 	}
-	n := s.Site.Follow(ctx, Asked{Version: req.Version, ServersRevision: req.ServersRevision, Wait: micros(req.WaitMicros)})
+	n := s.Site.Follow(ctx, Asked{
+		Version: req.Version, ServersRevision: req.ServersRevision, Wait: micros(req.WaitMicros),
+		Confirmed: req.AgeMicros >= 0, Age: micros(req.AgeMicros),
+	})
 	out := &peerpb.FollowReply{Configuration: n.Configuration, Servers: n.Servers, AgeMicros: -1}
 	if n.Confirmed {
 		out.AgeMicros = n.Age.Microseconds()
@@ -130,7 +137,13 @@
 func (c *Clients) Follow(ctx context.Context, address string, a Asked) (News, error) {
 	ctx, cancel := context.WithTimeout(ctx, a.Wait+followTimeout)
 	defer cancel()
-	reply, err := c.At(address).Follow(ctx, &peerpb.FollowRequest{Version: a.Version, ServersRevision: a.ServersRevision, WaitMicros: a.Wait.Microseconds()})
+	age := int64(-1)
+	if a.Confirmed {
+		age = a.Age.Microseconds()
+	}
+	reply, err := c.At(address).Follow(ctx, &peerpb.FollowRequest{
+		Version: a.Version, ServersRevision: a.ServersRevision, WaitMicros: a.Wait.Microseconds(), AgeMicros: age,
+	})
 	if err != nil {
 		return News{}, fmt.Errorf("asking %s for news: %w", address, err)
 	}
