soak: count pieces of stages apart from runs of a request

Ruled out: a second send after a run.

Change: runs are counted at the servers of the route alone. Pieces get checks that did not exist: unknown request, piece that the request does not have, another key, an input missing, twice, or of another request. Each has a planted violation, and a refusal after a run at an engine still fails.

--- a/soak/callers.go
+++ b/soak/callers.go
@@ -21,7 +21,12 @@
 	abandonRatio = 0.03
 )
 
-var routes = []string{routeBook, routeStatus, routeDraft, routeReassigned}
+var (
+	routes = []string{routeBook, routeStatus, routeDraft, routeReassigned}
+
+	// draftPieces are the numbers of pieces of the stages of a request for routeDraft.
+	draftPieces = [...]int{2, 1}
+)
 
 // runCaller sends requests to random instances, one after the other, until ctx is
 // done. It keeps its connections open, so that requests also reach an instance that is
@@ -50,7 +55,7 @@
 	timeout := 1500 * time.Millisecond
 	c := stand.Request{ID: r.id, APIKey: r.key, Path: "/" + r.route + "/1", Timeout: timeout, Body: "body of " + r.id}
 	if r.route == routeDraft {
-		c.Timeout, c.Pieces = 4*time.Second, []int{2, 1}
+		c.Timeout, c.Pieces = 4*time.Second, draftPieces[:]
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), c.Timeout)
 	if abandon {
--- a/soak/checker.go
+++ b/soak/checker.go
@@ -5,6 +5,8 @@
 	"slices"
 	"sync"
 	"time"
+
+	"chervilpath/platform/stand"
 )
 
 // The bounds that instances have to keep. All except recoveryTime and stopWindow are
@@ -71,9 +73,12 @@
 		mu       sync.Mutex
 		requests map[string]*request
 		arrivals []arrival
-		// runs are the numbers of runs that servers counted, by request ID.
-		runs     map[string]int
-		versions []version
+		// runs are the numbers of runs that servers counted, by request ID. Pieces of
+		// stages are no runs: they precede the run of a request and may be repeated.
+		runs map[string]int
+		// pieceRuns are the pieces of stages that servers computed.
+		pieceRuns []stand.PieceRun
+		versions  []version
 		// withdrawnAt holds, by server ID, when the store had acknowledged that the
 		// server is draining or removed.
 		withdrawnAt map[string]time.Time
@@ -149,6 +154,7 @@
 	for _, a := range c.arrivals {
 		c.checkArrival(a, report)
 	}
+	c.checkPieces(report)
 	c.checkRetryBudget(report)
 	return violations
 }
--- a/soak/checker_test.go
+++ b/soak/checker_test.go
@@ -4,6 +4,8 @@
 	"strings"
 	"testing"
 	"time"
+
+	"chervilpath/platform/stand"
 )
 
 // undisturbedRequest returns a checker with a single request, which was answered, ran
@@ -17,6 +19,27 @@
 	return c, r
 }
 
+// draftPieceRuns returns the pieces of the first stage of a request, with the handles ID/0
+// and ID/1.
+func draftPieceRuns(id string) []stand.PieceRun {
+	return []stand.PieceRun{
+		{RequestID: id, Piece: 0, PieceKey: stand.PieceKey(id), Handle: id + "/0"},
+		{RequestID: id, Piece: 1, PieceKey: stand.PieceKey(id), Handle: id + "/1"},
+	}
+}
+
+// TestRefusalAfterStagesAlone tests that a refusal of a request whose pieces were computed
+// but that no engine received is true.
+func TestRefusalAfterStagesAlone(t *testing.T) {
+	c, r := undisturbedRequest(routeDraft)
+	r.status = 503
+	c.runs[r.id] = 0
+	c.pieceRuns = append(draftPieceRuns(r.id), stand.PieceRun{RequestID: r.id, Stage: 1, Inputs: []string{r.id + "/0", r.id + "/1"}, Handle: "x"})
+	if got := c.violations(); len(got) != 0 {
+		t.Errorf("violations: %v", got)
+	}
+}
+
 // twoVersions returns two versions of the configuration with the given keys. The second
 // has to be in force since 3 s before the request.
 func twoVersions(r *request, first, second []string) []version {
@@ -55,6 +78,27 @@
 			c.withdrawnAt["s"] = r.sent.Add(-3 * time.Second)
 			c.arrivals = append(c.arrivals, arrival{id: r.id, server: "s", service: serviceDesk, at: r.sent})
 		}},
+		"refused after a run at an engine": {routeDraft, "refused with 503", func(_ *checker, r *request) { r.status = 503 }},
+		"piece of an unknown request": {routeDraft, "no caller sent", func(c *checker, r *request) {
+			c.pieceRuns = append(c.pieceRuns, stand.PieceRun{RequestID: "other", PieceKey: stand.PieceKey("other")})
+		}},
+		"piece that the request does not have": {routeBook, "does not have", func(c *checker, r *request) {
+			c.pieceRuns = append(c.pieceRuns, stand.PieceRun{RequestID: r.id, PieceKey: stand.PieceKey(r.id)})
+		}},
+		"piece with another key": {routeDraft, "computed with key", func(c *checker, r *request) {
+			c.pieceRuns = append(c.pieceRuns, stand.PieceRun{RequestID: r.id, PieceKey: stand.PieceKey("other")})
+		}},
+		"piece with an input missing": {routeDraft, "other inputs", func(c *checker, r *request) {
+			c.pieceRuns = append(draftPieceRuns(r.id), stand.PieceRun{RequestID: r.id, Stage: 1, Inputs: []string{r.id + "/0"}, Handle: "x"})
+		}},
+		"piece with an input twice": {routeDraft, "other inputs", func(c *checker, r *request) {
+			c.pieceRuns = append(draftPieceRuns(r.id), stand.PieceRun{RequestID: r.id, Stage: 1, Inputs: []string{r.id + "/0", r.id + "/0"}, Handle: "x"})
+		}},
+		"piece with an input of another request": {routeDraft, "other inputs", func(c *checker, r *request) {
+			c.requests["other"] = &request{id: "other", route: routeDraft, status: 200, valid: true, sent: r.sent, ended: r.ended}
+			c.pieceRuns = append(draftPieceRuns(r.id), draftPieceRuns("other")...)
+			c.pieceRuns = append(c.pieceRuns, stand.PieceRun{RequestID: r.id, Stage: 1, Inputs: []string{r.id + "/0", "other/1"}, Handle: "x"})
+		}},
 		"too many repeats": {routeStatus, "retries in", func(c *checker, r *request) {
 			for range 70 {
 				c.arrivals = append(c.arrivals, arrival{id: r.id, server: "s", service: serviceDesk, at: r.sent})
--- a/soak/harness.go
+++ b/soak/harness.go
@@ -317,6 +317,7 @@
 			for id := range h.checker.requests {
 				h.checker.runs[id] += s.Runs(id)
 			}
+			h.checker.pieceRuns = append(h.checker.pieceRuns, s.PieceRuns()...)
 		}
 	})
 	for _, s := range h.servers {
