core/backlog: order waiting work in logarithmic time

Cause: for each batch the queue of a stage service sorted everything that waits twice and rebuilt a heap, each Add walked it twice, and each item of a batch walked all servers. At 10,000 waiting pieces and 40 calls a second and server this was the owner's processor.

Change: core/backlog holds the jobs (the pieces of one stage of a request) in two treaps with aggregates, one by due time and one by deadline, and a heap of those that were shed. Adding, taking, cancelling, shedding and the forecast of the wait are O(log n). Jobs that only other servers can process are skipped by lane, not one by one. A request's pieces are planned together, so that worth counts once and not for each piece, and a part of them is no longer shed alone. Results expire from a queue instead of a walk over all of them.

Ruled out: replanning only now and then, which is O(log n) amortised, but a single decision would still take milliseconds.

--- a/core/gather/choose.go
+++ b/core/gather/choose.go
@@ -1,6 +1,10 @@
 package gather
 
-import "time"
+import (
+	"time"
+
+	"chervilpath/core/backlog"
+)
 
 // canStart reports whether a call to the server can start now.
 func (q *Queue) canStart(now time.Time, s *server) bool {
@@ -73,20 +77,32 @@
 	return false
 }
 
-// fill moves waiting items into a batch for the server: first in any case, and
-// others that can join while the batch is not full.
-func (q *Queue) fill(now time.Time, s *server, b *Batch, first *Item) {
-	kept := q.waiting[:0]
-	for _, it := range q.waiting {
-		if len(b.Items) >= q.cfg.MaxBatch || it != first && !q.canJoin(now, s, it) {
-			kept = append(kept, it)
-			continue
+// fill moves waiting items into a batch for the server: those of the first job in
+// any case, and others that can join while the batch is not full.
+func (q *Queue) fill(now time.Time, s *server, b *Batch, first *backlog.Job) {
+	var blocked backlog.Lanes
+	for j := first; j != nil && len(b.Items) < q.cfg.MaxBatch; j = q.backlog.First(blocked) {
+		if j != first && !q.canJoin(now, s, q.waiting[j][0]) || !q.take(s, b, j) {
+			blocked.Add(j.Lane)
 		}
+	}
+}
+
+// take moves as many items of a job into the batch as it and the server have room
+// for, and reports whether these were all.
+func (q *Queue) take(s *server, b *Batch, j *backlog.Job) bool {
+	items := q.waiting[j]
+	n := 0
+	for n < len(items) && len(b.Items) < q.cfg.MaxBatch && (len(b.Items) == 0 || q.fits(s, items[n].ResultBytes)) {
+		it := items[n]
 		s.usedBytes += it.ResultBytes
 		it.attempts++
+		it.job = nil
 		b.Items = append(b.Items, it)
+		n++
 	}
-	q.waiting = kept
+	q.setWaiting(j, items[n:])
+	return n == len(items)
 }
 
 // canJoin reports whether an item can be added to a batch for the server. An
--- a/core/gather/complete.go
+++ b/core/gather/complete.go
@@ -26,7 +26,7 @@
 			if status == CallRefused {
 				it.attempts--
 			}
-			completed = q.retry(completed, it, fault.Errorf(fault.EndpointFailed, "server %s failed to process the piece on attempt %d", b.Server.ID, it.attempts))
+			completed = q.retry(now, completed, it, fault.Errorf(fault.EndpointFailed, "server %s failed to process the piece on attempt %d", b.Server.ID, it.attempts))
 		}
 		return completed, nil
 	}
@@ -36,9 +36,9 @@
 		switch {
 		case outcome.Status == ItemDone && it.cancelled:
 			orphaned = append(orphaned, outcome.Handle)
-			q.results[outcome.Handle] = result{serverID: s.ID, bytes: it.ResultBytes, expires: now.Add(q.cfg.ResultTTL)}
+			q.recordResult(now, s, outcome.Handle, it.ResultBytes)
 		case outcome.Status == ItemDone:
-			q.results[outcome.Handle] = result{serverID: s.ID, bytes: it.ResultBytes, expires: now.Add(q.cfg.ResultTTL)}
+			q.recordResult(now, s, outcome.Handle, it.ResultBytes)
 			completed = append(completed, Completion{Item: it, Handle: outcome.Handle})
 		default:
 			s.usedBytes -= it.ResultBytes
@@ -67,19 +67,19 @@
 		s.pausedUntil = now.Add(minFullBackoff)
 		it.attempts--
 	}
-	return q.retry(completed, it, fault.Errorf(fault.EndpointFailed, "server %s could not process the piece", s.ID))
+	return q.retry(now, completed, it, fault.Errorf(fault.EndpointFailed, "server %s could not process the piece", s.ID))
 }
 
 // retry puts an item back into the queue, or completes it with err after
 // maxAttempts.
-func (q *Queue) retry(completed []Completion, it *Item, err *fault.Error) []Completion {
+func (q *Queue) retry(now time.Time, completed []Completion, it *Item, err *fault.Error) []Completion {
 	if it.cancelled {
 		return completed
 	}
 	if it.attempts >= maxAttempts {
 		return append(completed, Completion{Item: it, Err: err.WithRan(fault.RanNo)})
 	}
-	q.waiting = append(q.waiting, it)
+	q.enqueue(now, []*Item{it})
 	return completed
 }
 
@@ -136,12 +136,23 @@
 	}
 }
 
+// recordResult records that a result occupies capacity of a server.
+func (q *Queue) recordResult(now time.Time, s *server, handle string, bytes int64) {
+	r := result{serverID: s.ID, bytes: bytes, expires: now.Add(q.cfg.ResultTTL)}
+	q.results[handle] = r
+	q.expiries = append(q.expiries, expiry{handle: handle, at: r.expires})
+}
+
 // expireResults releases the capacity of results that their servers no longer
 // hold.
 func (q *Queue) expireResults(now time.Time) {
-	for h, r := range q.results {
-		if now.After(r.expires) {
-			q.releaseResult(h)
+	n := 0
+	for n < len(q.expiries) && now.After(q.expiries[n].at) {
+		e := q.expiries[n]
+		if r, ok := q.results[e.handle]; ok && r.expires.Equal(e.at) {
+			q.releaseResult(e.handle)
 		}
+		n++
 	}
+	q.expiries = q.expiries[n:]
 }
--- a/core/gather/gather.go
+++ b/core/gather/gather.go
@@ -13,6 +13,7 @@
 	"sync"
 	"time"
 
+	"chervilpath/core/backlog"
 	"chervilpath/core/fault"
 	"chervilpath/core/fleet"
 	"chervilpath/core/route"
@@ -84,10 +85,9 @@
 		Done func(handle string, err error)
 
 		attempts  int
-		enqueued  time.Time
 		cancelled bool
-		// late is set if the current schedule does not finish the item by Due.
-		late bool
+		// job is the job of which the item is a unit while it waits.
+		job *backlog.Job
 	}
 
 	// ItemOutcome is the outcome of one item of a call.
@@ -117,11 +117,24 @@
 		cfg     route.PieceConfig
 		byID    map[string]*server
 		servers []*server
-		waiting []*Item
+		// backlog orders what waits. A job is the items of one stage of a request,
+		// which waiting holds.
+		backlog *backlog.Backlog
+		waiting map[*backlog.Job][]*Item
+		lanes   map[lane]int
 		// classSeconds holds the observed processing time of an item by class.
 		classSeconds map[string]float64
-		// results holds the results that occupy capacity, by handle.
-		results map[string]result
+		// results holds the results that occupy capacity, by handle, and expiries
+		// when they expire, in the order in which they were recorded.
+		results  map[string]result
+		expiries []expiry
+	}
+
+	// lane is what decides which servers can process an item.
+	lane struct {
+		// zone is the zone that the item prefers, or "".
+		zone        string
+		resultBytes int64
 	}
 
 	server struct {
@@ -146,6 +159,12 @@
 		bytes    int64
 		expires  time.Time
 	}
+
+	// expiry is when a result expires.
+	expiry struct {
+		handle string
+		at     time.Time
+	}
 )
 
 // The statuses of an item.
@@ -175,7 +194,7 @@
 // New returns a queue without servers.
 func New(cfg route.PieceConfig) *Queue {
 	return &Queue{
-		cfg: cfg, byID: make(map[string]*server),
+		cfg: cfg, byID: make(map[string]*server), backlog: backlog.New(), waiting: make(map[*backlog.Job][]*Item), lanes: make(map[lane]int),
 		classSeconds: make(map[string]float64), results: make(map[string]result),
 	}
 }
@@ -215,17 +234,64 @@
 	if len(q.servers) == 0 {
 		return fault.Errorf(fault.EndpointUnavailable, "the stage has no servers")
 	}
-	wait := q.queueDelay(now, items)
-	if need := wait + q.callTime(items); len(items) > 0 && now.Add(need).After(items[0].Deadline) {
-		return fault.Errorf(fault.Overloaded, "the stage needs %v, including a wait of %v, but only %v remain", need.Round(time.Millisecond), wait.Round(time.Millisecond), items[0].Deadline.Sub(now).Round(time.Millisecond))
+	if len(items) == 0 {
+		return nil
 	}
-	for _, it := range items {
-		it.enqueued = now
-		q.waiting = append(q.waiting, it)
+	first, needed := items[0], q.callTime(items)
+	wait := q.queueDelay(now, first, needed)
+	if now.Add(wait + needed).After(first.Deadline) {
+		return fault.Errorf(fault.Overloaded, "the stage needs %v, including a wait of %v, but only %v remain", (wait + needed).Round(time.Millisecond), wait.Round(time.Millisecond), first.Deadline.Sub(now).Round(time.Millisecond))
+	}
+	for len(items) > 0 {
+		n := 1
+		for n < len(items) && items[n].sameJob(items[0]) {
+			n++
+		}
+		q.enqueue(now, items[:n])
+		items = items[n:]
 	}
 	return nil
 }
 
+// sameJob reports whether two items belong to the same stage of a request.
+func (it *Item) sameJob(other *Item) bool {
+	return it.RequestID == other.RequestID && it.Stage == other.Stage
+}
+
+// enqueue adds the items of one stage of a request to those that wait.
+func (q *Queue) enqueue(now time.Time, items []*Item) {
+	first := items[0]
+	j := &backlog.Job{
+		Due: first.Due, Deadline: first.Deadline, Worth: first.Worth, Units: len(items), Lane: q.lane(first),
+		UnitTime: q.cfg.CallTime/time.Duration(max(1, q.cfg.MaxBatch)) + time.Duration(q.itemSeconds(first.Class)*float64(time.Second)),
+	}
+	for _, it := range items {
+		it.job = j
+	}
+	q.waiting[j] = slices.Clone(items)
+	q.backlog.Add(now, q.cfg.CallTime, j)
+}
+
+// lane returns the number of an item's lane. If there are too many lanes, the
+// last one holds items that differ.
+func (q *Queue) lane(it *Item) int {
+	key := lane{resultBytes: it.ResultBytes}
+	if it.prefersZone() {
+		key.zone = it.Zone
+	}
+	n, ok := q.lanes[key]
+	if !ok {
+		if q.backlog.Len() == 0 && len(q.lanes) >= backlog.MaxLanes {
+			clear(q.lanes)
+		}
+		n = min(len(q.lanes), backlog.MaxLanes-1)
+		if len(q.lanes) < backlog.MaxLanes {
+			q.lanes[key] = n
+		}
+	}
+	return n
+}
+
 // Cancel removes the items of an abandoned request. Items of a call in flight
 // end with it, and Complete returns the handles of their results to be freed.
 func (q *Queue) Cancel(items []*Item) {
@@ -233,8 +299,21 @@
 	defer q.mu.Unlock()
 	for _, it := range items {
 		it.cancelled = true
+		if j := it.job; j != nil {
+			q.setWaiting(j, slices.DeleteFunc(q.waiting[j], func(other *Item) bool { return other == it }))
+			it.job = nil
+		}
 	}
-	q.waiting = slices.DeleteFunc(q.waiting, func(it *Item) bool { return it.cancelled })
+}
+
+// setWaiting sets the items of a job that wait.
+func (q *Queue) setWaiting(j *backlog.Job, items []*Item) {
+	q.backlog.SetUnits(j, len(items))
+	if len(items) == 0 {
+		delete(q.waiting, j)
+		return
+	}
+	q.waiting[j] = items
 }
 
 // Next returns the batch of the next call to make, or nil if no call can start
@@ -244,18 +323,20 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	q.expireResults(now)
-	expired := q.removeExpired(now)
-	if len(q.waiting) == 0 || !slices.ContainsFunc(q.servers, func(s *server) bool { return q.canStart(now, s) }) {
+	q.backlog.SetParallelism(float64(q.numActive(now) * q.cfg.Slots))
+	expired := q.advance(now)
+	if q.backlog.Len() == 0 || !slices.ContainsFunc(q.servers, func(s *server) bool { return q.canStart(now, s) }) {
 		return nil, expired
 	}
-	q.schedule(now)
-	for _, it := range q.waiting {
-		s := q.selectServer(now, it)
+	var blocked backlog.Lanes
+	for j := q.backlog.First(blocked); j != nil; j = q.backlog.First(blocked) {
+		s := q.selectServer(now, q.waiting[j][0])
 		if s == nil {
+			blocked.Add(j.Lane)
 			continue
 		}
 		b := &Batch{Server: s.Server, started: now}
-		q.fill(now, s, b, it)
+		q.fill(now, s, b, j)
 		b.expected = time.Duration(float64(q.callTime(b.Items)) * max(1, s.slowness))
 		s.calls = append(s.calls, b)
 		return b, expired
@@ -263,21 +344,31 @@
 	return nil, expired
 }
 
-// removeExpired removes and returns the items that could not finish by their
-// deadline even if they were started now.
-func (q *Queue) removeExpired(now time.Time) []*Item {
-	shortest := q.cfg.CallTime
+// advance brings the backlog up to date, and removes and returns the items that
+// could not finish by their deadline even if they were started now.
+func (q *Queue) advance(now time.Time) []*Item {
 	var expired []*Item
-	q.waiting = slices.DeleteFunc(q.waiting, func(it *Item) bool {
-		if now.Add(shortest).After(it.Deadline) {
+	for _, j := range q.backlog.Advance(now, q.cfg.CallTime) {
+		for _, it := range q.waiting[j] {
+			it.job = nil
 			expired = append(expired, it)
-			return true
 		}
-		return false
-	})
+		delete(q.waiting, j)
+	}
 	return expired
 }
 
+// numActive returns the number of servers that are not paused.
+func (q *Queue) numActive(now time.Time) int {
+	n := 0
+	for _, s := range q.servers {
+		if !now.Before(s.pausedUntil) {
+			n++
+		}
+	}
+	return n
+}
+
 // NextWakeup returns the earliest time at which Next may have something to do
 // although nothing else has happened: a paused server may be retried, an
 // item stops waiting for its zone, or an item expires. It returns the zero time
@@ -286,7 +377,7 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	var earliest time.Time
-	if len(q.waiting) == 0 {
+	if q.backlog.Len() == 0 {
 		return earliest
 	}
 	consider := func(at time.Time) {
@@ -297,11 +388,12 @@
 	for _, s := range q.servers {
 		consider(s.pausedUntil)
 	}
-	for _, it := range q.waiting {
-		if it.prefersZone() {
-			consider(it.Due.Add(-q.cfg.CallTime - zoneWaitMargin))
+	due, deadline := q.backlog.NextChange()
+	for _, limit := range []time.Time{due, deadline} {
+		if !limit.IsZero() {
+			consider(limit.Add(-q.cfg.CallTime - zoneWaitMargin))
+			consider(limit.Add(-q.cfg.CallTime))
 		}
-		consider(it.Deadline.Add(-q.cfg.CallTime))
 	}
 	return earliest
 }
