peer, edge: settle among the others before owning, gathering or reading the store

Each fetched the whole table of 295 members up to five times in 3 s from the three seeds.

Change: core/member has a Join, which decides when an instance is settled (the first answer of a settled one, or 0.4 s after its start a last answer of a seed), and a Directory: at most 32 live members of most capacity, the same at all that know them. A start exchanges directories, not tables; the table follows once, at a period that each draws. Until settled an instance is not ready, and requests that come wait. Owners and watchers are chosen from the directory. An instance outside of it follows peers from its start, does not gather by itself, and asks the store only if no member of the directory has a recent confirmation; the intervals of its calls grow with the fleet. Answers to Follow carry the directory when it differs. What was made by whom is kept for one to two minutes, and not at all for a refused placement, which was never removed.

Ruled out: syncing more often, which is what saturates the seeds' links (30 KB a sync at 295).

Tests, which fail before: store reads at a start with 2 and 12 small instances 8 and 28 before, equal after; up to 6 stage calls at a time for one server before, 1 after. In virtual time at 30, 300, 1,000 instances all agree on all owners within a second, also with two of three seeds down. BenchmarkDirectory 1.5, 15, 50 us.

--- a/core/member/member.go
+++ b/core/member/member.go
@@ -83,6 +83,8 @@
 		probeOrder []string
 		nextProbe  int
 		rng        *rand.Rand
+		// version increases with every change of a member.
+		version int64
 	}
 
 	// record is what the table holds of another member.
@@ -112,6 +114,9 @@
 	return &Table{self: self, members: make(map[string]*record), rng: rng}
 }
 
+// Version returns a number that increases with every change of a member.
+func (t *Table) Version() int64 { return t.version }
+
 // Self returns the instance's own entry.
 func (t *Table) Self() Member { return t.self }
 
@@ -121,6 +126,7 @@
 	if revision > t.self.Revision {
 		t.self.Revision = revision
 		t.self.Sequence++
+		t.version++
 	}
 }
 
@@ -130,6 +136,7 @@
 	t.self.State = Leaving
 	t.self.Successor = successor
 	t.self.Sequence++
+	t.version++
 }
 
 // Merge applies an update about a member and reports whether it changed the
@@ -158,6 +165,7 @@
 		return false
 	}
 	existing.Member = m
+	t.version++
 	existing.transmissions = 0
 	t.setExpiry(now, existing)
 	return true
@@ -179,6 +187,7 @@
 func (t *Table) refute(m Member) {
 	if m.Sequence >= t.self.Sequence && (m.State == Suspect || m.State == Gone) {
 		t.self.Sequence = m.Sequence + 1
+		t.version++
 	}
 }
 
@@ -253,6 +262,7 @@
 	default:
 		return
 	}
+	t.version++
 	r.transmissions = 0
 	t.setExpiry(now, r)
 }
@@ -264,6 +274,7 @@
 		if r.expires.IsZero() || now.Before(r.expires) {
 			continue
 		}
+		t.version++
 		if r.State == Suspect {
 			r.State = Gone
 			r.transmissions = 0
--- a/edge/delegator.go
+++ b/edge/delegator.go
@@ -3,11 +3,11 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"slices"
 	"sync"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"go.uber.org/zap"
 
 	"chervilpath/core/balance"
@@ -26,12 +26,9 @@
 	peerBackoff = time.Second
 
 	// maxOwnerAttempts is how many owners of a service are called, one after the
-	// other, before the instance does the work itself.
-	maxOwnerAttempts = 2
-
-	// minCapacityFraction is the least capacity of an instance that works for
-	// others, as a fraction of the largest capacity of any instance.
-	minCapacityFraction = 0.5
+	// other. After them, an instance that owns services does the work itself, and
+	// any other one refuses it.
+	maxOwnerAttempts = 3
 
 	// freeTimeout is the timeout for freeing results at their servers when the
 	// owner of the service does not answer.
@@ -39,8 +36,8 @@
 )
 
 // delegator passes work for a service to the instance that owns the service, and
-// does the work for the services that this instance owns. If no owner of a service
-// answers, it does the work itself. It is safe for concurrent use.
+// does the work for the services that this instance owns. It is safe for concurrent
+// use.
 type delegator struct {
 	instance *Instance
 
@@ -50,16 +47,15 @@
 	dispatchers map[string]*gather.Dispatcher
 	// pausedUntil holds, by address, until when a peer is not chosen as an owner.
 	pausedUntil map[string]time.Time
-	// computedBy holds the address of the peer that had a result computed, by
-	// handle, and placedBy that of the peer that placed a request, by request ID.
-	computedBy map[string]string
-	placedBy   map[string]string
+	// computedBy holds the peer that had a result computed, by handle, and placedBy
+	// the peer that placed a request, by request ID.
+	computedBy, placedBy *peerIndex
 }
 
 func newDelegator(in *Instance) *delegator {
 	return &delegator{
 		instance: in, placers: make(map[string]*engine.Placer), dispatchers: make(map[string]*gather.Dispatcher),
-		pausedUntil: make(map[string]time.Time), computedBy: make(map[string]string), placedBy: make(map[string]string),
+		pausedUntil: make(map[string]time.Time), computedBy: newPeerIndex(time.Now()), placedBy: newPeerIndex(time.Now()),
 	}
 }
 
@@ -90,36 +86,37 @@
 	return dispatcher
 }
 
-// ownerAddress returns the address of the instance that owns a service, or "" if
-// it is this one. The owner is chosen by rendezvous hashing among the live
-// instances that capableMembers returns. A peer that did not answer is left out
-// for peerBackoff, so that the next candidate becomes the owner.
-func (d *delegator) ownerAddress(service string) string {
+// owner returns the address of the instance that owns a service, or "" if it is
+// this one. It is chosen by rendezvous hashing among the members of the directory.
+// A peer that did not answer is left out for peerBackoff, so that the next
+// candidate becomes the owner. It reports false if no candidate is left.
+func (d *delegator) owner(service string) (address string, ok bool) {
 	now := time.Now()
-	candidates := capableMembers(d.instance.members.List(), func(m member.Member) bool {
-		return m.State == member.Live && (m.ID == d.instance.incarnation || !d.isPaused(m.Address, now))
+	directory, _ := d.instance.members.Directory()
+	m, ok := member.Owner(directory, service, func(m member.Member) bool {
+		return m.ID == d.instance.incarnation || !d.isPaused(m.Address, now)
 	})
-	best, bestRank := "", uint64(0)
-	for _, m := range candidates {
-		if rank := xxhash.Sum64String(service + "\x00" + m.Name); best == "" || rank > bestRank {
-			best, bestRank = m.Address, rank
-		}
-	}
-	if best == d.instance.peerAddress {
-		return ""
+	if m.ID == d.instance.incarnation {
+		return "", ok
 	}
-	return best
+	return m.Address, ok
+}
+
+// worksForOthers reports whether this instance is in the directory, so that others
+// may choose it as an owner.
+func (d *delegator) worksForOthers() bool {
+	directory, _ := d.instance.members.Directory()
+	return slices.ContainsFunc(directory, func(m member.Member) bool { return m.ID == d.instance.incarnation })
 }
 
-// capableMembers returns the eligible members whose capacity is at least
-// minCapacityFraction of the largest capacity among them.
-func capableMembers(members []member.Member, eligible func(member.Member) bool) []member.Member {
-	members = slices.DeleteFunc(slices.Clone(members), func(m member.Member) bool { return !eligible(m) })
-	maxWeight := 0.0
-	for _, m := range members {
-		maxWeight = max(maxWeight, m.Weight)
+// awaitSettled waits until this instance knows which instances own services.
+func (d *delegator) awaitSettled(ctx context.Context) error {
+	select {
+	case <-d.instance.members.Settled():
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
 	}
-	return slices.DeleteFunc(members, func(m member.Member) bool { return m.Weight < minCapacityFraction*maxWeight })
 }
 
 func (d *delegator) isPaused(address string, now time.Time) bool {
@@ -132,7 +129,9 @@
 // peerBackoff.
 func (d *delegator) pausePeer(address string, err error) {
 	d.mu.Lock()
-	d.pausedUntil[address] = time.Now().Add(peerBackoff)
+	now := time.Now()
+	maps.DeleteFunc(d.pausedUntil, func(_ string, until time.Time) bool { return now.After(until) })
+	d.pausedUntil[address] = now.Add(peerBackoff)
 	d.mu.Unlock()
 	d.instance.log.Warn("owner does not answer", zap.String("peer", address), zap.Error(err))
 }
@@ -140,44 +139,32 @@
 // runStage has the pieces of a stage computed by the owner of their service and
 // returns the handles of the results.
 func (d *delegator) runStage(ctx context.Context, job relay.StageJob) ([]string, error) {
+	start := time.Now()
+	if err := d.awaitSettled(ctx); err != nil {
+		return nil, err
+	}
+	due, remaining := job.Due, job.Remaining
 	for range maxOwnerAttempts {
-		address := d.ownerAddress(job.Service)
-		if address == "" {
-			break
+		elapsed := time.Since(start)
+		job.Due, job.Remaining = due-elapsed, remaining-elapsed
+		address, ok := d.owner(job.Service)
+		if !ok || address == "" {
+			return d.runStageLocally(ctx, job)
 		}
-		start := time.Now()
 		handles, err := d.instance.peers.RunStage(ctx, address, job)
 		if err == nil {
-			d.recordPeer(d.computedBy, handles, address)
+			d.computedBy.record(time.Now(), handles, address)
 			return handles, nil
 		}
 		if !errors.Is(err, peer.ErrNoAnswer) || ctx.Err() != nil {
 			return nil, err
 		}
 		d.pausePeer(address, err)
-		elapsed := time.Since(start)
-		job.Due, job.Remaining = job.Due-elapsed, job.Remaining-elapsed
 	}
-	return d.runStageLocally(ctx, job)
-}
-
-// recordPeer records the address of a peer for keys of computedBy or placedBy.
-func (d *delegator) recordPeer(addresses map[string]string, keys []string, address string) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	for _, k := range keys {
-		addresses[k] = address
+	if d.worksForOthers() {
+		return d.runStageLocally(ctx, job)
 	}
-}
-
-// takePeer removes a key from computedBy or placedBy and returns the address that
-// was recorded for it, or "" if there is none.
-func (d *delegator) takePeer(addresses map[string]string, key string) string {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	address := addresses[key]
-	delete(addresses, key)
-	return address
+	return nil, fault.Errorf(fault.EndpointUnavailable, "none of %d owners of service %q answers", maxOwnerAttempts, job.Service).WithRan(fault.RanNo)
 }
 
 // runStageLocally has the pieces of a stage computed through this instance's own
@@ -214,7 +201,7 @@
 func (d *delegator) freeResults(service string, handles []string) {
 	byPeer := make(map[string][]string)
 	for _, h := range handles {
-		address := d.takePeer(d.computedBy, h)
+		address := d.computedBy.take(h)
 		byPeer[address] = append(byPeer[address], h)
 	}
 	for address, list := range byPeer {
@@ -259,14 +246,19 @@
 // place has the owner of a service choose an engine for a request. It returns the
 // engine's ID, or "" if there is none.
 func (d *delegator) place(ctx context.Context, service string, q engine.Query) string {
+	if d.awaitSettled(ctx) != nil {
+		return ""
+	}
 	for range maxOwnerAttempts {
-		address := d.ownerAddress(service)
-		if address == "" {
+		address, ok := d.owner(service)
+		if !ok || address == "" {
 			break
 		}
 		id, err := d.instance.peers.Place(ctx, address, service, q, time.Until(q.Expires))
 		if err == nil {
-			d.recordPeer(d.placedBy, []string{q.RequestID}, address)
+			if id != "" {
+				d.placedBy.record(time.Now(), []string{q.RequestID}, address)
+			}
 			return id
 		}
 		if ctx.Err() != nil {
@@ -274,6 +266,8 @@
 		}
 		d.pausePeer(address, err)
 	}
+	// Without the loads that an owner knows, the choice is the one that it would
+	// make at equal loads.
 	return d.placeLocally(service, q)
 }
 
@@ -283,7 +277,7 @@
 
 // settle ends a placement at the instance that made it.
 func (d *delegator) settle(service, requestID, serverID string, outcome balance.Outcome) {
-	address := d.takePeer(d.placedBy, requestID)
+	address := d.placedBy.take(requestID)
 	if address == "" {
 		d.settleLocally(service, requestID, serverID, outcome)
 		return
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -60,7 +60,10 @@
 		// watchingStore is set while this instance watches the store itself
 		// instead of following peers.
 		watchingStore atomic.Bool
-		httpServers   []*http.Server
+		// settledAt is when this instance was settled among the others, or nil if
+		// it is not yet.
+		settledAt   atomic.Pointer[time.Time]
+		httpServers []*http.Server
 
 		// shutdownCtx is cancelled shortly before a planned shutdown ends.
 		shutdownCtx       context.Context
@@ -85,7 +88,6 @@
 		},
 	}
 	in.cfg.Store(&cfg)
-	in.watchingStore.Store(true)
 	in.shutdown.Store(&relay.Shutdown{})
 	in.shutdownCtx, in.cancelShutdownCtx = context.WithCancel(context.Background())
 	in.loopCtx, in.cancelLoops = context.WithCancel(context.Background())
@@ -157,7 +159,7 @@
 	case in.draining.Load():
 		return fault.Errorf(fault.Draining, "the instance is shutting down")
 	case !in.ready.Load():
-		return fault.Errorf(fault.Draining, "the instance has not received the configuration and the servers yet")
+		return fault.Errorf(fault.Draining, "the instance has not joined the others or not received the configuration and the servers yet")
 	}
 	return nil
 }
--- a/edge/follow.go
+++ b/edge/follow.go
@@ -1,12 +1,10 @@
 package edge
 
 import (
-	"cmp"
 	"context"
 	"errors"
 	"math"
 	mathrand "math/rand/v2"
-	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -36,9 +34,19 @@
 	readFraction       = 0.75
 
 	// A failed call is retried after minBackoff, doubled with each consecutive
-	// failure, up to maxBackoff. Half of the backoff is random.
-	minBackoff = 50 * time.Millisecond
-	maxBackoff = 400 * time.Millisecond
+	// failure, up to maxBackoff at an instance that watches the store on behalf of
+	// all, substituteBackoff at another one of the directory, and backoffPerInstance
+	// times the number of instances at any other, so that the rate of calls of a
+	// store that does not answer does not grow with the number of instances. Half
+	// of the backoff is random.
+	minBackoff         = 50 * time.Millisecond
+	maxBackoff         = 400 * time.Millisecond
+	substituteBackoff  = 1600 * time.Millisecond
+	backoffPerInstance = 20 * time.Millisecond
+
+	// joinPollInterval is the time between two checks, before this instance is
+	// settled, of whether it is among those that watch the store.
+	joinPollInterval = 20 * time.Millisecond
 
 	// numStoreWatchers is how many instances watch the store on behalf of all, so
 	// that the number of calls does not grow with the number of instances.
@@ -114,7 +122,7 @@
 		}
 		lost = true
 		f.instance.metrics.storeFailures.Inc()
-		f.sleepJittered(ctx, min(maxBackoff, minBackoff<<min(failures, 8)))
+		f.sleepJittered(ctx, min(f.instance.maxStoreBackoff(), minBackoff<<min(failures, 8)))
 		failures++
 	}
 }
@@ -222,54 +230,109 @@
 }
 
 // followPeers follows the store through the instances that watch it, until ctx
-// is done. While none of them has a recent confirmation by the store, this
-// instance watches the store itself.
+// is done. While this instance is one of them, it watches the store itself.
 func (in *Instance) followPeers(ctx context.Context) {
+	in.awaitDirectory(ctx)
 	// The hash distributes the instances over the watchers.
 	next := xxhash.Sum64String(in.incarnation)
+	failures := 0
 	for ctx.Err() == nil {
-		watchers := in.storeWatchers()
-		if watchers == nil {
+		sources, watches := in.sources()
+		if watches {
 			in.watchingStore.Store(true)
 			in.sleep(ctx, in.state.propagationTime(followFraction))
 			continue
 		}
-		if !in.pollPeer(ctx, watchers[next%uint64(len(watchers))], in.state.propagationTime(followFraction)) {
-			next++
+		// After a failure the other members of the directory are asked in turn:
+		// one of them may have a confirmation that the watchers lack.
+		numSources := numStoreWatchers
+		if failures > 0 {
+			numSources = len(sources)
+		}
+		source := sources[(next+uint64(failures))%uint64(min(numSources, len(sources)))]
+		if !in.pollPeer(ctx, source, in.state.propagationTime(followFraction)) {
+			failures++
 			in.sleep(ctx, minBackoff)
 			continue
 		}
+		failures = 0
 		if in.watchingStore.CompareAndSwap(true, false) {
-			in.log.Info("following peers", zap.Strings("watchers", watchers))
+			in.log.Info("following peers", zap.String("source", source))
+		}
+	}
+}
+
+// awaitDirectory waits until this instance is settled. If it is among the watchers
+// according to the seeds that have answered, it starts to watch the store earlier.
+func (in *Instance) awaitDirectory(ctx context.Context) {
+	for ctx.Err() == nil {
+		select {
+		case <-in.members.Settled():
+			now := time.Now()
+			in.settledAt.Store(&now)
+			in.state.updateReady()
+			return
+		default:
+		}
+		if directory, _ := in.members.Directory(); len(directory) > 1 {
+			if _, watches := in.sources(); watches {
+				in.watchingStore.Store(true)
+			}
 		}
+		in.sleep(ctx, joinPollInterval)
 	}
 }
 
 // shouldWatchStore reports whether this instance has to watch the store itself,
-// either on behalf of the others or because the watchers have no recent
-// confirmation by the store.
+// either on behalf of the others or because none of those that do has a recent
+// confirmation by the store. The instances of the directory start earlier, so that
+// the others can follow them.
 func (in *Instance) shouldWatchStore() bool {
-	if in.state.stale() && in.watchingStore.CompareAndSwap(false, true) {
-		in.log.Warn("peers do not have what the store confirmed", zap.Duration("age", in.state.confirmationAge()))
+	settledAt := in.settledAt.Load()
+	if settledAt == nil {
+		return in.watchingStore.Load()
+	}
+	fraction := staleFraction
+	if !in.delegator.worksForOthers() {
+		fraction = lateFraction
+	}
+	age := min(in.state.confirmationAge(), time.Since(*settledAt))
+	if age >= in.state.propagationTime(fraction) && in.watchingStore.CompareAndSwap(false, true) {
+		in.log.Warn("peers do not have what the store confirmed", zap.Duration("age", age))
 	}
 	return in.watchingStore.Load()
 }
 
-// storeWatchers returns the addresses of the instances that watch the store on
-// behalf of all, or nil if this instance is one of them or none is known. All
-// instances with the same list of members choose the same ones.
-func (in *Instance) storeWatchers() []string {
-	rank := func(m member.Member) uint64 { return xxhash.Sum64String(m.Name) }
-	live := capableMembers(in.members.List(), func(m member.Member) bool { return m.State == member.Live })
-	slices.SortFunc(live, func(a, b member.Member) int { return cmp.Compare(rank(b), rank(a)) })
-	var out []string
-	for _, m := range live[:min(numStoreWatchers, len(live))] {
+// maxStoreBackoff returns the longest time after which this instance retries a
+// failed call of the store.
+func (in *Instance) maxStoreBackoff() time.Duration {
+	if _, watches := in.sources(); watches {
+		return maxBackoff
+	}
+	if in.delegator.worksForOthers() {
+		return substituteBackoff
+	}
+	return max(substituteBackoff, time.Duration(in.members.NumServing())*backoffPerInstance)
+}
+
+// sources returns the addresses of the live members of the directory, of which the
+// first numStoreWatchers watch the store on behalf of all, and reports whether this
+// instance is one of these or no other instance is known.
+func (in *Instance) sources() (addresses []string, watches bool) {
+	directory, _ := in.members.Directory()
+	rank := 0
+	for _, m := range directory {
+		if m.State != member.Live {
+			continue
+		}
 		if m.ID == in.incarnation {
-			return nil
+			watches = rank < numStoreWatchers
+		} else {
+			addresses = append(addresses, m.Address)
 		}
-		out = append(out, m.Address)
+		rank++
 	}
-	return out
+	return addresses, watches || len(addresses) == 0
 }
 
 // onNewerVersion is called when a peer has a newer configuration in force.
@@ -284,11 +347,13 @@
 	if t := in.state.table(); t != nil {
 		req.Version = t.Version()
 	}
+	_, req.DirectoryDigest = in.members.Directory()
 	reply, err := in.peers.Follow(ctx, address, req)
 	if err != nil {
 		in.log.Debug("could not get changes from peer", zap.String("peer", address), zap.Error(err))
 		return false
 	}
+	in.members.MergeDirectory(reply.Directory)
 	in.state.applyReply(address, reply)
 	return reply.Confirmed && reply.Age < in.state.propagationTime(staleFraction)
 }
--- a/edge/harness_test.go
+++ b/edge/harness_test.go
@@ -100,8 +100,14 @@
 
 func (s *testSite) start(name, callerAddress, peerAddress, operatorAddress, seeds string) {
 	s.t.Helper()
-	ini := fmt.Sprintf("[site]\nname = %s\nfailureDomain = a\ncallerAddress = %s\npeerAddress = %s\noperatorAddress = %s\nseeds = %s\n[store]\naddress = %s\n[bounds]\ngrace = 6s\nrepeatRatio = 0.2\nrepeatSlack = 56\n",
-		name, callerAddress, peerAddress, operatorAddress, seeds, s.store.Address())
+	s.startWithCores(name, callerAddress, peerAddress, operatorAddress, seeds, 1)
+}
+
+// startWithCores starts an instance on a machine with the given number of cores.
+func (s *testSite) startWithCores(name, callerAddress, peerAddress, operatorAddress, seeds string, cores float64) {
+	s.t.Helper()
+	ini := fmt.Sprintf("[site]\nname = %s\nfailureDomain = a\ncallerAddress = %s\npeerAddress = %s\noperatorAddress = %s\nseeds = %s\n[store]\naddress = %s\n[bounds]\ngrace = 6s\nrepeatRatio = 0.2\nrepeatSlack = 56\n[machine]\ncores = %g\n",
+		name, callerAddress, peerAddress, operatorAddress, seeds, s.store.Address(), cores)
 	cfg, err := settings.ParseSite("test.ini", []byte(ini))
 	if err != nil {
 		s.t.Fatal(err)
--- a/edge/state.go
+++ b/edge/state.go
@@ -31,10 +31,13 @@
 	freshFraction = 0.9
 
 	// staleFraction is the age of the store's last confirmation from which an
-	// instance watches the store itself, as a fraction of the propagation time.
-	// It leaves enough of that time to read the store.
+	// instance of the directory watches the store itself, as a fraction of the
+	// propagation time. It leaves enough of that time to read the store.
 	staleFraction = 0.65
 
+	// lateFraction is the same for an instance that is not in the directory.
+	lateFraction = 0.9
+
 	// outageHeartbeats is the length of an outage of the store, in heartbeat
 	// intervals, from which entries of live servers may have expired in it. An
 	// entry expires after three intervals without a heartbeat, and one of them may
@@ -106,10 +109,6 @@
 	return time.Duration(fraction * float64(min(bounds.ConfigPropagation, bounds.Drain)))
 }
 
-// stale reports whether the store's last confirmation is too old to rely on
-// peers.
-func (c *clusterState) stale() bool { return c.confirmationAge() >= c.propagationTime(staleFraction) }
-
 // recordConfirmation records that the store confirmed the configuration at the
 // given time.
 func (c *clusterState) recordConfirmation(at time.Time) {
@@ -169,10 +168,10 @@
 	go c.instance.members.SetRevision(c.instance.loopCtx, table.Version())
 }
 
-// updateReady marks the instance as ready as soon as it knows a configuration
-// and at least one server.
+// updateReady marks the instance as ready as soon as it is settled and knows a
+// configuration and at least one server.
 func (c *clusterState) updateReady() {
-	if c.currentTable.Load() != nil && c.snapshot.Load().Len() > 0 && c.instance.ready.CompareAndSwap(false, true) {
+	if c.instance.settledAt.Load() != nil && c.currentTable.Load() != nil && c.snapshot.Load().Len() > 0 && c.instance.ready.CompareAndSwap(false, true) {
 		c.instance.log.Info("instance ready")
 	}
 }
@@ -225,7 +224,9 @@
 	}
 	c.numInstances = count
 	c.instance.log.Info("instances serving", zap.Int("count", count))
-	c.updateServices()
+	for _, s := range c.plainStages {
+		s.UpdateMembership(nil, count)
+	}
 }
 
 // updateServices passes the current servers, configuration and number of
--- a/io/peer/members.go
+++ b/io/peer/members.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
-	"slices"
 	"sync"
 	"time"
 
@@ -29,9 +28,10 @@
 	minSyncInterval = 15
 )
 
-// startupSyncPeriods are the periods after the start in which an instance always
-// syncs: when many instances start at once, the first sync finds few of them.
-var startupSyncPeriods = []int{1, 2, 5, 15}
+// maxStartupSyncPeriod is the last period in which an instance fetches all members
+// for the first time. Each draws its own period, so that instances that start
+// together do not fetch them from the seeds at the same time.
+const maxStartupSyncPeriod = 20
 
 // Until period numFastPeriods, the periods are shorter by the factor
 // fastPeriodDivisor, so that instances that start together soon agree on which of
@@ -54,11 +54,26 @@
 	// changed.
 	onServingChanged func(serving int)
 
+	// settled is closed once this instance knows the others well enough to work
+	// for them.
+	settled    chan struct{}
+	settleOnce sync.Once
+
 	mu         sync.Mutex
 	numPeriods int
-	table      *member.Table
-	rng        *rand.Rand
-	numPings   int64
+	// startupSyncPeriod is the period in which this instance fetches all members
+	// for the first time.
+	startupSyncPeriod int
+	table             *member.Table
+	rng               *rand.Rand
+	numPings          int64
+	// reportedServing is the number of serving instances that the last synced
+	// instance reported. The table may hold fewer soon after the start.
+	reportedServing int
+	// directory is that of the table's version directoryVersion.
+	directory        []member.Member
+	directoryVersion int64
+	directoryDigest  uint64
 }
 
 // NewMembers returns a membership that knows only the instance itself and the
@@ -66,7 +81,7 @@
 func NewMembers(self member.Member, seeds []string, clients *Clients, now func() time.Time, rng *rand.Rand, onNewerRevision func(address string, revision int64), onServingChanged func(serving int)) *Members {
 	return &Members{
 		clients: clients, seeds: seeds, now: now, onNewerRevision: onNewerRevision, onServingChanged: onServingChanged,
-		table: member.New(self, rng), rng: rng,
+		table: member.New(self, rng), rng: rng, settled: make(chan struct{}), startupSyncPeriod: 1 + rng.IntN(maxStartupSyncPeriod),
 	}
 }
 
@@ -88,7 +103,19 @@
 func (m *Members) NumServing() int {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return m.table.NumServing()
+	return m.numServing()
+}
+
+// numServing returns the number of instances that accept requests, as this
+// instance knows or was last told. The caller holds mu.
+func (m *Members) numServing() int { return max(m.table.NumServing(), m.reportedServing) }
+
+func (m *Members) setReportedServing(n int) {
+	m.mu.Lock()
+	m.reportedServing = n
+	serving := m.numServing()
+	m.mu.Unlock()
+	m.onServingChanged(serving)
 }
 
 // Rank returns how many live members rank higher than this instance.
@@ -137,9 +164,10 @@
 	}
 }
 
-// Run probes one member in each period until ctx is done.
+// Run joins the other instances and then probes one member in each period until
+// ctx is done.
 func (m *Members) Run(ctx context.Context) {
-	m.syncWithSeed(ctx)
+	m.join(ctx)
 	for m.waitPeriod(ctx) {
 		if m.syncDue() {
 			m.syncWithSeed(ctx)
@@ -149,14 +177,13 @@
 }
 
 // syncDue begins a period and reports whether to sync with a seed in it: always
-// if no other serving instance is known or in one of startupSyncPeriods, otherwise
-// at random.
+// if no other serving instance is known or in startupSyncPeriod, otherwise at
+// random.
 func (m *Members) syncDue() bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.numPeriods++
-	n := m.table.NumServing()
-	return n == 1 || slices.Contains(startupSyncPeriods, m.numPeriods) || m.rng.IntN(max(minSyncInterval, n)) == 0
+	return m.table.NumServing() == 1 || m.numPeriods == m.startupSyncPeriod || m.rng.IntN(max(minSyncInterval, m.numServing())) == 0
 }
 
 // waitPeriod sleeps for a period, varied at random by up to a fifth. It reports
@@ -203,20 +230,13 @@
 		return fmt.Errorf("syncing with %s: %w", address, err)
 	}
 	m.mergeAll(resp.Members)
+	m.setReportedServing(int(resp.Serving))
 	return nil
 }
 
-// mergeAll merges the membership table of a seed.
+// mergeAll merges the members that another instance returned to a sync.
 func (m *Members) mergeAll(pbs []*peerpb.Member) {
-	m.mu.Lock()
-	var members []member.Member
-	for _, pb := range pbs {
-		if other, err := fromProto(pb); err == nil {
-			members = append(members, other)
-		}
-	}
-	m.table.MergeAll(m.now(), members)
-	m.mu.Unlock()
+	m.MergeDirectory(membersFromProto(pbs))
 	// The entries are merged by now. This call detects a member that has a
 	// higher revision.
 	m.mergeUpdates(pbs)
@@ -234,7 +254,7 @@
 	}
 	m.mu.Lock()
 	m.table.Expire(m.now())
-	serving := m.table.NumServing()
+	serving := m.numServing()
 	addresses := make(map[string]bool)
 	for _, other := range m.table.Members() {
 		addresses[other.Address] = true
--- a/io/peer/peer.go
+++ b/io/peer/peer.go
@@ -232,11 +232,13 @@
 // Sync implements peerpb.Peer.
 func (s *Server) Sync(ctx context.Context, req *peerpb.SyncRequest) (*peerpb.SyncReply, error) {
 	s.Members.mergeUpdates([]*peerpb.Member{req.From})
-	out := &peerpb.SyncReply{}
-	for _, m := range s.Members.List() {
-		out.Members = append(out.Members, toProto(m))
+	members := s.Members.List()
+	if req.Directory {
+		members, _ = s.Members.Directory()
 	}
-	return out, nil
+	return &peerpb.SyncReply{
+		Members: membersToProto(members), Serving: int32(s.Members.NumServing()), Settled: s.Members.isSettled(),
+	}, nil
 }
 
 // Serve implements peerpb.Peer.
--- a/io/peer/platform.go
+++ b/io/peer/platform.go
@@ -11,6 +11,7 @@
 	"chervilpath/core/balance"
 	"chervilpath/core/engine"
 	"chervilpath/core/fault"
+	"chervilpath/core/member"
 	"chervilpath/core/relay"
 	"chervilpath/io/peer/peerpb"
 )
@@ -37,6 +38,9 @@
 		// and Age is the time since it last did.
 		Confirmed bool
 		Age       time.Duration
+		// Directory holds the members that work for others, or is empty if the
+		// requesting instance has the same.
+		Directory []member.Member
 	}
 
 	// FollowRequest describes the state that the requesting instance has.
@@ -51,6 +55,8 @@
 		Age       time.Duration
 		// Wait is how long the reply may wait for a change.
 		Wait time.Duration
+		// DirectoryDigest is the digest of the requesting instance's directory.
+		DirectoryDigest uint64
 	}
 
 	// PlatformHandler holds the functions that serve the calls of other instances
@@ -75,11 +81,15 @@
 	if s.Platform == nil {
 		return nil, errNoPlatform
 	}
+	wait := microseconds(req.WaitMicros)
+	if s.Members.directoryIfChanged(req.Directory) != nil {
+		wait = 0
+	}
 	reply := s.Platform.Follow(ctx, FollowRequest{
-		Version: req.Version, ServersRevision: req.ServersRevision, Wait: microseconds(req.WaitMicros),
+		Version: req.Version, ServersRevision: req.ServersRevision, Wait: wait,
 		Confirmed: req.AgeMicros >= 0, Age: microseconds(req.AgeMicros),
 	})
-	out := &peerpb.FollowReply{Configuration: reply.Configuration, Servers: reply.Servers, AgeMicros: -1}
+	out := &peerpb.FollowReply{Configuration: reply.Configuration, Servers: reply.Servers, AgeMicros: -1, Directory: s.Members.directoryIfChanged(req.Directory)}
 	if reply.Confirmed {
 		out.AgeMicros = reply.Age.Microseconds()
 	}
@@ -152,6 +162,7 @@
 	}
 	resp, err := c.For(address).Follow(ctx, &peerpb.FollowRequest{
 		Version: req.Version, ServersRevision: req.ServersRevision, WaitMicros: req.Wait.Microseconds(), AgeMicros: age,
+		Directory: req.DirectoryDigest,
 	})
 	if err != nil {
 		return FollowReply{}, fmt.Errorf("asking %s for changes: %w", address, err)
@@ -159,6 +170,7 @@
 	return FollowReply{
 		Configuration: resp.Configuration, Servers: resp.Servers,
 		Confirmed: resp.AgeMicros >= 0, Age: microseconds(resp.AgeMicros),
+		Directory: membersFromProto(resp.Directory),
 	}, nil
 }
 
