--- a/core/route/route.go
+++ b/core/route/route.go
@@ -146,7 +146,14 @@
 		host := strings.ToLower(r.Host)
 		t.routes[host] = append(t.routes[host], r)
 	}
-	for _, list := range t.routes {
+	for host, list := range t.routes {
+		byPrefix := make(map[string]*Route, len(list))
+		for _, r := range list {
+			if other, ok := byPrefix[r.Prefix]; ok {
+				return nil, fmt.Errorf("routes %q and %q of host %q have the same prefix %q", other.Name, r.Name, host, r.Prefix)
+			}
+			byPrefix[r.Prefix] = r
+		}
 		slices.SortStableFunc(list, func(a, b *Route) int { return cmp.Compare(len(b.Prefix), len(a.Prefix)) })
 	}
 	for i := range organisations {
@@ -161,6 +168,9 @@
 	if len(r.Targets) == 0 {
 		return fmt.Errorf("the route has no service")
 	}
+	if !strings.HasPrefix(r.Prefix, "/") || !strings.HasSuffix(r.Prefix, "/") {
+		return fmt.Errorf("prefix %q does not begin and end with a slash", r.Prefix)
+	}
 	for i, s := range r.Stages {
 		if service, ok := t.services[s.Service]; !ok || service.Pieces == nil {
 			return fmt.Errorf("stage %d: service %q does not run stages", i, s.Service)
--- a/core/route/route_test.go
+++ b/core/route/route_test.go
@@ -1,6 +1,8 @@
 package route_test
 
 import (
+	"fmt"
+	"strings"
 	"testing"
 
 	"chervilpath/core/route"
@@ -43,7 +45,7 @@
 
 func TestStagesDependOnEarlierStagesOnly(t *testing.T) {
 	_, err := route.New(1, []route.Route{{
-		Name: "r", Targets: []route.Target{{Service: "desk"}}, Stages: []route.Stage{{Service: "photos", DependsOn: []int{0}}},
+		Name: "r", Prefix: "/", Targets: []route.Target{{Service: "desk"}}, Stages: []route.Stage{{Service: "photos", DependsOn: []int{0}}},
 	}}, []route.Service{{Name: "photos", Pieces: &route.PieceConfig{}}}, nil, route.Limits{})
 	if err == nil {
 		t.Error("a stage that depends on itself is accepted")
@@ -58,3 +60,39 @@
 		}
 	}
 }
+
+// Pattern: a configuration grows by 1,400 routes. If one of them is ambiguous, none
+// is taken over, and the error names the routes.
+func TestAmbiguousPrefixesAreRefused(t *testing.T) {
+	many := func(extra ...route.Route) []route.Route {
+		var routes []route.Route
+		for i := range 1400 {
+			routes = append(routes, route.Route{Name: fmt.Sprint("r-", i), Host: "H.example", Prefix: fmt.Sprintf("/p%d/", i), Targets: []route.Target{{Service: "s", Weight: 1}}})
+		}
+		return append(routes, extra...)
+	}
+	targets := []route.Target{{Service: "s", Weight: 1}}
+	tests := []struct {
+		name  string
+		extra route.Route
+		want  string
+	}{
+		{"overlapping", route.Route{Name: "x", Host: "h.example", Prefix: "/p7/sub/", Targets: targets}, ""},
+		{"same prefix of another host", route.Route{Name: "x", Host: "other.example", Prefix: "/p7/", Targets: targets}, ""},
+		{"duplicate", route.Route{Name: "x", Host: "h.example", Prefix: "/p7/", Targets: targets}, `routes "r-7" and "x"`},
+		{"empty", route.Route{Name: "x", Host: "h.example", Targets: targets}, `route "x": prefix ""`},
+		{"no slash at the end", route.Route{Name: "x", Host: "h.example", Prefix: "/p", Targets: targets}, `route "x": prefix "/p"`},
+	}
+	for _, tt := range tests {
+		table, err := route.New(1, many(tt.extra), nil, nil, route.Limits{})
+		if tt.want == "" {
+			if err != nil || table.Match("h.example", "/p7/sub/1") == nil {
+				t.Errorf("%s: error %v", tt.name, err)
+			}
+			continue
+		}
+		if err == nil || table != nil || !strings.Contains(err.Error(), tt.want) {
+			t.Errorf("%s: error %v, want one with %q", tt.name, err, tt.want)
+		}
+	}
+}
--- a/edge/state.go
+++ b/edge/state.go
@@ -12,6 +12,7 @@
 	"go.uber.org/zap"
 
 	"chervilpath/core/declare"
+	"chervilpath/core/delta"
 	"chervilpath/core/fleet"
 	"chervilpath/core/retry"
 	"chervilpath/core/route"
@@ -69,10 +70,11 @@
 
 		mu   sync.Mutex
 		view *fleet.View
-		// spec is the configuration in force as it was read. compressed is its
-		// compressed form for peers, or nil until a peer needs it.
-		spec, compressed []byte
-		confirmedAt      time.Time
+		// history holds the configuration in force as it was read. needWhole is set
+		// after a difference from a peer could not be applied.
+		history     configHistory
+		needWhole   bool
+		confirmedAt time.Time
 		// changed is closed and replaced whenever there is something new for
 		// peers: a change, or a later confirmation by the store.
 		changed      chan struct{}
@@ -143,6 +145,38 @@
 	c.offerConfig(spec, from)
 }
 
+// offerConfigDelta applies the compressed difference that a peer sent to the
+// configuration in force, and passes the result to offerConfig. If this fails, the
+// next request asks for the whole.
+func (c *clusterState) offerConfigDelta(compressed []byte, from string) {
+	c.mu.Lock()
+	old := c.history.current()
+	c.mu.Unlock()
+	d, err := peer.Decompress(compressed, maxConfigBytes)
+	if err == nil {
+		d, err = delta.Apply(old, d, maxConfigBytes)
+	}
+	if err != nil {
+		c.instance.log.Warn("configuration difference from peer refused", zap.String("from", from), zap.Error(err))
+		c.mu.Lock()
+		c.needWhole = true
+		c.mu.Unlock()
+		return
+	}
+	c.offerConfig(d, from)
+}
+
+// deltaBase returns the digest of the configuration to which a difference can be
+// applied, or 0 if the whole is needed.
+func (c *clusterState) deltaBase() uint64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.needWhole {
+		return 0
+	}
+	return c.history.digest()
+}
+
 // offerConfig puts a configuration in force if it is valid and newer than the
 // one in force. from is its source, for the log.
 func (c *clusterState) offerConfig(spec []byte, from string) {
@@ -158,7 +192,8 @@
 		return
 	}
 	c.currentTable.Store(table)
-	c.spec, c.compressed = spec, nil
+	c.history.add(spec)
+	c.needWhole = false
 	c.notifyWaiters()
 	c.updateServices()
 	c.mu.Unlock()
@@ -328,10 +363,8 @@
 	out.Confirmed, out.Age = !c.confirmedAt.IsZero(), time.Since(c.confirmedAt)
 	ok = out.Confirmed && (!req.Confirmed || req.Age-out.Age > minAgeGain)
 	if t := c.currentTable.Load(); t != nil && t.Version() > req.Version {
-		if c.compressed == nil {
-			c.compressed = peer.Compress(c.spec)
-		}
-		out.Configuration, ok = c.compressed, true
+		out.Configuration, out.ConfigurationDelta = c.history.forPeer(req.ConfigurationDigest)
+		ok = true
 	}
 	if changes := c.view.ChangesSince(req.ServersRevision); changes.Revision > req.ServersRevision {
 		data, err := json.Marshal(changes)
@@ -348,6 +381,9 @@
 	if len(reply.Configuration) > 0 {
 		c.offerCompressedConfig(reply.Configuration, from)
 	}
+	if len(reply.ConfigurationDelta) > 0 {
+		c.offerConfigDelta(reply.ConfigurationDelta, from)
+	}
 	if reply.Confirmed {
 		c.recordConfirmation(time.Now().Add(-reply.Age))
 	}
--- a/io/peer/platform.go
+++ b/io/peer/platform.go
@@ -31,6 +31,9 @@
 		// Configuration is compressed by Compress. It is empty unless it is
 		// newer than that of the requesting instance.
 		Configuration []byte
+		// ConfigurationDelta is the compressed difference from the configuration
+		// that the requesting instance has, which is sent instead of the whole.
+		ConfigurationDelta []byte
 		// Servers is the JSON of the changes of the servers, or empty if there
 		// are none.
 		Servers []byte
@@ -58,6 +61,9 @@
 		// DirectoryDigest is the digest of the directory that the requested instance
 		// last sent to the requesting one, or 0.
 		DirectoryDigest uint64
+		// ConfigurationDigest is the digest of the configuration from which the
+		// reply may hold a difference, or 0.
+		ConfigurationDigest uint64
 	}
 
 	// PlatformHandler holds the functions that serve the calls of other instances
@@ -89,8 +95,9 @@
 	reply := s.Platform.Follow(ctx, FollowRequest{
 		Version: req.Version, ServersRevision: req.ServersRevision, Wait: wait,
 		Confirmed: req.AgeMicros >= 0, Age: microseconds(req.AgeMicros),
+		ConfigurationDigest: req.Configuration,
 	})
-	out := &peerpb.FollowReply{Configuration: reply.Configuration, Servers: reply.Servers, AgeMicros: -1, Directory: s.Members.directoryIfChanged(req.Directory)}
+	out := &peerpb.FollowReply{Configuration: reply.Configuration, Servers: reply.Servers, AgeMicros: -1, Directory: s.Members.directoryIfChanged(req.Directory), ConfigurationDelta: reply.ConfigurationDelta}
 	if reply.Confirmed {
 		out.AgeMicros = reply.Age.Microseconds()
 	}
@@ -163,13 +170,13 @@
 	}
 	resp, err := c.For(address).Follow(ctx, &peerpb.FollowRequest{
 		Version: req.Version, ServersRevision: req.ServersRevision, WaitMicros: req.Wait.Microseconds(), AgeMicros: age,
-		Directory: req.DirectoryDigest,
+		Directory: req.DirectoryDigest, Configuration: req.ConfigurationDigest,
 	})
 	if err != nil {
 		return FollowReply{}, fmt.Errorf("asking %s for changes: %w", address, err)
 	}
 	return FollowReply{
-		Configuration: resp.Configuration, Servers: resp.Servers,
+		Configuration: resp.Configuration, ConfigurationDelta: resp.ConfigurationDelta, Servers: resp.Servers,
 		Confirmed: resp.AgeMicros >= 0, Age: microseconds(resp.AgeMicros),
 		Directory: membersFromProto(resp.Directory),
 	}, nil
