edge: a watcher that the store refuses alone follows the others

The store refused it for 10 s, which it took for an outage of the store; when it was served again, removals within 2.2 s counted as entries that may reappear, and its followers got them as such.

Change: a watcher without a confirmation for 0.6 of the propagation time follows the others of the directory too, so that the store's answers to them count. An instance that finds no peer with a recent confirmation asks less and less often.

Test: 20 of 20 requests reached a removed server after the bound before, none now.

--- a/edge/follow.go
+++ b/edge/follow.go
@@ -56,6 +56,11 @@
 	// that the number of calls does not grow with the number of instances.
 	numStoreWatchers = 3
 
+	// unconfirmedFraction is the age of the store's last confirmation from which an
+	// instance that watches the store follows the others too, as a fraction of the
+	// propagation time. It is longer than a watch.
+	unconfirmedFraction = 0.6
+
 	// followFraction is how long a Follow request to a peer waits for a change,
 	// as a fraction of the propagation time.
 	followFraction = 0.25
@@ -234,7 +239,8 @@
 }
 
 // followPeers follows the store through the instances that watch it, until ctx
-// is done. While this instance is one of them, it watches the store itself.
+// is done. While this instance is one of them, it watches the store itself, and
+// follows the others only if the store does not confirm what it has.
 func (in *Instance) followPeers(ctx context.Context) {
 	in.awaitDirectory(ctx)
 	// The hash distributes the instances over the watchers.
@@ -244,6 +250,10 @@
 		sources, watches := in.sources()
 		if watches {
 			in.watchingStore.Store(true)
+		}
+		// The store may refuse this instance alone. Without what the others know, it
+		// would take that for an outage, in which missing servers count as present.
+		if watches && (len(sources) == 0 || in.state.confirmationAge() < in.state.propagationTime(unconfirmedFraction)) {
 			in.sleep(ctx, in.state.propagationTime(followFraction))
 			continue
 		}
@@ -256,16 +266,22 @@
 		source := sources[(next+uint64(failures))%uint64(min(numSources, len(sources)))]
 		if !in.pollPeer(ctx, source, in.state.propagationTime(followFraction)) {
 			failures++
-			in.sleep(ctx, minBackoff)
+			in.sleep(ctx, in.followBackoff(failures))
 			continue
 		}
 		failures = 0
-		if in.watchingStore.CompareAndSwap(true, false) {
+		if !watches && in.watchingStore.CompareAndSwap(true, false) {
 			in.log.Info("following peers", zap.String("source", source))
 		}
 	}
 }
 
+// followBackoff returns the time after which another peer is asked, when a number
+// of peers in a row did not have a recent confirmation.
+func (in *Instance) followBackoff(failures int) time.Duration {
+	return min(minBackoff<<min(failures-1, 8), in.state.propagationTime(followFraction))
+}
+
 // awaitDirectory waits until this instance is settled. If it is among the watchers
 // according to the seeds that have answered, it starts to watch the store earlier.
 func (in *Instance) awaitDirectory(ctx context.Context) {
--- a/edge/harness_test.go
+++ b/edge/harness_test.go
@@ -30,6 +30,8 @@
 	t         *testing.T
 	store     *stand.Store
 	instances []*instance
+	// storeAddress is where the next instances reach the store, or "" if directly.
+	storeAddress string
 }
 
 type instance struct {
@@ -107,8 +109,12 @@
 // startWithCores starts an instance on a machine with the given number of cores.
 func (s *testSite) startWithCores(name, callerAddress, peerAddress, operatorAddress, seeds string, cores float64) {
 	s.t.Helper()
+	storeAddress := s.storeAddress
+	if storeAddress == "" {
+		storeAddress = s.store.Address()
+	}
 	ini := fmt.Sprintf("[site]\nname = %s\nfailureDomain = a\ncallerAddress = %s\npeerAddress = %s\noperatorAddress = %s\nseeds = %s\n[store]\naddress = %s\n[bounds]\ngrace = 6s\nrepeatRatio = 0.2\nrepeatSlack = 56\n[machine]\ncores = %g\n",
-		name, callerAddress, peerAddress, operatorAddress, seeds, s.store.Address(), cores)
+		name, callerAddress, peerAddress, operatorAddress, seeds, storeAddress, cores)
 	cfg, err := settings.ParseSite("test.ini", []byte(ini))
 	if err != nil {
 		s.t.Fatal(err)
--- a/edge/state_test.go
+++ b/edge/state_test.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"net/http"
+	"net/http/httptest"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -166,3 +168,41 @@
 		}
 	}
 }
+
+// Pattern: the store refuses some instances for seconds and serves the others, while
+// servers leave. For the refused ones this is no outage of the store, after which
+// missing servers would count as present for a while.
+func TestRefusedInstancesRemoveServersAsTheOthersDo(t *testing.T) {
+	t.Parallel()
+	gone, left := stand.NewServer("i-1", "desk", "a"), stand.NewServer("i-2", "desk", "a")
+	s := newTestSite(t, 0, configSpec(1, apiKeys, routeSpec("look", "idempotent", "desk", nil)), gone, left)
+	var refuse atomic.Bool
+	link := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if refuse.Load() {
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		s.store.ServeHTTP(w, r)
+	}))
+	t.Cleanup(link.Close)
+	seeds := freeAddress(t)
+	s.start("edge-0", freeAddress(t), seeds, freeAddress(t), seeds)
+	s.storeAddress = strings.TrimPrefix(link.URL, "http://")
+	s.start("edge-1", freeAddress(t), freeAddress(t), freeAddress(t), seeds)
+	for _, inst := range s.instances {
+		s.eventually("the instance to be ready", func() bool { return s.getStatus(inst.operatorAddress+"/ready") == http.StatusOK })
+	}
+	refuse.Store(true)
+	time.Sleep(2 * propagationBound)
+	refuse.Store(false)
+	time.Sleep(propagationBound / 4)
+	s.store.Remove("servers", "i-1")
+	time.Sleep(propagationBound)
+	before := gone.TotalRuns()
+	for i := range 20 {
+		s.post(1, "/look/1", fmt.Sprint("r-", i))
+	}
+	if n := gone.TotalRuns() - before; n > 0 {
+		t.Errorf("%d of 20 requests ran at a server that was removed %v before", n, propagationBound)
+	}
+}
