--- a/cmd/cmd.go
+++ b/cmd/cmd.go
@@ -51,6 +51,8 @@
 	subcommand struct {
 		name, short, long string
 		data              flags.Commander
+		// children are the subcommands of the subcommand.
+		children []subcommand
 	}
 )
 
@@ -73,20 +75,32 @@
 	p := &program{out: out, errOut: errOut, ctx: ctx, stopSignals: stop}
 	parser := flags.NewNamedParser("chervilpath", flags.HelpFlag|flags.PassDoubleDash)
 	parser.LongDescription = "Serves multi-stage model pipelines with one deadline for each request." + exitHelp
-	for _, s := range p.subcommands() {
-		if _, err := parser.AddCommand(s.name, s.short, s.long, s.data); err != nil {
-			_, _ = fmt.Fprintln(errOut, err)
-			return exitFailed
-		}
+	if err := addCommands(parser.Command, p.subcommands()); err != nil {
+		_, _ = fmt.Fprintln(errOut, err)
+		return exitFailed
 	}
 	_, err := parser.ParseArgs(args)
 	return p.reportError(err)
 }
 
+// addCommands adds subcommands to a command.
+func addCommands(c *flags.Command, subcommands []subcommand) error {
+	for _, s := range subcommands {
+		added, err := c.AddCommand(s.name, s.short, s.long, s.data)
+		if err != nil {
+			return fmt.Errorf("adding the command %s: %w", s.name, err)
+		}
+		if err := addCommands(added, s.children); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 func (p *program) subcommands() []subcommand {
 	return []subcommand{
 		p.newEntry(), p.newCheck(), p.newPublish(), p.newHistory(), p.newRollback(), p.newStatus(),
-		p.newCost(), p.newSweep(), p.newReplay(), p.newTrace(), p.newExplain(), p.newDemo(), p.newStandin(), p.newHashKey(), p.newVersion(),
+		p.newCost(), p.newSweep(), p.newReplay(), p.newTrace(), p.newExplain(), p.newLogs(), p.newDemo(), p.newStandin(), p.newHashKey(), p.newVersion(),
 	}
 }
 
--- a/core/relay/relay.go
+++ b/core/relay/relay.go
@@ -186,7 +186,7 @@
 		return nil, err
 	}
 	e.due = req.Arrived.Add(e.route.TargetLatency - r.stats.TimeSpent(e.route.Name, req.Timeout))
-	e.log("route", "matched", "")
+	e.relay.deps.Log(e.decision("route", "matched", "", e.due.Sub(req.Arrived)))
 	return e, nil
 }
 
@@ -248,11 +248,15 @@
 func (e *execution) remaining() time.Duration { return e.deadline.Sub(e.now()) }
 
 func (e *execution) log(step, outcome, server string) {
-	e.relay.deps.Log(Decision{
+	e.relay.deps.Log(e.decision(step, outcome, server, 0))
+}
+
+func (e *execution) decision(step, outcome, server string, due time.Duration) Decision {
+	return Decision{
 		RequestID: e.req.ID, Step: step, Version: e.table.Version(), Route: e.route.Name, Service: e.service,
 		Organisation: e.orgName, Server: server, Attempt: e.attempt, Outcome: outcome,
-		Elapsed: e.now().Sub(e.req.Arrived), Remaining: e.remaining(), LongestGap: e.longestGap,
-	})
+		Elapsed: e.now().Sub(e.req.Arrived), Remaining: e.remaining(), Due: due, LongestGap: e.longestGap,
+	}
 }
 
 func (e *execution) serve(ctx context.Context) error {
--- a/core/relay/types.go
+++ b/core/relay/types.go
@@ -147,6 +147,9 @@
 		Outcome      string
 		Elapsed      time.Duration
 		Remaining    time.Duration
+		// Due is the time from the request's arrival until its response is due. It
+		// is set when the request is matched to its route.
+		Due time.Duration
 		// LongestGap is the longest time between two events of the stream so far.
 		LongestGap time.Duration
 	}
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -85,7 +85,7 @@
 func New(k *kernel.Kernel, cfg settings.Site, log *zap.Logger, dropped func() int64) (*Instance, error) {
 	in := &Instance{
 		name: cfg.Name(), incarnation: cfg.Name() + "-" + rand.Text()[:10], peerAddress: cfg.PeerAddress(),
-		log:      log.With(zap.String("instance", cfg.Name())),
+		log:      log.With(zap.String("instance", cfg.Name()), zap.String("failureDomain", cfg.FailureDomain())),
 		registry: prometheus.NewRegistry(), ready: make(chan struct{}), startedAt: time.Now(),
 		clock: stage.Clock{
 			Now:       time.Now,
@@ -160,6 +160,9 @@
 		zap.Int("attempt", d.Attempt), zap.Int("pieces", d.Pieces), zap.String("outcome", d.Outcome),
 		zap.Int64("waitedMs", d.Elapsed.Milliseconds()), zap.Int64("leftMs", d.Remaining.Milliseconds()),
 	}
+	if d.Due != 0 {
+		fields = append(fields, zap.Int64("dueMs", d.Due.Milliseconds()))
+	}
 	if d.LongestGap > 0 {
 		fields = append(fields, zap.Int64("longestGapMs", d.LongestGap.Milliseconds()))
 	}
