engine, edge: eject unreachable engines at once; limit store calls of an outage

Causes: - A dark engine was ejected only after two requests had each waited for a connection (0.4 s), then got all its requests again at once after 0.5 s, also those that may not run again.

Tests: 6 of 20 engines dark, 1,000 requests a second, at most 10 requests to each; return after one trial; store calls of an outage with 2 and 16 small instances (fails without the limit).

--- a/core/balance/balance.go
+++ b/core/balance/balance.go
@@ -101,6 +101,9 @@
 	// Abandoned means that this instance cancelled the call. It is evidence
 	// against the endpoint only if the call was already very slow.
 	Abandoned
+	// Unreachable means that no connection to the endpoint could be opened, so that
+	// it received nothing.
+	Unreachable
 )
 
 type (
@@ -343,7 +346,7 @@
 		if m.succeed(ratio(took, c.expected)) {
 			g.ejected--
 		}
-	case Failed:
+	case Failed, Unreachable:
 		m.consecutiveFailures++
 		if m.consecutiveFailures >= failuresBeforeEjection || m.consecutiveEjections > 0 {
 			g.eject(now, m)
--- a/core/engine/placer.go
+++ b/core/engine/placer.go
@@ -29,8 +29,10 @@
 	loadBoundFactor = 1.5
 	loadBoundExtra  = 1.5
 
-	// An engine is ejected after failuresBeforeEjection consecutive failures, for
-	// minEjection, doubled with each further failure, up to maxEjection.
+	// An engine is ejected after failuresBeforeEjection consecutive failures, or as
+	// soon as it cannot be reached, for minEjection, doubled with each further
+	// failure, up to maxEjection. After that it gets one request at a time, which
+	// has to be one that may run again, until it serves one.
 	failuresBeforeEjection = 2
 	minEjection            = 500 * time.Millisecond
 	maxEjection            = 4 * time.Second
@@ -51,6 +53,8 @@
 		// Weights are the weights of the zones, by the capacity of the stages
 		// there. Zones that are not listed have weight 1.
 		Weights map[string]float64
+		// Repeatable is set if the request may run again at another engine.
+		Repeatable bool
 		// Expires is when the placement is dropped if it has not been settled.
 		Expires time.Time
 	}
@@ -73,6 +77,9 @@
 		load                int
 		consecutiveFailures int
 		pausedUntil         time.Time
+		// trial is the ID of the request that is placed on the engine after an
+		// ejection, or "".
+		trial string
 	}
 
 	placement struct {
@@ -131,7 +138,7 @@
 	bound := loadBoundFactor*float64(total)/float64(available) + loadBoundExtra
 	best, bestRank := (*engineState)(nil), 0.0
 	for _, e := range p.engines {
-		if now.Before(e.pausedUntil) || float64(e.load) >= bound || e.load >= p.slots || slices.Contains(q.Exclude, e.ID) {
+		if now.Before(e.pausedUntil) || float64(e.load) >= bound || e.load >= p.slots || !e.takes(q) || slices.Contains(q.Exclude, e.ID) {
 			continue
 		}
 		if rank := rank(e, q); best == nil || rank > bestRank {
@@ -144,6 +151,12 @@
 	return p.assign(best, q)
 }
 
+// onTrial reports whether the engine was ejected and has served nothing since.
+func (e *engineState) onTrial() bool { return e.consecutiveFailures >= failuresBeforeEjection }
+
+// takes reports whether the engine's health allows to place the request on it.
+func (e *engineState) takes(q Query) bool { return !e.onTrial() || e.trial == "" && q.Repeatable }
+
 // placeFallback assigns a request to the least loaded engine that is not excluded
 // and has fewer than twice its slots in requests. It chooses a paused engine if
 // there is no other.
@@ -177,6 +190,9 @@
 		previous.engine.load--
 	}
 	e.load++
+	if e.onTrial() {
+		e.trial = q.RequestID
+	}
 	p.placements[q.RequestID] = placement{engine: e, expires: q.Expires}
 	return e.ID
 }
@@ -205,18 +221,30 @@
 	if !ok {
 		return
 	}
+	if e.trial == requestID {
+		e.trial = ""
+	}
 	switch outcome {
 	case balance.Succeeded:
 		e.consecutiveFailures = 0
+	case balance.Unreachable:
+		e.consecutiveFailures = max(e.consecutiveFailures, failuresBeforeEjection-1)
+		e.fail(now)
 	case balance.Failed:
-		if e.consecutiveFailures++; e.consecutiveFailures >= failuresBeforeEjection {
-			e.pausedUntil = now.Add(min(maxEjection, minEjection<<min(e.consecutiveFailures-failuresBeforeEjection, 8)))
-		}
+		e.fail(now)
 	case balance.Full:
 		e.pausedUntil = now.Add(fullBackoff)
 	}
 }
 
+// fail counts a failure and ejects the engine after failuresBeforeEjection in a
+// row.
+func (e *engineState) fail(now time.Time) {
+	if e.consecutiveFailures++; e.onTrial() {
+		e.pausedUntil = now.Add(min(maxEjection, minEjection<<min(e.consecutiveFailures-failuresBeforeEjection, 8)))
+	}
+}
+
 // sweep drops expired placements, at most once a second.
 func (p *Placer) sweep(now time.Time) {
 	if now.Sub(p.lastSweep) < time.Second {
@@ -226,6 +254,9 @@
 	for id, placed := range p.placements {
 		if now.After(placed.expires) {
 			placed.engine.load--
+			if placed.engine.trial == id {
+				placed.engine.trial = ""
+			}
 			delete(p.placements, id)
 		}
 	}
--- a/core/engine/placer_test.go
+++ b/core/engine/placer_test.go
@@ -23,7 +23,7 @@
 }
 
 func query(i int, affinity string) engine.Query {
-	return engine.Query{RequestID: fmt.Sprint("r-", i), Affinity: affinity, Expires: start.Add(time.Minute)}
+	return engine.Query{RequestID: fmt.Sprint("r-", i), Affinity: affinity, Repeatable: true, Expires: start.Add(time.Minute)}
 }
 
 func TestRequestsWithSameAffinityShareAnEngine(t *testing.T) {
@@ -96,3 +96,98 @@
 		t.Error("expired placements still count as load")
 	}
 }
+
+// Pattern: three tenths of the engines crash or go dark while traffic doubles. Each
+// instance that meets a dark engine waits for a connection in vain, so one such
+// failure ejects it, and after that it gets one request at a time, none that may run
+// only once.
+func TestDarkEnginesGetFewRequests(t *testing.T) {
+	const engines, darkEngines = 20, 6
+	p := newPlacer(engines)
+	dark := func(id string) bool {
+		var i int
+		if _, err := fmt.Sscanf(id, "e-%d", &i); err != nil {
+			t.Fatal(err)
+		}
+		return i < darkEngines
+	}
+	type pending struct {
+		id, engine string
+		ends       time.Time
+	}
+	var open []pending
+	lost, lostForGood := 0, 0
+	for i := range 4000 { // 1,000 requests a second for 4 s.
+		now := start.Add(time.Duration(i) * time.Millisecond)
+		for len(open) > 0 && !open[0].ends.After(now) {
+			outcome := balance.Succeeded
+			if dark(open[0].engine) {
+				outcome = balance.Unreachable
+			}
+			p.Settle(now, open[0].id, open[0].engine, outcome)
+			open = open[1:]
+		}
+		q := query(i, fmt.Sprint("part-", i%200))
+		q.Repeatable = i%2 == 0
+		id := p.Place(now, q)
+		if dark(id) {
+			lost++
+			if !q.Repeatable {
+				lostForGood++
+			}
+		}
+		open = append(open, pending{q.RequestID, id, now.Add(50 * time.Millisecond)})
+	}
+	// Before the first failure is known, each dark engine gets the requests of
+	// 50 ms. Then come the trials after 0.5, 1 and 2 s.
+	if lost > darkEngines*10 || lostForGood > darkEngines*5 {
+		t.Errorf("%d of 4000 requests met a dark engine, %d of which may run only once", lost, lostForGood)
+	}
+}
+
+// An engine that comes back serves all its requests again after one trial.
+func TestEngineReturnsAfterOneTrial(t *testing.T) {
+	p := newPlacer(3)
+	id := p.Place(start, query(0, "part"))
+	p.Settle(start, "r-0", id, balance.Unreachable)
+	if got := p.Place(start, query(1, "part")); got == id {
+		t.Fatalf("%s gets a request right after it could not be reached", id)
+	}
+	later := start.Add(time.Second)
+	once := query(2, "part")
+	once.Repeatable = false
+	if got := p.Place(later, once); got == id {
+		t.Errorf("%s gets a request that may run only once as its trial", id)
+	}
+	if got := p.Place(later, query(3, "part")); got != id {
+		t.Errorf("the trial is placed on %s, want %s", got, id)
+	}
+	if got := p.Place(later, query(4, "part")); got == id {
+		t.Errorf("%s gets a second request during its trial", id)
+	}
+	p.Settle(later, "r-3", id, balance.Succeeded)
+	if got := p.Place(later, query(5, "part")); got != id {
+		t.Errorf("placed on %s after the trial succeeded, want %s", got, id)
+	}
+}
+
+// BenchmarkPlace measures a placement among engines and its end.
+func BenchmarkPlace(b *testing.B) {
+	for _, n := range []int{30, 300, 1000} {
+		b.Run(fmt.Sprint("engines=", n), func(b *testing.B) {
+			p := newPlacer(n)
+			i := 0
+			for b.Loop() {
+				q := query(i, fmt.Sprint("part-", i%2000))
+				id := p.Place(start, q)
+				if i%3 != 0 {
+					p.Settle(start, q.RequestID, id, balance.Succeeded)
+				}
+				if i%(4*n) == 0 {
+					p = newPlacer(n)
+				}
+				i++
+			}
+		})
+	}
+}
--- a/core/relay/engine.go
+++ b/core/relay/engine.go
@@ -101,7 +101,7 @@
 func (e *execution) place(ctx context.Context) (fleet.Server, bool) {
 	q := engine.Query{
 		RequestID: e.req.ID, Affinity: e.req.Affinity, Exclude: e.triedServers,
-		Weights: e.zoneWeights(), Expires: e.deadline,
+		Weights: e.zoneWeights(), Expires: e.deadline, Repeatable: e.route.MayRunAgain(),
 	}
 	if q.Affinity == "" {
 		q.Affinity = e.req.ID
@@ -249,6 +249,10 @@
 	var writeErr *callerWriteError
 	stalled := errors.Is(context.Cause(ctx), errStalled)
 	outcome := balance.Failed
+	var sendErr *SendError
+	if errors.As(err, &sendErr) && sendErr.NotSent {
+		outcome = balance.Unreachable
+	}
 	if errors.As(err, &writeErr) || ctx.Err() != nil && !stalled {
 		outcome = balance.Abandoned
 	}
--- a/core/relay/relay.go
+++ b/core/relay/relay.go
@@ -127,7 +127,10 @@
 // connection has to be aborted.
 func (r *Relay) Serve(ctx context.Context, req *Request, w ResponseWriter) (started bool, err error) {
 	if !r.deps.AwaitReady(ctx) && r.deps.Table() == nil {
-		return false, r.refuse(fault.Errorf(fault.Draining, "the instance has no configuration yet"), defaultRetryAfter)
+		// It is not known when there will be one, so the caller's only retry is
+		// best made late.
+		retryAfter := max(defaultRetryAfter, time.Duration(maxOverloadRetryFraction*float64(req.Timeout)))
+		return false, r.refuse(fault.Errorf(fault.Draining, "the instance has no configuration yet"), retryAfter)
 	}
 	e, err := r.newExecution(req, w)
 	if err != nil {
--- a/edge/delegator.go
+++ b/edge/delegator.go
@@ -285,7 +285,7 @@
 		d.settleLocally(service, requestID, serverID, outcome)
 		return
 	}
-	if outcome == balance.Failed || outcome == balance.Full {
+	if outcome == balance.Failed || outcome == balance.Full || outcome == balance.Unreachable {
 		// This instance's own placer needs to know of the failure as well, since
 		// it places requests when no owner answers.
 		d.settleLocally(service, requestID, serverID, outcome)
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -68,7 +68,9 @@
 		// it is not yet.
 		settledAt        atomic.Pointer[time.Time]
 		directoryDigests digests
-		httpServers      []*http.Server
+		// lastReplyAt is when a peer last answered a request for changes, or nil.
+		lastReplyAt atomic.Pointer[time.Time]
+		httpServers []*http.Server
 
 		// shutdownCtx is cancelled shortly before a planned shutdown ends.
 		shutdownCtx       context.Context
--- a/edge/follow.go
+++ b/edge/follow.go
@@ -36,14 +36,16 @@
 
 	// A failed call is retried after minBackoff, doubled with each consecutive
 	// failure, up to maxBackoff at an instance that watches the store on behalf of
-	// all, substituteBackoff at another one of the directory, and backoffPerInstance
-	// times the number of instances at any other, so that the rate of calls of a
-	// store that does not answer does not grow with the number of instances. Half
-	// of the backoff is random.
-	minBackoff         = 50 * time.Millisecond
-	maxBackoff         = 400 * time.Millisecond
-	substituteBackoff  = 1600 * time.Millisecond
-	backoffPerInstance = 20 * time.Millisecond
+	// all, and substituteBackoff at another one. Half of the backoff is random.
+	minBackoff        = 50 * time.Millisecond
+	maxBackoff        = 400 * time.Millisecond
+	substituteBackoff = 1600 * time.Millisecond
+
+	// storeCallPerInstance is the mean time between two calls of an instance outside
+	// of the directory whose peers answer but have no confirmation by the store,
+	// divided by the number of instances: those of the directory ask the store
+	// already, and the rate of calls must not grow with the fleet.
+	storeCallPerInstance = 200 * time.Millisecond
 
 	// maxDigests is the largest number of peers whose digests are kept.
 	maxDigests = 256
@@ -98,6 +100,11 @@
 			f.instance.sleep(ctx, watchCheckInterval)
 			continue
 		}
+		if d := f.instance.storeCallInterval(); d > 0 && mathrand.N(d) > watchCheckInterval {
+			// On average a call is made once in d, at a random phase.
+			f.instance.sleep(ctx, watchCheckInterval)
+			continue
+		}
 		var err error
 		if revision == 0 {
 			revision, err = f.callWithTimeout(ctx, f.instance.state.propagationTime(readFraction), func(ctx context.Context) (int64, error) { return f.read(ctx) })
@@ -323,16 +330,24 @@
 	return in.watchingStore.Load()
 }
 
+// storeCallInterval returns the mean time between two calls of the store, or 0 if
+// the calls of this instance are not limited. Only an instance that is not in the
+// directory and whose peers answer is limited.
+func (in *Instance) storeCallInterval() time.Duration {
+	lastReply := in.lastReplyAt.Load()
+	if lastReply == nil || time.Since(*lastReply) > in.state.propagationTime(lateFraction) || in.delegator.worksForOthers() {
+		return 0
+	}
+	return time.Duration(in.members.NumServing()) * storeCallPerInstance
+}
+
 // maxStoreBackoff returns the longest time after which this instance retries a
 // failed call of the store.
 func (in *Instance) maxStoreBackoff() time.Duration {
 	if _, watches := in.sources(); watches {
 		return maxBackoff
 	}
-	if in.delegator.worksForOthers() {
-		return substituteBackoff
-	}
-	return max(substituteBackoff, time.Duration(in.members.NumServing())*backoffPerInstance)
+	return substituteBackoff
 }
 
 // sources returns the addresses of the live members of the directory, of which the
@@ -374,6 +389,8 @@
 		in.log.Debug("could not get changes from peer", zap.String("peer", address), zap.Error(err))
 		return false
 	}
+	now := time.Now()
+	in.lastReplyAt.Store(&now)
 	if len(reply.Directory) > 0 {
 		in.directoryDigests.set(address, member.Digest(reply.Directory))
 		in.members.MergeDirectory(reply.Directory)
--- a/edge/start_test.go
+++ b/edge/start_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -98,3 +99,26 @@
 		t.Errorf("up to %d calls at a time, want 1", most)
 	}
 }
+
+// Pattern: the store is down for all. The instances that work for others keep asking
+// it; the others find that their peers answer and leave it to them, so the calls do
+// not grow with the fleet.
+func TestStoreCallsOfAnOutageDoNotGrowWithSmallInstances(t *testing.T) {
+	t.Parallel()
+	// Outside of the directory all instances together make ten calls a second.
+	const outage, perSecond = 3 * propagationBound, 10
+	var calls []int64
+	for _, small := range []int{2, 16} {
+		s := startMixedFleet(t, 2, small, configSpec(1, apiKeys, routeSpec("book", "non_idempotent", "desk", nil)), stand.NewServer("i-1", "desk", "a"))
+		var n atomic.Int64
+		s.store.SetCallFault(func(*http.Request) stand.CallFault {
+			n.Add(1)
+			return stand.Unavailable
+		})
+		time.Sleep(outage)
+		calls = append(calls, n.Load())
+	}
+	if most := calls[0] + int64(perSecond*outage.Seconds()); calls[1] > most {
+		t.Errorf("%d calls with 2 small instances and %d with 16, want at most %d", calls[0], calls[1], most)
+	}
+}
--- a/io/upstream/upstream.go
+++ b/io/upstream/upstream.go
@@ -28,7 +28,7 @@
 	// dialTimeout limits the time to open a connection. Zones are a few
 	// milliseconds apart, and a lost first packet is retransmitted only after a
 	// second.
-	dialTimeout = 400 * time.Millisecond
+	dialTimeout = 250 * time.Millisecond
 
 	// unackedTimeout is how long sent data may stay unacknowledged before the
 	// connection is closed.
