relay, upstream, platform: bound endless answers; end streams without progress

Shown by tests that fail before: - A server that sends a byte now and then and completes no event kept its stream until the deadline, since each read restarted the stall timer.

Shown by reading, no test of its own: the stall timer read the number of sends without a lock (it is fixed before the attempt now); each stage of a request added the request's size to the mean of its route (once for each request now).

--- a/core/relay/engine.go
+++ b/core/relay/engine.go
@@ -180,10 +180,12 @@
 	lastEvent := e.now()
 	e.stream.start(resp.Status, resp.Header)
 	err = e.stream.relayEvents(resp.Body, func(events int) {
-		detector.reset()
+		// Bytes alone are no progress: a server may send some now and then and never
+		// complete an event.
 		if events == 0 {
 			return
 		}
+		detector.reset()
 		now := e.now()
 		if awaitingFirst {
 			awaitingFirst = false
--- a/core/relay/plain.go
+++ b/core/relay/plain.go
@@ -104,7 +104,7 @@
 	}
 	e.sends++
 	if resp.Status >= 500 {
-		s.Release(grant, balance.Abandoned)
+		s.Release(grant, balance.Failed)
 		if e.mayRetry() {
 			e.log("repeat", "the server answered with an error", server.ID)
 			return true, nil
--- a/core/relay/relay.go
+++ b/core/relay/relay.go
@@ -81,7 +81,9 @@
 		// priority is that of the organisation, or -1 if that of the route
 		// applies.
 		priority int
-		w        ResponseWriter
+		// worth weighs the request against others.
+		worth float64
+		w     ResponseWriter
 		// deadline is when the response has to be complete. due is when it is
 		// due by the target latency of the route, less the time that earlier
 		// attempts of the caller have taken.
@@ -189,6 +191,7 @@
 		return nil, err
 	}
 	e.due = req.Arrived.Add(e.route.TargetLatency - r.stats.TimeSpent(e.route.Name, req.Timeout))
+	e.worth = e.computeWorth()
 	e.relay.deps.Log(e.decision("route", "matched", "", e.due.Sub(req.Arrived)))
 	return e, nil
 }
@@ -234,9 +237,10 @@
 	return timeout
 }
 
-// worth returns the weight of the request against others, from its priority and
-// its size: the configuration gives nothing else to compare.
-func (e *execution) worth() float64 {
+// computeWorth returns the weight of the request against others, from its priority
+// and its size: the configuration gives nothing else to compare. It adds the size to
+// the statistics of the route.
+func (e *execution) computeWorth() float64 {
 	priority := e.route.Priority
 	if e.priority >= 0 {
 		priority = e.priority
--- a/core/relay/stages.go
+++ b/core/relay/stages.go
@@ -84,7 +84,7 @@
 	job := StageJob{
 		Service: stage.Service, RequestID: e.req.ID, Stage: i, Class: e.route.Name + "/" + strconv.Itoa(i),
 		Inputs: inputs, Pieces: e.req.Pieces[i], ResultBytes: stage.ResultBytes,
-		Due: e.due.Sub(e.now()) - r.timeAfter(i), Remaining: e.firstEventDeadline.Sub(e.now()) - r.timeAfter(i), Worth: e.worth(),
+		Due: e.due.Sub(e.now()) - r.timeAfter(i), Remaining: e.firstEventDeadline.Sub(e.now()) - r.timeAfter(i), Worth: e.worth,
 	}
 	if len(inputs) == 0 {
 		job.PieceKey = e.req.PieceKey
--- a/core/relay/stall.go
+++ b/core/relay/stall.go
@@ -6,11 +6,13 @@
 	"time"
 )
 
-// stallDetector cancels an attempt whose server sends nothing for too long, if
+// stallDetector cancels an attempt whose server sends no event for too long, if
 // the request may run at another one.
 type stallDetector struct {
 	exec   *execution
 	cancel context.CancelCauseFunc
+	// mayResend is set if the request may be sent to another server.
+	mayResend bool
 
 	mu        sync.Mutex
 	stopTimer func() bool
@@ -18,7 +20,7 @@
 }
 
 func (e *execution) newStallDetector(cancel context.CancelCauseFunc) *stallDetector {
-	d := &stallDetector{exec: e, cancel: cancel}
+	d := &stallDetector{exec: e, cancel: cancel, mayResend: e.route.MayRunAgain() && e.sends+1 < e.route.MaxAttempts}
 	timeout := stallTimeout(e.route.TargetGap)
 	if e.stream.eventCount == 0 {
 		timeout = max(minFirstEventTimeout, time.Duration(firstEventTimeoutFactor*float64(e.route.TargetLatency)))
@@ -27,12 +29,11 @@
 	return d
 }
 
-// reset restarts the timer after data has come.
+// reset restarts the timer after an event has come.
 func (d *stallDetector) reset() { d.arm(stallTimeout(d.exec.route.TargetGap)) }
 
 func (d *stallDetector) arm(timeout time.Duration) {
-	e := d.exec
-	if !e.route.MayRunAgain() {
+	if !d.mayResend {
 		return
 	}
 	d.mu.Lock()
@@ -43,11 +44,7 @@
 	if d.stopTimer != nil {
 		d.stopTimer()
 	}
-	d.stopTimer = e.relay.deps.Clock.AfterFunc(timeout, func() {
-		if e.sends+1 < e.route.MaxAttempts {
-			d.cancel(errStalled)
-		}
-	})
+	d.stopTimer = d.exec.relay.deps.Clock.AfterFunc(timeout, func() { d.cancel(errStalled) })
 }
 
 func (d *stallDetector) stop() {
--- a/edge/edge_test.go
+++ b/edge/edge_test.go
@@ -320,3 +320,24 @@
 		t.Errorf("the shutdown cut off the stream: %v\n%s", got.err, got.body)
 	}
 }
+
+// Pattern: a server fails all its requests while it counts as healthy. Its own error
+// responses are evidence against it, so it soon gets only probes.
+func TestServerThatAnswersWithErrorsIsEjected(t *testing.T) {
+	t.Parallel()
+	failing, sound := stand.NewServer("i-1", "desk", "a"), stand.NewServer("i-2", "desk", "a")
+	failing.Intercept = func(w http.ResponseWriter, r *http.Request) bool {
+		w.Header().Set(stand.HeaderServerStamp, "i-1."+stand.RequestID(r))
+		w.WriteHeader(http.StatusInternalServerError)
+		return true
+	}
+	s := newTestSite(t, 1, configSpec(1, apiKeys, routeSpec("look", "idempotent", "desk", nil)), failing, sound)
+	const requests = 60
+	for i := range requests {
+		s.post(0, "/look/1", fmt.Sprint("r-", i))
+	}
+	seen, _ := failing.Requests()
+	if n := len(seen); n > requests/6 {
+		t.Errorf("the failing server got %d of %d requests", n, requests)
+	}
+}
--- a/io/upstream/upstream.go
+++ b/io/upstream/upstream.go
@@ -40,6 +40,9 @@
 
 	maxIdleConnsPerServer = 32
 
+	// maxHeaderBytes is the largest head of a response, interim responses included.
+	maxHeaderBytes = 64 << 10
+
 	// optTCPUserTimeout is the socket option TCP_USER_TIMEOUT; see tcp(7).
 	optTCPUserTimeout = 18
 )
@@ -95,6 +98,8 @@
 		IdleConnTimeout:     idleTimeout,
 		DisableCompression:  true,
 		WriteBufferSize:     32 << 10,
+
+		MaxResponseHeaderBytes: maxHeaderBytes,
 	}
 }
 
