edge: split following peers from watching the store; no data race in a test

follow.go held the store's side and the peers' side of the cluster state in 440 lines: storewatch.go and digests.go hold what they name now, unchanged.

--- a/edge/follow.go
+++ b/edge/follow.go
@@ -2,54 +2,17 @@
 
 import (
 	"context"
-	"errors"
 	"math"
-	mathrand "math/rand/v2"
-	"sync"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
 	"go.uber.org/zap"
 
-	"chervilpath/core/fleet"
 	"chervilpath/core/member"
-	"chervilpath/core/object"
 	"chervilpath/io/peer"
-	"chervilpath/platform"
 )
 
 const (
-	// watchFraction is how long the store may hold one watch, as a fraction of
-	// the propagation time. It is well below 1, so that a store that does not
-	// answer is noticed within that time.
-	watchFraction = 0.5
-
-	// watchCheckInterval is the time between two checks of whether this instance
-	// has to watch the store.
-	watchCheckInterval = 100 * time.Millisecond
-
-	// watchGraceFraction is how much longer than the watch its response may take,
-	// and readFraction how long the response to a read may take, as fractions of
-	// the propagation time.
-	watchGraceFraction = 0.3
-	readFraction       = 0.75
-
-	// A failed call is retried after minBackoff, doubled with each consecutive
-	// failure, up to maxBackoff at an instance that watches the store on behalf of
-	// all, and substituteBackoff at another one. Half of the backoff is random.
-	minBackoff        = 50 * time.Millisecond
-	maxBackoff        = 400 * time.Millisecond
-	substituteBackoff = 1600 * time.Millisecond
-
-	// storeCallPerInstance is the mean time between two calls of an instance outside
-	// of the directory whose peers answer but have no confirmation by the store,
-	// divided by the number of instances: those of the directory ask the store
-	// already, and the rate of calls must not grow with the fleet.
-	storeCallPerInstance = 200 * time.Millisecond
-
-	// maxDigests is the largest number of peers whose digests are kept.
-	maxDigests = 256
-
 	// joinPollInterval is the time between two checks, before this instance is
 	// settled, of whether it is among those that watch the store.
 	joinPollInterval = 20 * time.Millisecond
@@ -68,183 +31,6 @@
 	followFraction = 0.25
 )
 
-// follower reads and watches one kind of object in the store.
-type follower struct {
-	instance *Instance
-	kind     string
-	// read reads and applies all objects and returns the revision to watch from.
-	read func(ctx context.Context) (int64, error)
-	// watch waits for changes after a revision, applies them and returns the
-	// revision to continue from.
-	watch func(ctx context.Context, after int64) (int64, error)
-}
-
-func (in *Instance) followConfig(ctx context.Context) {
-	f := &follower{instance: in, kind: "configuration", read: in.readConfig, watch: in.watchConfig}
-	f.run(ctx)
-}
-
-func (in *Instance) followServers(ctx context.Context) {
-	f := &follower{instance: in, kind: "servers", read: in.readServers, watch: in.watchServers}
-	f.run(ctx)
-}
-
-// run keeps reading and watching until ctx is done.
-func (f *follower) run(ctx context.Context) {
-	revision, failures := int64(0), 0
-	lost := false
-	for ctx.Err() == nil {
-		if !f.instance.shouldWatchStore() {
-			// Changes from now on come from peers, or from the next read.
-			revision = 0
-			f.instance.sleep(ctx, watchCheckInterval)
-			continue
-		}
-		if d := f.instance.storeCallInterval(); d > 0 && mathrand.N(d) > watchCheckInterval {
-			// On average a call is made once in d, at a random phase.
-			f.instance.sleep(ctx, watchCheckInterval)
-			continue
-		}
-		var err error
-		if revision == 0 {
-			revision, err = f.callWithTimeout(ctx, f.instance.state.propagationTime(readFraction), func(ctx context.Context) (int64, error) { return f.read(ctx) })
-		} else {
-			after := revision
-			revision, err = f.callWithTimeout(ctx, f.instance.state.propagationTime(watchFraction+watchGraceFraction), func(ctx context.Context) (int64, error) { return f.watch(ctx, after) })
-			if err != nil {
-				revision = after
-			}
-		}
-		if errors.Is(err, object.ErrHistoryGone) || errors.Is(err, object.ErrNotFound) {
-			f.instance.state.storeAnswered()
-			f.instance.log.Info("store read again", zap.String("kind", f.kind), zap.Error(err))
-			revision, err = 0, nil
-			f.sleepJittered(ctx, minBackoff)
-			continue
-		}
-		if err == nil {
-			if lost {
-				f.instance.log.Info("store regained", zap.String("kind", f.kind))
-			}
-			failures, lost = 0, false
-			f.instance.state.storeAnswered()
-			continue
-		}
-		if ctx.Err() != nil {
-			return
-		}
-		if !lost {
-			f.instance.log.Warn("store lost", zap.String("kind", f.kind), zap.Error(err))
-		}
-		lost = true
-		f.instance.metrics.storeFailures.Inc()
-		f.sleepJittered(ctx, min(f.instance.maxStoreBackoff(), minBackoff<<min(failures, 8)))
-		failures++
-	}
-}
-
-func (f *follower) callWithTimeout(ctx context.Context, timeout time.Duration, call func(context.Context) (int64, error)) (int64, error) {
-	ctx, cancel := context.WithTimeout(ctx, timeout)
-	defer cancel()
-	f.instance.metrics.storeCalls.Inc()
-	return call(ctx)
-}
-
-// sleepJittered sleeps between half of d and d.
-func (f *follower) sleepJittered(ctx context.Context, d time.Duration) {
-	f.instance.sleep(ctx, d/2+mathrand.N(d/2+1))
-}
-
-func (in *Instance) readConfig(ctx context.Context) (int64, error) {
-	requestedAt := time.Now()
-	objects, revision, err := in.store.ListConfig(ctx)
-	if err != nil {
-		return 0, err
-	}
-	for _, o := range objects {
-		in.applyConfig(o)
-	}
-	in.state.recordConfirmation(requestedAt)
-	return revision, nil
-}
-
-func (in *Instance) watchConfig(ctx context.Context, after int64) (int64, error) {
-	changes, revision, err := in.store.WatchConfig(ctx, after, in.state.propagationTime(watchFraction))
-	answeredAt := time.Now()
-	if err != nil {
-		return 0, err
-	}
-	for _, c := range changes {
-		if !c.Removed {
-			in.applyConfig(c.Object)
-		}
-	}
-	in.state.recordConfirmation(answeredAt)
-	return max(after, revision), nil
-}
-
-func (in *Instance) applyConfig(o object.Object) {
-	if platform.IsActiveConfig(o) {
-		in.state.offerConfig(o.Data, "store")
-	}
-}
-
-func (in *Instance) readServers(ctx context.Context) (int64, error) {
-	objects, revision, err := in.store.ListServers(ctx)
-	if err != nil {
-		return 0, err
-	}
-	servers := make([]fleet.Server, 0, len(objects))
-	for _, o := range objects {
-		s, err := platform.DecodeServer(o)
-		if err != nil {
-			in.log.Warn("server entry refused", zap.Error(err))
-			continue
-		}
-		servers = append(servers, s)
-	}
-	in.state.updateServers(func(v *fleet.View, now time.Time) {
-		for _, id := range v.Replace(now, servers, revision) {
-			in.log.Info("server gone", zap.String("server", id), zap.String("from", "store"))
-		}
-	})
-	return revision, nil
-}
-
-func (in *Instance) watchServers(ctx context.Context, after int64) (int64, error) {
-	changes, revision, err := in.store.WatchServers(ctx, after, in.state.propagationTime(watchFraction))
-	if err != nil {
-		return 0, err
-	}
-	in.state.updateServers(func(v *fleet.View, now time.Time) {
-		v.StoreAnswered(now, now)
-		v.Advance(revision)
-		for _, c := range changes {
-			in.applyServerChange(v, now, c)
-		}
-	})
-	return max(after, revision), nil
-}
-
-func (in *Instance) applyServerChange(v *fleet.View, now time.Time, c platform.Change) {
-	if c.Removed {
-		if v.Remove(now, c.Object.Name) {
-			in.log.Info("server gone", zap.String("server", c.Object.Name), zap.String("from", "store"))
-		}
-		return
-	}
-	s, err := platform.DecodeServer(c.Object)
-	if err != nil {
-		in.log.Warn("server entry refused", zap.Error(err))
-		v.Remove(now, c.Object.Name)
-		return
-	}
-	if s.Draining {
-		in.log.Info("server leaving", zap.String("server", s.ID), zap.String("from", "store"))
-	}
-	v.Set(s)
-}
-
 // followPeers follows the store through the instances that watch it, until ctx
 // is done. While this instance is one of them, it watches the store itself, and
 // follows the others only if the store does not confirm what it has.
@@ -310,46 +96,6 @@
 	}
 }
 
-// shouldWatchStore reports whether this instance has to watch the store itself,
-// either on behalf of the others or because none of those that do has a recent
-// confirmation by the store. The instances of the directory start earlier, so that
-// the others can follow them.
-func (in *Instance) shouldWatchStore() bool {
-	settledAt := in.settledAt.Load()
-	if settledAt == nil {
-		return in.watchingStore.Load()
-	}
-	fraction := staleFraction
-	if !in.delegator.worksForOthers() {
-		fraction = lateFraction
-	}
-	age := min(in.state.confirmationAge(), time.Since(*settledAt))
-	if age >= in.state.propagationTime(fraction) && in.watchingStore.CompareAndSwap(false, true) {
-		in.log.Warn("peers do not have what the store confirmed", zap.Duration("age", age))
-	}
-	return in.watchingStore.Load()
-}
-
-// storeCallInterval returns the mean time between two calls of the store, or 0 if
-// the calls of this instance are not limited. Only an instance that is not in the
-// directory and whose peers answer is limited.
-func (in *Instance) storeCallInterval() time.Duration {
-	lastReply := in.lastReplyAt.Load()
-	if lastReply == nil || time.Since(*lastReply) > in.state.propagationTime(lateFraction) || in.delegator.worksForOthers() {
-		return 0
-	}
-	return time.Duration(in.members.NumServing()) * storeCallPerInstance
-}
-
-// maxStoreBackoff returns the longest time after which this instance retries a
-// failed call of the store.
-func (in *Instance) maxStoreBackoff() time.Duration {
-	if _, watches := in.sources(); watches {
-		return maxBackoff
-	}
-	return substituteBackoff
-}
-
 // sources returns the addresses of the live members of the directory, of which the
 // first numStoreWatchers watch the store on behalf of all, and reports whether this
 // instance is one of these or no other instance is known.
@@ -414,26 +160,3 @@
 	case <-ctx.Done():
 	}
 }
-
-// digests holds, by address, the digest of the directory that a peer last sent. A
-// peer sends its directory again only after it has changed there: what both know
-// need not become the same. It is safe for concurrent use.
-type digests struct {
-	mu        sync.Mutex
-	byAddress map[string]uint64
-}
-
-func (d *digests) get(address string) uint64 {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	return d.byAddress[address]
-}
-
-func (d *digests) set(address string, digest uint64) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	if d.byAddress == nil || len(d.byAddress) >= maxDigests {
-		d.byAddress = make(map[string]uint64)
-	}
-	d.byAddress[address] = digest
-}
--- a/edge/harness_test.go
+++ b/edge/harness_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -27,8 +28,10 @@
 
 // testSite runs instances against stand-ins for the platform's store and servers.
 type testSite struct {
-	t         *testing.T
-	store     *stand.Store
+	t     *testing.T
+	store *stand.Store
+	// mu guards instances while requests are sent to a fleet that is starting.
+	mu        sync.Mutex
 	instances []*instance
 	// storeAddress is where the next instances reach the store, or "" if directly.
 	storeAddress string
@@ -127,7 +130,9 @@
 		s.t.Fatal(err)
 	}
 	inst := &instance{kernel: k, callerAddress: callerAddress, operatorAddress: operatorAddress}
+	s.mu.Lock()
 	s.instances = append(s.instances, inst)
+	s.mu.Unlock()
 	s.t.Cleanup(func() { s.kill(inst) })
 }
 
@@ -221,7 +226,10 @@
 // send sends a request to the i-th instance.
 func (s *testSite) send(ctx context.Context, i int, method, target, id string, extra http.Header, body string) response {
 	s.t.Helper()
-	req, err := http.NewRequestWithContext(ctx, method, "http://"+s.instances[i].callerAddress+target, strings.NewReader(body))
+	s.mu.Lock()
+	address := s.instances[i].callerAddress
+	s.mu.Unlock()
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+address+target, strings.NewReader(body))
 	if err != nil {
 		s.t.Fatal(err)
 	}
