gather: recognise a copied answer of a stage server

Cause, found by looking for a second, late copy of an answer on a connection in use again: answers to requests name the request, and the transport closes a connection on which one comes unasked, but an answer to a stage call names only results. A copy that comes right after the next call was written is taken for its answer, and the results of one request's pieces are given to another's.

Change: a server names each result once. Handles stay known until they expire, freed or not (4 s on the platform, so bounded), and an answer that names a known one fails the call: its pieces are computed again.

For requests and servers a raw server that repeats each answer, at once or before the next one, shows that nothing wrong is relayed and nothing runs twice.

--- a/core/gather/complete.go
+++ b/core/gather/complete.go
@@ -129,17 +129,32 @@
 	}
 }
 
+// releaseResult releases the capacity of a result. Its handle is known until it
+// expires, so that a copy of the answer that named it is recognised.
 func (q *Queue) releaseResult(handle string) {
 	r, ok := q.results[handle]
-	if !ok {
+	if !ok || r.freed {
 		return
 	}
-	delete(q.results, handle)
+	r.freed = true
+	q.results[handle] = r
 	if s := q.byID[r.serverID]; s != nil {
 		s.usedBytes = max(0, s.usedBytes-r.bytes)
 	}
 }
 
+// IsCopy reports whether the outcomes of a call name a result that an earlier call has
+// returned. A server names each result once, so the answer is a copy of an earlier
+// one, which arrived late on a connection in use again.
+func (q *Queue) IsCopy(outcomes []ItemOutcome) bool {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return slices.ContainsFunc(outcomes, func(o ItemOutcome) bool {
+		_, known := q.results[o.Handle]
+		return o.Handle != "" && known
+	})
+}
+
 // recordResult records that a result occupies capacity of a server.
 func (q *Queue) recordResult(now time.Time, s *server, handle string, bytes int64) {
 	r := result{serverID: s.ID, bytes: bytes, expires: now.Add(q.cfg.ResultTTL)}
@@ -155,6 +170,7 @@
 		e := q.expiries[n]
 		if r, ok := q.results[e.handle]; ok && r.expires.Equal(e.at) {
 			q.releaseResult(e.handle)
+			delete(q.results, e.handle)
 		}
 		n++
 	}
--- a/core/gather/dispatcher.go
+++ b/core/gather/dispatcher.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"errors"
+	"fmt"
 	"sync"
 	"time"
 
@@ -55,6 +57,9 @@
 	}
 )
 
+// errCopiedAnswer means that the answer to a call is a copy of an earlier one.
+var errCopiedAnswer = errors.New("the answer is a copy of an earlier one")
+
 // NewDispatcher returns a dispatcher without servers.
 func NewDispatcher(service string, cfg route.PieceConfig, clock stage.Clock, deps Deps) *Dispatcher {
 	return &Dispatcher{service: service, queue: New(cfg), clock: clock, deps: deps}
@@ -146,6 +151,9 @@
 	ctx, cancel := context.WithTimeout(context.Background(), callTimeoutFactor*b.expected+callTimeoutMargin)
 	defer cancel()
 	status, outcomes, err := d.deps.RunBatch(ctx, b, func(it *Item) time.Duration { return it.Deadline.Sub(d.clock.Now()) })
+	if status == CallAnswered && d.queue.IsCopy(outcomes) {
+		status, outcomes, err = CallFailed, nil, fmt.Errorf("server %s: %w", b.Server.ID, errCopiedAnswer)
+	}
 	now := d.clock.Now()
 	d.deps.BatchEnded(d.service, b, now.Sub(b.started), err)
 	completed, orphaned := d.queue.Complete(now, b, status, outcomes)
--- a/core/gather/gather.go
+++ b/core/gather/gather.go
@@ -131,7 +131,7 @@
 		meanCall time.Duration
 		// classSeconds holds the observed processing time of an item by class.
 		classSeconds map[string]float64
-		// results holds the results that occupy capacity, by handle, and expiries
+		// results holds the results that have not expired, by handle, and expiries
 		// when they expire, in the order in which they were recorded.
 		results  map[string]result
 		expiries []expiry
@@ -165,6 +165,7 @@
 		serverID string
 		bytes    int64
 		expires  time.Time
+		freed    bool
 	}
 
 	// expiry is when a result expires.
