--- a/core/backlog/backlog.go
+++ b/core/backlog/backlog.go
@@ -198,7 +198,7 @@
 // shedExcess makes jobs late until all others can be on time.
 func (b *Backlog) shedExcess(now time.Time) {
 	for {
-		j := b.onTime.cheapestToFirstMiss(now.Add(b.pace.Lead))
+		j := b.onTime.leastDenseToFirstMiss(now.Add(b.pace.Lead))
 		if j == nil {
 			return
 		}
--- a/core/backlog/list.go
+++ b/core/backlog/list.go
@@ -40,8 +40,8 @@
 		// delay is the largest difference, in seconds, between the time that the
 		// jobs up to one of them take and that job's time since the list's epoch.
 		delay float64
-		// cheapest is the job with the least worth for its processing time.
-		cheapest *Job
+		// leastDense is the job with the least worth for its processing time.
+		leastDense *Job
 	}
 )
 
@@ -132,15 +132,15 @@
 	return work
 }
 
-// cheapestToFirstMiss returns the job with the least worth for its processing
+// leastDenseToFirstMiss returns the job with the least worth for its processing
 // time among those up to the first that would miss its time, or nil if none
 // would if the first of them began at the given time.
-func (l *list) cheapestToFirstMiss(begin time.Time) *Job {
+func (l *list) leastDenseToFirstMiss(begin time.Time) *Job {
 	limit := -l.seconds(begin)
 	if l.root == nil || l.root.node.delay <= limit {
 		return nil
 	}
-	var cheapest *Job
+	var leastDense *Job
 	elapsed := 0.0
 	for j := l.root; ; {
 		left := j.node.left
@@ -149,13 +149,13 @@
 			continue
 		}
 		if left != nil {
-			cheapest = cheaper(cheapest, left.node.cheapest)
+			leastDense = lessDense(leastDense, left.node.leastDense)
 			elapsed += left.node.work / l.parallelism
 		}
-		cheapest = cheaper(cheapest, j)
+		leastDense = lessDense(leastDense, j)
 		elapsed += j.work() / l.parallelism
 		if elapsed-l.seconds(j.node.at) > limit || j.node.right == nil {
-			return cheapest
+			return leastDense
 		}
 		j = j.node.right
 	}
@@ -210,14 +210,14 @@
 
 // update recomputes the aggregates of a job's subtree from those of its children.
 func (l *list) update(j *Job) {
-	agg := jobAggregates{count: 1, work: j.work(), cheapest: j, delay: math.Inf(-1)}
+	agg := jobAggregates{count: 1, work: j.work(), leastDense: j, delay: math.Inf(-1)}
 	agg.lanes.Add(j.Lane)
 	if left := j.node.left; left != nil {
 		agg.count += left.node.count
 		agg.lanes |= left.node.lanes
 		agg.work += left.node.work
 		agg.delay = left.node.delay
-		agg.cheapest = cheaper(j, left.node.cheapest)
+		agg.leastDense = lessDense(j, left.node.leastDense)
 	}
 	elapsed := agg.work / l.parallelism
 	agg.delay = max(agg.delay, elapsed-l.seconds(j.node.at))
@@ -226,14 +226,14 @@
 		agg.lanes |= right.node.lanes
 		agg.work += right.node.work
 		agg.delay = max(agg.delay, elapsed+right.node.delay)
-		agg.cheapest = cheaper(agg.cheapest, right.node.cheapest)
+		agg.leastDense = lessDense(agg.leastDense, right.node.leastDense)
 	}
 	j.node.jobAggregates = agg
 }
 
-// cheaper returns the job with less worth for its processing time, and the first
+// lessDense returns the job with less worth for its processing time, and the first
 // if they are equal. Either may be nil.
-func cheaper(a, b *Job) *Job {
+func lessDense(a, b *Job) *Job {
 	if a == nil || b != nil && b.density() < a.density() {
 		return b
 	}
