edge: refuse a listing in which nothing is the entry of a server

A listing of the store whose objects are no servers, such as a late copy of the answer to another call, was taken over, and every server was removed. It is an error now and read again. The test serves no request before and does now.

--- a/edge/state_test.go
+++ b/edge/state_test.go
@@ -206,3 +206,37 @@
 		t.Errorf("%d of 20 requests ran at a server that was removed %v before", n, propagationBound)
 	}
 }
+
+// A listing in which no object is the entry of a server, such as a late copy of the
+// answer to another call, is an error. It must not remove all servers.
+func TestListingWithoutServersIsRefused(t *testing.T) {
+	t.Parallel()
+	a := stand.NewServer("i-1", "desk", "a")
+	s := newTestSite(t, 0, configSpec(1, apiKeys, routeSpec("book", "non_idempotent", "desk", nil)), a)
+	var mixUp atomic.Bool
+	link := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if mixUp.Load() && strings.HasSuffix(r.URL.Path, "/servers") && !r.URL.Query().Has("watch") {
+			r.URL.Path = strings.TrimSuffix(r.URL.Path, "servers") + "config"
+		}
+		s.store.ServeHTTP(w, r)
+	}))
+	t.Cleanup(link.Close)
+	s.storeAddress = strings.TrimPrefix(link.URL, "http://")
+	seeds := freeAddress(t)
+	s.start("edge-0", freeAddress(t), seeds, freeAddress(t), seeds)
+	s.eventually("the instance to be ready", func() bool { return s.getStatus(s.instances[0].operatorAddress+"/ready") == http.StatusOK })
+	mixUp.Store(true)
+	s.store.MuteWatches(true)
+	added := stand.NewServer("i-2", "desk", "a")
+	t.Cleanup(added.Close)
+	s.store.Put("servers", "i-2", added.Entry("ready"))
+	s.store.Compact()
+	s.store.MuteWatches(false)
+	time.Sleep(propagationBound)
+	for i := range 6 {
+		if got := s.post(0, "/book/1", fmt.Sprint("r-", i)); got.status == http.StatusOK {
+			return
+		}
+	}
+	t.Error("no request is served after a listing without servers")
+}
--- a/edge/storewatch.go
+++ b/edge/storewatch.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	mathrand "math/rand/v2"
 	"time"
 
@@ -178,6 +179,10 @@
 		}
 		servers = append(servers, s)
 	}
+	if len(objects) > 0 && len(servers) == 0 {
+		// Taking this over would remove every server.
+		return 0, fmt.Errorf("%w: none of %d listed objects is the entry of a server", object.ErrUnavailable, len(objects))
+	}
 	in.state.updateServers(func(v *fleet.View, now time.Time) {
 		for _, id := range v.Replace(now, servers, revision) {
 			in.log.Info("server gone", zap.String("server", id), zap.String("from", "store"))
