--- a/edge/delegator.go
+++ b/edge/delegator.go
@@ -127,7 +127,10 @@
 }
 
 // runStage has the pieces of a stage computed by the owner of their service and
-// returns the handles of the results.
+// returns the handles of the results. After maxOwnerAttempts owners that did not
+// answer, or if no candidate is left, an instance of the directory does the work
+// itself; if no candidate is left, any instance does, since it is then cut off from
+// the others.
 func (d *delegator) runStage(ctx context.Context, job relay.StageJob) ([]string, error) {
 	start := time.Now()
 	due, remaining := job.Due, job.Remaining
@@ -167,7 +170,7 @@
 }
 
 // placeForPeer chooses an engine for another instance's request, once this
-// instance is ready.
+// instance is ready. An instance that does not become ready finds none.
 func (d *delegator) placeForPeer(ctx context.Context, service string, q engine.Query) string {
 	d.instance.awaitReady(ctx)
 	return d.placeLocally(service, q)
