edge, peer: compress the list of servers and encode it once for all followers

A request says that it takes them compressed, so that instances of the build before still get the plain ones.

--- a/edge/follow.go
+++ b/edge/follow.go
@@ -124,7 +124,7 @@
 // the given time.
 func (in *Instance) pollPeer(ctx context.Context, address string, wait time.Duration) bool {
 	age := in.state.confirmationAge()
-	req := peer.FollowRequest{ServersRevision: in.state.serversRevision(), Wait: wait, Confirmed: age < math.MaxInt64, Age: age}
+	req := peer.FollowRequest{ServersRevision: in.state.serversRevision(), CompressedServers: true, Wait: wait, Confirmed: age < math.MaxInt64, Age: age}
 	if t := in.state.table(); t != nil {
 		req.Version = t.Version()
 	}
--- a/edge/follow_test.go
+++ b/edge/follow_test.go
@@ -1,6 +1,9 @@
 package edge
 
 import (
+	"bytes"
+	"encoding/json"
+	"fmt"
 	"testing"
 	"time"
 
@@ -27,3 +30,43 @@
 		t.Errorf("confirmation during the wait: reply after %v with age %v, want it as soon as the store confirms", elapsed, got.Age)
 	}
 }
+
+// Pattern: 300 instances start at once before 3,000 servers, and a hundred followers
+// ask each watcher for all of them. The list is encoded once for all followers, is
+// small enough for links of 20 Mbit/s, and is encoded anew after a change.
+func TestServersAreEncodedOnceForAllFollowers(t *testing.T) {
+	now := time.Now()
+	view := fleet.New(time.Second)
+	var servers []fleet.Server
+	for i := range 3000 {
+		servers = append(servers, fleet.Server{
+			ID: fmt.Sprintf("i-%08x", i*2654435761), Service: fmt.Sprint("service-", i%5), Address: fmt.Sprintf("10.%d.%d.%d:8080", i%5, i/250, i%250),
+			Zone: fmt.Sprint("zone-", i%5), Build: "v1", Slots: 12, Born: 1_790_000_000_000 + int64(i), Revision: int64(i + 1),
+		})
+	}
+	view.Replace(now, servers, 3000)
+	c := &clusterState{view: view, changed: make(chan struct{})}
+	first := c.serveFollow(t.Context(), peer.FollowRequest{CompressedServers: true}).CompressedServers
+	const maxBytes = 150 << 10
+	if len(first) == 0 || len(first) > maxBytes {
+		t.Fatalf("3000 servers have %d bytes, want at most %d", len(first), maxBytes)
+	}
+	if second := c.serveFollow(t.Context(), peer.FollowRequest{CompressedServers: true}).CompressedServers; &second[0] != &first[0] {
+		t.Error("the servers are encoded again for the second follower")
+	}
+	view.Advance(3001)
+	view.Remove(now, servers[0].ID)
+	third := c.serveFollow(t.Context(), peer.FollowRequest{CompressedServers: true}).CompressedServers
+	data, err := peer.Decompress(third, maxServersBytes)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var changes fleet.Changes
+	if err := json.Unmarshal(data, &changes); err != nil || len(changes.Servers) != 2999 || changes.Revision != 3001 {
+		t.Errorf("after a removal %d servers as of revision %d, error %v", len(changes.Servers), changes.Revision, err)
+	}
+	plain := c.serveFollow(t.Context(), peer.FollowRequest{}).Servers
+	if !bytes.Equal(plain, data) {
+		t.Error("a peer that takes no compressed changes gets others")
+	}
+}
--- a/edge/state.go
+++ b/edge/state.go
@@ -54,6 +54,10 @@
 	// from a peer. It is above the size of the store's largest value.
 	maxConfigBytes = 4 << 20
 
+	// maxServersBytes is the size of the largest change of the servers that is
+	// accepted from a peer.
+	maxServersBytes = 16 << 20
+
 	// maxFollowWait is the longest time for which a Follow request of a peer
 	// waits for a change.
 	maxFollowWait = time.Second
@@ -75,6 +79,9 @@
 		history     configHistory
 		needWhole   bool
 		confirmedAt time.Time
+		// encodedServers are the changes of the servers that were last encoded for a
+		// peer.
+		encodedServers encodedChanges
 		// changed is closed and replaced whenever there is something new for
 		// peers: a change, or a later confirmation by the store.
 		changed      chan struct{}
@@ -84,6 +91,13 @@
 	}
 )
 
+// encodedChanges are the changes of the servers from the revision after to revision,
+// as of a generation of the view.
+type encodedChanges struct {
+	after, revision, generation int64
+	plain, compressed           []byte
+}
+
 func newClusterState(in *Instance) *clusterState {
 	c := &clusterState{
 		instance: in, view: fleet.New(outageHeartbeats * in.cfg.Load().Bounds().HeartbeatInterval), numInstances: 1, changed: make(chan struct{}),
@@ -366,16 +380,36 @@
 		out.Configuration, out.ConfigurationDelta = c.history.forPeer(req.ConfigurationDigest)
 		ok = true
 	}
-	if changes := c.view.ChangesSince(req.ServersRevision); changes.Revision > req.ServersRevision {
-		data, err := json.Marshal(changes)
-		if err != nil {
-			c.instance.log.Error("could not encode server changes for peer", zap.Error(err))
+	if c.view.Revision() > req.ServersRevision {
+		plain, compressed := c.serverChanges(req.ServersRevision)
+		if req.CompressedServers {
+			out.CompressedServers = compressed
+		} else {
+			out.Servers = plain
 		}
-		out.Servers, ok = data, true
+		ok = ok || len(plain) > 0
 	}
 	return out, ok, c.changed
 }
 
+// serverChanges returns the changes of the servers after a revision, as JSON and
+// compressed. They are encoded once for all peers that have the same revision. The
+// caller holds mu.
+func (c *clusterState) serverChanges(after int64) (plain, compressed []byte) {
+	if e := c.encodedServers; e.after == after && e.generation == c.view.Generation() && e.revision == c.view.Revision() && e.plain != nil {
+		return e.plain, e.compressed
+	}
+	data, err := json.Marshal(c.view.ChangesSince(after))
+	if err != nil {
+		c.instance.log.Error("could not encode server changes for peer", zap.Error(err))
+		return nil, nil
+	}
+	c.encodedServers = encodedChanges{
+		after: after, revision: c.view.Revision(), generation: c.view.Generation(), plain: data, compressed: peer.Compress(data),
+	}
+	return c.encodedServers.plain, c.encodedServers.compressed
+}
+
 // applyReply applies the reply of a peer to a Follow request.
 func (c *clusterState) applyReply(from string, reply peer.FollowReply) {
 	if len(reply.Configuration) > 0 {
@@ -387,12 +421,19 @@
 	if reply.Confirmed {
 		c.recordConfirmation(time.Now().Add(-reply.Age))
 	}
-	if len(reply.Servers) == 0 {
+	servers, err := reply.Servers, error(nil)
+	if len(reply.CompressedServers) > 0 {
+		servers, err = peer.Decompress(reply.CompressedServers, maxServersBytes)
+	}
+	if err == nil && len(servers) == 0 {
 		c.expireMissing()
 		return
 	}
 	var changes fleet.Changes
-	if err := json.Unmarshal(reply.Servers, &changes); err != nil {
+	if err == nil {
+		err = json.Unmarshal(servers, &changes)
+	}
+	if err != nil {
 		c.instance.log.Warn("server changes from peer refused", zap.String("from", from), zap.Error(err))
 		return
 	}
--- a/io/peer/platform.go
+++ b/io/peer/platform.go
@@ -35,8 +35,9 @@
 		// that the requesting instance has, which is sent instead of the whole.
 		ConfigurationDelta []byte
 		// Servers is the JSON of the changes of the servers, or empty if there
-		// are none.
-		Servers []byte
+		// are none. CompressedServers is the same compressed by Compress, of which
+		// the caller gets only one.
+		Servers, CompressedServers []byte
 		// Confirmed is set if the store has ever confirmed the configuration,
 		// and Age is the time since it last did.
 		Confirmed bool
@@ -64,6 +65,9 @@
 		// ConfigurationDigest is the digest of the configuration from which the
 		// reply may hold a difference, or 0.
 		ConfigurationDigest uint64
+		// CompressedServers is set if the reply may hold compressed changes of the
+		// servers.
+		CompressedServers bool
 	}
 
 	// PlatformHandler holds the functions that serve the calls of other instances
@@ -95,9 +99,9 @@
 	reply := s.Platform.Follow(ctx, FollowRequest{
 		Version: req.Version, ServersRevision: req.ServersRevision, Wait: wait,
 		Confirmed: req.AgeMicros >= 0, Age: microseconds(req.AgeMicros),
-		ConfigurationDigest: req.Configuration,
+		ConfigurationDigest: req.Configuration, CompressedServers: req.CompressedServers,
 	})
-	out := &peerpb.FollowReply{Configuration: reply.Configuration, Servers: reply.Servers, AgeMicros: -1, Directory: s.Members.directoryIfChanged(req.Directory), ConfigurationDelta: reply.ConfigurationDelta}
+	out := &peerpb.FollowReply{Configuration: reply.Configuration, Servers: reply.Servers, CompressedServers: reply.CompressedServers, AgeMicros: -1, Directory: s.Members.directoryIfChanged(req.Directory), ConfigurationDelta: reply.ConfigurationDelta}
 	if reply.Confirmed {
 		out.AgeMicros = reply.Age.Microseconds()
 	}
@@ -171,12 +175,13 @@
 	resp, err := c.For(address).Follow(ctx, &peerpb.FollowRequest{
 		Version: req.Version, ServersRevision: req.ServersRevision, WaitMicros: req.Wait.Microseconds(), AgeMicros: age,
 		Directory: req.DirectoryDigest, Configuration: req.ConfigurationDigest,
+		CompressedServers: req.CompressedServers,
 	})
 	if err != nil {
 		return FollowReply{}, fmt.Errorf("asking %s for changes: %w", address, err)
 	}
 	return FollowReply{
-		Configuration: resp.Configuration, ConfigurationDelta: resp.ConfigurationDelta, Servers: resp.Servers,
+		Configuration: resp.Configuration, ConfigurationDelta: resp.ConfigurationDelta, Servers: resp.Servers, CompressedServers: resp.CompressedServers,
 		Confirmed: resp.AgeMicros >= 0, Age: microseconds(resp.AgeMicros),
 		Directory: membersFromProto(resp.Directory),
 	}, nil
