edge, fleet: log from whom and how late an instance learns of a departure

A follower logged neither that a server leaves nor from which peer it heard so, and no instance logged that it takes a time without confirmations for an outage of the store.

The view of the servers now collects events (leaving, gone, missing, outage ended), which are logged in one place with their source, the revision and the age of the store's confirmation, and counted by event and source. A source of changes that has no recent confirmation, or does not answer, is logged with both ages and counted. No decision changes.

--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -92,6 +92,8 @@
 		// compactedRevision, have been dropped.
 		removals          []removal
 		compactedRevision int64
+		// events are the events since the last call of TakeEvents.
+		events []Event
 	}
 )
 
@@ -109,8 +111,9 @@
 // because of a failure that only some instances see, so an outage is a time in
 // which no instance got an answer.
 func (v *View) StoreAnswered(now, at time.Time) {
-	if !v.lastAnswer.IsZero() && at.Sub(v.lastAnswer) > v.outageAfter {
+	if gap := at.Sub(v.lastAnswer); !v.lastAnswer.IsZero() && gap > v.outageAfter {
 		v.graceUntil = now.Add(recoveryGrace)
+		v.events = append(v.events, Event{Kind: OutageEnded, Gap: gap})
 	}
 	if at.After(v.lastAnswer) {
 		v.lastAnswer = at
@@ -153,6 +156,9 @@
 	if !ok || s != existing {
 		v.generation++
 	}
+	if s.Draining && !existing.Draining {
+		v.events = append(v.events, Event{Kind: Leaving, Server: s})
+	}
 	v.known[s.ID] = s
 }
 
@@ -175,6 +181,7 @@
 	}
 	if _, ok := v.missing[id]; !ok {
 		v.missing[id] = v.revision
+		v.events = append(v.events, Event{Kind: Missing, Server: v.known[id]})
 	}
 	return false
 }
@@ -197,6 +204,7 @@
 // forget removes a server and records the removal for other instances.
 func (v *View) forget(id string) {
 	v.generation++
+	v.events = append(v.events, Event{Kind: Gone, Server: v.known[id]})
 	delete(v.known, id)
 	delete(v.missing, id)
 	v.removals = append(v.removals, removal{id: id, revision: v.revision})
--- a/edge/follow.go
+++ b/edge/follow.go
@@ -132,7 +132,8 @@
 	in.metrics.followRequests.Inc()
 	reply, err := in.peers.Follow(ctx, address, req)
 	if err != nil {
-		in.log.Debug("could not get changes from peer", zap.String("peer", address), zap.Error(err))
+		in.metrics.staleSources.Inc()
+		in.log.Info("peer does not answer a request for changes", zap.String("peer", address), zap.Duration("age", in.state.confirmationAge()), zap.Error(err))
 		return false
 	}
 	now := time.Now()
@@ -142,7 +143,13 @@
 		in.members.MergeDirectory(reply.Directory)
 	}
 	in.state.applyReply(address, reply)
-	return reply.Confirmed && reply.Age < in.state.propagationTime(staleFraction)
+	if !reply.Confirmed || reply.Age >= in.state.propagationTime(staleFraction) {
+		in.metrics.staleSources.Inc()
+		in.log.Info("peer has no recent confirmation", zap.String("peer", address), zap.Bool("confirmed", reply.Confirmed),
+			zap.Duration("peerAge", reply.Age), zap.Duration("age", in.state.confirmationAge()))
+		return false
+	}
+	return true
 }
 
 func (c *clusterState) serversRevision() int64 {
--- a/edge/state.go
+++ b/edge/state.go
@@ -61,8 +61,23 @@
 	// maxFollowWait is the longest time for which a Follow request of a peer
 	// waits for a change.
 	maxFollowWait = time.Second
+
+	// sourceStore and sourceLapse are the sources of changes in the log besides the
+	// addresses of peers: the platform's store, and the end of the grace period for
+	// entries that are missing after an outage.
+	sourceStore = "store"
+	sourceLapse = "lapse"
 )
 
+// sourceLabel returns the source of a change as a metric label, which does not name
+// single peers.
+func sourceLabel(from string) string {
+	if from == sourceStore || from == sourceLapse {
+		return from
+	}
+	return "peer"
+}
+
 type (
 	// clusterState holds the configuration and the servers as this instance
 	// knows them, and the state that it derives from them for each service. It
@@ -131,6 +146,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.view.StoreAnswered(time.Now(), at)
+	c.logServerEvents(sourceStore)
 	if at.After(c.confirmedAt) {
 		c.confirmedAt = at
 		c.notifyWaiters()
@@ -229,15 +245,16 @@
 }
 
 // updateServers applies a change to the view of the servers, and removes those
-// whose grace period after an outage has ended.
-func (c *clusterState) updateServers(apply func(v *fleet.View, now time.Time)) {
+// whose grace period after an outage has ended. from is the source of the change,
+// for the log.
+func (c *clusterState) updateServers(from string, apply func(v *fleet.View, now time.Time)) {
 	c.mu.Lock()
 	oldRevision, oldGeneration := c.view.Revision(), c.view.Generation()
 	now := time.Now()
 	apply(c.view, now)
-	for _, id := range c.view.Expire(now) {
-		c.instance.log.Info("server gone", zap.String("server", id), zap.String("from", "lapse"))
-	}
+	c.logServerEvents(from)
+	c.view.Expire(now)
+	c.logServerEvents(sourceLapse)
 	if c.view.Generation() != oldGeneration {
 		c.snapshot.Store(c.view.Snapshot())
 		c.updateServices()
@@ -256,7 +273,7 @@
 	missing := c.view.MissingCount() > 0
 	c.mu.Unlock()
 	if missing {
-		c.updateServers(func(*fleet.View, time.Time) {})
+		c.updateServers(sourceLapse, func(*fleet.View, time.Time) {})
 	}
 }
 
@@ -266,6 +283,25 @@
 	defer c.mu.Unlock()
 	now := time.Now()
 	c.view.StoreAnswered(now, now)
+	c.logServerEvents(sourceStore)
+}
+
+// logServerEvents logs what has changed in the view of the servers, with its source
+// and the age of the store's last confirmation. The caller holds mu.
+func (c *clusterState) logServerEvents(from string) {
+	for _, e := range c.view.TakeEvents() {
+		fields := []zap.Field{zap.String("from", from), zap.Int64("revision", c.view.Revision())}
+		if !c.confirmedAt.IsZero() {
+			fields = append(fields, zap.Int64("confirmedAgoMs", time.Since(c.confirmedAt).Milliseconds()))
+		}
+		if e.Kind == fleet.OutageEnded {
+			c.instance.log.Warn("store answered after an outage", append(fields, zap.Int64("outageMs", e.Gap.Milliseconds()))...)
+			continue
+		}
+		fields = append(fields, zap.String("server", e.Server.ID), zap.String("service", e.Server.Service), zap.Int64("born", e.Server.Born))
+		c.instance.log.Info("server "+e.Kind.String(), fields...)
+		c.instance.metrics.serverEvents.WithLabelValues(e.Kind.String(), sourceLabel(from)).Inc()
+	}
 }
 
 func (c *clusterState) setNumInstances(count int) {
@@ -437,11 +473,7 @@
 		c.instance.log.Warn("server changes from peer refused", zap.String("from", from), zap.Error(err))
 		return
 	}
-	c.updateServers(func(v *fleet.View, now time.Time) {
-		for _, id := range v.Apply(now, changes) {
-			c.instance.log.Info("server gone", zap.String("server", id), zap.String("from", from))
-		}
-	})
+	c.updateServers(from, func(v *fleet.View, now time.Time) { v.Apply(now, changes) })
 }
 
 // notifyWaiters wakes the Follow requests that wait for a change. The caller
--- a/edge/storewatch.go
+++ b/edge/storewatch.go
@@ -161,7 +161,7 @@
 
 func (in *Instance) applyConfig(o object.Object) {
 	if platform.IsActiveConfig(o) {
-		in.state.offerConfig(o.Data, "store")
+		in.state.offerConfig(o.Data, sourceStore)
 	}
 }
 
@@ -183,11 +183,7 @@
 		// Taking this over would remove every server.
 		return 0, fmt.Errorf("%w: none of %d listed objects is the entry of a server", object.ErrUnavailable, len(objects))
 	}
-	in.state.updateServers(func(v *fleet.View, now time.Time) {
-		for _, id := range v.Replace(now, servers, revision) {
-			in.log.Info("server gone", zap.String("server", id), zap.String("from", "store"))
-		}
-	})
+	in.state.updateServers(sourceStore, func(v *fleet.View, now time.Time) { v.Replace(now, servers, revision) })
 	return revision, nil
 }
 
@@ -196,7 +192,7 @@
 	if err != nil {
 		return 0, err
 	}
-	in.state.updateServers(func(v *fleet.View, now time.Time) {
+	in.state.updateServers(sourceStore, func(v *fleet.View, now time.Time) {
 		v.StoreAnswered(now, now)
 		v.Advance(revision)
 		for _, c := range changes {
@@ -208,9 +204,7 @@
 
 func (in *Instance) applyServerChange(v *fleet.View, now time.Time, c platform.Change) {
 	if c.Removed {
-		if v.Remove(now, c.Object.Name) {
-			in.log.Info("server gone", zap.String("server", c.Object.Name), zap.String("from", "store"))
-		}
+		v.Remove(now, c.Object.Name)
 		return
 	}
 	s, err := platform.DecodeServer(c.Object)
@@ -219,9 +213,6 @@
 		v.Remove(now, c.Object.Name)
 		return
 	}
-	if s.Draining {
-		in.log.Info("server leaving", zap.String("server", s.ID), zap.String("from", "store"))
-	}
 	v.Set(s)
 }
 
--- a/node/watch.go
+++ b/node/watch.go
@@ -82,6 +82,9 @@
 		}
 		revision = next
 		view.Expire(time.Now())
+		for _, e := range view.TakeEvents() {
+			in.log.Info("server list changed", zap.Stringer("event", e.Kind), zap.String("server", e.Server.ID), zap.Duration("gap", e.Gap))
+		}
 		leaving := in.leavingEndpoints(view.Snapshot(), listed)
 		if current := fmt.Sprint(leaving); current != previous {
 			previous = current
