--- a/edge/harness_test.go
+++ b/edge/harness_test.go
@@ -35,6 +35,8 @@
 	instances []*instance
 	// storeAddress is where the next instances reach the store, or "" if directly.
 	storeAddress string
+	// bounds are further settings of the section bounds of the next instances.
+	bounds string
 }
 
 type instance struct {
@@ -116,8 +118,8 @@
 	if storeAddress == "" {
 		storeAddress = s.store.Address()
 	}
-	ini := fmt.Sprintf("[site]\nname = %s\nfailureDomain = a\ncallerAddress = %s\npeerAddress = %s\noperatorAddress = %s\nseeds = %s\n[store]\naddress = %s\n[bounds]\ngrace = 6s\nrepeatRatio = 0.2\nrepeatSlack = 56\n[machine]\ncores = %g\n",
-		name, callerAddress, peerAddress, operatorAddress, seeds, storeAddress, cores)
+	ini := fmt.Sprintf("[site]\nname = %s\nfailureDomain = a\ncallerAddress = %s\npeerAddress = %s\noperatorAddress = %s\nseeds = %s\n[store]\naddress = %s\n[bounds]\ngrace = 6s\nrepeatRatio = 0.2\nrepeatSlack = 56\n%s\n[machine]\ncores = %g\n",
+		name, callerAddress, peerAddress, operatorAddress, seeds, storeAddress, s.bounds, cores)
 	cfg, err := settings.ParseSite("test.ini", []byte(ini))
 	if err != nil {
 		s.t.Fatal(err)
