edge: date confirmations of servers apart from those of the configuration

Callers' requests reached servers that had said they leave: an instance whose watch of the servers hung went on as if its list were recent, and so did all that follow it.

Cause: one date of the store's last confirmation for two watches, set by the configuration's alone. Knowledge of one thing stood for knowledge of another.

Now each watch dates what it confirms. What an instance tells its followers, and the age from which it asks others, is that of the older one; whether a request may be denied depends on the configuration's alone, as before.

--- a/edge/state.go
+++ b/edge/state.go
@@ -91,9 +91,11 @@
 		view *fleet.View
 		// history holds the configuration in force as it was read. needWhole is set
 		// after a difference from a peer could not be applied.
-		history     configHistory
-		needWhole   bool
-		confirmedAt time.Time
+		history   configHistory
+		needWhole bool
+		// configConfirmedAt and serversConfirmedAt are when the store last confirmed
+		// the configuration and the servers, through any instance.
+		configConfirmedAt, serversConfirmedAt time.Time
 		// encodedServers are the changes of the servers that were last encoded for a
 		// peer.
 		encodedServers encodedChanges
@@ -129,7 +131,7 @@
 func (c *clusterState) configFresh() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return !c.confirmedAt.IsZero() && time.Since(c.confirmedAt) < c.propagationTime(freshFraction)
+	return !c.configConfirmedAt.IsZero() && time.Since(c.configConfirmedAt) < c.propagationTime(freshFraction)
 }
 
 // propagationTime returns a fraction of the propagation time, within which changes
@@ -140,28 +142,51 @@
 	return time.Duration(fraction * float64(min(bounds.ConfigPropagation, bounds.Drain)))
 }
 
-// recordConfirmation records that the store confirmed the configuration at the
-// given time.
-func (c *clusterState) recordConfirmation(at time.Time) {
+// recordConfirmations records that the store confirmed the configuration and the
+// servers at the given times, of which either may be zero.
+func (c *clusterState) recordConfirmations(configAt, serversAt time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.view.StoreAnswered(time.Now(), at)
+	now, old := time.Now(), c.confirmedAt()
+	for _, at := range []time.Time{configAt, serversAt} {
+		if !at.IsZero() {
+			c.view.StoreAnswered(now, at)
+		}
+	}
 	c.logServerEvents(sourceStore)
-	if at.After(c.confirmedAt) {
-		c.confirmedAt = at
+	c.configConfirmedAt = latest(c.configConfirmedAt, configAt)
+	c.serversConfirmedAt = latest(c.serversConfirmedAt, serversAt)
+	if c.confirmedAt().After(old) {
 		c.notifyWaiters()
 	}
 }
 
-// confirmationAge returns the time since the store last confirmed the
-// configuration, or math.MaxInt64 if it never did.
+// confirmedAt returns when the store last confirmed both the configuration and the
+// servers, or the zero time if it never did. The caller holds mu.
+func (c *clusterState) confirmedAt() time.Time {
+	if c.serversConfirmedAt.Before(c.configConfirmedAt) {
+		return c.serversConfirmedAt
+	}
+	return c.configConfirmedAt
+}
+
+func latest(a, b time.Time) time.Time {
+	if b.After(a) {
+		return b
+	}
+	return a
+}
+
+// confirmationAge returns the time since the store last confirmed both the
+// configuration and the servers, or math.MaxInt64 if it never did.
 func (c *clusterState) confirmationAge() time.Duration {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.confirmedAt.IsZero() {
+	at := c.confirmedAt()
+	if at.IsZero() {
 		return math.MaxInt64
 	}
-	return time.Since(c.confirmedAt)
+	return time.Since(at)
 }
 
 // offerCompressedConfig decompresses a configuration from a peer and passes it to
@@ -291,8 +316,8 @@
 func (c *clusterState) logServerEvents(from string) {
 	for _, e := range c.view.TakeEvents() {
 		fields := []zap.Field{zap.String("from", from), zap.Int64("revision", c.view.Revision())}
-		if !c.confirmedAt.IsZero() {
-			fields = append(fields, zap.Int64("confirmedAgoMs", time.Since(c.confirmedAt).Milliseconds()))
+		if at := c.confirmedAt(); !at.IsZero() {
+			fields = append(fields, zap.Int64("confirmedAgoMs", time.Since(at).Milliseconds()))
 		}
 		if e.Kind == fleet.OutageEnded {
 			c.instance.log.Warn("store answered after an outage", append(fields, zap.Int64("outageMs", e.Gap.Milliseconds()))...)
@@ -410,7 +435,8 @@
 func (c *clusterState) followReply(req peer.FollowRequest) (out peer.FollowReply, ok bool, changed <-chan struct{}) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	out.Confirmed, out.Age = !c.confirmedAt.IsZero(), time.Since(c.confirmedAt)
+	confirmedAt := c.confirmedAt()
+	out.Confirmed, out.Age = !confirmedAt.IsZero(), time.Since(confirmedAt)
 	ok = out.Confirmed && (!req.Confirmed || req.Age-out.Age > minAgeGain)
 	if t := c.currentTable.Load(); t != nil && t.Version() > req.Version {
 		out.Configuration, out.ConfigurationDelta = c.history.forPeer(req.ConfigurationDigest)
@@ -455,7 +481,8 @@
 		c.offerConfigDelta(reply.ConfigurationDelta, from)
 	}
 	if reply.Confirmed {
-		c.recordConfirmation(time.Now().Add(-reply.Age))
+		at := time.Now().Add(-reply.Age)
+		c.recordConfirmations(at, at)
 	}
 	servers, err := reply.Servers, error(nil)
 	if len(reply.CompressedServers) > 0 {
--- a/edge/storewatch.go
+++ b/edge/storewatch.go
@@ -140,7 +140,7 @@
 	for _, o := range objects {
 		in.applyConfig(o)
 	}
-	in.state.recordConfirmation(requestedAt)
+	in.state.recordConfirmations(requestedAt, time.Time{})
 	return revision, nil
 }
 
@@ -155,7 +155,7 @@
 			in.applyConfig(c.Object)
 		}
 	}
-	in.state.recordConfirmation(answeredAt)
+	in.state.recordConfirmations(answeredAt, time.Time{})
 	return max(after, revision), nil
 }
 
@@ -166,6 +166,7 @@
 }
 
 func (in *Instance) readServers(ctx context.Context) (int64, error) {
+	requestedAt := time.Now()
 	objects, revision, err := in.store.ListServers(ctx)
 	if err != nil {
 		return 0, err
@@ -184,11 +185,13 @@
 		return 0, fmt.Errorf("%w: none of %d listed objects is the entry of a server", object.ErrUnavailable, len(objects))
 	}
 	in.state.updateServers(sourceStore, func(v *fleet.View, now time.Time) { v.Replace(now, servers, revision) })
+	in.state.recordConfirmations(time.Time{}, requestedAt)
 	return revision, nil
 }
 
 func (in *Instance) watchServers(ctx context.Context, after int64) (int64, error) {
 	changes, revision, err := in.store.WatchServers(ctx, after, in.state.propagationTime(watchFraction))
+	answeredAt := time.Now()
 	if err != nil {
 		return 0, err
 	}
@@ -199,6 +202,7 @@
 			in.applyServerChange(v, now, c)
 		}
 	})
+	in.state.recordConfirmations(time.Time{}, answeredAt)
 	return max(after, revision), nil
 }
 
