edge, fleet: look for a source of changes that the store confirms, at once

At 295 instances callers' requests reached servers more than 4 s after these had said that they leave, when some of the instances that watch the store were cut off from it or refused.

Cause: an instance outside of the directory follows one watcher. It noticed that its source had no recent confirmation at 0.65 of the bound plus a call that itself waited up to 0.25 of it for changes; each further stale source cost another 0.25, a silent one 0.35. Two such sources in a row exceed the bound. Small fleets read the store themselves before that; outside of the directory of a large one that call comes once in 59 s.

Now a call waits at most until what the instance has becomes stale, at 0.6 of the bound; then three others are asked at a time, without a wait, and the first with a recent confirmation becomes the source. A watcher asks the others as soon as a call of its own fails and does not wait until its data is stale. core/fleet.Sources decides whom to ask, without a clock.

--- a/edge/edge.go
+++ b/edge/edge.go
@@ -64,6 +64,9 @@
 		// watchingStore is set while this instance watches the store itself
 		// instead of following peers.
 		watchingStore atomic.Bool
+		// numLostKinds is the number of kinds of object whose last call of the store
+		// failed, while this instance watches the store.
+		numLostKinds atomic.Int32
 		// settledAt is when this instance was settled among the others, or nil if
 		// it is not yet.
 		settledAt        atomic.Pointer[time.Time]
--- a/edge/follow.go
+++ b/edge/follow.go
@@ -8,6 +8,7 @@
 	"github.com/cespare/xxhash/v2"
 	"go.uber.org/zap"
 
+	"chervilpath/core/fleet"
 	"chervilpath/core/member"
 	"chervilpath/io/peer"
 )
@@ -21,9 +22,10 @@
 	// that the number of calls does not grow with the number of instances.
 	numStoreWatchers = 3
 
-	// unconfirmedFraction is the age of the store's last confirmation from which an
-	// instance that watches the store follows the others too, as a fraction of the
-	// propagation time. It is longer than a watch.
+	// unconfirmedFraction is the age of the store's last confirmation, as a fraction
+	// of the propagation time, from which an instance that watches the store follows
+	// the others too, and any other instance asks other sources than its own. It is
+	// longer than a watch.
 	unconfirmedFraction = 0.6
 
 	// followFraction is how long a Follow request to a peer waits for a change,
@@ -36,43 +38,61 @@
 // follows the others only if the store does not confirm what it has.
 func (in *Instance) followPeers(ctx context.Context) {
 	in.awaitDirectory(ctx)
-	// The hash distributes the instances over the watchers.
-	next := xxhash.Sum64String(in.incarnation)
-	failures := 0
+	chooser := fleet.Sources{Offset: xxhash.Sum64String(in.incarnation)}
 	for ctx.Err() == nil {
+		in.state.expireMissing()
 		sources, watches := in.sources()
 		if watches {
 			in.watchingStore.Store(true)
 		}
 		// The store may refuse this instance alone. Without what the others know, it
 		// would take that for an outage, in which missing servers count as present.
-		if watches && (len(sources) == 0 || in.state.confirmationAge() < in.state.propagationTime(unconfirmedFraction)) {
-			in.sleep(ctx, in.state.propagationTime(followFraction))
+		untilStale := in.state.propagationTime(unconfirmedFraction) - in.state.confirmationAge()
+		if watches && (len(sources) == 0 || untilStale > 0 && in.numLostKinds.Load() == 0) {
+			in.sleep(ctx, in.followWait(untilStale))
 			continue
 		}
-		// After a failure the other members of the directory are asked in turn:
-		// one of them may have a confirmation that the watchers lack.
-		numSources := numStoreWatchers
-		if failures > 0 {
-			numSources = len(sources)
+		wait := time.Duration(0)
+		if !chooser.Searching() {
+			wait = in.followWait(untilStale)
 		}
-		source := sources[(next+uint64(failures))%uint64(min(numSources, len(sources)))]
-		if !in.pollPeer(ctx, source, in.state.propagationTime(followFraction)) {
-			failures++
-			in.sleep(ctx, in.followBackoff(failures))
+		source := in.pollPeers(ctx, chooser.Next(sources, numStoreWatchers), wait)
+		if source == "" {
+			in.sleep(ctx, chooser.Failed(in.state.propagationTime(followFraction)))
 			continue
 		}
-		failures = 0
+		chooser.Found(source)
 		if !watches && in.watchingStore.CompareAndSwap(true, false) {
 			in.log.Info("following peers", zap.String("source", source))
 		}
 	}
 }
 
-// followBackoff returns the time after which another peer is asked, when a number
-// of peers in a row did not have a recent confirmation.
-func (in *Instance) followBackoff(failures int) time.Duration {
-	return min(minBackoff<<min(failures-1, 8), in.state.propagationTime(followFraction))
+// followWait returns how long a peer may wait for a change if what this instance has
+// becomes stale after the given time. A peer that cannot confirm it later is noticed
+// when it becomes stale.
+func (in *Instance) followWait(untilStale time.Duration) time.Duration {
+	return min(max(untilStale, minBackoff), in.state.propagationTime(followFraction))
+}
+
+// pollPeers asks peers for changes at the same time and returns the first that has a
+// recent confirmation by the store, or "" if none has.
+func (in *Instance) pollPeers(ctx context.Context, addresses []string, wait time.Duration) string {
+	found := make(chan string, len(addresses))
+	for _, address := range addresses {
+		go func() {
+			if !in.pollPeer(ctx, address, wait) {
+				address = ""
+			}
+			found <- address
+		}()
+	}
+	for range addresses {
+		if address := <-found; address != "" {
+			return address
+		}
+	}
+	return ""
 }
 
 // awaitDirectory waits until this instance is settled. If it is among the watchers
@@ -143,7 +163,7 @@
 		in.members.MergeDirectory(reply.Directory)
 	}
 	in.state.applyReply(address, reply)
-	if !reply.Confirmed || reply.Age >= in.state.propagationTime(staleFraction) {
+	if !reply.Confirmed || reply.Age >= in.state.propagationTime(unconfirmedFraction) {
 		in.metrics.staleSources.Inc()
 		in.log.Info("peer has no recent confirmation", zap.String("peer", address), zap.Bool("confirmed", reply.Confirmed),
 			zap.Duration("peerAge", reply.Age), zap.Duration("age", in.state.confirmationAge()))
--- a/edge/storewatch.go
+++ b/edge/storewatch.go
@@ -53,6 +53,19 @@
 	// watch waits for changes after a revision, applies them and returns the
 	// revision to continue from.
 	watch func(ctx context.Context, after int64) (int64, error)
+	// lost is set while the store does not serve the calls for this kind.
+	lost bool
+}
+
+// setLost sets whether the store serves the calls for the follower's kind.
+func (f *follower) setLost(lost bool) {
+	switch {
+	case lost && !f.lost:
+		f.instance.numLostKinds.Add(1)
+	case !lost && f.lost:
+		f.instance.numLostKinds.Add(-1)
+	}
+	f.lost = lost
 }
 
 func (in *Instance) followConfig(ctx context.Context) {
@@ -68,11 +81,11 @@
 // run keeps reading and watching until ctx is done.
 func (f *follower) run(ctx context.Context) {
 	revision, failures := int64(0), 0
-	lost := false
 	for ctx.Err() == nil {
 		if !f.instance.shouldWatchStore() {
 			// Changes from now on come from peers, or from the next read.
 			revision = 0
+			f.setLost(false)
 			f.instance.sleep(ctx, watchCheckInterval)
 			continue
 		}
@@ -99,20 +112,21 @@
 			continue
 		}
 		if err == nil {
-			if lost {
+			if f.lost {
 				f.instance.log.Info("store regained", zap.String("kind", f.kind))
 			}
-			failures, lost = 0, false
+			failures = 0
+			f.setLost(false)
 			f.instance.state.storeAnswered()
 			continue
 		}
 		if ctx.Err() != nil {
 			return
 		}
-		if !lost {
+		if !f.lost {
 			f.instance.log.Warn("store lost", zap.String("kind", f.kind), zap.Error(err))
 		}
-		lost = true
+		f.setLost(true)
 		f.instance.metrics.storeFailures.Inc()
 		f.sleepJittered(ctx, min(f.instance.maxStoreBackoff(), minBackoff<<min(failures, 8)))
 		failures++
