fleet, edge: tell followers in which period the store answered

Callers' requests reached servers that had left without draining, up to 2.2 s later than they should.

Cause: an instance took two heartbeats (2.4 s) between two answers of the store that it saw, its own or its source's, for an outage, after which missing entries count as present. How often it sees answers follows from the bound on departures: at 4 s a watch lasts 2 s and a refused watcher asked the others after 2.4 to 3.4 s. Absence of evidence stood for evidence of an outage.

Now each instance keeps the period in which the store answered some instance, merges what others know, and sends it with each reply (two new fields of FollowReply; a peer that does not send them is handled as before). An outage is a gap in the union, and is taken back when an answer in between becomes known. A watch lasts at most three quarters of an outage. Entries that are still missing are dropped at the end of the grace period also by instances that watch the store and hear nothing.

TestAnswersThatOthersGotAreNoOutage and the property test TestOutagesAreKnownFromAnswersInAnyOrder are in core/fleet; the latter found, while this was written, that the grace period was not shortened when an outage turned out to have ended earlier.

--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -67,6 +67,11 @@
 		Revision int64    `json:"revision"`
 	}
 
+	// Period is a span of time.
+	Period struct {
+		From, To time.Time
+	}
+
 	// removal records that a server was removed at about the given revision.
 	removal struct {
 		id       string
@@ -82,10 +87,13 @@
 		// outageAfter is the time without an answer from the store after which
 		// entries of live servers may have expired in it.
 		outageAfter time.Duration
-		// lastAnswer is when the store last answered any instance. Until
-		// graceUntil, missing entries may still reappear.
-		lastAnswer, graceUntil time.Time
-		revision               int64
+		// answers is the latest period in which the store is known to have answered
+		// some instance, without an outage. lastBefore is the end of the one before,
+		// or zero. Until graceUntil, missing entries may still reappear.
+		answers    Period
+		lastBefore time.Time
+		graceUntil time.Time
+		revision   int64
 		// generation increases with every change to the known servers.
 		generation int64
 		// removals are the latest removals. Earlier ones, up to
@@ -106,20 +114,46 @@
 // Revision returns the store's revision up to which the view has all changes.
 func (v *View) Revision() int64 { return v.revision }
 
-// StoreAnswered records that the store answered some instance at the given time,
-// and starts the grace period if this ends an outage. Entries do not expire
-// because of a failure that only some instances see, so an outage is a time in
-// which no instance got an answer.
+// StoreAnswered records that the store answered some instance at the given time.
 func (v *View) StoreAnswered(now, at time.Time) {
-	if gap := at.Sub(v.lastAnswer); !v.lastAnswer.IsZero() && gap > v.outageAfter {
-		v.graceUntil = now.Add(recoveryGrace)
-		v.events = append(v.events, Event{Kind: OutageEnded, Gap: gap})
-	}
-	if at.After(v.lastAnswer) {
-		v.lastAnswer = at
+	v.StoreAnsweredIn(now, Period{From: at, To: at})
+}
+
+// StoreAnsweredIn records that the store answered some instance or other throughout a
+// period. If it answered none between the latest period that is known and this one for
+// the length of an outage, the grace period starts. Entries do not expire because of a
+// failure that only some instances see, so what another instance knows may show later
+// that there was no outage.
+func (v *View) StoreAnsweredIn(now time.Time, p Period) {
+	switch {
+	case v.answers.To.IsZero():
+		v.answers = p
+	case p.From.Sub(v.answers.To) > v.outageAfter:
+		v.events = append(v.events, Event{Kind: OutageEnded, Gap: p.From.Sub(v.answers.To)})
+		v.lastBefore, v.answers = v.answers.To, p
+	case v.answers.From.Sub(p.To) > v.outageAfter:
+		// The period is older than the latest one and apart from it.
+		v.lastBefore = latest(v.lastBefore, p.To)
+	default:
+		v.answers = Period{From: earliest(v.answers.From, p.From), To: latest(v.answers.To, p.To)}
+	}
+	switch {
+	case v.lastBefore.IsZero():
+	case v.answers.From.Sub(v.lastBefore) <= v.outageAfter:
+		// There was no outage after all.
+		v.lastBefore, v.graceUntil = time.Time{}, time.Time{}
+	default:
+		v.graceUntil = v.answers.From.Add(recoveryGrace)
 	}
 }
 
+// Answers returns the latest period in which the store is known to have answered,
+// or the zero Period if there is none.
+func (v *View) Answers() Period { return v.answers }
+
+// answersAreOld reports whether it is unknown if the store answers.
+func (v *View) answersAreOld(now time.Time) bool { return now.Sub(v.answers.To) > v.outageAfter }
+
 // inGrace reports whether missing entries may still reappear after an outage.
 func (v *View) inGrace(now time.Time) bool { return now.Before(v.graceUntil) }
 
@@ -190,7 +224,7 @@
 // an outage has ended, and returns their IDs. It removes none during another
 // outage.
 func (v *View) Expire(now time.Time) []string {
-	if v.inGrace(now) || now.Sub(v.lastAnswer) > v.outageAfter {
+	if v.inGrace(now) || v.answersAreOld(now) {
 		return nil
 	}
 	var removed []string
@@ -301,8 +335,9 @@
 	if c.Whole {
 		candidates = v.unlisted(c)
 	}
-	if len(c.Missing) > 0 && v.graceUntil.Before(now.Add(recoveryGrace)) {
-		v.graceUntil = now.Add(recoveryGrace)
+	if until := now.Add(recoveryGrace); len(c.Missing) > 0 && v.answersAreOld(now) && v.graceUntil.Before(until) {
+		// Only the other instance knows of the outage.
+		v.graceUntil = until
 	}
 	for _, id := range c.Missing {
 		v.Remove(now, id)
@@ -339,3 +374,17 @@
 	}
 	return out
 }
+
+func latest(a, b time.Time) time.Time {
+	if b.After(a) {
+		return b
+	}
+	return a
+}
+
+func earliest(a, b time.Time) time.Time {
+	if b.Before(a) {
+		return b
+	}
+	return a
+}
--- a/core/fleet/fleet_test.go
+++ b/core/fleet/fleet_test.go
@@ -200,3 +200,58 @@
 		t.Errorf("removed %v within two seconds of the second recovery", removed)
 	}
 }
+
+// Guards against requests to servers that have left: an instance that sees the store's
+// answers rarely, through others, took the time between two of them for an outage, in
+// which missing entries count as present.
+func TestAnswersThatOthersGotAreNoOutage(t *testing.T) {
+	v := fleet.New(outageAfter)
+	v.Replace(start, []fleet.Server{server("1", 1), server("2", 2)}, 2)
+	now := start.Add(outageAfter + time.Second)
+	v.StoreAnsweredIn(now, fleet.Period{From: start.Add(-time.Minute), To: now})
+	if !v.Remove(now, "1") {
+		t.Error("the removal was delayed")
+	}
+	// The instance reads the store before it hears what the others know.
+	now = now.Add(outageAfter + time.Second)
+	v.StoreAnswered(now, now)
+	if v.Remove(now, "2") {
+		t.Fatal("the entry may be missing because of an outage, as far as the instance knows")
+	}
+	v.StoreAnsweredIn(now, fleet.Period{From: start.Add(-time.Minute), To: now.Add(-time.Second)})
+	if removed := v.Expire(now); !slices.Equal(removed, []string{"2"}) {
+		t.Errorf("removed %v after another instance had ruled out an outage, want server 2", removed)
+	}
+}
+
+// Of any answers of the store, each seen by one of several instances, an instance that
+// hears of all, in any order and grouped in any way, knows the outages.
+func TestOutagesAreKnownFromAnswersInAnyOrder(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		gaps := rapid.SliceOfN(rapid.IntRange(100, 2300), 4, 20).Draw(t, "gaps")
+		outage := rapid.IntRange(-1, len(gaps)-1).Draw(t, "outage")
+		at, periods := start, []fleet.Period(nil)
+		afterOutage := time.Time{}
+		for i, gap := range gaps {
+			if i == outage {
+				gap += int(outageAfter.Milliseconds())
+			}
+			previous := at
+			at = at.Add(time.Duration(gap) * time.Millisecond)
+			from := previous
+			if i == outage {
+				afterOutage, from = at, at
+			}
+			periods = append(periods, fleet.Period{From: from, To: at})
+		}
+		v := fleet.New(outageAfter)
+		v.Replace(start, []fleet.Server{server("1", 1)}, 1)
+		for _, p := range rapid.Permutation(periods).Draw(t, "order") {
+			v.StoreAnsweredIn(at, p)
+		}
+		inGrace := outage >= 0 && at.Before(afterOutage.Add(2200*time.Millisecond))
+		if removed := v.Remove(at, "1"); removed == inGrace {
+			t.Errorf("removed at once: %v; %v after the outage's end", removed, at.Sub(afterOutage))
+		}
+	})
+}
--- a/edge/follow_test.go
+++ b/edge/follow_test.go
@@ -24,7 +24,7 @@
 		t.Errorf("later confirmation: reply after %v, want it at once", elapsed)
 	}
 	start := time.Now()
-	time.AfterFunc(wait/4, func() { c.recordConfirmations(time.Now(), time.Now()) })
+	time.AfterFunc(wait/4, func() { c.recordConfirmations(sourceStore, time.Now(), time.Now()) })
 	got = c.serveFollow(t.Context(), peer.FollowRequest{Confirmed: true, Age: time.Since(now), Wait: wait})
 	if elapsed := time.Since(start); elapsed < wait/8 || elapsed > wait*3/4 || got.Age > wait/4 {
 		t.Errorf("confirmation during the wait: reply after %v with age %v, want it as soon as the store confirms", elapsed, got.Age)
--- a/edge/state.go
+++ b/edge/state.go
@@ -142,9 +142,18 @@
 	return time.Duration(fraction * float64(min(bounds.ConfigPropagation, bounds.Drain)))
 }
 
+// watchTime returns how long the store may hold a watch: well below the propagation
+// time, so that a store that does not answer is noticed within it, and below the time
+// without an answer that counts as an outage.
+func (c *clusterState) watchTime() time.Duration {
+	outageAfter := outageHeartbeats * c.instance.cfg.Load().Bounds().HeartbeatInterval
+	return min(c.propagationTime(watchFraction), time.Duration(watchOutageFraction*float64(outageAfter)))
+}
+
 // recordConfirmations records that the store confirmed the configuration and the
-// servers at the given times, of which either may be zero.
-func (c *clusterState) recordConfirmations(configAt, serversAt time.Time) {
+// servers at the given times, of which either may be zero. from is the source, for
+// the log.
+func (c *clusterState) recordConfirmations(from string, configAt, serversAt time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now, old := time.Now(), c.confirmedAt()
@@ -153,7 +162,7 @@
 			c.view.StoreAnswered(now, at)
 		}
 	}
-	c.logServerEvents(sourceStore)
+	c.logServerEvents(from)
 	c.configConfirmedAt = latest(c.configConfirmedAt, configAt)
 	c.serversConfirmedAt = latest(c.serversConfirmedAt, serversAt)
 	if c.confirmedAt().After(old) {
@@ -161,6 +170,15 @@
 	}
 }
 
+// recordAnswers records the period in which the store answered some instance, as
+// another one knows it.
+func (c *clusterState) recordAnswers(from string, now time.Time, answers fleet.Period) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.view.StoreAnsweredIn(now, answers)
+	c.logServerEvents(from)
+}
+
 // confirmedAt returns when the store last confirmed both the configuration and the
 // servers, or the zero time if it never did. The caller holds mu.
 func (c *clusterState) confirmedAt() time.Time {
@@ -437,6 +455,9 @@
 	defer c.mu.Unlock()
 	confirmedAt := c.confirmedAt()
 	out.Confirmed, out.Age = !confirmedAt.IsZero(), time.Since(confirmedAt)
+	if answers := c.view.Answers(); !answers.To.IsZero() {
+		out.AnswersFromAge, out.AnswersToAge = time.Since(answers.From), time.Since(answers.To)
+	}
 	ok = out.Confirmed && (!req.Confirmed || req.Age-out.Age > minAgeGain)
 	if t := c.currentTable.Load(); t != nil && t.Version() > req.Version {
 		out.Configuration, out.ConfigurationDelta = c.history.forPeer(req.ConfigurationDigest)
@@ -480,9 +501,13 @@
 	if len(reply.ConfigurationDelta) > 0 {
 		c.offerConfigDelta(reply.ConfigurationDelta, from)
 	}
+	now := time.Now()
+	if reply.AnswersFromAge > 0 {
+		// Before the confirmation, which by itself may look like the end of an outage.
+		c.recordAnswers(from, now, fleet.Period{From: now.Add(-reply.AnswersFromAge), To: now.Add(-reply.AnswersToAge)})
+	}
 	if reply.Confirmed {
-		at := time.Now().Add(-reply.Age)
-		c.recordConfirmations(at, at)
+		c.recordConfirmations(from, now.Add(-reply.Age), now.Add(-reply.Age))
 	}
 	servers, err := reply.Servers, error(nil)
 	if len(reply.CompressedServers) > 0 {
--- a/edge/storewatch.go
+++ b/edge/storewatch.go
@@ -15,10 +15,10 @@
 )
 
 const (
-	// watchFraction is how long the store may hold one watch, as a fraction of
-	// the propagation time. It is well below 1, so that a store that does not
-	// answer is noticed within that time.
-	watchFraction = 0.5
+	// watchFraction and watchOutageFraction limit how long the store may hold one
+	// watch, as fractions of the propagation time and of the length of an outage.
+	watchFraction       = 0.5
+	watchOutageFraction = 0.75
 
 	// watchCheckInterval is the time between two checks of whether this instance
 	// has to watch the store.
@@ -99,7 +99,7 @@
 			revision, err = f.callWithTimeout(ctx, f.instance.state.propagationTime(readFraction), func(ctx context.Context) (int64, error) { return f.read(ctx) })
 		} else {
 			after := revision
-			revision, err = f.callWithTimeout(ctx, f.instance.state.propagationTime(watchFraction+watchGraceFraction), func(ctx context.Context) (int64, error) { return f.watch(ctx, after) })
+			revision, err = f.callWithTimeout(ctx, f.instance.state.watchTime()+f.instance.state.propagationTime(watchGraceFraction), func(ctx context.Context) (int64, error) { return f.watch(ctx, after) })
 			if err != nil {
 				revision = after
 			}
@@ -154,12 +154,12 @@
 	for _, o := range objects {
 		in.applyConfig(o)
 	}
-	in.state.recordConfirmations(requestedAt, time.Time{})
+	in.state.recordConfirmations(sourceStore, requestedAt, time.Time{})
 	return revision, nil
 }
 
 func (in *Instance) watchConfig(ctx context.Context, after int64) (int64, error) {
-	changes, revision, err := in.store.WatchConfig(ctx, after, in.state.propagationTime(watchFraction))
+	changes, revision, err := in.store.WatchConfig(ctx, after, in.state.watchTime())
 	answeredAt := time.Now()
 	if err != nil {
 		return 0, err
@@ -169,7 +169,7 @@
 			in.applyConfig(c.Object)
 		}
 	}
-	in.state.recordConfirmations(answeredAt, time.Time{})
+	in.state.recordConfirmations(sourceStore, answeredAt, time.Time{})
 	return max(after, revision), nil
 }
 
@@ -199,12 +199,12 @@
 		return 0, fmt.Errorf("%w: none of %d listed objects is the entry of a server", object.ErrUnavailable, len(objects))
 	}
 	in.state.updateServers(sourceStore, func(v *fleet.View, now time.Time) { v.Replace(now, servers, revision) })
-	in.state.recordConfirmations(time.Time{}, requestedAt)
+	in.state.recordConfirmations(sourceStore, time.Time{}, requestedAt)
 	return revision, nil
 }
 
 func (in *Instance) watchServers(ctx context.Context, after int64) (int64, error) {
-	changes, revision, err := in.store.WatchServers(ctx, after, in.state.propagationTime(watchFraction))
+	changes, revision, err := in.store.WatchServers(ctx, after, in.state.watchTime())
 	answeredAt := time.Now()
 	if err != nil {
 		return 0, err
@@ -216,7 +216,7 @@
 			in.applyServerChange(v, now, c)
 		}
 	})
-	in.state.recordConfirmations(time.Time{}, answeredAt)
+	in.state.recordConfirmations(sourceStore, time.Time{}, answeredAt)
 	return max(after, revision), nil
 }
 
--- a/io/peer/platform.go
+++ b/io/peer/platform.go
@@ -42,6 +42,10 @@
 		// and Age is the time since it last did.
 		Confirmed bool
 		Age       time.Duration
+		// AnswersFromAge and AnswersToAge are the times since the beginning and the
+		// end of the latest period in which the store is known to have answered some
+		// instance, without an outage. Both are 0 if there is none.
+		AnswersFromAge, AnswersToAge time.Duration
 		// Directory holds the members that work for others, or is empty if it has
 		// the digest of the request.
 		Directory []member.Member
@@ -105,6 +109,7 @@
 	if reply.Confirmed {
 		out.AgeMicros = reply.Age.Microseconds()
 	}
+	out.AnswersFromMicros, out.AnswersToMicros = reply.AnswersFromAge.Microseconds(), reply.AnswersToAge.Microseconds()
 	return out, nil
 }
 
@@ -183,6 +188,7 @@
 	return FollowReply{
 		Configuration: resp.Configuration, ConfigurationDelta: resp.ConfigurationDelta, Servers: resp.Servers, CompressedServers: resp.CompressedServers,
 		Confirmed: resp.AgeMicros >= 0, Age: microseconds(resp.AgeMicros),
+		AnswersFromAge: microseconds(resp.AnswersFromMicros), AnswersToAge: microseconds(resp.AnswersToMicros),
 		Directory: membersFromProto(resp.Directory),
 	}, nil
 }
