upstream, platform: a refusal repeated on a kept connection proves nothing

A faulty server writes an earlier refusal once more on a kept connection. Three faults:

- The request that was refused goes to the same server again, on the same connection: the copy names it, so the caller was told that it had not run, or it was sent once more.
A request now goes to a server to which it was sent before on a connection of its own (Attempt.NewConnection).
- A refusal that names no request was proof on any connection.
On one that carried another request before, it now is none: the send may have run.
- Answers of stage servers name no call.
A connection is now closed after anything but an answer that can be decoded and is no copy.

Cost: a new connection for a second attempt at the same server, and after a refused stage call.

--- a/core/gather/dispatcher.go
+++ b/core/gather/dispatcher.go
@@ -26,8 +26,9 @@
 	// calls.
 	Deps struct {
 		// RunBatch has a server process a batch. remaining returns the time until
-		// an item's deadline.
-		RunBatch func(ctx context.Context, b *Batch, remaining func(*Item) time.Duration) (CallStatus, []ItemOutcome, error)
+		// an item's deadline. isCopy reports whether outcomes are those of an earlier
+		// call; the connection must not be used again then.
+		RunBatch func(ctx context.Context, b *Batch, remaining func(*Item) time.Duration, isCopy func([]ItemOutcome) bool) (CallStatus, []ItemOutcome, error)
 		// Free releases results at the servers that hold them.
 		Free func(ctx context.Context, handles []string) error
 		// BatchEnded is called when a call has ended.
@@ -57,8 +58,8 @@
 	}
 )
 
-// errCopiedAnswer means that the answer to a call is a copy of an earlier one.
-var errCopiedAnswer = errors.New("the answer is a copy of an earlier one")
+// ErrCopiedAnswer means that the answer to a call is a copy of an earlier one.
+var ErrCopiedAnswer = errors.New("the answer is a copy of an earlier one")
 
 // NewDispatcher returns a dispatcher without servers.
 func NewDispatcher(service string, cfg route.PieceConfig, clock stage.Clock, deps Deps) *Dispatcher {
@@ -150,9 +151,9 @@
 func (d *Dispatcher) runBatch(b *Batch) {
 	ctx, cancel := context.WithTimeout(context.Background(), callTimeoutFactor*b.expected+callTimeoutMargin)
 	defer cancel()
-	status, outcomes, err := d.deps.RunBatch(ctx, b, func(it *Item) time.Duration { return it.Deadline.Sub(d.clock.Now()) })
+	status, outcomes, err := d.deps.RunBatch(ctx, b, func(it *Item) time.Duration { return it.Deadline.Sub(d.clock.Now()) }, d.queue.IsCopy)
 	if status == CallAnswered && d.queue.IsCopy(outcomes) {
-		status, outcomes, err = CallFailed, nil, fmt.Errorf("server %s: %w", b.Server.ID, errCopiedAnswer)
+		status, outcomes, err = CallFailed, nil, fmt.Errorf("server %s: %w", b.Server.ID, ErrCopiedAnswer)
 	}
 	now := d.clock.Now()
 	d.deps.BatchEnded(d.service, b, now.Sub(b.started), err)
--- a/core/relay/plain.go
+++ b/core/relay/plain.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"slices"
 
 	"chervilpath/core/balance"
 	"chervilpath/core/declare"
@@ -140,10 +141,13 @@
 	return false, fault.Errorf(fault.EndpointFailed, "%w", err)
 }
 
+// newAttempt returns the attempt to be sent to a server now.
 func (e *execution) newAttempt(server fleet.Server, inputs []string) Attempt {
+	again := slices.Contains(e.sentTo, server.ID)
+	e.sentTo = append(e.sentTo, server.ID)
 	return Attempt{
 		Request: e.req, Server: server, Remaining: e.remaining(), Organisation: e.orgName,
-		Inputs: inputs, LastEventID: e.req.LastEventID, Priority: -1,
+		Inputs: inputs, LastEventID: e.req.LastEventID, Priority: -1, NewConnection: again,
 	}
 }
 
--- a/core/relay/relay.go
+++ b/core/relay/relay.go
@@ -97,7 +97,9 @@
 		// attempts that provably did not.
 		sends, notRun int
 		triedServers  []string
-		stream        *stream
+		// sentTo holds the IDs of the servers to which the request was sent.
+		sentTo []string
+		stream *stream
 		// longestGap is the longest time between two events of one attempt.
 		longestGap time.Duration
 		// held are the stage results that are kept for the request, and inputs
--- a/core/relay/types.go
+++ b/core/relay/types.go
@@ -67,6 +67,9 @@
 		// Priority ranks requests at an engine, 0 being served first; -1 leaves
 		// it unset.
 		Priority int
+		// NewConnection is set if the request was sent to the server before, so that
+		// a late answer to that attempt cannot be taken for the answer to this one.
+		NewConnection bool
 	}
 
 	// Response is the beginning of a server's response. It has been checked to
@@ -76,6 +79,8 @@
 		Header map[string][]string
 		// NotRun is set if the server says that it did not run the request.
 		NotRun bool
+		// NamesRequest is set if the response names the request that it answers.
+		NamesRequest bool
 		// Full is set along with NotRun if the server accepts no more requests.
 		Full bool
 		// InputGone is set if a stage result that the request needs no longer
--- a/io/upstream/upstream.go
+++ b/io/upstream/upstream.go
@@ -51,7 +51,10 @@
 	// Client sends requests to servers. Use New to create one. It is safe for
 	// concurrent use.
 	Client struct {
-		transport      *http.Transport
+		transport *http.Transport
+		// singleUse has the same settings as transport, and uses each connection
+		// for one request.
+		singleUse      *http.Transport
 		outgoingHeader func(relay.Attempt) http.Header
 		readResponse   func(resp *http.Response, id string) (*relay.Response, error)
 	}
@@ -61,6 +64,7 @@
 	sendTrace struct {
 		mu            sync.Mutex
 		conn          net.Conn
+		reused        bool
 		writtenBefore int64
 	}
 
@@ -72,6 +76,10 @@
 	}
 )
 
+// errUnprovedRefusal means that a refusal may be a late copy of one of an earlier
+// request, so that the request may have run.
+var errUnprovedRefusal = errors.New("a refusal on a connection in use again names no request")
+
 // NewTransport returns a transport that keeps connections for reuse and closes
 // them soon if the server does not acknowledge what it is sent.
 func NewTransport() *http.Transport {
@@ -114,7 +122,9 @@
 // attempt, and readResponse decodes the head of the response to the request with
 // the given ID.
 func New(transport *http.Transport, outgoingHeader func(relay.Attempt) http.Header, readResponse func(*http.Response, string) (*relay.Response, error)) *Client {
-	return &Client{transport: transport, outgoingHeader: outgoingHeader, readResponse: readResponse}
+	singleUse := transport.Clone()
+	singleUse.DisableKeepAlives = true
+	return &Client{transport: transport, singleUse: singleUse, outgoingHeader: outgoingHeader, readResponse: readResponse}
 }
 
 // Send makes one attempt. An error is a *relay.SendError.
@@ -124,11 +134,18 @@
 	if err != nil {
 		return nil, &relay.SendError{Err: err, NotSent: true}
 	}
-	resp, err := c.transport.RoundTrip(req)
+	transport := c.transport
+	if a.NewConnection {
+		transport = c.singleUse
+	}
+	resp, err := transport.RoundTrip(req)
 	if err != nil {
 		return nil, &relay.SendError{Err: fmt.Errorf("sending to server %s: %w", a.Server.ID, err), NotSent: trace.notSent()}
 	}
 	out, err := c.readResponse(resp, a.Request.ID)
+	if err == nil && out.NotRun && !out.NamesRequest && trace.connReused() {
+		err = errUnprovedRefusal
+	}
 	if err != nil {
 		// The connection must not be reused: whatever else arrives on it
 		// belongs to no request.
@@ -182,7 +199,7 @@
 		GotConn: func(info httptrace.GotConnInfo) {
 			t.mu.Lock()
 			defer t.mu.Unlock()
-			t.conn = info.Conn
+			t.conn, t.reused = info.Conn, info.Reused
 			if c, ok := info.Conn.(*countingConn); ok {
 				t.writtenBefore = c.written.Load()
 			}
@@ -201,6 +218,13 @@
 	return ok && c.written.Load() == t.writtenBefore
 }
 
+// connReused reports whether the connection carried another request before.
+func (t *sendTrace) connReused() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.reused
+}
+
 func (t *sendTrace) close() {
 	t.mu.Lock()
 	defer t.mu.Unlock()
