endpoint: a refusal of another attempt proves nothing

One that names another attempt now is no proof, nor one that names none on a connection in use again, if the call must not be repeated; for idempotent stages nothing changes.

TestRefusalOfAnotherAttemptProvesNothing: before, pool and engine failed with both kinds of refusal (4 of 6 cases; plain services were right). The tests of this package now use a non-idempotent stage.

--- a/io/endpoint/endpoint.go
+++ b/io/endpoint/endpoint.go
@@ -14,6 +14,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptrace"
 	"strings"
 	"time"
 
@@ -124,6 +125,8 @@
 	if err != nil {
 		return nil, &pipeline.CallError{Err: fault.Errorf(fault.Internal, "encoding a call: %w", err), NotRun: true}
 	}
+	reused := false
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) { reused = info.Reused }})
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, a.Endpoint.Address()+path, bytes.NewReader(data))
 	if err != nil {
 		return nil, &pipeline.CallError{Err: fault.Errorf(fault.Internal, "creating a call: %w", err), NotRun: true}
@@ -143,7 +146,7 @@
 	c.handleLoadReport(a, resp)
 	if resp.StatusCode != http.StatusOK {
 		defer closeBody(resp)
-		return nil, statusError(a, resp)
+		return nil, statusError(a, resp, reused)
 	}
 	return resp, nil
 }
@@ -180,14 +183,16 @@
 // statusError returns the error of a call that was answered with a status other
 // than 200. The call counts as not run if the body says so, or if an engine or a
 // pool answers that it is full. A plain service may answer so after it has started
-// the work.
-func statusError(a pipeline.Attempt, resp *http.Response) error {
+// the work. An answer that names another attempt proves nothing, nor does one that
+// names none on a connection in use again, unless the call may be repeated anyway: it
+// may be a late copy of an earlier one.
+func statusError(a pipeline.Attempt, resp *http.Response, reused bool) error {
 	var answer stageAnswer
 	_ = json.NewDecoder(io.LimitReader(resp.Body, maxShortBodyBytes)).Decode(&answer)
 	full := resp.StatusCode == http.StatusTooManyRequests || resp.StatusCode == http.StatusServiceUnavailable
 	notRun := answer.Attempt == a.ID && answer.Ran == "no"
-	if full && a.Endpoint.Kind() != "service" {
-		notRun = true
+	if full && a.Endpoint.Kind() != "service" && answer.Attempt == "" {
+		notRun = !reused || a.Stage.Idempotent()
 	}
 	kind := fault.EndpointFailed
 	if full {
--- a/io/endpoint/endpoint_test.go
+++ b/io/endpoint/endpoint_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"errors"
+	"io"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -17,7 +19,7 @@
 // newAttempt returns an attempt at an endpoint of the given kind and address.
 func newAttempt(t *testing.T, kind, url string) pipeline.Attempt {
 	t.Helper()
-	text := "[pipeline p]\nstages = s\n[stage s]\n[endpoint e]\naddress = " + url + "\nkind = " + kind + "\nstages = s\nfailureDomain = d\n"
+	text := "[pipeline p]\nstages = s\n[stage s]\nidempotent = no\n[endpoint e]\naddress = " + url + "\nkind = " + kind + "\nstages = s\nfailureDomain = d\n"
 	set, problems := declare.Build([]declare.Fragment{{Name: "t.ini", Data: []byte(text)}})
 	if set == nil {
 		t.Fatal(problems)
@@ -180,3 +182,26 @@
 		}
 	})
 }
+
+// Guards against a faulty endpoint that writes an earlier refusal once more on a kept
+// connection: the call counted as not run although it ran.
+func TestRefusalOfAnotherAttemptProvesNothing(t *testing.T) {
+	for _, kind := range []string{"service", "pool", "engine"} {
+		for name, body := range map[string]string{"of another": `{"attempt":"a0","ran":"no"}`, "of none": ""} {
+			srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				_, _ = io.Copy(io.Discard, r.Body)
+				w.WriteHeader(http.StatusServiceUnavailable)
+				_, _ = io.WriteString(w, body)
+			}))
+			a := newAttempt(t, kind, srv.URL)
+			c := endpoint.New(&http.Client{Transport: endpoint.NewTransport()}, func(string, float64) {})
+			// The first refusal opens the connection on which the second comes.
+			_, _ = c.Call(t.Context(), a, func(string) {})
+			_, err := c.Call(t.Context(), a, func(string) {})
+			if callErr, ok := errors.AsType[*pipeline.CallError](err); !ok || callErr.NotRun {
+				t.Errorf("%s, refusal %s: %v, want a call that may have run", kind, name, err)
+			}
+			srv.Close()
+		}
+	}
+}
