relay: what follows a broken stream has to be the rest of it

A response after a broken stream now has to be an event stream, and its first event has to come after the last one relayed; anything else counts as a failed send. The fake engine of stall_test says that it sends events.

A head that stops in the middle, or a body that ends early: ruled out at each byte of an answer with a length and of one in chunks, by TestAnswerThatEndsEarlyIsAnError.

--- a/core/relay/engine.go
+++ b/core/relay/engine.go
@@ -178,7 +178,9 @@
 	}
 	awaitingFirst := true
 	lastEvent := e.now()
-	e.stream.start(resp.Status, resp.Header)
+	if err := e.stream.start(resp); err != nil {
+		return e.handleEngineSendError(ctx, server, err)
+	}
 	err = e.stream.relayEvents(resp.Body, func(events int) {
 		// Bytes alone are no progress: a server may send some now and then and never
 		// complete an event.
--- a/core/relay/stall_test.go
+++ b/core/relay/stall_test.go
@@ -68,7 +68,7 @@
 		Settle: func(string, string, string, balance.Outcome) {},
 		Send: func(ctx context.Context, _ Attempt) (*Response, error) {
 			attempts++
-			return &Response{Status: http.StatusOK, Body: bodies[attempts-1](ctx)}, nil
+			return &Response{Status: http.StatusOK, EventStream: true, Body: bodies[attempts-1](ctx)}, nil
 		},
 	}
 	deps.Clock.Now = time.Now
--- a/core/relay/stream.go
+++ b/core/relay/stream.go
@@ -2,7 +2,10 @@
 
 import (
 	"bytes"
+	"errors"
+	"fmt"
 	"io"
+	"strconv"
 	"time"
 )
 
@@ -14,6 +17,8 @@
 type stream struct {
 	w       ResponseWriter
 	started bool
+	// resuming is set until the first event of a later server's response.
+	resuming bool
 	// lastEventID is the ID of the last event that was relayed to the caller,
 	// in this or an earlier attempt, or "".
 	lastEventID string
@@ -21,14 +26,24 @@
 	pending     []byte
 }
 
-// start writes the head of the first server's response to the caller. Later
-// calls have no effect.
-func (s *stream) start(status int, header map[string][]string) {
-	if s.started {
-		return
+var (
+	errNoStream      = errors.New("the response after a broken stream is no stream")
+	errEventRepeated = errors.New("the response repeats an event that was relayed before")
+)
+
+// start writes the head of the first server's response to the caller. It returns
+// an error if the response of a later one is no stream.
+func (s *stream) start(resp *Response) error {
+	if !s.started {
+		s.started = true
+		s.w.WriteHeader(resp.Status, resp.Header)
+		return nil
+	}
+	if !resp.EventStream {
+		return errNoStream
 	}
-	s.started = true
-	s.w.WriteHeader(status, header)
+	s.resuming = s.eventCount > 0
+	return nil
 }
 
 // relayEvents relays events until the body ends. After each read it calls
@@ -41,9 +56,9 @@
 		n, err := body.Read(buf)
 		if n > 0 {
 			s.pending = append(s.pending, buf[:n]...)
-			events, writeErr := s.relayCompleteEvents()
-			if writeErr != nil {
-				return writeErr
+			events, relayErr := s.relayCompleteEvents()
+			if relayErr != nil {
+				return relayErr
 			}
 			onRead(events)
 		}
@@ -72,6 +87,10 @@
 			break
 		}
 		if id, ok := eventID(s.pending[end : end+n]); ok {
+			if s.resuming && !follows(s.lastEventID, id) {
+				return 0, fmt.Errorf("%w: %q after %q", errEventRepeated, id, s.lastEventID)
+			}
+			s.resuming = false
 			s.lastEventID = id
 		}
 		end += n
@@ -120,6 +139,14 @@
 	return "", false
 }
 
+// follows reports whether an event with the given ID may come after the one with the
+// ID last, or "" if there is none: numeric IDs increase.
+func follows(last, id string) bool {
+	a, errA := strconv.ParseInt(last, 10, 64)
+	b, errB := strconv.ParseInt(id, 10, 64)
+	return errA != nil || errB != nil || b > a
+}
+
 // stallTimeout returns how long a server may send nothing on a stream that can
 // resume at another one.
 func stallTimeout(targetGap time.Duration) time.Duration {
--- a/core/relay/types.go
+++ b/core/relay/types.go
@@ -81,6 +81,8 @@
 		NotRun bool
 		// NamesRequest is set if the response names the request that it answers.
 		NamesRequest bool
+		// EventStream is set if the body consists of events.
+		EventStream bool
 		// Full is set along with NotRun if the server accepts no more requests.
 		Full bool
 		// InputGone is set if a stage result that the request needs no longer
--- a/io/upstream/upstream_test.go
+++ b/io/upstream/upstream_test.go
@@ -116,3 +116,40 @@
 		t.Errorf("error %v, want a SendError with NotSent", err)
 	}
 }
+
+// Guards against a server that stops in the middle of its answer's head and closes: the
+// caller got a success with an empty or short body. It counts as a send that may have
+// run, at whatever byte the server stops, and so does a body that ends early.
+func TestAnswerThatEndsEarlyIsAnError(t *testing.T) {
+	for name, whole := range map[string]string{
+		"length": "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\nContent-Length: 6\r\n\r\nanswer",
+		"chunks": "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\nTransfer-Encoding: chunked\r\n\r\n6\r\nanswer\r\n0\r\n\r\n",
+	} {
+		for n := range len(whole) {
+			l, err := net.Listen("tcp", "127.0.0.1:0")
+			if err != nil {
+				t.Fatal(err)
+			}
+			go func() {
+				conn, err := l.Accept()
+				if err != nil {
+					return
+				}
+				defer func() { _ = conn.Close() }()
+				if _, err := http.ReadRequest(bufio.NewReader(conn)); err == nil {
+					_, _ = io.WriteString(conn, whole[:n])
+				}
+			}()
+			a := relay.Attempt{Request: &relay.Request{ID: "r", Method: http.MethodGet, Target: "/x"}, Server: fleet.Server{ID: "s", Address: l.Addr().String()}}
+			resp, err := newClient().Send(t.Context(), a)
+			if err == nil {
+				_, err = io.ReadAll(resp.Body)
+				_ = resp.Body.Close()
+			}
+			if sendErr, ok := errors.AsType[*relay.SendError](err); err == nil || ok && sendErr.NotSent {
+				t.Errorf("%s, ended after %d of %d bytes: error %v, want one of a send that may have run", name, n, len(whole), err)
+			}
+			_ = l.Close()
+		}
+	}
+}
