edge, fleet: heed what servers say of themselves in their answers

A server that leaves says so in all its answers (Server-Leaving: 1); one that turns a request away may say for how long it wants none (Retry-After). Nothing read either.

platform.ReadNotice translates both headers of every answer, refusals and errors too; a Retry-After that cannot be used is counted and logged at most once a second. The view of the servers (core/fleet) keeps what they said by incarnation: leaving until the next start (another born; without one, an entry that was draining or away and is ready again), whatever entries, lists and peers say; wanting nothing until a time, at this instance alone.

There are no hedges, health checks or reports on the platform. If all servers of a service want nothing, what could not be served in time is refused at once with the time of the first return, also what already waits; the rest waits for it, spread. An exclusion ends up to a tenth later at random, and a plain server begins with one call at a time. A pause that ends earlier than one scheduled before no longer waits for that (core/stage). Other instances are not told: the bound is each instance's own, and telling them would cost.

--- a/cmd/status.go
+++ b/cmd/status.go
@@ -80,6 +80,7 @@
 	printInstances(w, instances)
 	printAttainment(w, instances)
 	printStages(w, instances)
+	printUnwilling(w, instances)
 	return w.Flush()
 }
 
@@ -101,6 +102,21 @@
 	}
 }
 
+// printUnwilling prints the servers that told an instance that they want no requests.
+func printUnwilling(w io.Writer, instances []status.Instance) {
+	heading := "\nINSTANCE\tSERVER\tSERVICE\tBORN\tSTATE\n"
+	for _, s := range instances {
+		for _, server := range s.Unwilling {
+			state := fmt.Sprintf("wants no requests for %d ms", server.ReturnsInMs)
+			if server.Leaving {
+				state = "leaving"
+			}
+			_, _ = fmt.Fprintf(w, "%s%s\t%s\t%s\t%d\t%s\n", heading, s.Name, server.ID, server.Service, server.Born, state)
+			heading = ""
+		}
+	}
+}
+
 func printAttainment(w io.Writer, instances []status.Instance) {
 	_, _ = fmt.Fprintln(w, "\nINSTANCE\tKIND\tREQUESTS IN A MINUTE\tIN TIME")
 	for _, s := range instances {
--- a/core/admit/admit.go
+++ b/core/admit/admit.go
@@ -237,6 +237,25 @@
 	return true
 }
 
+// RefuseUnserved refuses the waiting items that have too little time left if none is
+// served before the given time.
+func (q *Queue) RefuseUnserved(before time.Time) {
+	var refused []*Item
+	for _, o := range q.orgs {
+		for _, items := range o.items {
+			for _, it := range items {
+				if before.Add(it.Need).After(it.Deadline) {
+					refused = append(refused, it)
+				}
+			}
+		}
+	}
+	for _, it := range refused {
+		q.Remove(it)
+		it.Wake(fault.Errorf(fault.EndpointUnavailable, "no endpoint takes calls before the request's deadline"))
+	}
+}
+
 // Correct charges an organisation the difference between the actual cost of a
 // request and the cost that was expected when it was granted. A negative
 // difference credits the organisation, down to the current virtual time.
--- a/core/balance/balance.go
+++ b/core/balance/balance.go
@@ -280,12 +280,24 @@
 	}
 }
 
+// SetExcluded sets until when each of the named endpoints wants no calls from this
+// instance, and that all others want some. Those that return begin with a slow start.
+func (g *Group) SetExcluded(until map[string]time.Time) {
+	for _, m := range g.members {
+		at := until[m.decl.Name()]
+		if at.After(m.excludedUntil) {
+			m.beginSlowStart()
+		}
+		m.excludedUntil = at
+	}
+}
+
 // Capacity returns how many calls the group may have in flight at once, not
-// counting leaving and ejected endpoints.
-func (g *Group) Capacity() float64 {
+// counting endpoints that are leaving, ejected or want no calls.
+func (g *Group) Capacity(now time.Time) float64 {
 	sum := 0.0
 	for _, m := range g.members {
-		if !m.leaving && m.consecutiveEjections == 0 {
+		if m.willing(now) && m.consecutiveEjections == 0 {
 			sum += m.maxInFlight()
 		}
 	}
@@ -295,7 +307,7 @@
 // Usable reports whether any endpoint may be called now, if only as a probe.
 func (g *Group) Usable(now time.Time) bool {
 	for _, m := range g.members {
-		if !m.leaving && !now.Before(m.ejectedUntil) {
+		if m.willing(now) && !now.Before(m.ejectedUntil) {
 			return true
 		}
 	}
@@ -303,7 +315,7 @@
 }
 
 // NextProbe returns the earliest time after now at which an endpoint that is
-// ejected or reported being full may be called again, or the zero time if there is
+// ejected, reported being full or wants no calls may be called again, or the zero time if there is
 // none. Endpoints that are due already do not count, since they become available
 // with the end of a call and not with time.
 func (g *Group) NextProbe(now time.Time) time.Time {
@@ -313,6 +325,9 @@
 		if m.consecutiveEjections > 0 {
 			at = m.ejectedUntil
 		}
+		if at.Before(m.excludedUntil) {
+			at = m.excludedUntil
+		}
 		if at.After(now) && !m.leaving && (first.IsZero() || at.Before(first)) {
 			first = at
 		}
--- a/core/balance/balance_test.go
+++ b/core/balance/balance_test.go
@@ -257,3 +257,31 @@
 		})
 	}
 }
+
+// An endpoint that wants no calls gets none until then, a probe after an ejection
+// neither, and begins with one call at a time.
+func TestEndpointThatWantsNoCallsGetsNone(t *testing.T) {
+	g := newGroup(t, 2, 8)
+	for range 3 {
+		completeCall(g, start, 0, callTime, balance.Failed)
+	}
+	until := start.Add(3 * time.Second)
+	g.SetExcluded(map[string]time.Time{"e000": until, "e001": until.Add(time.Second)})
+	for at := start; at.Before(until); at = at.Add(100 * time.Millisecond) {
+		if i, reason := g.Pick(at, anyQuery()); i >= 0 {
+			t.Fatalf("endpoint %d is picked as %v %v before it wants calls", i, reason, until.Sub(at))
+		}
+		if g.Usable(at) || g.Capacity(at) != 0 || !g.NextProbe(at).Equal(until) {
+			t.Fatalf("usable %v, capacity %v, next probe in %v, want in %v", g.Usable(at), g.Capacity(at), g.NextProbe(at).Sub(at), until.Sub(at))
+		}
+	}
+	if i, reason := g.Pick(until, anyQuery()); i != 0 || reason != balance.Probe {
+		t.Errorf("endpoint %d is picked as %v when it wants calls again, want a probe of 0", i, reason)
+	}
+	at := until.Add(time.Second)
+	i, _ := g.Pick(at, balance.Query{NoProbe: true})
+	g.Begin(at, i, callTime)
+	if again, _ := g.Pick(at, balance.Query{NoProbe: true}); i != 1 || again >= 0 {
+		t.Errorf("endpoints %d and %d are picked at once, want 1 and then none", i, again)
+	}
+}
--- a/core/balance/member.go
+++ b/core/balance/member.go
@@ -43,6 +43,8 @@
 	fullUntil       time.Time
 	consecutiveFull int
 	slowStart       bool
+	// excludedUntil is until when the endpoint wants no calls from this instance.
+	excludedUntil time.Time
 }
 
 func newMember(e *declare.Endpoint, instances int) *member {
@@ -126,9 +128,13 @@
 	return slices.Concat(e.Models(), e.Adapters())
 }
 
+// willing reports whether the endpoint itself wants calls: it is not leaving, and a time
+// for which it wants none is over.
+func (m *member) willing(now time.Time) bool { return !m.leaving && !now.Before(m.excludedUntil) }
+
 // available reports whether the member can take another call that is not a probe.
 func (m *member) available(now time.Time) bool {
-	return !m.leaving && m.consecutiveEjections == 0 && float64(m.inFlight) < m.maxInFlight() && !now.Before(m.fullUntil)
+	return m.willing(now) && m.consecutiveEjections == 0 && float64(m.inFlight) < m.maxInFlight() && !now.Before(m.fullUntil)
 }
 
 // pause lowers the limit of a member that reported being full and keeps calls from
--- a/core/balance/pick.go
+++ b/core/balance/pick.go
@@ -69,7 +69,7 @@
 		return -1
 	}
 	for i, m := range g.members {
-		if m.consecutiveEjections > 0 && m.inFlight == 0 && !m.leaving && !slices.Contains(q.Exclude, i) && !now.Before(m.ejectedUntil) && m.hasLoaded(q) {
+		if m.consecutiveEjections > 0 && m.inFlight == 0 && m.willing(now) && !slices.Contains(q.Exclude, i) && !now.Before(m.ejectedUntil) && m.hasLoaded(q) {
 			return i
 		}
 	}
--- a/core/fault/fault.go
+++ b/core/fault/fault.go
@@ -10,6 +10,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"time"
 
 	"github.com/twitchtv/twirp"
 	"go.uber.org/zap/zapcore"
@@ -90,10 +91,11 @@
 	// Error is an error with its kind, the stage at which it arose and whether
 	// work has run. Use Errorf to make one.
 	Error struct {
-		kind  Kind
-		stage string
-		ran   Ran
-		err   error
+		kind       Kind
+		stage      string
+		ran        Ran
+		retryAfter time.Duration
+		err        error
 	}
 )
 
@@ -200,6 +202,17 @@
 	return &c
 }
 
+// RetryAfter is the time after which the request could be served, or 0 if it is not
+// known.
+func (e *Error) RetryAfter() time.Duration { return e.retryAfter }
+
+// WithRetryAfter returns a copy of e with the given RetryAfter.
+func (e *Error) WithRetryAfter(d time.Duration) *Error {
+	c := *e
+	c.retryAfter = d
+	return &c
+}
+
 // WithRan returns a copy of e with the given Ran.
 func (e *Error) WithRan(ran Ran) *Error {
 	c := *e
--- a/core/fleet/event.go
+++ b/core/fleet/event.go
@@ -8,6 +8,8 @@
 		Kind EventKind
 		// Server is the entry that changed, unless Kind is OutageEnded.
 		Server Server
+		// Until is the end of an exclusion, if Kind is Excluded.
+		Until time.Time
 		// Gap is the time without an answer of the store that is taken for an
 		// outage, if Kind is OutageEnded.
 		Gap time.Duration
@@ -25,11 +27,16 @@
 	// Missing means that the server's entry is missing after an outage of the store
 	// and may still reappear.
 	Missing
+	// Excluded means that the server wants no requests from this instance for a while.
+	Excluded
+	// Returned means that a server may be used again that was excluded, or that has
+	// started again after it was leaving.
+	Returned
 	// OutageEnded means that the store answered after an outage.
 	OutageEnded
 )
 
-var eventNames = [...]string{Leaving: "leaving", Gone: "gone", Missing: "missing", OutageEnded: "outageEnded"}
+var eventNames = [...]string{Leaving: "leaving", Gone: "gone", Missing: "missing", Excluded: "excluded", Returned: "returned", OutageEnded: "outageEnded"}
 
 // String returns the kind's name in logs and metrics.
 func (k EventKind) String() string { return eventNames[k] }
--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -43,6 +43,9 @@
 		Sequence int64
 		// Revision is the store's revision of the entry.
 		Revision int64
+		// ExcludedUntil is until when the server wants no requests from this instance,
+		// or zero. It is set in a Snapshot and not part of the entry.
+		ExcludedUntil time.Time `json:"-"`
 	}
 
 	// Snapshot is an immutable list of the servers that may get work.
@@ -51,6 +54,9 @@
 		byID     map[string]Server
 		// byAddress holds draining servers too.
 		byAddress map[string]Server
+		// leaving holds by service the servers that said that they are leaving, as
+		// others may not know yet.
+		leaving map[string][]Server
 	}
 
 	// Changes are the changes after a revision, as one instance sends them to
@@ -100,6 +106,7 @@
 		// compactedRevision, have been dropped.
 		removals          []removal
 		compactedRevision int64
+		notices           notices
 		// events are the events since the last call of TakeEvents.
 		events []Event
 	}
@@ -108,7 +115,10 @@
 // New returns a view without servers. Entries of live servers may be missing
 // from the store after it has not answered any instance for outageAfter.
 func New(outageAfter time.Duration) *View {
-	return &View{known: make(map[string]Server), missing: make(map[string]int64), outageAfter: outageAfter}
+	return &View{
+		known: make(map[string]Server), missing: make(map[string]int64), outageAfter: outageAfter,
+		notices: notices{leaving: make(map[string]leavingNotice), excluded: make(map[string]exclusion)},
+	}
 }
 
 // Revision returns the store's revision up to which the view has all changes.
@@ -190,7 +200,8 @@
 	if !ok || s != existing {
 		v.generation++
 	}
-	if s.Draining && !existing.Draining {
+	v.started(existing, s)
+	if s.Draining && !existing.Draining && !v.notices.leaves(s.Incarnation()) {
 		v.events = append(v.events, Event{Kind: Leaving, Server: s})
 	}
 	v.known[s.ID] = s
@@ -239,6 +250,11 @@
 func (v *View) forget(id string) {
 	v.generation++
 	v.events = append(v.events, Event{Kind: Gone, Server: v.known[id]})
+	if v.known[id].Born == 0 {
+		// An entry with this ID that comes back is of another incarnation.
+		delete(v.notices.leaving, id)
+		delete(v.notices.excluded, id)
+	}
 	delete(v.known, id)
 	delete(v.missing, id)
 	v.removals = append(v.removals, removal{id: id, revision: v.revision})
@@ -260,11 +276,16 @@
 			newest[s.Address] = s
 		}
 	}
-	out := &Snapshot{services: make(map[string][]Server), byID: make(map[string]Server), byAddress: newest}
+	out := &Snapshot{services: make(map[string][]Server), byID: make(map[string]Server), byAddress: newest, leaving: make(map[string][]Server)}
 	for _, s := range newest {
 		if s.Draining {
 			continue
 		}
+		if v.notices.leaves(s.Incarnation()) {
+			out.leaving[s.Service] = append(out.leaving[s.Service], s)
+			continue
+		}
+		s.ExcludedUntil = v.notices.excludedUntil(s.Incarnation())
 		out.services[s.Service] = append(out.services[s.Service], s)
 		out.byID[s.ID] = s
 	}
@@ -274,8 +295,8 @@
 	return out
 }
 
-// Service returns the servers of a service, ordered by ID. The caller must not
-// change the slice.
+// Service returns the servers of a service, ordered by ID, including those that want
+// no requests for a while. The caller must not change the slice.
 func (s *Snapshot) Service(name string) []Server { return s.services[name] }
 
 // Server returns the server with the given ID.
@@ -284,6 +305,61 @@
 	return server, ok
 }
 
+// Callable returns the server with the given ID if it may get a request now.
+func (s *Snapshot) Callable(now time.Time, id string) (Server, bool) {
+	server, ok := s.byID[id]
+	return server, ok && !now.Before(server.ExcludedUntil)
+}
+
+// ServerAt returns the server at an address, which may be draining.
+func (s *Snapshot) ServerAt(address string) (Server, bool) {
+	server, ok := s.byAddress[address]
+	return server, ok
+}
+
+// Unwilling returns the IDs of the servers of a service that said that they are leaving
+// or want no requests from this instance now, which other instances may not know.
+func (s *Snapshot) Unwilling(now time.Time, service string) []string {
+	var out []string
+	for _, server := range s.leaving[service] {
+		out = append(out, server.ID)
+	}
+	for _, server := range s.services[service] {
+		if now.Before(server.ExcludedUntil) {
+			out = append(out, server.ID)
+		}
+	}
+	return out
+}
+
+// Leaving returns the servers that said that they are leaving, in no particular order.
+func (s *Snapshot) Leaving() iter.Seq[Server] {
+	return func(yield func(Server) bool) {
+		for _, list := range s.leaving {
+			for _, server := range list {
+				if !yield(server) {
+					return
+				}
+			}
+		}
+	}
+}
+
+// EarliestReturn returns when the first server of a service wants requests again, if
+// all of them want none now. Otherwise it returns the zero time.
+func (s *Snapshot) EarliestReturn(now time.Time, service string) time.Time {
+	var first time.Time
+	for _, server := range s.services[service] {
+		if !now.Before(server.ExcludedUntil) {
+			return time.Time{}
+		}
+		if first.IsZero() || server.ExcludedUntil.Before(first) {
+			first = server.ExcludedUntil
+		}
+	}
+	return first
+}
+
 // Zone returns the zone of the server at an address, or "" if there is none.
 // Unlike the other methods it covers draining servers too.
 func (s *Snapshot) Zone(address string) string { return s.byAddress[address].Zone }
--- a/core/gather/choose.go
+++ b/core/gather/choose.go
@@ -8,7 +8,16 @@
 
 // canStart reports whether a call to the server can start now.
 func (q *Queue) canStart(now time.Time, s *server) bool {
-	return len(s.calls) < q.cfg.Slots && !now.Before(s.pausedUntil)
+	return len(s.calls) < q.cfg.Slots && !now.Before(s.restsUntil())
+}
+
+// restsUntil returns until when the server gets no calls, after failures or because it
+// wants none.
+func (s *server) restsUntil() time.Time {
+	if s.ExcludedUntil.After(s.pausedUntil) {
+		return s.ExcludedUntil
+	}
+	return s.pausedUntil
 }
 
 // fits reports whether the server has capacity for a result of the given size.
@@ -66,7 +75,7 @@
 		limit = it.Deadline
 	}
 	for _, s := range q.servers {
-		if s.Zone != it.Zone || now.Before(s.pausedUntil) || len(s.calls) == 0 {
+		if s.Zone != it.Zone || now.Before(s.restsUntil()) || len(s.calls) == 0 {
 			continue
 		}
 		expected := time.Duration(float64(q.cfg.CallTime+q.cfg.ItemTime) * max(1, s.slowness))
--- a/core/gather/gather.go
+++ b/core/gather/gather.go
@@ -248,7 +248,11 @@
 	first, needed := items[0], q.callTime(items)
 	wait := q.updatePace(now) + q.backlog.Wait(now, first.Due, first.Deadline)
 	if now.Add(wait + needed).After(first.Deadline) {
-		return fault.Errorf(fault.Overloaded, "the stage needs %v, including a wait of %v, but only %v remain", (wait + needed).Round(time.Millisecond), wait.Round(time.Millisecond), first.Deadline.Sub(now).Round(time.Millisecond))
+		err := fault.Errorf(fault.Overloaded, "the stage needs %v, including a wait of %v, but only %v remain", (wait + needed).Round(time.Millisecond), wait.Round(time.Millisecond), first.Deadline.Sub(now).Round(time.Millisecond))
+		if at := q.earliestReturn(now); !at.IsZero() {
+			err = err.WithRetryAfter(at.Sub(now))
+		}
+		return err
 	}
 	for len(items) > 0 {
 		n := 1
@@ -332,7 +336,7 @@
 	defer q.mu.Unlock()
 	q.expireResults(now)
 	q.updatePace(now)
-	expired := q.advance(now)
+	expired := append(q.advance(now), q.removeUnserved(now)...)
 	if q.backlog.Len() == 0 || !slices.ContainsFunc(q.servers, func(s *server) bool { return q.canStart(now, s) }) {
 		return nil, expired
 	}
@@ -366,6 +370,43 @@
 	return expired
 }
 
+// removeUnserved removes and returns the items that could not finish by their deadline
+// even if they were started when the first server wants calls again. There are none
+// unless all servers want none now.
+func (q *Queue) removeUnserved(now time.Time) []*Item {
+	at := q.earliestReturn(now)
+	if at.IsZero() {
+		return nil
+	}
+	var unserved []*Item
+	for j, items := range q.waiting {
+		if at.Add(q.cfg.CallTime).After(items[0].Deadline) {
+			unserved = append(unserved, items...)
+			q.backlog.SetUnits(j, 0)
+			delete(q.waiting, j)
+		}
+	}
+	for _, it := range unserved {
+		it.job = nil
+	}
+	return unserved
+}
+
+// earliestReturn returns when the first server wants calls again, if all of them want
+// none now. Otherwise it returns the zero time.
+func (q *Queue) earliestReturn(now time.Time) time.Time {
+	var first time.Time
+	for _, s := range q.servers {
+		if !now.Before(s.ExcludedUntil) {
+			return time.Time{}
+		}
+		if first.IsZero() || s.ExcludedUntil.Before(first) {
+			first = s.ExcludedUntil
+		}
+	}
+	return first
+}
+
 // NextWakeup returns the earliest time at which Next may have something to do
 // although nothing else has happened: a paused server may be retried, an
 // item stops waiting for its zone, or an item expires. It returns the zero time
@@ -383,7 +424,7 @@
 		}
 	}
 	for _, s := range q.servers {
-		consider(s.pausedUntil)
+		consider(s.restsUntil())
 	}
 	due, deadline := q.backlog.NextChange()
 	for _, limit := range []time.Time{due, deadline} {
--- a/core/gather/gather_test.go
+++ b/core/gather/gather_test.go
@@ -310,3 +310,47 @@
 		}
 	})
 }
+
+// A server that wants no calls gets none until then, and what waits for it alone is
+// refused at once if it could not finish in time after that.
+func TestServerThatWantsNoCallsGetsNone(t *testing.T) {
+	q := newQueue(t, "a", "b")
+	exclude := func(until ...time.Time) {
+		list := servers("a", "b")
+		for i := range until {
+			list[i].ExcludedUntil = until[i]
+		}
+		q.SetServers(list, cfg)
+	}
+	until := start.Add(2 * time.Second)
+	exclude(until)
+	add(t, q, item("r1", time.Second), item("r2", time.Second))
+	b, _ := q.Next(start)
+	if b == nil || b.Server.ID != "s-1" {
+		t.Fatalf("batch %+v, want one at the server that wants calls", b)
+	}
+	// Work that was assigned and failed goes back to the queue, not to the other one.
+	q.Complete(start, b, gather.CallRefused, nil)
+	exclude(until, until)
+	urgent := item("r3", 100*time.Millisecond)
+	urgent.Deadline = start.Add(time.Second)
+	err := fault.From(q.Add(start, []*gather.Item{urgent}))
+	if err.Kind() != fault.Overloaded || err.RetryAfter() != 2*time.Second {
+		t.Errorf("an urgent item: %v, retry after %v, want Overloaded and 2 s", err, err.RetryAfter())
+	}
+	if b, expired := q.Next(start); b != nil || len(expired) != 0 {
+		t.Errorf("batch %+v, expired %d, want neither while both servers want nothing", b, len(expired))
+	}
+	if at := q.NextWakeup(start); at.After(until) {
+		t.Errorf("the next wakeup is in %v, want at the first return", at.Sub(start))
+	}
+	exclude(start.Add(time.Hour), start.Add(time.Hour))
+	if b, expired := q.Next(start); b != nil || len(expired) != 2 {
+		t.Errorf("batch %+v, expired %d, want both items refused", b, len(expired))
+	}
+	exclude()
+	add(t, q, item("r4", time.Second))
+	if b, _ := q.Next(start.Add(300 * time.Millisecond)); b == nil || len(b.Items) != 1 {
+		t.Errorf("batch %+v, want one with the new item", b)
+	}
+}
--- a/core/gather/plan.go
+++ b/core/gather/plan.go
@@ -16,7 +16,7 @@
 	active := 0
 	free = -1
 	for _, s := range q.servers {
-		if now.Before(s.pausedUntil) {
+		if now.Before(s.restsUntil()) {
 			continue
 		}
 		active++
@@ -30,7 +30,7 @@
 	}
 	if active == 0 {
 		// All servers are paused. Assume the shortest pause after a failure.
-		free = minFailureBackoff
+		free = max(minFailureBackoff, q.earliestReturn(now).Sub(now))
 	}
 	slots := max(1, active*q.cfg.Slots)
 	call := max(q.meanCall, q.cfg.CallTime)
--- a/core/relay/engine.go
+++ b/core/relay/engine.go
@@ -29,6 +29,9 @@
 func (e *execution) serveEngine(ctx context.Context) error {
 	e.stream = &stream{w: e.w, lastEventID: e.req.LastEventID}
 	for {
+		if err := e.awaitReturn(ctx, e.relay.stats.FirstEventTime(e.now(), e.route.Name)); err != nil {
+			return err
+		}
 		server, placed := e.place(ctx)
 		if ctx.Err() != nil {
 			if placed {
@@ -49,9 +52,11 @@
 			}
 			return e.refusal(fault.From(err))
 		}
-		// The engine may have been removed while the stages ran.
-		if _, listed := e.relay.deps.Servers().Server(server.ID); !listed {
+		// While the stages ran, the engine may have been removed, or have said that it
+		// wants no requests.
+		if _, callable := e.relay.deps.Servers().Callable(e.now(), server.ID); !callable {
 			e.settle(server, balance.Abandoned)
+			e.log("skip", "the engine takes no more requests", server.ID)
 			continue
 		}
 		step, err := e.sendToEngine(ctx, server)
@@ -100,7 +105,7 @@
 // place chooses an engine and reports whether there is one.
 func (e *execution) place(ctx context.Context) (fleet.Server, bool) {
 	q := engine.Query{
-		RequestID: e.req.ID, Affinity: e.req.Affinity, Exclude: e.triedServers,
+		RequestID: e.req.ID, Affinity: e.req.Affinity, Exclude: slices.Concat(e.triedServers, e.relay.deps.Servers().Unwilling(e.now(), e.service)),
 		Weights: e.zoneWeights(), Expires: e.deadline, Repeatable: e.route.MayRunAgain(),
 	}
 	if q.Affinity == "" {
@@ -111,7 +116,7 @@
 		if id == "" {
 			return fleet.Server{}, false
 		}
-		if s, ok := e.relay.deps.Servers().Server(id); ok {
+		if s, ok := e.relay.deps.Servers().Callable(e.now(), id); ok {
 			e.log("place", "placed", id)
 			return s, true
 		}
--- a/core/relay/plain.go
+++ b/core/relay/plain.go
@@ -24,6 +24,9 @@
 		if ctx.Err() != nil {
 			return e.contextError(ctx)
 		}
+		if err := e.awaitReturn(ctx, minRemaining); err != nil {
+			return err
+		}
 		grant, err := e.acquire(ctx, s)
 		if err != nil {
 			if ctx.Err() != nil {
@@ -31,13 +34,14 @@
 			}
 			return e.refusal(fault.From(err))
 		}
-		server, ok := e.relay.deps.Servers().Server(grant.Endpoint.Name())
+		server, ok := e.relay.deps.Servers().Callable(e.now(), grant.Endpoint.Name())
 		if !ok {
 			s.Release(grant, balance.Abandoned)
+			e.log("skip", "the server takes no more requests", grant.Endpoint.Name())
 			if e.mayResend(false) {
 				continue
 			}
-			return e.refusal(fault.Errorf(fault.EndpointUnavailable, "server %s is no longer listed", grant.Endpoint.Name()))
+			return e.refusal(fault.Errorf(fault.EndpointUnavailable, "server %s takes no more requests", grant.Endpoint.Name()))
 		}
 		retry, err := e.sendToPlain(ctx, s, grant, server)
 		if !retry {
--- a/core/relay/relay.go
+++ b/core/relay/relay.go
@@ -292,6 +292,7 @@
 		fraction := minOverloadRetryFraction + (maxOverloadRetryFraction-minOverloadRetryFraction)*e.relay.deps.Random()
 		retryAfter = time.Duration(fraction * float64(remaining))
 	}
+	retryAfter = max(retryAfter, err.RetryAfter(), e.retryAfterReturn())
 	return &Refusal{Fault: err.WithRan(fault.RanNo), RetryAfter: retryAfter}
 }
 
--- a/core/stage/stage.go
+++ b/core/stage/stage.go
@@ -48,10 +48,11 @@
 		estimator   *estimate.Estimator
 		retryBudget *retry.Budget
 		// orgBudgets holds a retry budget for each organisation with recent calls.
-		orgBudgets     map[string]*retry.Budget
-		rng            *rand.Rand
-		policy         Policy
-		probeScheduled bool
+		orgBudgets map[string]*retry.Budget
+		rng        *rand.Rand
+		policy     Policy
+		// probeAt is when the next scheduled dispatch comes, or zero.
+		probeAt time.Time
 	}
 
 	// waiter is a queued item with the grant that it will get.
@@ -113,7 +114,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	cost = s.estimator.Cost(stated)
-	capacity := s.group.Capacity()
+	capacity := s.group.Capacity(now)
 	if capacity == 0 && !s.group.Usable(now) {
 		return 0, 0, cost, fault.Errorf(fault.EndpointUnavailable, "no endpoint of the stage is available; the next probe is due in %v", s.group.NextProbe(now).Sub(now)).WithStage(s.decl.Name())
 	}
@@ -288,14 +289,16 @@
 // caller holds mu.
 func (s *Stage) scheduleProbe(now time.Time) {
 	at := s.group.NextProbe(now)
-	if s.probeScheduled || at.IsZero() {
+	if at.IsZero() || !s.probeAt.IsZero() && !at.Before(s.probeAt) {
 		return
 	}
-	s.probeScheduled = true
+	s.probeAt = at
 	s.clock.AfterFunc(max(time.Millisecond, at.Sub(now)), func() {
 		s.mu.Lock()
 		defer s.mu.Unlock()
-		s.probeScheduled = false
+		if s.probeAt.Equal(at) {
+			s.probeAt = time.Time{}
+		}
 		s.dispatch(s.clock.Now())
 	})
 }
@@ -396,6 +399,19 @@
 	s.dispatch(s.clock.Now())
 }
 
+// SetExcluded sets until when each of the named endpoints wants no calls from this
+// instance. If all want none, requests that would wait too long are refused at once.
+func (s *Stage) SetExcluded(until map[string]time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.group.SetExcluded(until)
+	now := s.clock.Now()
+	if s.group.Capacity(now) == 0 && !s.group.Usable(now) {
+		s.queue.RefuseUnserved(s.group.NextProbe(now))
+	}
+	s.dispatch(now)
+}
+
 // ReportLoad records the load that an endpoint reported for the given time, and
 // the models and adapters that it has loaded, or nil if it does not report them.
 func (s *Stage) ReportLoad(endpoint string, load float64, loaded []string, at time.Time) {
--- a/core/stage/stage_test.go
+++ b/core/stage/stage_test.go
@@ -121,3 +121,62 @@
 		}
 	})
 }
+
+// Requests that wait are refused at once when the only endpoint wants no calls until
+// after their deadlines. The others wait for it.
+func TestWaitingRequestsAreRefusedWhenNoEndpointWantsCalls(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s, req := newStage(t)
+		g, err := s.Acquire(context.Background(), req)
+		if err != nil {
+			t.Fatal(err)
+		}
+		urgent := req
+		urgent.Deadline = time.Now().Add(2 * time.Second)
+		refused, granted := make(chan time.Duration, 1), make(chan time.Duration, 1)
+		begin := time.Now()
+		go func() {
+			if _, err := s.Acquire(context.Background(), urgent); fault.From(err).Kind() != fault.EndpointUnavailable || fault.From(err).Ran() != fault.RanNo {
+				t.Errorf("the urgent request ends with %v, want EndpointUnavailable, not run", err)
+			}
+			refused <- time.Since(begin)
+		}()
+		go func() {
+			if _, err := s.Acquire(context.Background(), req); err != nil {
+				t.Error(err)
+			}
+			granted <- time.Since(begin)
+		}()
+		synctest.Wait()
+		s.SetExcluded(map[string]time.Time{"e": begin.Add(5 * time.Second)})
+		s.Release(g, balance.Full)
+		if waited := <-refused; waited > time.Millisecond {
+			t.Errorf("refused after %v, want at once", waited)
+		}
+		if waited := <-granted; waited < 5*time.Second || waited > 5100*time.Millisecond {
+			t.Errorf("granted after %v, want 5 s", waited)
+		}
+	})
+}
+
+// A pause that ends early is not overlooked because a later one was scheduled first.
+func TestEarlierEndOfAPauseIsScheduled(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s, req := newStage(t)
+		begin := time.Now()
+		s.SetExcluded(map[string]time.Time{"e": begin.Add(20 * time.Second)})
+		granted := make(chan time.Duration, 1)
+		go func() {
+			if _, err := s.Acquire(context.Background(), req); err != nil {
+				t.Error(err)
+			}
+			granted <- time.Since(begin)
+		}()
+		synctest.Wait()
+		// The endpoint has started again.
+		s.SetExcluded(nil)
+		if waited := <-granted; waited > time.Second {
+			t.Errorf("granted after %v, want at once", waited)
+		}
+	})
+}
--- a/core/status/status.go
+++ b/core/status/status.go
@@ -26,6 +26,9 @@
 		// the number of those whose request is running.
 		KeysHeld    int `json:"keysHeld"`
 		KeysRunning int `json:"keysRunning"`
+		// Unwilling are the servers of the platform that told the instance that they
+		// are leaving or want no requests for a while.
+		Unwilling []Server `json:"unwilling,omitempty"`
 		// CostsWaiting is the number of cost objects that are not yet stored.
 		CostsWaiting int `json:"costsWaiting"`
 	}
@@ -39,6 +42,19 @@
 		Revision      int64  `json:"revision"`
 	}
 
+	// Server is a server that told an instance that it gets no requests.
+	Server struct {
+		ID      string `json:"id"`
+		Service string `json:"service"`
+		// Born is the server's start time in Unix milliseconds, or 0 if it is not
+		// known.
+		Born int64 `json:"born"`
+		// Leaving is set if the server is leaving. Otherwise it wants no requests for
+		// ReturnsInMs milliseconds.
+		Leaving     bool  `json:"leaving"`
+		ReturnsInMs int64 `json:"returnsInMs,omitempty"`
+	}
+
 	// Attainment is the number of a kind's requests in the last minute and the
 	// fraction of them that was answered within the deadline. Requests that
 	// failed through the caller's own fault are left out.
--- a/edge/delegator.go
+++ b/edge/delegator.go
@@ -197,7 +197,7 @@
 }
 
 func (d *delegator) runBatch(ctx context.Context, b *gather.Batch, remaining func(*gather.Item) time.Duration, isCopy func([]gather.ItemOutcome) bool) (gather.CallStatus, []gather.ItemOutcome, error) {
-	return platform.RunPieces(ctx, d.instance.stageClient, b, remaining, isCopy)
+	return d.instance.stageClient.RunPieces(ctx, b, remaining, isCopy)
 }
 
 func (d *delegator) batchEnded(service string, b *gather.Batch, elapsed time.Duration, err error) {
@@ -238,7 +238,11 @@
 	}
 }
 
-// freeAtServers frees results at the servers that hold them.
+// errUnwilling means that a server wants no requests from this instance for a while.
+var errUnwilling = errors.New("the server wants no requests")
+
+// freeAtServers frees results at the servers that hold them, except those that want no
+// requests now: their results are held until they expire.
 func (d *delegator) freeAtServers(ctx context.Context, handles []string) error {
 	byServer := make(map[string][]string)
 	for _, h := range handles {
@@ -246,8 +250,17 @@
 		byServer[address] = append(byServer[address], h)
 	}
 	var errs []error
+	servers, now := d.instance.state.servers(), time.Now()
 	for address, list := range byServer {
-		errs = append(errs, platform.FreeResults(ctx, d.instance.stageClient, address, list))
+		s, known := servers.ServerAt(address)
+		if listed, ok := servers.Server(s.ID); ok && now.Before(listed.ExcludedUntil) {
+			errs = append(errs, errUnwilling)
+			continue
+		}
+		if !known {
+			s.Address = address
+		}
+		errs = append(errs, d.instance.stageClient.FreeResults(ctx, s, list))
 	}
 	return errors.Join(errs...)
 }
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -16,6 +16,7 @@
 
 	"github.com/prometheus/client_golang/prometheus"
 	"go.uber.org/zap"
+	"golang.org/x/time/rate"
 
 	"chervilpath/core/fault"
 	"chervilpath/core/kernel"
@@ -45,7 +46,7 @@
 
 		store        *platform.Store
 		upstream     *upstream.Client
-		stageClient  *http.Client
+		stageClient  *platform.StageClient
 		peers        *peer.Clients
 		members      *peer.Members
 		state        *clusterState
@@ -71,6 +72,8 @@
 		// it is not yet.
 		settledAt        atomic.Pointer[time.Time]
 		directoryDigests digests
+		// noticeLog limits the log lines about headers of servers.
+		noticeLog rate.Sometimes
 		// lastReplyAt is when a peer last answered a request for changes, or nil.
 		lastReplyAt atomic.Pointer[time.Time]
 		httpServers []*http.Server
@@ -97,14 +100,15 @@
 			AfterFunc: func(d time.Duration, f func()) func() bool { return time.AfterFunc(d, f).Stop },
 		},
 	}
+	in.noticeLog.Interval = noticeLogInterval
 	in.cfg.Store(&cfg)
 	in.shutdown.Store(&relay.Shutdown{})
 	in.shutdownCtx, in.cancelShutdownCtx = context.WithCancel(context.Background())
 	in.loopCtx, in.cancelLoops = context.WithCancel(context.Background())
 	in.metrics = newMetrics(in.registry, dropped)
 	in.store = platform.NewStore("http://"+cfg.Store(), &http.Client{Transport: upstream.NewTransport()})
-	in.upstream = upstream.New(upstream.NewTransport(), platform.OutgoingHeader, platform.ReadResponse)
-	in.stageClient = &http.Client{Transport: upstream.NewTransport()}
+	in.upstream = upstream.New(upstream.NewTransport(), platform.OutgoingHeader, platform.ReadResponse, in.observeResponse)
+	in.stageClient = platform.NewStageClient(&http.Client{Transport: upstream.NewTransport()}, in.observeResponse)
 	in.peers = peer.NewClients("", peerTransport(), nil, time.Now)
 	self := member.Member{ID: in.incarnation, Name: cfg.Name(), Address: cfg.PeerAddress(), FailureDomain: cfg.FailureDomain(), Weight: cfg.Weight()}
 	in.members = peer.NewMembers(self, cfg.Seeds(), in.peers, time.Now, peer.NewRand(), in.onNewerVersion, in.onServingChanged)
--- a/edge/metrics.go
+++ b/edge/metrics.go
@@ -14,6 +14,7 @@
 	followRequests  prometheus.Counter
 	staleSources    prometheus.Counter
 	serverEvents    *prometheus.CounterVec
+	refusedNotices  prometheus.Counter
 	requests        *prometheus.CounterVec
 	faults          *prometheus.CounterVec
 	requestDuration prometheus.Histogram
@@ -33,7 +34,8 @@
 		storeFailures:   prometheus.NewCounter(prometheus.CounterOpts{Name: "chervilpath_store_failures_total", Help: "Calls that the store did not serve."}),
 		followRequests:  prometheus.NewCounter(prometheus.CounterOpts{Name: "chervilpath_follow_requests_total", Help: "Requests for changes sent to other instances."}),
 		staleSources:    prometheus.NewCounter(prometheus.CounterOpts{Name: "chervilpath_follow_stale_total", Help: "Requests for changes that an instance without a recent confirmation by the store answered, or none."}),
-		serverEvents:    prometheus.NewCounterVec(prometheus.CounterOpts{Name: "chervilpath_server_events_total", Help: "Servers found leaving, gone or missing, by source: store, peer or lapse."}, []string{"event", "source"}),
+		serverEvents:    prometheus.NewCounterVec(prometheus.CounterOpts{Name: "chervilpath_server_events_total", Help: "Servers found leaving, gone, missing, excluded or returned, by source: store, peer, answer or lapse."}, []string{"event", "source"}),
+		refusedNotices:  prometheus.NewCounter(prometheus.CounterOpts{Name: "chervilpath_server_retry_after_refused_total", Help: "Retry-After headers of servers that could not be used."}),
 		requests:        prometheus.NewCounterVec(prometheus.CounterOpts{Name: "chervilpath_site_requests_total", Help: "Requests by result."}, []string{"result"}),
 		faults:          prometheus.NewCounterVec(prometheus.CounterOpts{Name: "chervilpath_site_faults_total", Help: "Requests answered with a fault, by kind."}, []string{"kind"}),
 		requestDuration: prometheus.NewHistogram(prometheus.HistogramOpts{Name: "chervilpath_site_request_seconds", Help: "Time from a request to its end.", Buckets: durationBuckets}),
@@ -45,7 +47,7 @@
 		prometheus.CounterOpts{Name: "chervilpath_log_lines_dropped_total", Help: "Log lines that did not fit into the queue before standard output."},
 		func() float64 { return float64(dropped()) },
 	))
-	r.MustRegister(m.configVersion, m.storeCalls, m.storeFailures, m.followRequests, m.staleSources, m.serverEvents, m.requests, m.faults, m.requestDuration, m.batches, m.batchPieces, m.batchDuration)
+	r.MustRegister(m.configVersion, m.storeCalls, m.storeFailures, m.followRequests, m.staleSources, m.serverEvents, m.refusedNotices, m.requests, m.faults, m.requestDuration, m.batches, m.batchPieces, m.batchDuration)
 	return m
 }
 
--- a/edge/services.go
+++ b/edge/services.go
@@ -88,6 +88,7 @@
 			http.Error(w, err.Error(), http.StatusServiceUnavailable)
 		}
 	})
+	mux.HandleFunc("GET /status", in.serveStatus)
 	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, r *http.Request) {})
 	mux.Handle("GET /metrics", promhttp.HandlerFor(in.registry, promhttp.HandlerOpts{}))
 	return mux
--- a/edge/state.go
+++ b/edge/state.go
@@ -62,17 +62,18 @@
 	// waits for a change.
 	maxFollowWait = time.Second
 
-	// sourceStore and sourceLapse are the sources of changes in the log besides the
-	// addresses of peers: the platform's store, and the end of the grace period for
-	// entries that are missing after an outage.
-	sourceStore = "store"
-	sourceLapse = "lapse"
+	// The sources of changes in the log besides the addresses of peers: the platform's
+	// store, an answer of the server itself, and the end of an exclusion or of the grace
+	// period for entries that are missing after an outage.
+	sourceStore  = "store"
+	sourceAnswer = "answer"
+	sourceLapse  = "lapse"
 )
 
 // sourceLabel returns the source of a change as a metric label, which does not name
 // single peers.
 func sourceLabel(from string) string {
-	if from == sourceStore || from == sourceLapse {
+	if from == sourceStore || from == sourceAnswer || from == sourceLapse {
 		return from
 	}
 	return "peer"
@@ -297,6 +298,7 @@
 	apply(c.view, now)
 	c.logServerEvents(from)
 	c.view.Expire(now)
+	c.view.ExpireNotices(now)
 	c.logServerEvents(sourceLapse)
 	if c.view.Generation() != oldGeneration {
 		c.snapshot.Store(c.view.Snapshot())
@@ -310,12 +312,12 @@
 }
 
 // expireMissing removes the servers that did not reappear after an outage of the
-// store.
+// store, and ends exclusions that are over.
 func (c *clusterState) expireMissing() {
 	c.mu.Lock()
-	missing := c.view.MissingCount() > 0
+	due := c.view.MissingCount() > 0 || c.view.ExcludedCount() > 0
 	c.mu.Unlock()
-	if missing {
+	if due {
 		c.updateServers(sourceLapse, func(*fleet.View, time.Time) {})
 	}
 }
@@ -341,6 +343,9 @@
 			c.instance.log.Warn("store answered after an outage", append(fields, zap.Int64("outageMs", e.Gap.Milliseconds()))...)
 			continue
 		}
+		if e.Kind == fleet.Excluded {
+			fields = append(fields, zap.Int64("forMs", time.Until(e.Until).Milliseconds()))
+		}
 		fields = append(fields, zap.String("server", e.Server.ID), zap.String("service", e.Server.Service), zap.Int64("born", e.Server.Born))
 		c.instance.log.Info("server "+e.Kind.String(), fields...)
 		c.instance.metrics.serverEvents.WithLabelValues(e.Kind.String(), sourceLabel(from)).Inc()
@@ -397,6 +402,13 @@
 		s.SetDeclaration(decl)
 	}
 	s.UpdateMembership(nil, c.numInstances)
+	excluded := make(map[string]time.Time)
+	for _, server := range servers {
+		if !server.ExcludedUntil.IsZero() {
+			excluded[server.ID] = server.ExcludedUntil
+		}
+	}
+	s.SetExcluded(excluded)
 }
 
 func (c *clusterState) plainStage(name string) *stage.Stage {
--- a/io/peer/platform.go
+++ b/io/peer/platform.go
@@ -128,7 +128,7 @@
 		Due: microseconds(req.DueMicros), Remaining: microseconds(req.LeftMicros), Worth: req.Worth,
 	})
 	if err != nil {
-		return &peerpb.WorkReply{Refused: fault.From(err).Kind().String(), Message: err.Error()}, nil
+		return &peerpb.WorkReply{Refused: fault.From(err).Kind().String(), Message: err.Error(), RetryAfterMicros: fault.From(err).RetryAfter().Microseconds()}, nil
 	}
 	return &peerpb.WorkReply{Handles: handles}, nil
 }
@@ -208,7 +208,7 @@
 		return nil, fmt.Errorf("asking %s to run a stage: %w: %w", address, ErrNoAnswer, err)
 	}
 	if resp.Refused != "" {
-		return nil, fault.Errorf(fault.ParseKind(resp.Refused), "%s", resp.Message)
+		return nil, fault.Errorf(fault.ParseKind(resp.Refused), "%s", resp.Message).WithRetryAfter(microseconds(resp.RetryAfterMicros))
 	}
 	return resp.Handles, nil
 }
--- a/io/upstream/upstream.go
+++ b/io/upstream/upstream.go
@@ -21,6 +21,7 @@
 	"syscall"
 	"time"
 
+	"chervilpath/core/fleet"
 	"chervilpath/core/relay"
 )
 
@@ -57,6 +58,8 @@
 		singleUse      *http.Transport
 		outgoingHeader func(relay.Attempt) http.Header
 		readResponse   func(resp *http.Response, id string) (*relay.Response, error)
+		// observe is called with the head of each response, before it is read.
+		observe func(fleet.Server, *http.Response)
 	}
 
 	// sendTrace records the connection that a send used and the number of bytes
@@ -120,11 +123,11 @@
 
 // New returns a client. outgoingHeader returns the header to send with an
 // attempt, and readResponse decodes the head of the response to the request with
-// the given ID.
-func New(transport *http.Transport, outgoingHeader func(relay.Attempt) http.Header, readResponse func(*http.Response, string) (*relay.Response, error)) *Client {
+// the given ID. observe is called with the server and the head of each response.
+func New(transport *http.Transport, outgoingHeader func(relay.Attempt) http.Header, readResponse func(*http.Response, string) (*relay.Response, error), observe func(fleet.Server, *http.Response)) *Client {
 	singleUse := transport.Clone()
 	singleUse.DisableKeepAlives = true
-	return &Client{transport: transport, singleUse: singleUse, outgoingHeader: outgoingHeader, readResponse: readResponse}
+	return &Client{transport: transport, singleUse: singleUse, outgoingHeader: outgoingHeader, readResponse: readResponse, observe: observe}
 }
 
 // Send makes one attempt. An error is a *relay.SendError.
@@ -142,6 +145,7 @@
 	if err != nil {
 		return nil, &relay.SendError{Err: fmt.Errorf("sending to server %s: %w", a.Server.ID, err), NotSent: trace.notSent()}
 	}
+	c.observe(a.Server, resp)
 	out, err := c.readResponse(resp, a.Request.ID)
 	if err == nil && out.NotRun && !out.NamesRequest && trace.connReused() {
 		err = errUnprovedRefusal
--- a/io/upstream/upstream_test.go
+++ b/io/upstream/upstream_test.go
@@ -65,7 +65,7 @@
 	readResponse := func(resp *http.Response, _ string) (*relay.Response, error) {
 		return &relay.Response{Status: resp.StatusCode}, nil
 	}
-	return upstream.New(upstream.NewTransport(), outgoingHeader, readResponse)
+	return upstream.New(upstream.NewTransport(), outgoingHeader, readResponse, func(fleet.Server, *http.Response) {})
 }
 
 // TestTransportDoesNotRetry guards against a request that reaches a server twice:
--- a/soak/checker.go
+++ b/soak/checker.go
@@ -78,7 +78,9 @@
 		runs map[string]int
 		// pieceRuns are the pieces of stages that servers computed.
 		pieceRuns []stand.PieceRun
-		versions  []version
+		// notices are the arrivals at the servers, with what they said of themselves.
+		notices  []notice
+		versions []version
 		// withdrawnAt holds, by server ID, when the store had acknowledged that the
 		// server is draining or removed.
 		withdrawnAt map[string]time.Time
@@ -155,6 +157,7 @@
 		c.checkArrival(a, report)
 	}
 	c.checkPieces(report)
+	c.checkNotices(report)
 	c.checkRetryBudget(report)
 	return violations
 }
--- a/soak/checker_test.go
+++ b/soak/checker_test.go
@@ -99,6 +99,19 @@
 			c.pieceRuns = append(draftPieceRuns(r.id), draftPieceRuns("other")...)
 			c.pieceRuns = append(c.pieceRuns, stand.PieceRun{RequestID: r.id, Stage: 1, Inputs: []string{r.id + "/0", "other/1"}, Handle: "x"})
 		}},
+		"server told that it is leaving": {routeStatus, "had told instance 0 that it is leaving", func(c *checker, r *request) {
+			first := &request{id: "first", route: routeStatus, key: "k", sent: r.sent.Add(-3 * time.Second), ended: r.sent.Add(-3 * time.Second), status: 200, valid: true}
+			c.requests[first.id] = first
+			c.notices = append(c.notices,
+				notice{"s", stand.Arrival{At: first.sent, RequestID: first.id, Leaving: true}}, notice{"s", stand.Arrival{At: r.sent, RequestID: r.id}})
+		}},
+		"server told that it wants nothing": {routeStatus, "before it wants requests from instance 0", func(c *checker, r *request) {
+			until := r.sent.Add(time.Second)
+			c.notices = append(c.notices, notice{"s", stand.Arrival{At: r.sent.Add(-time.Second), RequestID: r.id, RefusesUntil: until}})
+			for range maxEarlyRequests + 1 {
+				c.notices = append(c.notices, notice{"s", stand.Arrival{At: r.sent, RequestID: r.id}})
+			}
+		}},
 		"too many repeats": {routeStatus, "retries in", func(c *checker, r *request) {
 			for range 70 {
 				c.arrivals = append(c.arrivals, arrival{id: r.id, server: "s", service: serviceDesk, at: r.sent})
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -47,6 +47,12 @@
 		return s.ID + " " + disruptSharedLink(h, s.link, rng)
 	}},
 	{"server withdrawal", 4, withdrawServer},
+	{"server refusal", 3, func(h *harness, rng *rand.Rand) string {
+		servers := h.activeServers()
+		s := servers[rng.IntN(len(servers))]
+		s.RefuseFor(drawFaultDuration(rng))
+		return s.ID
+	}},
 	{"server crash", 2, crashServer},
 	{"configuration", 4, func(h *harness, rng *rand.Rand) string {
 		service := []string{serviceDesk, serviceAlternate}[rng.IntN(2)]
@@ -197,8 +203,9 @@
 }
 
 // withdrawServer starts a replacement for a random server and then withdraws the server
-// from use: it either marks the server's entry as draining and removes it later, or
-// removes it at once.
+// from use: it marks the server's entry as draining and removes it later, or removes it at
+// once, or leaves it to the server's answers alone to say so. In half of the cases the
+// answers say so too, before the store.
 func withdrawServer(h *harness, rng *rand.Rand) string {
 	servers := h.activeServers()
 	s := servers[rng.IntN(len(servers))]
@@ -208,13 +215,20 @@
 	h.mu.Lock()
 	s.retired = true
 	h.mu.Unlock()
-	if rng.IntN(2) == 0 {
+	time.AfterFunc(2*drainTimeout+gracePeriod, func() { h.store.RemoveServer(s.ID) })
+	kind := rng.IntN(3)
+	if kind == 2 || rng.IntN(2) == 0 {
+		s.SayLeaving(true)
+	}
+	switch kind {
+	case 0:
 		h.store.PutEntry(s.Server, stand.Draining)
-	} else {
+	case 1:
 		h.store.RemoveServer(s.ID)
+	case 2:
+		return s.ID + " by its answers alone"
 	}
 	h.checker.locked(func() { h.checker.withdrawnAt[s.ID] = time.Now() })
-	time.AfterFunc(2*drainTimeout+gracePeriod, func() { h.store.RemoveServer(s.ID) })
 	return s.ID
 }
 
--- a/soak/harness.go
+++ b/soak/harness.go
@@ -318,6 +318,9 @@
 				h.checker.runs[id] += s.Runs(id)
 			}
 			h.checker.pieceRuns = append(h.checker.pieceRuns, s.PieceRuns()...)
+			for _, a := range s.Arrivals() {
+				h.checker.notices = append(h.checker.notices, notice{s.ID, a})
+			}
 		}
 	})
 	for _, s := range h.servers {
