balance, engine: a choice costs no more although servers may want nothing

The time until which a member rests is kept as one, and the placer keeps of a server only what it uses.

--- a/core/balance/balance.go
+++ b/core/balance/balance.go
@@ -284,11 +284,7 @@
 // instance, and that all others want some. Those that return begin with a slow start.
 func (g *Group) SetExcluded(until map[string]time.Time) {
 	for _, m := range g.members {
-		at := until[m.decl.Name()]
-		if at.After(m.excludedUntil) {
-			m.beginSlowStart()
-		}
-		m.excludedUntil = at
+		m.exclude(until[m.decl.Name()])
 	}
 }
 
--- a/core/balance/member.go
+++ b/core/balance/member.go
@@ -45,6 +45,8 @@
 	slowStart       bool
 	// excludedUntil is until when the endpoint wants no calls from this instance.
 	excludedUntil time.Time
+	// restsUntil is the later of fullUntil and excludedUntil.
+	restsUntil time.Time
 }
 
 func newMember(e *declare.Endpoint, instances int) *member {
@@ -134,7 +136,7 @@
 
 // available reports whether the member can take another call that is not a probe.
 func (m *member) available(now time.Time) bool {
-	return m.willing(now) && m.consecutiveEjections == 0 && float64(m.inFlight) < m.maxInFlight() && !now.Before(m.fullUntil)
+	return !m.leaving && m.consecutiveEjections == 0 && float64(m.inFlight) < m.maxInFlight() && !now.Before(m.restsUntil)
 }
 
 // pause lowers the limit of a member that reported being full and keeps calls from
@@ -143,6 +145,24 @@
 	m.limit = max(1, m.limit*fullLimitFactor)
 	m.fullUntil = now.Add(min(maxPause, minPause<<min(m.consecutiveFull, 10)))
 	m.consecutiveFull++
+	m.updateRest()
+}
+
+// exclude keeps calls from a member until the given time. One that returns begins with a
+// slow start.
+func (m *member) exclude(until time.Time) {
+	if until.After(m.excludedUntil) {
+		m.beginSlowStart()
+	}
+	m.excludedUntil = until
+	m.updateRest()
+}
+
+func (m *member) updateRest() {
+	m.restsUntil = m.fullUntil
+	if m.excludedUntil.After(m.fullUntil) {
+		m.restsUntil = m.excludedUntil
+	}
 }
 
 // score returns the expected time until a new call would end, as a multiple of the
--- a/core/engine/placer.go
+++ b/core/engine/placer.go
@@ -71,8 +71,9 @@
 	}
 
 	engineState struct {
-		fleet.Server
-		hash uint64
+		id, zone string
+		born     int64
+		hash     uint64
 		// load is the number of requests placed on the engine.
 		load                int
 		consecutiveFailures int
@@ -105,11 +106,11 @@
 	for _, s := range servers {
 		listed[s.ID] = true
 		e, ok := p.byID[s.ID]
-		if !ok || e.Born != s.Born {
-			e = &engineState{hash: xxhash.Sum64String(s.ID)}
+		if !ok || e.born != s.Born {
+			e = &engineState{id: s.ID, born: s.Born, hash: xxhash.Sum64String(s.ID)}
 			p.byID[s.ID] = e
 		}
-		e.Server = s
+		e.zone = s.Zone
 		p.engines = append(p.engines, e)
 	}
 	for id := range p.byID {
@@ -138,7 +139,7 @@
 	bound := loadBoundFactor*float64(total)/float64(available) + loadBoundExtra
 	best, bestRank := (*engineState)(nil), 0.0
 	for _, e := range p.engines {
-		if now.Before(e.pausedUntil) || float64(e.load) >= bound || e.load >= p.slots || !e.takes(q) || slices.Contains(q.Exclude, e.ID) {
+		if now.Before(e.pausedUntil) || float64(e.load) >= bound || e.load >= p.slots || !e.takes(q) || slices.Contains(q.Exclude, e.id) {
 			continue
 		}
 		if rank := rank(e, q); best == nil || rank > bestRank {
@@ -163,7 +164,7 @@
 func (p *Placer) placeFallback(now time.Time, q Query) string {
 	var best *engineState
 	for _, e := range p.engines {
-		if slices.Contains(q.Exclude, e.ID) || e.load >= 2*p.slots {
+		if slices.Contains(q.Exclude, e.id) || e.load >= 2*p.slots {
 			continue
 		}
 		if best == nil || p.preferred(now, e, best) {
@@ -194,7 +195,7 @@
 		e.trial = q.RequestID
 	}
 	p.placements[q.RequestID] = placement{engine: e, expires: q.Expires}
-	return e.ID
+	return e.id
 }
 
 // rank returns the rank of an engine for a prompt by weighted rendezvous hashing.
@@ -202,7 +203,7 @@
 	h := balance.Mix(xxhash.Sum64String(q.Affinity), e.hash)
 	// uniform is the hash as a number between 0 and 1, excluding both.
 	uniform := (float64(h>>11) + 0.5) / (1 << 53)
-	weight, ok := q.Weights[e.Zone]
+	weight, ok := q.Weights[e.zone]
 	if !ok {
 		weight = 1
 	}
@@ -213,7 +214,7 @@
 func (p *Placer) Settle(now time.Time, requestID, serverID string, outcome balance.Outcome) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if placed, ok := p.placements[requestID]; ok && placed.engine.ID == serverID {
+	if placed, ok := p.placements[requestID]; ok && placed.engine.id == serverID {
 		placed.engine.load--
 		delete(p.placements, requestID)
 	}
