--- a/scenario/scenario_test.go
+++ b/scenario/scenario_test.go
@@ -9,6 +9,7 @@
 	"bytes"
 	"context"
 	"fmt"
+	"maps"
 	"os"
 	"strconv"
 	"strings"
@@ -34,6 +35,9 @@
 		tickets map[string]string
 		calls   map[string]int64
 
+		// site is nil unless the script is about routes on the platform.
+		site *site
+
 		// mu guards responses, the results of streams in the background.
 		mu        sync.Mutex
 		streams   sync.WaitGroup
@@ -117,7 +121,9 @@
 
 func TestScenarios(t *testing.T) {
 	cmds := make(map[string]func(*testscript.TestScript, bool, []string))
-	for name, c := range commands {
+	all := maps.Clone(commands)
+	maps.Copy(all, siteCommands)
+	for name, c := range all {
 		cmds[name] = func(ts *testscript.TestScript, neg bool, args []string) {
 			if name == "chervilpath" {
 				runChervilpath(ts, neg, args)
@@ -136,11 +142,14 @@
 			s := &state{tickets: make(map[string]string), calls: make(map[string]int64)}
 			env.Values[stateKey{}] = s
 			env.Defer(func() {
+				ctx, cancel := context.WithTimeout(context.Background(), startTimeout)
+				defer cancel()
 				if s.deployment != nil {
-					ctx, cancel := context.WithTimeout(context.Background(), startTimeout)
-					defer cancel()
 					_ = s.deployment.Stop(ctx)
 				}
+				if s.site != nil {
+					s.site.stop(ctx)
+				}
 			})
 			return nil
 		},
