--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -7,19 +7,11 @@
 package fleet
 
 import (
-	"cmp"
-	"iter"
-	"maps"
 	"slices"
 	"time"
 )
 
 const (
-	// recoveryGrace is how long after an outage of the store a server whose entry
-	// is missing is still treated as present, so that it can write its entry
-	// again. The protocol specifies about two seconds.
-	recoveryGrace = 2200 * time.Millisecond
-
 	// maxRemovals is the number of removals that are kept for other instances.
 	maxRemovals = 256
 )
@@ -48,17 +40,6 @@
 		ExcludedUntil time.Time `json:"-"`
 	}
 
-	// Snapshot is an immutable list of the servers that may get work.
-	Snapshot struct {
-		services map[string][]Server
-		byID     map[string]Server
-		// byAddress holds draining servers too.
-		byAddress map[string]Server
-		// leaving holds by service the servers that said that they are leaving, as
-		// others may not know yet.
-		leaving map[string][]Server
-	}
-
 	// Changes are the changes after a revision, as one instance sends them to
 	// another.
 	Changes struct {
@@ -73,11 +54,6 @@
 		Revision int64    `json:"revision"`
 	}
 
-	// Period is a span of time.
-	Period struct {
-		From, To time.Time
-	}
-
 	// removal records that a server was removed at about the given revision.
 	removal struct {
 		id       string
@@ -124,53 +100,10 @@
 // Revision returns the store's revision up to which the view has all changes.
 func (v *View) Revision() int64 { return v.revision }
 
-// StoreAnswered records that the store answered some instance at the given time.
-func (v *View) StoreAnswered(now, at time.Time) {
-	v.StoreAnsweredIn(now, Period{From: at, To: at})
-}
-
-// StoreAnsweredIn records that the store answered some instance or other throughout a
-// period. If it answered none between the latest period that is known and this one for
-// the length of an outage, the grace period starts. Entries do not expire because of a
-// failure that only some instances see, so what another instance knows may show later
-// that there was no outage.
-func (v *View) StoreAnsweredIn(now time.Time, p Period) {
-	switch {
-	case v.answers.To.IsZero():
-		v.answers = p
-	case p.From.Sub(v.answers.To) > v.outageAfter:
-		v.events = append(v.events, Event{Kind: OutageEnded, Gap: p.From.Sub(v.answers.To)})
-		v.lastBefore, v.answers = v.answers.To, p
-	case v.answers.From.Sub(p.To) > v.outageAfter:
-		// The period is older than the latest one and apart from it.
-		v.lastBefore = latest(v.lastBefore, p.To)
-	default:
-		v.answers = Period{From: earliest(v.answers.From, p.From), To: latest(v.answers.To, p.To)}
-	}
-	switch {
-	case v.lastBefore.IsZero():
-	case v.answers.From.Sub(v.lastBefore) <= v.outageAfter:
-		// There was no outage after all.
-		v.lastBefore, v.graceUntil = time.Time{}, time.Time{}
-	default:
-		v.graceUntil = v.answers.From.Add(recoveryGrace)
-	}
-}
-
-// Answers returns the latest period in which the store is known to have answered,
-// or the zero Period if there is none.
-func (v *View) Answers() Period { return v.answers }
-
-// answersAreOld reports whether it is unknown if the store answers.
-func (v *View) answersAreOld(now time.Time) bool { return now.Sub(v.answers.To) > v.outageAfter }
-
-// inGrace reports whether missing entries may still reappear after an outage.
-func (v *View) inGrace(now time.Time) bool { return now.Before(v.graceUntil) }
-
 // Replace sets the whole list as of a revision and returns the IDs of the servers
 // that it removed. It ignores a list that is older than the view.
 func (v *View) Replace(now time.Time, servers []Server, revision int64) []string {
-	v.StoreAnswered(now, now)
+	v.StoreAnswered(now)
 	if revision < v.revision {
 		return nil
 	}
@@ -231,21 +164,6 @@
 	return false
 }
 
-// Expire removes the servers that are still missing when the grace period after
-// an outage has ended, and returns their IDs. It removes none during another
-// outage.
-func (v *View) Expire(now time.Time) []string {
-	if v.inGrace(now) || v.answersAreOld(now) {
-		return nil
-	}
-	var removed []string
-	for id := range v.missing {
-		v.forget(id)
-		removed = append(removed, id)
-	}
-	return removed
-}
-
 // forget removes a server and records the removal for other instances.
 func (v *View) forget(id string) {
 	v.generation++
@@ -267,109 +185,6 @@
 // MissingCount returns the number of servers whose entries may still reappear.
 func (v *View) MissingCount() int { return len(v.missing) }
 
-// Snapshot returns the servers that may get work. Of several entries with the
-// same address only the latest counts.
-func (v *View) Snapshot() *Snapshot {
-	newest := make(map[string]Server)
-	for _, s := range v.known {
-		if existing, ok := newest[s.Address]; !ok || s.Revision > existing.Revision {
-			newest[s.Address] = s
-		}
-	}
-	out := &Snapshot{services: make(map[string][]Server), byID: make(map[string]Server), byAddress: newest, leaving: make(map[string][]Server)}
-	for _, s := range newest {
-		if s.Draining {
-			continue
-		}
-		if v.notices.leaves(s.Incarnation()) {
-			out.leaving[s.Service] = append(out.leaving[s.Service], s)
-			continue
-		}
-		s.ExcludedUntil = v.notices.excludedUntil(s.Incarnation())
-		out.services[s.Service] = append(out.services[s.Service], s)
-		out.byID[s.ID] = s
-	}
-	for _, list := range out.services {
-		slices.SortFunc(list, func(a, b Server) int { return cmp.Compare(a.ID, b.ID) })
-	}
-	return out
-}
-
-// Service returns the servers of a service, ordered by ID, including those that want
-// no requests for a while. The caller must not change the slice.
-func (s *Snapshot) Service(name string) []Server { return s.services[name] }
-
-// Server returns the server with the given ID.
-func (s *Snapshot) Server(id string) (Server, bool) {
-	server, ok := s.byID[id]
-	return server, ok
-}
-
-// Callable returns the server with the given ID if it may get a request now.
-func (s *Snapshot) Callable(now time.Time, id string) (Server, bool) {
-	server, ok := s.byID[id]
-	return server, ok && !now.Before(server.ExcludedUntil)
-}
-
-// ServerAt returns the server at an address, which may be draining.
-func (s *Snapshot) ServerAt(address string) (Server, bool) {
-	server, ok := s.byAddress[address]
-	return server, ok
-}
-
-// Unwilling returns the IDs of the servers of a service that said that they are leaving
-// or want no requests from this instance now, which other instances may not know.
-func (s *Snapshot) Unwilling(now time.Time, service string) []string {
-	var out []string
-	for _, server := range s.leaving[service] {
-		out = append(out, server.ID)
-	}
-	for _, server := range s.services[service] {
-		if now.Before(server.ExcludedUntil) {
-			out = append(out, server.ID)
-		}
-	}
-	return out
-}
-
-// Leaving returns the servers that said that they are leaving, in no particular order.
-func (s *Snapshot) Leaving() iter.Seq[Server] {
-	return func(yield func(Server) bool) {
-		for _, list := range s.leaving {
-			for _, server := range list {
-				if !yield(server) {
-					return
-				}
-			}
-		}
-	}
-}
-
-// EarliestReturn returns when the first server of a service wants requests again, if
-// all of them want none now. Otherwise it returns the zero time.
-func (s *Snapshot) EarliestReturn(now time.Time, service string) time.Time {
-	var first time.Time
-	for _, server := range s.services[service] {
-		if !now.Before(server.ExcludedUntil) {
-			return time.Time{}
-		}
-		if first.IsZero() || server.ExcludedUntil.Before(first) {
-			first = server.ExcludedUntil
-		}
-	}
-	return first
-}
-
-// Zone returns the zone of the server at an address, or "" if there is none.
-// Unlike the other methods it covers draining servers too.
-func (s *Snapshot) Zone(address string) string { return s.byAddress[address].Zone }
-
-// All returns the servers by ID, in no particular order.
-func (s *Snapshot) All() iter.Seq2[string, Server] { return maps.All(s.byID) }
-
-// Len returns the number of servers.
-func (s *Snapshot) Len() int { return len(s.byID) }
-
 // ChangesSince returns the changes after a revision, for another instance. It
 // returns the whole list if revision is 0 or the removals since then are no
 // longer all known.
@@ -450,17 +265,3 @@
 	}
 	return out
 }
-
-func latest(a, b time.Time) time.Time {
-	if b.After(a) {
-		return b
-	}
-	return a
-}
-
-func earliest(a, b time.Time) time.Time {
-	if b.Before(a) {
-		return b
-	}
-	return a
-}
--- a/core/fleet/fleet_test.go
+++ b/core/fleet/fleet_test.go
@@ -52,7 +52,7 @@
 	if removed := v.Expire(recovered.Add(2 * time.Second)); len(removed) != 0 {
 		t.Errorf("removed within two seconds of the recovery: %v", removed)
 	}
-	v.StoreAnswered(recovered.Add(2400*time.Millisecond), recovered.Add(2400*time.Millisecond))
+	v.StoreAnswered(recovered.Add(2400 * time.Millisecond))
 	if removed := v.Expire(recovered.Add(2500 * time.Millisecond)); !slices.Equal(removed, []string{"2"}) {
 		t.Errorf("removed: %v, want the server that did not reappear", removed)
 	}
@@ -137,7 +137,7 @@
 	if got := ids(follower); len(got) != 2 {
 		t.Errorf("the follower has %v, want both during the grace period", got)
 	}
-	follower.StoreAnswered(recovered.Add(3*time.Second), recovered.Add(3*time.Second))
+	follower.StoreAnswered(recovered.Add(3 * time.Second))
 	if removed := follower.Expire(recovered.Add(3 * time.Second)); !slices.Equal(removed, []string{"2"}) {
 		t.Errorf("removed: %v, want server 2", removed)
 	}
@@ -152,7 +152,7 @@
 	for range 10 {
 		now = now.Add(time.Second)
 		// Another instance reports when the store answered it.
-		v.StoreAnswered(now, now.Add(-500*time.Millisecond))
+		v.StoreAnswered(now.Add(-500 * time.Millisecond))
 	}
 	if !v.Remove(now, "1") {
 		t.Error("the removal was delayed")
@@ -170,11 +170,11 @@
 		now := start
 		for range 10 {
 			now = now.Add(time.Second)
-			watcher.StoreAnswered(now, now)
+			watcher.StoreAnswered(now)
 		}
 		watcher.Advance(3)
 		watcher.Remove(now, "1")
-		follower.StoreAnswered(now, now)
+		follower.StoreAnswered(now)
 		c := watcher.ChangesSince(2)
 		if whole {
 			c = watcher.ChangesSince(0)
@@ -195,7 +195,7 @@
 		t.Errorf("removed %v while the store is unreachable", removed)
 	}
 	recoveredAgain := recovered.Add(6 * time.Second)
-	v.StoreAnswered(recoveredAgain, recoveredAgain)
+	v.StoreAnswered(recoveredAgain)
 	if removed := v.Expire(recoveredAgain.Add(time.Second)); len(removed) != 0 {
 		t.Errorf("removed %v within two seconds of the second recovery", removed)
 	}
@@ -208,17 +208,17 @@
 	v := fleet.New(outageAfter)
 	v.Replace(start, []fleet.Server{server("1", 1), server("2", 2)}, 2)
 	now := start.Add(outageAfter + time.Second)
-	v.StoreAnsweredIn(now, fleet.Period{From: start.Add(-time.Minute), To: now})
+	v.StoreAnsweredIn(fleet.Period{From: start.Add(-time.Minute), To: now})
 	if !v.Remove(now, "1") {
 		t.Error("the removal was delayed")
 	}
 	// The instance reads the store before it hears what the others know.
 	now = now.Add(outageAfter + time.Second)
-	v.StoreAnswered(now, now)
+	v.StoreAnswered(now)
 	if v.Remove(now, "2") {
 		t.Fatal("the entry may be missing because of an outage, as far as the instance knows")
 	}
-	v.StoreAnsweredIn(now, fleet.Period{From: start.Add(-time.Minute), To: now.Add(-time.Second)})
+	v.StoreAnsweredIn(fleet.Period{From: start.Add(-time.Minute), To: now.Add(-time.Second)})
 	if removed := v.Expire(now); !slices.Equal(removed, []string{"2"}) {
 		t.Errorf("removed %v after another instance had ruled out an outage, want server 2", removed)
 	}
@@ -247,7 +247,7 @@
 		v := fleet.New(outageAfter)
 		v.Replace(start, []fleet.Server{server("1", 1)}, 1)
 		for _, p := range rapid.Permutation(periods).Draw(t, "order") {
-			v.StoreAnsweredIn(at, p)
+			v.StoreAnsweredIn(p)
 		}
 		inGrace := outage >= 0 && at.Before(afterOutage.Add(2200*time.Millisecond))
 		if removed := v.Remove(at, "1"); removed == inGrace {
--- a/core/fleet/notice_test.go
+++ b/core/fleet/notice_test.go
@@ -151,7 +151,7 @@
 				peer.Replace(now, list, revision)
 				v.Apply(now, peer.ChangesSince(rapid.SampledFrom([]int64{0, v.Revision()}).Draw(t, "since")))
 			case "expire":
-				v.StoreAnswered(now, now)
+				v.StoreAnswered(now)
 				v.Expire(now)
 				v.ExpireNotices(now)
 			}
--- a/edge/state.go
+++ b/edge/state.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"math"
 	mathrand "math/rand/v2"
 	"sync"
 	"sync/atomic"
@@ -26,11 +25,6 @@
 	// one without engines, at this instance.
 	plainQueue = 512
 
-	// freshFraction is how long the configuration counts as fresh after the store
-	// confirmed it, as a fraction of the propagation time. It is below 1, so that
-	// no request is denied because of a version that is no longer in force.
-	freshFraction = 0.9
-
 	// staleFraction is the age of the store's last confirmation from which an
 	// instance of the directory watches the store itself, as a fraction of the
 	// propagation time. It leaves enough of that time to read the store.
@@ -128,13 +122,6 @@
 func (c *clusterState) table() *route.Table      { return c.currentTable.Load() }
 func (c *clusterState) servers() *fleet.Snapshot { return c.snapshot.Load() }
 
-// configFresh reports whether the store confirmed the configuration recently.
-func (c *clusterState) configFresh() bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return !c.configConfirmedAt.IsZero() && time.Since(c.configConfirmedAt) < c.propagationTime(freshFraction)
-}
-
 // propagationTime returns a fraction of the propagation time, within which changes
 // must be in force: the shorter of the bounds for a new configuration and for a
 // leaving server.
@@ -143,71 +130,6 @@
 	return time.Duration(fraction * float64(min(bounds.ConfigPropagation, bounds.Drain)))
 }
 
-// watchTime returns how long the store may hold a watch: well below the propagation
-// time, so that a store that does not answer is noticed within it, and below the time
-// without an answer that counts as an outage.
-func (c *clusterState) watchTime() time.Duration {
-	outageAfter := outageHeartbeats * c.instance.cfg.Load().Bounds().HeartbeatInterval
-	return min(c.propagationTime(watchFraction), time.Duration(watchOutageFraction*float64(outageAfter)))
-}
-
-// recordConfirmations records that the store confirmed the configuration and the
-// servers at the given times, of which either may be zero. from is the source, for
-// the log.
-func (c *clusterState) recordConfirmations(from string, configAt, serversAt time.Time) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	now, old := time.Now(), c.confirmedAt()
-	for _, at := range []time.Time{configAt, serversAt} {
-		if !at.IsZero() {
-			c.view.StoreAnswered(now, at)
-		}
-	}
-	c.logServerEvents(from)
-	c.configConfirmedAt = latest(c.configConfirmedAt, configAt)
-	c.serversConfirmedAt = latest(c.serversConfirmedAt, serversAt)
-	if c.confirmedAt().After(old) {
-		c.notifyWaiters()
-	}
-}
-
-// recordAnswers records the period in which the store answered some instance, as
-// another one knows it.
-func (c *clusterState) recordAnswers(from string, now time.Time, answers fleet.Period) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.view.StoreAnsweredIn(now, answers)
-	c.logServerEvents(from)
-}
-
-// confirmedAt returns when the store last confirmed both the configuration and the
-// servers, or the zero time if it never did. The caller holds mu.
-func (c *clusterState) confirmedAt() time.Time {
-	if c.serversConfirmedAt.Before(c.configConfirmedAt) {
-		return c.serversConfirmedAt
-	}
-	return c.configConfirmedAt
-}
-
-func latest(a, b time.Time) time.Time {
-	if b.After(a) {
-		return b
-	}
-	return a
-}
-
-// confirmationAge returns the time since the store last confirmed both the
-// configuration and the servers, or math.MaxInt64 if it never did.
-func (c *clusterState) confirmationAge() time.Duration {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	at := c.confirmedAt()
-	if at.IsZero() {
-		return math.MaxInt64
-	}
-	return time.Since(at)
-}
-
 // offerCompressedConfig decompresses a configuration from a peer and passes it to
 // offerConfig.
 func (c *clusterState) offerCompressedConfig(compressed []byte, from string) {
@@ -322,15 +244,6 @@
 	}
 }
 
-// storeAnswered records that the store answered this instance now.
-func (c *clusterState) storeAnswered() {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	now := time.Now()
-	c.view.StoreAnswered(now, now)
-	c.logServerEvents(sourceStore)
-}
-
 // logServerEvents logs what has changed in the view of the servers, with its source
 // and the age of the store's last confirmation. The caller holds mu.
 func (c *clusterState) logServerEvents(from string) {
@@ -516,7 +429,7 @@
 	now := time.Now()
 	if reply.AnswersFromAge > 0 {
 		// Before the confirmation, which by itself may look like the end of an outage.
-		c.recordAnswers(from, now, fleet.Period{From: now.Add(-reply.AnswersFromAge), To: now.Add(-reply.AnswersToAge)})
+		c.recordAnswers(from, fleet.Period{From: now.Add(-reply.AnswersFromAge), To: now.Add(-reply.AnswersToAge)})
 	}
 	if reply.Confirmed {
 		c.recordConfirmations(from, now.Add(-reply.Age), now.Add(-reply.Age))
--- a/edge/storewatch.go
+++ b/edge/storewatch.go
@@ -210,7 +210,7 @@
 		return 0, err
 	}
 	in.state.updateServers(sourceStore, func(v *fleet.View, now time.Time) {
-		v.StoreAnswered(now, now)
+		v.StoreAnswered(now)
 		v.Advance(revision)
 		for _, c := range changes {
 			in.applyServerChange(v, now, c)
--- a/node/watch.go
+++ b/node/watch.go
@@ -113,7 +113,7 @@
 		if changes, next, err = in.platformStore.WatchServers(ctx, revision, listWatchTimeout); err != nil {
 			return err
 		}
-		view.StoreAnswered(time.Now(), time.Now())
+		view.StoreAnswered(time.Now())
 		view.Advance(next)
 		for _, c := range changes {
 			if servers := in.decodeServers([]object.Object{c.Object}); !c.Removed && len(servers) == 1 {
