stage: no data race between a refusal and a changed declaration

Callers saw nothing of it: both declarations have the name that is read. The name is now the stage's own.

--- a/core/stage/stage.go
+++ b/core/stage/stage.go
@@ -38,8 +38,8 @@
 	// concurrent use.
 	Stage struct {
 		clock Clock
-		// instance is the name of this instance.
-		instance string
+		// name is that of the stage, and instance that of this instance.
+		name, instance string
 
 		mu          sync.Mutex
 		decl        *declare.Stage
@@ -69,6 +69,7 @@
 	endpoints := subset(decl, instance)
 	return &Stage{
 		clock:       clock,
+		name:        decl.Name(),
 		instance:    instance,
 		decl:        decl,
 		queue:       admit.New(decl.MaxQueue()),
@@ -116,7 +117,7 @@
 	cost = s.estimator.Cost(stated)
 	capacity := s.group.Capacity(now)
 	if capacity == 0 && !s.group.Usable(now) {
-		return 0, 0, cost, fault.Errorf(fault.EndpointUnavailable, "no endpoint of the stage is available; the next probe is due in %v", s.group.NextProbe(now).Sub(now)).WithStage(s.decl.Name())
+		return 0, 0, cost, fault.Errorf(fault.EndpointUnavailable, "no endpoint of the stage is available; the next probe is due in %v", s.group.NextProbe(now).Sub(now)).WithStage(s.name)
 	}
 	if capacity > 0 {
 		wait = s.queue.ExpectedWait(org.Name(), org.Share(), s.rate(capacity, cost))
@@ -187,12 +188,12 @@
 		wt.Need = math.MinInt64 / 2
 	}
 	if err := s.enqueue(wt); err != nil {
-		return Grant{}, fault.From(err).WithStage(s.decl.Name())
+		return Grant{}, fault.From(err).WithStage(s.name)
 	}
 	select {
 	case err := <-wt.done:
 		if err != nil {
-			return Grant{}, fault.From(err).WithStage(s.decl.Name())
+			return Grant{}, fault.From(err).WithStage(s.name)
 		}
 		return wt.grant, nil
 	case <-ctx.Done():
@@ -217,13 +218,13 @@
 	s.mu.Lock()
 	if s.queue.Remove(&wt.Item) {
 		s.mu.Unlock()
-		return fault.From(ctx.Err()).WithRan(fault.RanNo).WithStage(s.decl.Name())
+		return fault.From(ctx.Err()).WithRan(fault.RanNo).WithStage(s.name)
 	}
 	s.mu.Unlock()
 	if err := <-wt.done; err == nil {
 		s.Release(wt.grant, balance.Abandoned)
 	}
-	return fault.From(ctx.Err()).WithRan(fault.RanNo).WithStage(s.decl.Name())
+	return fault.From(ctx.Err()).WithRan(fault.RanNo).WithStage(s.name)
 }
 
 // grant chooses an endpoint and begins a call there. If none suits the query, it
@@ -377,7 +378,7 @@
 	defer s.mu.Unlock()
 	calls, retries, denied := s.retryBudget.Counts()
 	return Status{
-		Name:          s.decl.Name(),
+		Name:          s.name,
 		Waiting:       s.queue.Len(),
 		Organisations: s.queue.Organisations(),
 		MedianMs:      milliseconds(s.estimator.Median()),
--- a/core/stage/stage_test.go
+++ b/core/stage/stage_test.go
@@ -23,7 +23,7 @@
 `
 
 // newStage returns a stage with one endpoint with one slot, and a request for it.
-// It must be called in a synctest bubble.
+// In tests that depend on time it must be called in a synctest bubble.
 func newStage(t *testing.T) (*stage.Stage, stage.CallRequest) {
 	t.Helper()
 	text := declarations + "[organisation roofs]\nkeyHashes = " + declare.HashKey("k") + "\n"
@@ -180,3 +180,31 @@
 		}
 	})
 }
+
+// Guards against a data race between a request that ends its wait with an error and a
+// changed declaration, which a server's answer may now cause at any time. It fails with
+// the race detector.
+func TestRefusalDuringAChangeOfTheDeclaration(t *testing.T) {
+	set, _ := declare.Build([]declare.Fragment{{Name: "t.ini", Data: []byte(declarations)}})
+	decl, _ := set.Stage("s")
+	s, req := newStage(t)
+	if _, err := s.Acquire(t.Context(), req); err != nil {
+		t.Fatal(err)
+	}
+	const rounds = 200
+	changed := make(chan struct{})
+	go func() {
+		defer close(changed)
+		for range rounds {
+			s.SetDeclaration(decl)
+		}
+	}()
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	for range rounds {
+		if _, err := s.Acquire(ctx, req); fault.From(err).Stage() != "s" {
+			t.Errorf("a request ends with %v of stage %q, want one of s", err, fault.From(err).Stage())
+		}
+	}
+	<-changed
+}
