demo: a crashed endpoint's address is not given to another server

Traced: the request was answered by a 404 of whoever listened on the crashed endpoint's port since. Stand-ins listened on 127.0.0.1 with a port of the system's choice, which another process that runs at the same time got after the crash. Such an answer may mean that the call ran, the one retry was used up by the endpoint that refuses, and so the request failed; the suspicion about retry budgets was wrong.

TestEndpointsHaveAddressesOfTheirOwn failed before.

--- a/demo/check_test.go
+++ b/demo/check_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"flag"
+	"net"
 	"slices"
 	"strings"
 	"testing"
@@ -114,3 +115,25 @@
 	_, afterCrash := waitForHolder(second)
 	t.Logf("first lease acquired after %v, taken over %v after a stop and %v after a crash", afterStart, afterStop, afterCrash)
 }
+
+// Guards against another server that listens where a crashed endpoint did: its answers
+// were taken for those of the endpoint, and requests failed in one of thirty runs of the
+// scenario slow_and_leaving while twelve ran at a time.
+func TestEndpointsHaveAddressesOfTheirOwn(t *testing.T) {
+	d, err := New(t.Context(), examples.Files, "kgotso", 0, zap.NewNop())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = d.Stop(context.Background()) })
+	endpoints := make(map[string]string)
+	for name, address := range d.addresses {
+		ip, _, err := net.SplitHostPort(address)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if other, ok := endpoints[ip]; ok || ip == "127.0.0.1" {
+			t.Errorf("endpoint %s has IP address %s, as %q", name, ip, other)
+		}
+		endpoints[ip] = name
+	}
+}
--- a/demo/deployment.go
+++ b/demo/deployment.go
@@ -50,9 +50,9 @@
 	peerSecret = "the demo's secret is no secret"
 )
 
-// instanceCount is the number of entry instances that this process has created. It
-// gives each of them an IP address of its own.
-var instanceCount atomic.Int64
+// addressCount is the number of entry instances and endpoints that this process has
+// created. It gives each of them an IP address of its own.
+var addressCount atomic.Int64
 
 type (
 	// Deployment is one operator's declarations, with the entry instances and
@@ -198,7 +198,9 @@
 		stage := standin.NewStage(standin.StageConfig{Name: e.Name(), Slots: e.Slots(), UnitTime: stageLatency, ReportLag: reportLag})
 		h, s.counts, s.setFaults = stage.Handler(), stage.Counts, stage.SetFaults
 	}
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	// At an address of its own, its port is not given to another server after it has
+	// crashed.
+	l, err := net.Listen("tcp", net.JoinHostPort(loopbackIP(), "0"))
 	if err != nil {
 		return "", fmt.Errorf("starting endpoint %q: %w", e.Name(), err)
 	}
@@ -227,7 +229,7 @@
 // newInstance creates one more entry instance and adds it to d.instances, without
 // starting it. Its failure domain is that of one of the first three endpoints, in turn.
 func (d *Deployment) newInstance() (*instance, error) {
-	ip := instanceIP()
+	ip := loopbackIP()
 	peerAddress := net.JoinHostPort(ip, peerPort)
 	endpoint, _ := d.set.Endpoint(d.set.EndpointNames()[len(d.instances)%3])
 	var seeds []string
@@ -264,11 +266,11 @@
 	return in, nil
 }
 
-// instanceIP returns a loopback address that no other instance of this process uses,
-// so that all instances can listen on the same fixed ports. It depends on the process
-// ID, so that demos that run at the same time on one host rarely collide.
-func instanceIP() string {
-	n := instanceCount.Add(1)
+// loopbackIP returns a loopback address that no other instance or endpoint of this
+// process uses, so that all instances can listen on the same fixed ports. It depends on
+// the process ID, so that demos that run at the same time on one host rarely collide.
+func loopbackIP() string {
+	n := addressCount.Add(1)
 	return fmt.Sprintf("127.%d.%d.%d", 16+os.Getpid()%200, n/250%250, 1+n%250)
 }
 
