--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -1,9 +1,11 @@
 // Package fleet owns one instance's view of the platform's servers: which exist,
 // where they are, and which are draining.
 //
-// A View is fed with the store's list of servers and its changes, and with the
-// changes that other instances have received. It must not call servers or read a
-// clock, and it is not safe for concurrent use; the Snapshot it returns is.
+// A View is fed with the store's list of servers and its changes, with the changes
+// that other instances have received, and with what servers say of themselves in
+// their answers to this instance. It must not call servers or read a clock, and it is
+// not safe for concurrent use; the Snapshot it returns is. Sources chooses the
+// instance from which the changes come.
 package fleet
 
 import (
