balance: slowness ejects no endpoint while too few of the others want calls

Traced with logs: one of two servers wanted nothing, the other had just been ejected because it was slow, and requests were refused at once with 'no endpoint of the stage is available; the next probe is due in 50 ms'.

Cause: slowness may eject half of a stage, but endpoints that want no calls did not count. Now they do, and endpoints that were ejected for slowness alone are readmitted when others stop wanting calls. TestSlownessDoesNotEjectTheLastWillingEndpoint failed in both orders before. While no server asks for rest, nothing changes.

--- a/core/balance/balance.go
+++ b/core/balance/balance.go
@@ -31,8 +31,9 @@
 	minEjection = 100 * time.Millisecond
 	maxEjection = 2 * time.Second
 
-	// maxSlowEjectedFraction is the fraction of a stage's endpoints, including
-	// those ejected for failures, up to which slowness may eject endpoints.
+	// maxSlowEjectedFraction is the fraction of a stage's endpoints, including those
+	// ejected for failures and those that want no calls, up to which slowness may
+	// eject endpoints.
 	maxSlowEjectedFraction = 0.5
 
 	// slownessWeight is the weight of the newest call in the moving average of an
@@ -282,10 +283,28 @@
 
 // SetExcluded sets until when each of the named endpoints wants no calls from this
 // instance, and that all others want some. Those that return begin with a slow start.
-func (g *Group) SetExcluded(until map[string]time.Time) {
+// As fewer are left, some that were ejected for slowness may be readmitted.
+func (g *Group) SetExcluded(now time.Time, until map[string]time.Time) {
 	for _, m := range g.members {
 		m.exclude(until[m.decl.Name()])
 	}
+	for _, m := range g.members {
+		if m.ejectedSlow && m.willing(now) && float64(g.unavailable(now)) > maxSlowEjectedFraction*float64(len(g.members)) {
+			m.consecutiveEjections, m.ejectedSlow, m.ejectedUntil = 0, false, time.Time{}
+			g.ejected--
+		}
+	}
+}
+
+// unavailable returns the number of members that are ejected or want no calls.
+func (g *Group) unavailable(now time.Time) int {
+	n := 0
+	for _, m := range g.members {
+		if m.consecutiveEjections > 0 || !m.willing(now) {
+			n++
+		}
+	}
+	return n
 }
 
 // Capacity returns how many calls the group may have in flight at once, not
@@ -383,6 +402,7 @@
 		g.ejected++
 	}
 	m.consecutiveEjections++
+	m.ejectedSlow = false
 	m.ejectedUntil = now.Add(d)
 }
 
@@ -398,8 +418,9 @@
 	if m.samples < minSlowSamples || m.slowness < slowEjectRatio {
 		return
 	}
-	if float64(g.ejected+1) <= maxSlowEjectedFraction*float64(len(g.members)) {
+	if float64(g.unavailable(now)+1) <= maxSlowEjectedFraction*float64(len(g.members)) {
 		g.eject(now, m)
+		m.ejectedSlow = true
 	}
 }
 
--- a/core/balance/balance_test.go
+++ b/core/balance/balance_test.go
@@ -266,7 +266,7 @@
 		completeCall(g, start, 0, callTime, balance.Failed)
 	}
 	until := start.Add(3 * time.Second)
-	g.SetExcluded(map[string]time.Time{"e000": until, "e001": until.Add(time.Second)})
+	g.SetExcluded(start, map[string]time.Time{"e000": until, "e001": until.Add(time.Second)})
 	for at := start; at.Before(until); at = at.Add(100 * time.Millisecond) {
 		if i, reason := g.Pick(at, anyQuery()); i >= 0 {
 			t.Fatalf("endpoint %d is picked as %v %v before it wants calls", i, reason, until.Sub(at))
@@ -285,3 +285,29 @@
 		t.Errorf("endpoints %d and %d are picked at once, want 1 and then none", i, again)
 	}
 }
+
+// Guards against requests that are refused although a server would take them: one of two
+// wants no calls, and the other was ejected because it is slow, before or after that.
+func TestSlownessDoesNotEjectTheLastWillingEndpoint(t *testing.T) {
+	slow := func(g *balance.Group) {
+		for range 6 {
+			completeCall(g, start, 1, 10*callTime, balance.Succeeded)
+		}
+	}
+	exclude := func(g *balance.Group) { g.SetExcluded(start, map[string]time.Time{"e000": start.Add(time.Minute)}) }
+	for name, steps := range map[string][]func(*balance.Group){"before": {slow, exclude}, "after": {exclude, slow}} {
+		g := newGroup(t, 2, 8)
+		for _, step := range steps {
+			step(g)
+		}
+		at := start.Add(10 * callTime)
+		if i, reason := g.Pick(at, balance.Query{NoProbe: true}); i != 1 || !g.Usable(at) {
+			t.Errorf("slow %s the other wants no calls: endpoint %d is picked as %v, want the slow one", name, i, reason)
+		}
+	}
+	g := newGroup(t, 2, 8)
+	slow(g)
+	if got := g.Status(start); !got[1].Ejected {
+		t.Error("a slow endpoint is not ejected while the other wants calls")
+	}
+}
--- a/core/balance/member.go
+++ b/core/balance/member.go
@@ -38,6 +38,8 @@
 	reportedAt           time.Time
 	ejectedUntil         time.Time
 	consecutiveEjections int
+	// ejectedSlow is set while the member is ejected for slowness alone.
+	ejectedSlow bool
 	// fullUntil is the end of the pause after consecutiveFull answers that the
 	// endpoint is full.
 	fullUntil       time.Time
--- a/core/stage/stage.go
+++ b/core/stage/stage.go
@@ -405,8 +405,8 @@
 func (s *Stage) SetExcluded(until map[string]time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.group.SetExcluded(until)
 	now := s.clock.Now()
+	s.group.SetExcluded(now, until)
 	if s.group.Capacity(now) == 0 && !s.group.Usable(now) {
 		s.queue.RefuseUnserved(s.group.NextProbe(now))
 	}
--- a/scenario/site_test.go
+++ b/scenario/site_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -22,9 +23,14 @@
 
 const (
 	siteService = "desk"
-	siteKey     = "key-of-sandton"
+
+	sitePeerPort = "8081"
+	siteKey      = "key-of-sandton"
 )
 
+// siteCount is the number of instances that this process has started.
+var siteCount atomic.Int64
+
 // site is a deployment of routes on the platform's stand-in: instances before servers of
 // one plain service.
 type site struct {
@@ -75,21 +81,21 @@
 	s.site.store.PutConfig(1, map[string][]string{"sandton": {siteKey}}, []stand.Service{{Name: siteService}}, []stand.Route{
 		{Name: "look", Service: siteService, Kind: stand.Idempotent, Timeout: 3 * time.Second, TargetLatency: 300 * time.Millisecond},
 	})
-	seeds := freeAddress(ts)
+	seeds := ""
 	for i := range parseInt(ts, args[0]) {
-		peerAddress := seeds
-		if i > 0 {
-			peerAddress = freeAddress(ts)
+		ip := siteIP()
+		if i == 0 {
+			seeds = net.JoinHostPort(ip, sitePeerPort)
 		}
-		s.site.startInstance(ts, fmt.Sprint("edge-", i), peerAddress, seeds)
+		s.site.startInstance(ts, fmt.Sprint("edge-", i), ip, seeds)
 	}
 	ts.Setenv("OPERATOR", s.site.instances[0].operatorAddress)
 }
 
-func (s *site) startInstance(ts *testscript.TestScript, name, peerAddress, seeds string) {
-	in := siteInstance{kernel: kernel.New(), callerAddress: freeAddress(ts), operatorAddress: freeAddress(ts)}
+func (s *site) startInstance(ts *testscript.TestScript, name, ip, seeds string) {
+	in := siteInstance{kernel: kernel.New(), callerAddress: net.JoinHostPort(ip, "8080"), operatorAddress: net.JoinHostPort(ip, "8082")}
 	text := fmt.Sprintf("[site]\nname = %s\nfailureDomain = a\ncallerAddress = %s\npeerAddress = %s\noperatorAddress = %s\nseeds = %s\n[store]\naddress = %s\n",
-		name, in.callerAddress, peerAddress, in.operatorAddress, seeds, s.store.Address())
+		name, in.callerAddress, net.JoinHostPort(ip, sitePeerPort), in.operatorAddress, seeds, s.store.Address())
 	cfg, err := settings.ParseSite("site.ini", []byte(text))
 	ts.Check(err)
 	_, err = edge.New(in.kernel, cfg, zap.NewNop(), func() int64 { return 0 })
@@ -117,11 +123,12 @@
 	s.store.Close()
 }
 
-func freeAddress(ts *testscript.TestScript) string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	ts.Check(err)
-	defer func() { _ = l.Close() }()
-	return l.Addr().String()
+// siteIP returns a loopback address that no other instance of this process uses, and,
+// as it depends on the process ID, hardly one of another process. The addresses of
+// package demo have other second numbers.
+func siteIP() string {
+	pid := os.Getpid()
+	return fmt.Sprintf("127.%d.%d.%d", 216+pid%38, pid/38%250, 1+siteCount.Add(1)%250)
 }
 
 // until waits for a condition and fails the script if it does not hold within
