--- a/core/fleet/source.go
+++ b/core/fleet/source.go
@@ -3,9 +3,8 @@
 import "time"
 
 const (
-	// searchWidth is the number of sources that are asked at the same time after one
-	// has turned out to be stale, so that a few others that are stale too do not
-	// delay the search.
+	// searchWidth is the number of sources that a round of a search asks at the same
+	// time. One answer with a recent confirmation ends the search.
 	searchWidth = 3
 
 	// minSearchBackoff is the pause after the first round of a search that found no
