relay, front, edge: log and count connections that close without a complete response

Each such close now has its cause (caller, deadline, silence, server, noServer, other), the age of the configuration in force and whether a planned stop is under way, in one line and in the counter chervilpath_site_aborts_total. A request that may be retried and is not says why: attempts, time or budget.

--- /dev/null
+++ b/core/relay/abort.go
@@ -0,0 +1,46 @@
+package relay
+
+import (
+	"context"
+	"errors"
+
+	"chervilpath/core/fault"
+)
+
+// AbortCause is why the connection of a caller is closed without a complete response.
+type AbortCause string
+
+// All causes.
+const (
+	// CallerLeft means that the caller disconnected first.
+	CallerLeft AbortCause = "caller"
+	// DeadlinePassed means that the request's time was over.
+	DeadlinePassed AbortCause = "deadline"
+	// ServerSilent means that the server sent nothing for too long.
+	ServerSilent AbortCause = "silence"
+	// ServerFailed means that the server broke off, or answered with an error after a
+	// part of a response had been relayed.
+	ServerFailed AbortCause = "server"
+	// NoServer means that no server was free to go on.
+	NoServer AbortCause = "noServer"
+	// OtherCause is any other one.
+	OtherCause AbortCause = "other"
+)
+
+// CauseOfAbort returns why a request that ended with an error got no complete response.
+func CauseOfAbort(err error) AbortCause {
+	kind := fault.From(err).Kind()
+	switch {
+	case errors.Is(err, errStalled):
+		return ServerSilent
+	case kind == fault.Cancelled || errors.Is(err, context.Canceled):
+		return CallerLeft
+	case kind == fault.DeadlineExceeded || errors.Is(err, context.DeadlineExceeded):
+		return DeadlinePassed
+	case kind == fault.EndpointUnavailable || kind == fault.Overloaded || errors.Is(err, errNoEngine):
+		return NoServer
+	case kind == fault.AnswerIncomplete || kind == fault.EndpointFailed:
+		return ServerFailed
+	}
+	return OtherCause
+}
--- a/core/relay/engine.go
+++ b/core/relay/engine.go
@@ -40,7 +40,7 @@
 			return e.contextError(ctx)
 		}
 		if !placed {
-			return e.refusal(fault.Errorf(fault.EndpointUnavailable, "no engine of service %q is free", e.service))
+			return e.refusal(fault.Errorf(fault.EndpointUnavailable, "service %q: %w", e.service, errNoEngine))
 		}
 		if err := e.prepare(ctx, server.Zone); err != nil {
 			e.settle(server, balance.Abandoned)
--- a/core/relay/relay.go
+++ b/core/relay/relay.go
@@ -120,6 +120,7 @@
 
 var (
 	errStalled      = errors.New("no event within the stall timeout")
+	errNoEngine     = errors.New("no engine is free")
 	errShuttingDown = errors.New("the instance shuts down before the request's stages are complete")
 )
 
@@ -311,7 +312,21 @@
 // mayRetry reports whether the request may be sent again after a send that may
 // have run, and takes the retry from the budget.
 func (e *execution) mayRetry() bool {
-	return e.route.MayRunAgain() && e.sends < e.route.MaxAttempts && e.remaining() > minRemaining && e.relay.deps.AllowRetry(e.service)
+	reason := ""
+	switch {
+	case !e.route.MayRunAgain():
+		return false
+	case e.sends >= e.route.MaxAttempts:
+		reason = "all attempts of the route are used"
+	case e.remaining() <= minRemaining:
+		reason = "too little time remains"
+	case !e.relay.deps.AllowRetry(e.service):
+		reason = "the retry budget is used up"
+	default:
+		return true
+	}
+	e.log("noRetry", reason, "")
+	return false
 }
 
 // mayResend reports whether the request may be sent again after an attempt that
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -117,7 +117,7 @@
 	in.relay = relay.New(in.relayDeps())
 	in.callerServer = front.New(front.Deps{
 		Now: time.Now, ParseRequest: platform.ReadRequest, Serve: in.relay.Serve, MaxBodyBytes: in.maxBody,
-		SetRetryAfter: platform.SetRetryAfter, RequestFailed: in.recordFault, RequestDone: in.metrics.recordRequest,
+		SetRetryAfter: platform.SetRetryAfter, RequestFailed: in.recordFault, RequestAborted: in.recordAbort, RequestDone: in.metrics.recordRequest,
 	})
 	return in, in.addServices(k)
 }
@@ -162,6 +162,16 @@
 		zap.Int("status", status), zap.String("ran", err.Ran().String()), zap.String("cause", err.Error()))
 }
 
+// recordAbort records a connection that is closed without a complete response. The time
+// since the configuration came into force and whether the instance is shutting down are
+// logged, so that ends beside planned work can be told from others.
+func (in *Instance) recordAbort(id string, err error) {
+	cause := relay.CauseOfAbort(err)
+	in.metrics.recordAbort(string(cause))
+	in.log.Warn("connection closed without a complete response", zap.String("requestId", id), zap.String("kind", fault.From(err).Kind().String()),
+		zap.String("abortCause", string(cause)), zap.Error(err), zap.Int64("configAgeMs", in.state.configAge(time.Now()).Milliseconds()), zap.Bool("draining", in.draining.Load()))
+}
+
 func (in *Instance) logDecision(d relay.Decision) {
 	fields := []zap.Field{zap.String("requestId", d.RequestID), zap.String("step", d.Step), zap.Int64("version", d.Version),
 		zap.String("route", d.Route), zap.String("service", d.Service), zap.String("organisation", d.Organisation),
--- a/edge/metrics.go
+++ b/edge/metrics.go
@@ -17,6 +17,7 @@
 	refusedNotices  prometheus.Counter
 	requests        *prometheus.CounterVec
 	faults          *prometheus.CounterVec
+	aborts          *prometheus.CounterVec
 	requestDuration prometheus.Histogram
 	batches         *prometheus.CounterVec
 	batchPieces     prometheus.Histogram
@@ -38,6 +39,7 @@
 		refusedNotices:  prometheus.NewCounter(prometheus.CounterOpts{Name: "chervilpath_server_retry_after_refused_total", Help: "Retry-After headers of servers that could not be used."}),
 		requests:        prometheus.NewCounterVec(prometheus.CounterOpts{Name: "chervilpath_site_requests_total", Help: "Requests by result."}, []string{"result"}),
 		faults:          prometheus.NewCounterVec(prometheus.CounterOpts{Name: "chervilpath_site_faults_total", Help: "Requests answered with a fault, by kind."}, []string{"kind"}),
+		aborts:          prometheus.NewCounterVec(prometheus.CounterOpts{Name: "chervilpath_site_aborts_total", Help: "Connections of callers closed without a complete response, by cause: caller, deadline, silence, server, noServer or other."}, []string{"cause"}),
 		requestDuration: prometheus.NewHistogram(prometheus.HistogramOpts{Name: "chervilpath_site_request_seconds", Help: "Time from a request to its end.", Buckets: durationBuckets}),
 		batches:         prometheus.NewCounterVec(prometheus.CounterOpts{Name: "chervilpath_batches_total", Help: "Calls of stage servers by result."}, []string{"result"}),
 		batchPieces:     prometheus.NewHistogram(prometheus.HistogramOpts{Name: "chervilpath_batch_pieces", Help: "Pieces in a call of a stage server.", Buckets: prometheus.ExponentialBuckets(1, 2, 8)}),
@@ -47,7 +49,7 @@
 		prometheus.CounterOpts{Name: "chervilpath_log_lines_dropped_total", Help: "Log lines that did not fit into the queue before standard output."},
 		func() float64 { return float64(dropped()) },
 	))
-	r.MustRegister(m.configVersion, m.storeCalls, m.storeFailures, m.followRequests, m.staleSources, m.serverEvents, m.refusedNotices, m.requests, m.faults, m.requestDuration, m.batches, m.batchPieces, m.batchDuration)
+	r.MustRegister(m.configVersion, m.storeCalls, m.storeFailures, m.followRequests, m.staleSources, m.serverEvents, m.refusedNotices, m.requests, m.faults, m.aborts, m.requestDuration, m.batches, m.batchPieces, m.batchDuration)
 	return m
 }
 
@@ -60,6 +62,9 @@
 // recordFault records a request that was answered with a fault.
 func (m *metrics) recordFault(kind string) { m.faults.WithLabelValues(kind).Inc() }
 
+// recordAbort records a connection that was closed without a complete response.
+func (m *metrics) recordAbort(cause string) { m.aborts.WithLabelValues(cause).Inc() }
+
 // recordBatch records the end of a call to a stage server.
 func (m *metrics) recordBatch(pieces int, elapsed time.Duration, err error) {
 	result := "answered"
--- a/edge/state.go
+++ b/edge/state.go
@@ -80,7 +80,9 @@
 	clusterState struct {
 		instance     *Instance
 		currentTable atomic.Pointer[route.Table]
-		snapshot     atomic.Pointer[fleet.Snapshot]
+		// tableChangedAt is when currentTable came into force, or nil.
+		tableChangedAt atomic.Pointer[time.Time]
+		snapshot       atomic.Pointer[fleet.Snapshot]
 
 		mu   sync.Mutex
 		view *fleet.View
@@ -119,7 +121,17 @@
 	return c
 }
 
-func (c *clusterState) table() *route.Table      { return c.currentTable.Load() }
+func (c *clusterState) table() *route.Table { return c.currentTable.Load() }
+
+// configAge returns for how long the configuration has been in force, or 0 if there is
+// none.
+func (c *clusterState) configAge(now time.Time) time.Duration {
+	if at := c.tableChangedAt.Load(); at != nil {
+		return now.Sub(*at)
+	}
+	return 0
+}
+
 func (c *clusterState) servers() *fleet.Snapshot { return c.snapshot.Load() }
 
 // propagationTime returns a fraction of the propagation time, within which changes
@@ -188,6 +200,8 @@
 		return
 	}
 	c.currentTable.Store(table)
+	now := time.Now()
+	c.tableChangedAt.Store(&now)
 	c.history.add(spec)
 	c.needWhole = false
 	c.notifyWaiters()
--- a/io/front/front.go
+++ b/io/front/front.go
@@ -33,6 +33,9 @@
 		// RequestFailed is called for each request that is answered with an
 		// error. The ID is "" if the request could not be parsed.
 		RequestFailed func(id string, err *fault.Error, status int)
+		// RequestAborted is called for each request whose connection is closed without
+		// a complete response.
+		RequestAborted func(id string, err error)
 		// RequestDone is called when a parsed request has ended. The kind is
 		// "answered" or that of the error.
 		RequestDone func(kind string, took time.Duration)
@@ -83,6 +86,7 @@
 	if started || r.Context().Err() != nil {
 		// Aborting the connection keeps the caller from taking the response
 		// for complete.
+		s.deps.RequestAborted(req.ID, err)
 		panic(http.ErrAbortHandler)
 	}
 	s.writeError(w, req.ID, err)
--- a/io/front/front_test.go
+++ b/io/front/front_test.go
@@ -25,8 +25,8 @@
 		Serve: func(ctx context.Context, _ *relay.Request, w relay.ResponseWriter) (bool, error) {
 			return serve(ctx, w)
 		},
-		SetRetryAfter: func(h http.Header, after time.Duration) { h.Set("Retry-After", after.String()) },
-		RequestFailed: func(string, *fault.Error, int) {}, RequestDone: func(string, time.Duration) {},
+		SetRetryAfter:  func(h http.Header, after time.Duration) { h.Set("Retry-After", after.String()) },
+		RequestAborted: func(string, error) {}, RequestFailed: func(string, *fault.Error, int) {}, RequestDone: func(string, time.Duration) {},
 	})
 	server := httptest.NewServer(s)
 	t.Cleanup(server.Close)
