relay: reproduce streams that end because their server is silent, in virtual time

The tests serve one resumable stream by engines that are sound but silent for 1.8 s between events, before the first one, within one and before the end: with the retry budget used up, without another engine, with none free, and with both at hand.

The same path has three more faults that the tests show: time in which the caller is written to counts as silence of the server; the head is passed on before the first event, so that a failure until then closes the connection where an error could be answered; and a stream whose server broke off is cut if no engine is free, or the budget is used up, at that very moment.

--- /dev/null
+++ b/core/relay/silence_test.go
@@ -0,0 +1,348 @@
+package relay
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"slices"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"chervilpath/core/balance"
+	"chervilpath/core/engine"
+	"chervilpath/core/fault"
+	"chervilpath/core/fleet"
+	"chervilpath/core/route"
+)
+
+// part is a part of a stream that comes after a pause. A part with an error ends the
+// stream.
+type part struct {
+	pause time.Duration
+	text  string
+	err   error
+}
+
+// timedBody yields parts after their pauses, counted from the start of the stream, and
+// then ends.
+type timedBody struct {
+	ctx   context.Context
+	due   time.Time
+	parts []part
+}
+
+func (b *timedBody) Read(p []byte) (int, error) {
+	if len(b.parts) == 0 {
+		return 0, io.EOF
+	}
+	next := b.parts[0]
+	select {
+	case <-time.After(time.Until(b.due.Add(next.pause))):
+	case <-b.ctx.Done():
+		return 0, b.ctx.Err()
+	}
+	b.due = b.due.Add(next.pause)
+	b.parts = b.parts[1:]
+	return copy(p, next.text), next.err
+}
+
+func (b *timedBody) Close() error { return nil }
+
+// streamTest serves one resumable stream by engines of the service llm. The nth attempt
+// is answered with the nth of parts.
+type streamTest struct {
+	engines int
+	parts   [][]part
+	// allowRetry and placeable may be nil.
+	allowRetry func() bool
+	placeable  func() bool
+	// writePause is how long the caller takes for each write.
+	writePause time.Duration
+	// stagePause is how long the stages take, if there are any.
+	stagePause time.Duration
+
+	received          strings.Builder
+	headWritten       bool
+	attempts, retries int
+	placed            map[string]string
+	stageRuns         int
+	held              int
+	started           bool
+	err               error
+	took              time.Duration
+}
+
+func (st *streamTest) serve(t interface{ Fatal(...any) }, ctx context.Context) {
+	rt := route.Route{
+		Name: "brief", Host: "h", Prefix: "/", Kind: route.Streaming, Resumable: true, MaxAttempts: 3, TargetLatency: time.Second, TargetGap: 300 * time.Millisecond,
+		Timeout: 20 * time.Second, Public: true, Targets: []route.Target{{Service: "llm", Weight: 1}},
+	}
+	services := []route.Service{{Name: "llm", Engine: &route.EngineConfig{Slots: 8}}}
+	var pieces []int
+	if st.stagePause > 0 {
+		rt.Stages = []route.Stage{{Service: "photos"}}
+		services = append(services, route.Service{Name: "photos", Pieces: &route.PieceConfig{MaxBatch: 1, CallTime: st.stagePause}})
+		pieces = []int{1}
+	}
+	table, err := route.New(1, []route.Route{rt}, services, nil, route.Limits{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	view := fleet.New(time.Second)
+	var servers []fleet.Server
+	for i := range st.engines {
+		servers = append(servers, fleet.Server{ID: fmt.Sprint("e-", i), Service: "llm", Address: fmt.Sprint("a:", i+1)})
+	}
+	view.Replace(time.Now(), servers, 1)
+	st.placed = make(map[string]string)
+	deps := Deps{
+		AwaitReady: func(context.Context) bool { return true },
+		Table:      func() *route.Table { return table }, Random: func() float64 { return 0 }, Log: func(Decision) {},
+		Shutdown: func() Shutdown { return Shutdown{} }, ShutdownCtx: ctx, RecordCall: func(string) {},
+		Servers: view.Snapshot, ResultZone: func(string) string { return "" },
+		RunStage: func(ctx context.Context, job StageJob) ([]string, error) {
+			select {
+			case <-time.After(st.stagePause):
+			case <-ctx.Done():
+				return nil, fault.Errorf(fault.Cancelled, "the stage was cancelled")
+			}
+			st.stageRuns++
+			st.held++
+			return []string{fmt.Sprint("result-", st.stageRuns)}, nil
+		},
+		FreeResults: func(_ string, handles []string) { st.held -= len(handles) },
+		AllowRetry: func(string) bool {
+			if st.allowRetry != nil && !st.allowRetry() {
+				return false
+			}
+			st.retries++
+			return true
+		},
+		Place: func(_ context.Context, _ string, q engine.Query) string {
+			if len(q.Exclude) > 0 && st.placeable != nil && !st.placeable() {
+				return ""
+			}
+			for _, s := range servers {
+				if !slices.Contains(q.Exclude, s.ID) {
+					st.placed[q.RequestID] = s.ID
+					return s.ID
+				}
+			}
+			return ""
+		},
+		Settle: func(_, request, server string, _ balance.Outcome) {
+			if st.placed[request] == server {
+				delete(st.placed, request)
+			}
+		},
+		Send: func(ctx context.Context, _ Attempt) (*Response, error) {
+			st.attempts++
+			if st.attempts > len(st.parts) {
+				return nil, &SendError{Err: io.ErrUnexpectedEOF}
+			}
+			return &Response{Status: http.StatusOK, EventStream: true, Body: &timedBody{ctx: ctx, due: time.Now(), parts: st.parts[st.attempts-1]}}, nil
+		},
+	}
+	deps.Clock.Now = time.Now
+	deps.Clock.AfterFunc = func(d time.Duration, f func()) func() bool { return time.AfterFunc(d, f).Stop }
+	start := time.Now()
+	req := &Request{ID: "r", Host: "h", Path: "/x", Timeout: 20 * time.Second, Arrived: start, Pieces: pieces}
+	st.started, st.err = New(deps).Serve(ctx, req, ResponseWriter{
+		Respond:     func(int, map[string][]string, []byte) {},
+		WriteHeader: func(int, map[string][]string) { st.headWritten = true },
+		Write: func(p []byte) error {
+			time.Sleep(st.writePause)
+			st.received.Write(p)
+			return nil
+		},
+	})
+	st.took = time.Since(start)
+	// What is being prepared when a request ends is given up after it.
+	synctest.Wait()
+}
+
+// event returns the nth event of a stream after a pause.
+func event(n int, pause time.Duration) part {
+	return part{pause: pause, text: fmt.Sprintf("id: %d\ndata: %d\n\n", n, n)}
+}
+
+// events returns the text of the events from first to last.
+func events(first, last int) string {
+	var out bytes.Buffer
+	for n := first; n <= last; n++ {
+		out.WriteString(event(n, 0).text)
+	}
+	return out.String()
+}
+
+// check fails the test if the caller did not get all events, or something is left that
+// has to be released.
+func (st *streamTest) check(t *testing.T, last, attempts int) {
+	t.Helper()
+	if st.err != nil || st.received.String() != events(1, last) {
+		t.Errorf("received %q after %v, error %v, want events 1 to %d", st.received.String(), st.took, st.err, last)
+	}
+	if st.attempts != attempts {
+		t.Errorf("%d attempts, want %d", st.attempts, attempts)
+	}
+	if len(st.placed) > 0 || st.held > 0 {
+		t.Errorf("placements %v and %d results are not released", st.placed, st.held)
+	}
+}
+
+// longSilence is within what a sound server may do, and long after a stream is suspected.
+const longSilence = 1800 * time.Millisecond
+
+// Guards against a stream that is ended because its server is silent for a while, when
+// the retry budget is used up or no other engine is free.
+func TestSilenceOfSoundServerEndsNoStream(t *testing.T) {
+	no := func() bool { return false }
+	for name, st := range map[string]*streamTest{
+		"retry budget used up":      {engines: 2, allowRetry: no},
+		"no other engine":           {engines: 1},
+		"no other engine is free":   {engines: 2, placeable: no},
+		"budget and another engine": {engines: 2},
+	} {
+		for where, parts := range map[string][]part{
+			"between events":         {event(1, 0), event(2, longSilence), event(3, 0)},
+			"before the first event": {event(1, longSilence), event(2, 0), event(3, 0)},
+			"within an event":        {event(1, 0), {text: "id: 2\nda"}, {pause: longSilence, text: "ta: 2\n\n"}, event(3, 0)},
+			"before the end":         {event(1, 0), event(2, 0), event(3, 0), {pause: longSilence}},
+		} {
+			t.Run(name+"/"+where, func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					st := &streamTest{engines: st.engines, allowRetry: st.allowRetry, placeable: st.placeable, parts: [][]part{parts}}
+					st.serve(t, t.Context())
+					st.check(t, 3, 1)
+					if st.retries > 0 {
+						t.Errorf("%d retries were taken from the budget", st.retries)
+					}
+				})
+			})
+		}
+	}
+}
+
+// Guards against a stream that is ended although its server goes on after a silence that
+// is longer than what is expected of a sound one, because there is no place to go on.
+func TestLongSilenceEndsNoStreamWithoutPlaceToGoOn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		st := &streamTest{engines: 1, parts: [][]part{{event(1, 0), event(2, 3500*time.Millisecond)}}}
+		st.serve(t, t.Context())
+		st.check(t, 2, 1)
+	})
+}
+
+// Guards against a caller who waits for a server that will not go on, while another one
+// is free.
+func TestStreamOfDeadServerGoesOnElsewhereInTime(t *testing.T) {
+	for name, parts := range map[string][]part{
+		"between events":         {event(1, 0), event(2, time.Hour)},
+		"before the first event": {event(1, time.Hour)},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				rest := []part{event(1, 0), event(2, 0)}[len(parts)-1:]
+				st := &streamTest{engines: 2, parts: [][]part{parts, rest}}
+				st.serve(t, t.Context())
+				st.check(t, 2, 2)
+				if st.took > 3*time.Second {
+					t.Errorf("the stream went on after %v", st.took)
+				}
+			})
+		})
+	}
+}
+
+// Guards against a stream that is ended because its caller reads slowly, as if the server
+// were silent.
+func TestSlowCallerDoesNotMakeServerSilent(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		st := &streamTest{engines: 2, writePause: 3 * time.Second, parts: [][]part{{event(1, 0), event(2, 0), event(3, 0)}}}
+		st.serve(t, t.Context())
+		st.check(t, 3, 1)
+	})
+}
+
+// Guards against a connection that is closed without an answer although nothing of the
+// answer but its head has come, so that an error could be answered.
+func TestFailureBeforeFirstEventIsAnswered(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		st := &streamTest{engines: 1, allowRetry: func() bool { return false }, parts: [][]part{{{err: io.ErrUnexpectedEOF}}}}
+		st.serve(t, t.Context())
+		if st.err == nil || st.started || st.headWritten {
+			t.Errorf("error %v, started %v, head written %v, want an error before the response has started", st.err, st.started, st.headWritten)
+		}
+	})
+}
+
+// Guards against a stream that has begun and is cut because at the moment at which its
+// server breaks off no other engine is free, or the retry budget is used up.
+func TestBrokenStreamWaitsForPlaceToGoOn(t *testing.T) {
+	broken := [][]part{{event(1, 0), {err: io.ErrUnexpectedEOF}}, {event(2, 0)}}
+	for name, st := range map[string]*streamTest{
+		"engine": {engines: 2, parts: broken},
+		"budget": {engines: 2, parts: broken},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				free := time.Now().Add(time.Second)
+				later := func() bool { return !time.Now().Before(free) }
+				if name == "budget" {
+					st.allowRetry = later
+				} else {
+					st.placeable = later
+				}
+				st.serve(t, t.Context())
+				st.check(t, 2, 2)
+			})
+		})
+	}
+}
+
+// Guards against a silent but sound server that loses its stream while the stages run
+// again for another engine.
+func TestStagesRunBeforeSilentServerIsGivenUp(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		st := &streamTest{engines: 2, stagePause: 600 * time.Millisecond, parts: [][]part{{event(1, 0), event(2, 2300*time.Millisecond)}}}
+		st.serve(t, t.Context())
+		st.check(t, 2, 1)
+	})
+	synctest.Test(t, func(t *testing.T) {
+		st := &streamTest{engines: 2, stagePause: 600 * time.Millisecond, parts: [][]part{{event(1, 0), event(2, time.Hour)}, {event(2, 0)}}}
+		st.serve(t, t.Context())
+		st.check(t, 2, 2)
+		if st.stageRuns != 2 {
+			t.Errorf("the stages ran %d times, want twice", st.stageRuns)
+		}
+	})
+}
+
+// Guards against any order of silences, budgets and free engines in which a stream of a
+// sound server is not whole, or something is not released.
+func TestSoundStreamsAreWhole(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		n := rapid.IntRange(1, 5).Draw(rt, "events")
+		var parts []part
+		for i := range n {
+			pause := time.Duration(rapid.IntRange(0, 1900).Draw(rt, "pauseMs")) * time.Millisecond
+			parts = append(parts, event(i+1, pause))
+		}
+		allowed, placeable := rapid.Bool().Draw(rt, "budget"), rapid.Bool().Draw(rt, "placeable")
+		engines := rapid.IntRange(1, 3).Draw(rt, "engines")
+		stages := time.Duration(rapid.SampledFrom([]int{0, 100}).Draw(rt, "stageMs")) * time.Millisecond
+		synctest.Test(t, func(t *testing.T) {
+			st := &streamTest{engines: engines, parts: [][]part{parts}, stagePause: stages, allowRetry: func() bool { return allowed }, placeable: func() bool { return placeable }}
+			st.serve(t, t.Context())
+			if st.err != nil || st.received.String() != events(1, n) || st.attempts != 1 || len(st.placed) > 0 || st.held > 0 {
+				rt.Fatalf("received %q in %d attempts, error %v, placements %v, %d results held", st.received.String(), st.attempts, st.err, st.placed, st.held)
+			}
+		})
+	})
+}
