relay: silence of a server ends no stream before there is a place to go on

What callers saw: a stream, or a whole request that waited for its first event, whose connection was closed without an answer.

Cause: an attempt whose server completed no event for 900 ms (1.5 s before the first one) was cancelled, and only then was it asked whether the route, the retry budget and the engines allowed another one. With the budget used up, without another free engine, or when the stages of the next attempt were refused, the caller's stream was closed, although the server would have gone on. Time in which a slow caller was written to counted as silence of the server as well. The class of the fault: something that works is given up on a suspicion, before what replaces it is secured.

The fix separates suspicion from the end of an attempt. After the same times as before the engine is reported to whoever places requests, so that new work goes elsewhere as early as it did. The attempt itself goes on. After 2 s of silence (less if the caller gives up sooner: a quarter of its patience is kept to go on) another engine is placed, the stages run again if their results are gone, and a retry is taken from the budget; only when all of this is at hand is the attempt cancelled. An event that comes meanwhile gives the other engine up. Without a place to go on it is tried again every 250 ms, and the caller waits for as long as it wants. Only time in which the server is waited for counts. 'silence' is no longer a cause of an end.

The next placement has an ID of its own, since two of a request exist meanwhile; before, the second replaced the first in the accounts of the placer.

--- a/core/relay/abort.go
+++ b/core/relay/abort.go
@@ -16,8 +16,6 @@
 	CallerLeft AbortCause = "caller"
 	// DeadlinePassed means that the request's time was over.
 	DeadlinePassed AbortCause = "deadline"
-	// ServerSilent means that the server sent nothing for too long.
-	ServerSilent AbortCause = "silence"
 	// ServerFailed means that the server broke off, or answered with an error after a
 	// part of a response had been relayed.
 	ServerFailed AbortCause = "server"
@@ -31,8 +29,6 @@
 func CauseOfAbort(err error) AbortCause {
 	kind := fault.From(err).Kind()
 	switch {
-	case errors.Is(err, errStalled):
-		return ServerSilent
 	case kind == fault.Cancelled || errors.Is(err, context.Canceled):
 		return CallerLeft
 	case kind == fault.DeadlineExceeded || errors.Is(err, context.DeadlineExceeded):
--- a/core/relay/relay.go
+++ b/core/relay/relay.go
@@ -100,7 +100,13 @@
 		// sentTo holds the IDs of the servers to which the request was sent.
 		sentTo []string
 		stream *stream
-		// longestGap is the longest time between two events of one attempt.
+		// placements counts the placements on engines. next is an attempt that is
+		// ready to be made, or nil.
+		placements int
+		next       *nextAttempt
+		// lastEvent is when the last event was relayed to the caller, and longestGap the
+		// longest time between two events of one attempt.
+		lastEvent  time.Time
 		longestGap time.Duration
 		// held are the stage results that are kept for the request, and inputs
 		// the handles of those that an engine needs.
@@ -119,7 +125,7 @@
 )
 
 var (
-	errStalled      = errors.New("no event within the stall timeout")
+	errStalled      = errors.New("the server is silent and the stream goes on at another one")
 	errNoEngine     = errors.New("no engine is free")
 	errShuttingDown = errors.New("the instance shuts down before the request's stages are complete")
 )
@@ -145,6 +151,9 @@
 	defer cancel()
 	defer e.freeHeld()
 	err = e.serve(ctx)
+	if e.next != nil {
+		e.discard(e.next)
+	}
 	started = e.stream != nil && e.stream.started
 	e.log("end", outcomeText(err), "")
 	return started, err
@@ -337,14 +346,14 @@
 	return e.notRun < maxNotRun && e.remaining() > minRemaining && (!sent || e.relay.deps.AllowRetry(e.service))
 }
 
-func (e *execution) holdResults(service string, handles []string) {
-	e.held = append(e.held, heldResults{service: service, handles: handles})
-}
-
 // freeHeld releases all results that are kept for the request.
 func (e *execution) freeHeld() {
-	for _, h := range e.held {
+	e.freeResults(e.held)
+	e.held = nil
+}
+
+func (e *execution) freeResults(held []heldResults) {
+	for _, h := range held {
 		e.relay.deps.FreeResults(h.service, h.handles)
 	}
-	e.held = nil
 }
--- a/core/relay/stages.go
+++ b/core/relay/stages.go
@@ -16,10 +16,20 @@
 // response between two instances.
 const expiryMargin = 200 * time.Millisecond
 
+// stageResults are the results of a request's stages.
+type stageResults struct {
+	// inputs are the handles of those that an engine reads, and held all that have to
+	// be released.
+	inputs []string
+	held   []heldResults
+}
+
 // stageRunner runs the stages of one request.
 type stageRunner struct {
 	exec       *execution
 	engineZone string
+	// deadline is when the engine's next event has to come.
+	deadline time.Time
 	// handles holds the handles of the results of each stage. The stage's
 	// channel in done is closed when they are available or the stage has ended
 	// without results.
@@ -33,20 +43,20 @@
 	err error
 }
 
-// runStages runs the stages of a request for an engine in the given zone, and
-// returns the handles of the results that the engine reads.
-func (e *execution) runStages(ctx context.Context, engineZone string) ([]string, error) {
+// runStages runs the stages of a request for an engine in the given zone, whose next
+// event has to come by deadline. It may be called while an attempt is in progress.
+func (e *execution) runStages(ctx context.Context, engineZone string, deadline time.Time) (stageResults, error) {
 	pieces := 0
 	for _, n := range e.req.Pieces {
 		pieces += n
 	}
 	if pieces == 0 {
-		return nil, nil
+		return stageResults{}, nil
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	n := len(e.route.Stages)
-	r := &stageRunner{exec: e, engineZone: engineZone, handles: make([][]string, n), done: make([]chan struct{}, n), expiry: make([]time.Time, n), cancel: cancel}
+	r := &stageRunner{exec: e, engineZone: engineZone, deadline: deadline, handles: make([][]string, n), done: make([]chan struct{}, n), expiry: make([]time.Time, n), cancel: cancel}
 	for i := range r.done {
 		r.done[i] = make(chan struct{})
 	}
@@ -64,7 +74,7 @@
 				e.relay.deps.FreeResults(e.route.Stages[i].Service, handles)
 			}
 		}
-		return nil, r.err
+		return stageResults{}, r.err
 	}
 	return r.engineInputs(), nil
 }
@@ -84,7 +94,7 @@
 	job := StageJob{
 		Service: stage.Service, RequestID: e.req.ID, Stage: i, Class: e.route.Name + "/" + strconv.Itoa(i),
 		Inputs: inputs, Pieces: e.req.Pieces[i], ResultBytes: stage.ResultBytes,
-		Due: e.due.Sub(e.now()) - r.timeAfter(i), Remaining: e.firstEventDeadline.Sub(e.now()) - r.timeAfter(i), Worth: e.worth,
+		Due: e.due.Sub(e.now()) - r.timeAfter(i), Remaining: r.deadline.Sub(e.now()) - r.timeAfter(i), Worth: e.worth,
 	}
 	if len(inputs) == 0 {
 		job.PieceKey = e.req.PieceKey
@@ -97,7 +107,7 @@
 	handles, err := e.relay.deps.RunStage(ctx, job)
 	r.log(i, job, err)
 	if err != nil {
-		if limitedByInputs && isTooLate(err) && e.firstEventDeadline.Sub(e.now()) > r.timeFrom(i) {
+		if limitedByInputs && isTooLate(err) && r.deadline.Sub(e.now()) > r.timeFrom(i) {
 			// The results are about to expire, but the request has enough time
 			// left to compute them again.
 			err = fault.Errorf(fault.InputGone, "the inputs of stage %d expire before it can start: %w", i, err).WithRan(fault.RanNo)
@@ -258,23 +268,23 @@
 	}
 }
 
-// engineInputs returns the handles of the final stages. Their results are kept
-// until the request no longer needs them; those of the other stages are
-// released.
-func (r *stageRunner) engineInputs() []string {
+// engineInputs returns the results of the final stages, which are kept until the
+// request no longer needs them, and releases those of the other stages.
+func (r *stageRunner) engineInputs() stageResults {
 	e := r.exec
-	var inputs []string
+	var out stageResults
 	final := e.route.FinalStages()
 	for i, handles := range r.handles {
 		if len(handles) == 0 {
 			continue
 		}
+		service := e.route.Stages[i].Service
 		if !slices.Contains(final, i) {
-			e.relay.deps.FreeResults(e.route.Stages[i].Service, handles)
+			e.relay.deps.FreeResults(service, handles)
 			continue
 		}
-		inputs = append(inputs, handles...)
-		e.holdResults(e.route.Stages[i].Service, handles)
+		out.inputs = append(out.inputs, handles...)
+		out.held = append(out.held, heldResults{service: service, handles: handles})
 	}
-	return inputs
+	return out
 }
--- a/core/relay/stream.go
+++ b/core/relay/stream.go
@@ -6,7 +6,6 @@
 	"fmt"
 	"io"
 	"strconv"
-	"time"
 )
 
 // maxEventBytes is the largest incomplete event that is buffered.
@@ -15,8 +14,11 @@
 // stream relays a streamed response to the caller. It relays only complete
 // events, so that the stream can resume at another server.
 type stream struct {
-	w       ResponseWriter
+	w ResponseWriter
+	// started is set once the head has been written to the caller.
 	started bool
+	// head is the head of the response that is to be relayed, until it is written.
+	head *Response
 	// resuming is set until the first event of a later server's response.
 	resuming bool
 	// lastEventID is the ID of the last event that was relayed to the caller,
@@ -31,21 +33,31 @@
 	errEventRepeated = errors.New("the response repeats an event that was relayed before")
 )
 
-// start writes the head of the first server's response to the caller. It returns
-// an error if the response of a later one is no stream.
-func (s *stream) start(resp *Response) error {
+// begin takes the head of a response, which is written to the caller before its first
+// event: until then a request that fails can still get an error response. It returns an
+// error if an earlier response has been relayed in part and this one is no stream.
+func (s *stream) begin(resp *Response) error {
 	if !s.started {
-		s.started = true
-		s.w.WriteHeader(resp.Status, resp.Header)
+		s.head = resp
+		s.start()
 		return nil
 	}
 	if !resp.EventStream {
 		return errNoStream
 	}
-	s.resuming = s.eventCount > 0
+	s.resuming = true
 	return nil
 }
 
+// start writes the head to the caller unless one has been written.
+func (s *stream) start() {
+	if s.started || s.head == nil {
+		return
+	}
+	s.started = true
+	s.w.WriteHeader(s.head.Status, s.head.Header)
+}
+
 // relayEvents relays events until the body ends. After each read it calls
 // onRead with the number of events relayed. It returns nil if the stream is
 // complete.
@@ -66,6 +78,7 @@
 			if len(s.pending) > 0 {
 				return io.ErrUnexpectedEOF
 			}
+			s.start()
 			return nil
 		}
 		if err != nil {
@@ -99,6 +112,7 @@
 	if end == 0 {
 		return 0, nil
 	}
+	s.start()
 	if err := s.w.Write(s.pending[:end]); err != nil {
 		return 0, &callerWriteError{err}
 	}
@@ -146,17 +160,3 @@
 	b, errB := strconv.ParseInt(id, 10, 64)
 	return errA != nil || errB != nil || b > a
 }
-
-// stallTimeout returns how long a server may send nothing on a stream that can
-// resume at another one.
-func stallTimeout(targetGap time.Duration) time.Duration {
-	return max(minStallTimeout, stallTimeoutGapFactor*targetGap)
-}
-
-const (
-	// The stall timeout is minStallTimeout or stallTimeoutGapFactor times the
-	// target gap, whichever is longer. The minimum is below the two seconds
-	// after which callers give up.
-	minStallTimeout       = 900 * time.Millisecond
-	stallTimeoutGapFactor = 3
-)
--- a/core/relay/types.go
+++ b/core/relay/types.go
@@ -188,6 +188,9 @@
 		Place func(ctx context.Context, service string, q engine.Query) string
 		// Settle ends a placement and reports how it went.
 		Settle func(service, request, server string, outcome balance.Outcome)
+		// Suspect reports that the engine of a placement has been silent for long, while
+		// the attempt goes on.
+		Suspect func(service, request, server string)
 		// PlainStage returns the stage that queues the requests of a plain
 		// service, one without engines, and balances them over its servers. It
 		// returns nil if the service has no servers.
--- a/edge/delegator.go
+++ b/edge/delegator.go
@@ -313,6 +313,21 @@
 	}()
 }
 
+// suspect reports to the instance that made a placement that the engine has been silent
+// for long. The placement stays.
+func (d *delegator) suspect(service, requestID, serverID string) {
+	d.settleLocally(service, "", serverID, balance.Failed)
+	address := d.placedBy.find(requestID)
+	if address == "" {
+		return
+	}
+	go func() {
+		if err := d.instance.peers.Settle(d.instance.loopCtx, address, service, "", serverID, balance.Failed); err != nil {
+			d.instance.log.Info("peer was not told of a silent engine", zap.String("peer", address), zap.String("requestId", requestID), zap.Error(err))
+		}
+	}()
+}
+
 func (d *delegator) settleLocally(service, requestID, serverID string, outcome balance.Outcome) {
 	d.placer(service).Settle(time.Now(), requestID, serverID, outcome)
 }
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -132,7 +132,7 @@
 func (in *Instance) relayDeps() relay.Deps {
 	return relay.Deps{
 		Clock: in.clock, AwaitReady: in.awaitReady, Table: in.state.table, ConfigFresh: in.state.configFresh, Servers: in.state.servers,
-		Send: in.upstream.Send, RunStage: in.delegator.runStage, FreeResults: in.delegator.freeResults, Place: in.delegator.place, Settle: in.delegator.settle,
+		Send: in.upstream.Send, RunStage: in.delegator.runStage, FreeResults: in.delegator.freeResults, Place: in.delegator.place, Settle: in.delegator.settle, Suspect: in.delegator.suspect,
 		ResultZone: func(handle string) string { return in.state.servers().Zone(platform.ResultAddress(handle)) },
 		PlainStage: in.state.plainStage, RecordCall: in.state.recordCall, AllowRetry: in.state.allowRetry,
 		ShutdownCtx: in.shutdownCtx,
--- a/edge/peerindex.go
+++ b/edge/peerindex.go
@@ -39,15 +39,27 @@
 func (x *peerIndex) take(key string) string {
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	address, ok := x.recent[key]
-	if !ok {
-		address = x.older[key]
-	}
+	address := x.lookUp(key)
 	delete(x.recent, key)
 	delete(x.older, key)
 	return address
 }
 
+// find returns the address that was recorded for a key, or "" if there is none.
+func (x *peerIndex) find(key string) string {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	return x.lookUp(key)
+}
+
+// lookUp is find for a caller that holds mu.
+func (x *peerIndex) lookUp(key string) string {
+	if address, ok := x.recent[key]; ok {
+		return address
+	}
+	return x.older[key]
+}
+
 // len returns the number of entries.
 func (x *peerIndex) len() int {
 	x.mu.Lock()
