relay: write the head of a stream with its first event

What callers saw: a connection closed without an answer, where nothing but the status line of a stream had come.

Cause: the head of a response was passed on as soon as it came. From then on a failure, also one before the first event, could only close the connection: no error response, no refusal with the time to come back, and no other engine's response if its head differed.

Now the head is written with the first event, or with the end of a stream that has none. A failure until then is answered. A stream that goes on keeps the head of the response from which its first event came.

--- a/core/relay/stream.go
+++ b/core/relay/stream.go
@@ -39,7 +39,6 @@
 func (s *stream) begin(resp *Response) error {
 	if !s.started {
 		s.head = resp
-		s.start()
 		return nil
 	}
 	if !resp.EventStream {
