relay: a stream that has begun waits for an engine and for the budget to go on

What callers saw: a resumable stream that was closed midway, though another engine could have gone on a moment later.

Cause: when the server of a stream that had begun broke off, one look decided: no engine free, the retry budget used up, or four refusals in a row, and the caller's connection was closed, although the caller waits for its next event for at least two seconds.

Now such a stream looks again every 250 ms until a quarter of the caller's patience is left, and takes an engine that was tried before, but the last one, rather than none. Each further attempt is still taken from the budget, and the attempts of the route still bound how many may run. A request of which nothing was relayed is refused at once, as before.

--- a/core/relay/engine.go
+++ b/core/relay/engine.go
@@ -60,7 +60,7 @@
 	}
 	deadline := e.firstEventDeadline
 	if e.stream.started {
-		deadline = e.lastEvent.Add(eventTimeout(e.route))
+		deadline = e.resumeDeadline()
 	}
 	results, err := e.runStagesUntilShutdown(ctx, engineZone, deadline)
 	if err != nil {
@@ -172,7 +172,7 @@
 	defer func() { _ = resp.Body.Close() }()
 	resp.Body = silentReader{resp.Body, watch}
 	if resp.NotRun {
-		return e.handleEngineNotRun(p, resp)
+		return e.handleEngineNotRun(ctx, p, resp)
 	}
 	if resp.Status >= 300 {
 		return e.handleEngineFailure(ctx, p, watch, resp)
@@ -287,17 +287,17 @@
 
 // handleEngineNotRun decides what follows an attempt that the engine did not
 // run.
-func (e *execution) handleEngineNotRun(p placement, resp *Response) (nextStep, error) {
+func (e *execution) handleEngineNotRun(ctx context.Context, p placement, resp *Response) (nextStep, error) {
 	outcome := balance.Abandoned
 	if resp.Full {
 		outcome = balance.Full
 	}
-	if resp.Full {
+	if resp.Full || e.stream.started && !resp.InputGone {
 		e.triedServers = append(e.triedServers, p.server.ID)
 	}
 	e.settle(p, outcome)
 	e.log("notRun", "the engine did not run the request", p.server.ID)
-	if !e.mayResend(true) {
+	if !e.mayResend(true) && !(e.stream.started && e.mayResume(ctx, true)) {
 		return stepFinish, e.refusal(fault.Errorf(fault.EndpointUnavailable, "the engines of service %q accept no more requests", e.service))
 	}
 	if resp.InputGone {
@@ -316,7 +316,7 @@
 	e.sends++
 	e.settle(p, balance.Failed)
 	e.triedServers = append(e.triedServers, p.server.ID)
-	if resp.Status >= 500 && e.mayRetry() {
+	if resp.Status >= 500 && (e.mayRetry() || e.stream.started && e.mayResume(ctx, true)) {
 		e.log("repeat", "the engine answered with an error", p.server.ID)
 		return stepRetry, nil
 	}
@@ -355,12 +355,21 @@
 	if errors.As(err, &writeErr) {
 		return stepFinish, fault.Errorf(fault.Cancelled, "%w", err)
 	}
-	retry, finalErr := e.handleSendError(ctx, err)
-	if retry {
-		return stepRetry, nil
+	if !e.stream.started {
+		retry, finalErr := e.handleSendError(ctx, err)
+		if retry {
+			return stepRetry, nil
+		}
+		return stepFinish, finalErr
 	}
-	if e.stream.started {
-		finalErr = fault.Errorf(fault.AnswerIncomplete, "the stream broke after event %q: %w", e.stream.lastEventID, err)
+	if notSent {
+		e.notRun++
+	} else {
+		e.sends++
+	}
+	e.log("broken", err.Error(), p.server.ID)
+	if ctx.Err() == nil && e.mayResume(ctx, !notSent) {
+		return stepRetry, nil
 	}
-	return stepFinish, finalErr
+	return stepFinish, fault.Errorf(fault.AnswerIncomplete, "the stream broke after event %q: %w", e.stream.lastEventID, err)
 }
--- a/core/relay/place.go
+++ b/core/relay/place.go
@@ -4,6 +4,7 @@
 	"context"
 	"slices"
 	"strconv"
+	"time"
 
 	"chervilpath/core/balance"
 	"chervilpath/core/engine"
@@ -28,7 +29,8 @@
 	return e.req.ID + "/" + strconv.Itoa(e.placements)
 }
 
-// nextPlacement returns the engine for the next attempt.
+// nextPlacement returns the engine for the next attempt. For a stream that has begun it
+// waits until there is one, as long as the caller may still wait for the next event.
 func (e *execution) nextPlacement(ctx context.Context) (placement, error) {
 	if e.next != nil {
 		next := e.next
@@ -41,18 +43,26 @@
 	if err := e.awaitReturn(ctx, e.relay.stats.FirstEventTime(e.now(), e.route.Name)); err != nil {
 		return placement{}, err
 	}
-	p, ok := e.place(ctx, e.newPlacementID(), e.triedServers)
-	if ctx.Err() != nil {
+	for {
+		p, ok := e.place(ctx, e.newPlacementID(), e.triedServers)
+		if !ok && e.stream.started {
+			// Any other one is better than none.
+			p, ok = e.place(ctx, e.newPlacementID(), e.triedServers[len(e.triedServers)-1:])
+		}
+		if ctx.Err() != nil {
+			if ok {
+				e.settle(p, balance.Abandoned)
+			}
+			return placement{}, e.contextError(ctx)
+		}
 		if ok {
-			e.settle(p, balance.Abandoned)
+			e.log("place", "placed", p.server.ID)
+			return p, nil
+		}
+		if !e.pauseBeforeResuming(ctx) {
+			return placement{}, e.refusal(fault.Errorf(fault.EndpointUnavailable, "service %q: %w", e.service, errNoEngine))
 		}
-		return placement{}, e.contextError(ctx)
-	}
-	if !ok {
-		return placement{}, e.refusal(fault.Errorf(fault.EndpointUnavailable, "service %q: %w", e.service, errNoEngine))
 	}
-	e.log("place", "placed", p.server.ID)
-	return p, nil
 }
 
 // place chooses an engine that is not excluded and reports whether there is one. It may
@@ -84,3 +94,37 @@
 func (e *execution) settle(p placement, outcome balance.Outcome) {
 	e.relay.deps.Settle(e.service, p.id, p.server.ID, outcome)
 }
+
+// mayResume reports whether a stream that has begun and broken off may go on at another
+// engine. It waits for the retry budget as long as the caller may still wait for the next
+// event. sent is set if the engine may have run the request.
+func (e *execution) mayResume(ctx context.Context, sent bool) bool {
+	for e.route.MayRunAgain() && e.sends < e.route.MaxAttempts && e.remaining() > minRemaining {
+		if !sent && e.notRun < maxNotRun || sent && e.relay.deps.AllowRetry(e.service) {
+			return true
+		}
+		if !e.pauseBeforeResuming(ctx) {
+			return false
+		}
+		e.notRun = 0
+	}
+	return false
+}
+
+// pauseBeforeResuming waits before the next try to resume a stream that has begun. It
+// reports false if the stream has not, or its caller does not wait long enough.
+func (e *execution) pauseBeforeResuming(ctx context.Context) bool {
+	if !e.stream.started || e.now().Add(replaceInterval).After(e.resumeDeadline()) {
+		return false
+	}
+	return e.sleep(ctx, replaceInterval) == nil
+}
+
+// resumeDeadline returns when a stream that has begun has to go on at the latest.
+func (e *execution) resumeDeadline() time.Time {
+	at := e.lastEvent.Add(resumeBy(eventTimeout(e.route)))
+	if latest := e.deadline.Add(-minRemaining); latest.Before(at) {
+		return latest
+	}
+	return at
+}
