relay: a stream in progress goes on until its caller's deadline

What callers saw: streams cut 15 ms before their deadline.

Cause: the margin that is kept so that a response still reaches its caller in time also ended streams that had begun, for which no other response can follow. It applies to them no more. TestStreamGoesOnUntilCallersDeadline failed before ('the stream ended after 19.985s').

--- a/core/relay/engine.go
+++ b/core/relay/engine.go
@@ -148,9 +148,19 @@
 	e.log("send", "engine", p.server.ID)
 	attempt := e.newAttempt(p.server, e.inputs)
 	attempt.LastEventID = e.stream.lastEventID
-	attemptCtx, cancel := context.WithCancelCause(ctx)
+	attemptCtx, cancel := context.WithCancelCause(e.callerCtx)
 	defer cancel(nil)
 	watch := e.watchSilence(p, cancel)
+	started := e.stream.started
+	defer context.AfterFunc(ctx, func() {
+		// A stream that has begun needs no time for another response: it may go on until
+		// its caller's deadline.
+		if started || watch.anyEvent() {
+			e.relay.deps.Clock.AfterFunc(responseMargin, func() { cancel(context.Cause(ctx)) })
+			return
+		}
+		cancel(context.Cause(ctx))
+	})()
 	step, err := e.relayAttempt(ctx, attemptCtx, p, attempt, watch)
 	if next := watch.end(); next != nil {
 		// The attempt ended by itself at the moment at which it was to be replaced.
@@ -368,7 +378,9 @@
 		e.sends++
 	}
 	e.log("broken", err.Error(), p.server.ID)
-	if ctx.Err() == nil && e.mayResume(ctx, !notSent) {
+	if ctx.Err() != nil {
+		err = ctx.Err()
+	} else if e.mayResume(ctx, !notSent) {
 		return stepRetry, nil
 	}
 	return stepFinish, fault.Errorf(fault.AnswerIncomplete, "the stream broke after event %q: %w", e.stream.lastEventID, err)
--- a/core/relay/relay.go
+++ b/core/relay/relay.go
@@ -84,9 +84,11 @@
 		// worth weighs the request against others.
 		worth float64
 		w     ResponseWriter
-		// deadline is when the response has to be complete. due is when it is
-		// due by the target latency of the route, less the time that earlier
-		// attempts of the caller have taken.
+		// callerCtx is cancelled when the caller disconnects.
+		callerCtx context.Context
+		// deadline is when the response has to be complete, or a stream has to have
+		// begun. due is when it is due by the target latency of the route, less the
+		// time that earlier attempts of the caller have taken.
 		deadline time.Time
 		due      time.Time
 		// firstEventDeadline is when the caller of a stream gives up if no
@@ -147,6 +149,7 @@
 	if err != nil {
 		return false, err
 	}
+	e.callerCtx = ctx
 	ctx, cancel := context.WithDeadline(ctx, e.deadline)
 	defer cancel()
 	defer e.freeHeld()
--- a/core/relay/silence.go
+++ b/core/relay/silence.go
@@ -139,6 +139,13 @@
 	}
 }
 
+// anyEvent reports whether the server has completed an event.
+func (w *silenceWatch) anyEvent() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.events > 0
+}
+
 // end stops the watch and returns the attempt that follows the watched one, or nil.
 func (w *silenceWatch) end() *nextAttempt {
 	w.mu.Lock()
--- a/core/relay/silence_test.go
+++ b/core/relay/silence_test.go
@@ -278,6 +278,21 @@
 	})
 }
 
+// Guards against a stream in progress that is ended before its caller's deadline.
+func TestStreamGoesOnUntilCallersDeadline(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var parts []part
+		for n := range 30 {
+			parts = append(parts, event(n+1, 700*time.Millisecond))
+		}
+		st := &streamTest{engines: 1, parts: [][]part{parts}}
+		st.serve(t, t.Context())
+		if CauseOfAbort(st.err) != DeadlinePassed || st.took != 20*time.Second {
+			t.Errorf("the stream ended after %v with error %v, want its deadline of 20s", st.took, st.err)
+		}
+	})
+}
+
 // Guards against a connection that is closed without an answer although nothing of the
 // answer but its head has come, so that an error could be answered.
 func TestFailureBeforeFirstEventIsAnswered(t *testing.T) {
