relay: answer every request before a planned shutdown ends

What callers saw: around a planned stop, connections were closed without an answer at the end of the grace period, among them those of requests that may not be repeated.

Cause: only the stages of a request ended before the process did. A request that waited in the queue of a plain service, for a placement or for servers that want none, and one that had been sent and not answered, was cut by Server.Close(). What this cut left its places to requests in the queue, so that some of these were sent to a server at that moment and cut as well.

Why the fix works: Serve ends the context of each request 0.7 s before SIGKILL, unless its response has begun; from then on nothing is sent. What was not sent is refused with proof of that (503), what may have run gets 502, and the work at its server is cancelled with the context. A head that comes at that moment is either written, and the stream goes on, or not written. A late request is accepted only if its deadline is before that moment, so that its answer has 0.3 s to be written in a process that gets little processor time; it had 15 ms.

--- a/core/relay/engine.go
+++ b/core/relay/engine.go
@@ -43,6 +43,10 @@
 			e.log("skip", "the engine takes no more requests", p.server.ID)
 			continue
 		}
+		if e.mustNotSend() {
+			e.settle(p, balance.Abandoned)
+			return e.shutdownError()
+		}
 		step, err := e.sendToEngine(ctx, p)
 		if step == stepFinish {
 			return err
@@ -62,7 +66,7 @@
 	if e.stream.started {
 		deadline = e.resumeDeadline()
 	}
-	results, err := e.runStagesUntilShutdown(ctx, engineZone, deadline)
+	results, err := e.runStages(ctx, engineZone, deadline)
 	if err != nil {
 		return err
 	}
@@ -70,20 +74,6 @@
 	return nil
 }
 
-// runStagesUntilShutdown runs the stages. It fails shortly before a planned shutdown
-// ends. It may be called while an attempt is in progress.
-func (e *execution) runStagesUntilShutdown(ctx context.Context, engineZone string, deadline time.Time) (stageResults, error) {
-	ctx, cancel := context.WithCancelCause(ctx)
-	defer cancel(nil)
-	defer context.AfterFunc(e.relay.deps.ShutdownCtx, func() { cancel(errShuttingDown) })()
-	results, err := e.runStages(ctx, engineZone, deadline)
-	if errors.Is(context.Cause(ctx), errShuttingDown) {
-		e.freeResults(results.held)
-		return stageResults{}, fault.Errorf(fault.Draining, "%w", errShuttingDown)
-	}
-	return results, err
-}
-
 // useResults replaces the results that are held for the request.
 func (e *execution) useResults(results stageResults) {
 	e.freeHeld()
@@ -260,6 +250,9 @@
 		return next, err == nil
 	}
 	w.commit = func() bool {
+		if e.relay.deps.ShutdownCtx.Err() != nil {
+			return false
+		}
 		allowed := e.relay.deps.AllowRetry(e.service)
 		if !allowed {
 			log("goes on waiting: the retry budget is used up")
@@ -280,7 +273,7 @@
 	if held {
 		return next, nil
 	}
-	results, err := e.runStagesUntilShutdown(ctx, p.server.Zone, deadline)
+	results, err := e.runStages(ctx, p.server.Zone, deadline)
 	if err != nil {
 		e.settle(p, balance.Abandoned)
 		return nil, fmt.Errorf("running the stages again: %w", err)
--- a/core/relay/plain.go
+++ b/core/relay/plain.go
@@ -34,6 +34,10 @@
 			}
 			return e.refusal(fault.From(err))
 		}
+		if e.mustNotSend() {
+			s.Release(grant, balance.Abandoned)
+			return e.shutdownError()
+		}
 		server, ok := e.relay.deps.Servers().Callable(e.now(), grant.Endpoint.Name())
 		if !ok {
 			s.Release(grant, balance.Abandoned)
--- a/core/relay/relay.go
+++ b/core/relay/relay.go
@@ -84,8 +84,10 @@
 		// worth weighs the request against others.
 		worth float64
 		w     ResponseWriter
-		// callerCtx is cancelled when the caller disconnects.
+		// callerCtx is cancelled when the caller disconnects, and when a planned shutdown
+		// ends the request.
 		callerCtx context.Context
+		guard     *shutdownGuard
 		// deadline is when the response has to be complete, or a stream has to have
 		// begun. due is when it is due by the target latency of the route, less the
 		// time that earlier attempts of the caller have taken.
@@ -127,9 +129,8 @@
 )
 
 var (
-	errStalled      = errors.New("the server is silent and the stream goes on at another one")
-	errNoEngine     = errors.New("no engine is free")
-	errShuttingDown = errors.New("the instance shuts down before the request's stages are complete")
+	errStalled  = errors.New("the server is silent and the stream goes on at another one")
+	errNoEngine = errors.New("no engine is free")
 )
 
 // New returns a relay without observations of earlier requests.
@@ -139,6 +140,10 @@
 // *fault.Error or a *Refusal. If the response had started by then, the caller's
 // connection has to be aborted.
 func (r *Relay) Serve(ctx context.Context, req *Request, w ResponseWriter) (started bool, err error) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	guard := &shutdownGuard{cancel: cancel}
+	defer context.AfterFunc(r.deps.ShutdownCtx, guard.end)()
 	if !r.deps.AwaitReady(ctx) && r.deps.Table() == nil {
 		// It is not known when there will be one, so the caller's only retry is
 		// best made late.
@@ -149,15 +154,20 @@
 	if err != nil {
 		return false, err
 	}
+	e.guard = guard
+	e.w = e.guardStream(e.w)
 	e.callerCtx = ctx
-	ctx, cancel := context.WithDeadline(ctx, e.deadline)
-	defer cancel()
+	ctx, stop := context.WithDeadline(ctx, e.deadline)
+	defer stop()
 	defer e.freeHeld()
 	err = e.serve(ctx)
 	if e.next != nil {
 		e.discard(e.next)
 	}
-	started = e.stream != nil && e.stream.started
+	started = guard.hasBegun()
+	if err != nil && !started && errors.Is(context.Cause(ctx), errShuttingDown) {
+		err = e.shutdownError()
+	}
 	e.log("end", outcomeText(err), "")
 	return started, err
 }
@@ -217,17 +227,6 @@
 	return max(minEventTimeout, eventTimeoutLatencyFactor*rt.TargetLatency, eventTimeoutGapFactor*rt.TargetGap)
 }
 
-// checkShutdown refuses a request that a planned shutdown in progress might cut
-// off.
-func (e *execution) checkShutdown() error {
-	shutdown := e.relay.deps.Shutdown()
-	now := e.now()
-	if shutdown.End.IsZero() || now.Before(shutdown.RestrictFrom) || e.deadline.Before(shutdown.End) {
-		return nil
-	}
-	return e.relay.refuse(fault.Errorf(fault.Draining, "the instance shuts down in %v and the request may take %v", shutdown.End.Sub(now).Round(time.Millisecond), e.deadline.Sub(now).Round(time.Millisecond)), 0)
-}
-
 // deny returns the denial, or a refusal if the configuration may be out of
 // date.
 func (r *Relay) deny(table *route.Table, kind fault.Kind, format string, args ...any) error {
--- a/core/relay/types.go
+++ b/core/relay/types.go
@@ -134,7 +134,8 @@
 	}
 
 	// Shutdown is a planned shutdown of the process. Requests that arrive at
-	// RestrictFrom or later are accepted only if their deadline is before End.
+	// RestrictFrom or later are accepted only if their deadline is before End. At
+	// End, requests whose response has not begun are ended with an error.
 	Shutdown struct {
 		RestrictFrom, End time.Time
 	}
@@ -203,8 +204,7 @@
 		// Shutdown returns the planned shutdown in progress, or the zero
 		// Shutdown.
 		Shutdown func() Shutdown
-		// ShutdownCtx is cancelled shortly before a planned shutdown ends, so
-		// that requests that have not been sent by then still get a response.
+		// ShutdownCtx is cancelled at the End of a planned shutdown.
 		ShutdownCtx context.Context
 		// Random returns a random number in [0, 1).
 		Random func() float64
--- a/edge/services.go
+++ b/edge/services.go
@@ -46,7 +46,7 @@
 	restrictDelay = 2500 * time.Millisecond
 
 	// responseReserve is the time at the end of a planned shutdown that is
-	// reserved for responding to requests that were not sent to a server.
+	// reserved for responding to requests whose response has not begun by then.
 	responseReserve = 300 * time.Millisecond
 
 	// drainPollInterval is the time between two checks of whether a draining
@@ -103,8 +103,9 @@
 	s.Drain = func(ctx context.Context) error {
 		in.draining.Store(true)
 		now := time.Now()
-		in.shutdown.Store(&relay.Shutdown{RestrictFrom: now.Add(restrictDelay), End: now.Add(in.ShutdownTimeout())})
-		timer := time.AfterFunc(in.ShutdownTimeout()-responseReserve, in.cancelShutdownCtx)
+		untilEnd := in.ShutdownTimeout() - responseReserve
+		in.shutdown.Store(&relay.Shutdown{RestrictFrom: now.Add(restrictDelay), End: now.Add(untilEnd)})
+		timer := time.AfterFunc(untilEnd, in.cancelShutdownCtx)
 		defer timer.Stop()
 		in.log.Info("draining", zap.Int64("inFlight", in.callerServer.InFlight()))
 		in.callerServer.DisableKeepAlives()
