--- a/core/object/object.go
+++ b/core/object/object.go
@@ -48,7 +48,8 @@
 		Delete func(ctx context.Context, kind, name string, version int64) error
 
 		// List returns the objects whose names begin with prefix, ordered by
-		// name. Errors: ErrUnavailable.
+		// name. An object that cannot be decoded has no Data. Errors:
+		// ErrUnavailable.
 		List func(ctx context.Context, kind, prefix string) ([]Object, error)
 
 		// Watch waits until the object has a version higher than after and
