--- a/node/watch.go
+++ b/node/watch.go
@@ -133,7 +133,7 @@
 	for _, o := range objects {
 		s, err := platform.DecodeServer(o)
 		if err != nil {
-			in.log.Debug("server entry refused", zap.Error(err))
+			in.log.Debug("server entry refused", zap.String("server", fmt.Sprintf("%.64q", o.Name)), zap.Error(err))
 			continue
 		}
 		servers = append(servers, s)
