edge: count refused entries of servers and log each change once

Machines logged the same line for each odd entry of another writer at every listing of the store, and at every write of such an entry, without a bound; nothing counted them. Entries that a peer had taken over from the store were accepted without any check.

The changes of a peer go through the same check (fleet.Server.Validate): an entry that is refused there counts as removed, as one of the store. Changes that are older than the view have no effect, as before.

--- a/edge/edge.go
+++ b/edge/edge.go
@@ -74,6 +74,7 @@
 		directoryDigests digests
 		// noticeLog limits the log lines about headers of servers.
 		noticeLog rate.Sometimes
+		refused   *refusedEntries
 		// lastReplyAt is when a peer last answered a request for changes, or nil.
 		lastReplyAt atomic.Pointer[time.Time]
 		httpServers []*http.Server
@@ -94,7 +95,7 @@
 	in := &Instance{
 		name: cfg.Name(), incarnation: cfg.Name() + "-" + rand.Text()[:10], peerAddress: cfg.PeerAddress(),
 		log:      log.With(zap.String("instance", cfg.Name()), zap.String("failureDomain", cfg.FailureDomain())),
-		registry: prometheus.NewRegistry(), ready: make(chan struct{}), startedAt: time.Now(),
+		registry: prometheus.NewRegistry(), refused: newRefusedEntries(), ready: make(chan struct{}), startedAt: time.Now(),
 		clock: stage.Clock{
 			Now:       time.Now,
 			AfterFunc: func(d time.Duration, f func()) func() bool { return time.AfterFunc(d, f).Stop },
--- a/edge/metrics.go
+++ b/edge/metrics.go
@@ -15,6 +15,7 @@
 	staleSources    prometheus.Counter
 	serverEvents    *prometheus.CounterVec
 	refusedNotices  prometheus.Counter
+	refusedEntries  prometheus.Counter
 	requests        *prometheus.CounterVec
 	faults          *prometheus.CounterVec
 	aborts          *prometheus.CounterVec
@@ -37,6 +38,7 @@
 		staleSources:    prometheus.NewCounter(prometheus.CounterOpts{Name: "chervilpath_follow_stale_total", Help: "Requests for changes that an instance without a recent confirmation by the store answered, or none."}),
 		serverEvents:    prometheus.NewCounterVec(prometheus.CounterOpts{Name: "chervilpath_server_events_total", Help: "Servers found leaving, gone, missing, excluded or returned, by source: store, peer, answer or lapse."}, []string{"event", "source"}),
 		refusedNotices:  prometheus.NewCounter(prometheus.CounterOpts{Name: "chervilpath_server_retry_after_refused_total", Help: "Retry-After headers of servers that could not be used."}),
+		refusedEntries:  prometheus.NewCounter(prometheus.CounterOpts{Name: "chervilpath_server_entries_refused_total", Help: "Entries in the list of servers that name no server to use, once for each revision of an entry."}),
 		requests:        prometheus.NewCounterVec(prometheus.CounterOpts{Name: "chervilpath_site_requests_total", Help: "Requests by result."}, []string{"result"}),
 		faults:          prometheus.NewCounterVec(prometheus.CounterOpts{Name: "chervilpath_site_faults_total", Help: "Requests answered with a fault, by kind."}, []string{"kind"}),
 		aborts:          prometheus.NewCounterVec(prometheus.CounterOpts{Name: "chervilpath_site_aborts_total", Help: "Connections of callers closed without a complete response, by cause: caller, deadline, server, noServer or other."}, []string{"cause"}),
@@ -49,7 +51,7 @@
 		prometheus.CounterOpts{Name: "chervilpath_log_lines_dropped_total", Help: "Log lines that did not fit into the queue before standard output."},
 		func() float64 { return float64(dropped()) },
 	))
-	r.MustRegister(m.configVersion, m.storeCalls, m.storeFailures, m.followRequests, m.staleSources, m.serverEvents, m.refusedNotices, m.requests, m.faults, m.aborts, m.requestDuration, m.batches, m.batchPieces, m.batchDuration)
+	r.MustRegister(m.configVersion, m.storeCalls, m.storeFailures, m.followRequests, m.staleSources, m.serverEvents, m.refusedNotices, m.refusedEntries, m.requests, m.faults, m.aborts, m.requestDuration, m.batches, m.batchPieces, m.batchDuration)
 	return m
 }
 
--- a/edge/state.go
+++ b/edge/state.go
@@ -464,7 +464,16 @@
 		c.instance.log.Warn("server changes from peer refused", zap.String("from", from), zap.Error(err))
 		return
 	}
-	c.updateServers(from, func(v *fleet.View, now time.Time) { v.Apply(now, changes) })
+	refused := c.instance.refuseInvalid(from, &changes)
+	c.updateServers(from, func(v *fleet.View, now time.Time) {
+		if changes.Revision <= v.Revision() {
+			return
+		}
+		v.Apply(now, changes)
+		for _, id := range refused {
+			v.Remove(now, id)
+		}
+	})
 }
 
 // notifyWaiters wakes the Follow requests that wait for a change. The caller
--- a/edge/storewatch.go
+++ b/edge/storewatch.go
@@ -186,14 +186,17 @@
 		return 0, err
 	}
 	servers := make([]fleet.Server, 0, len(objects))
+	refused := make(map[string]bool)
 	for _, o := range objects {
 		s, err := platform.DecodeServer(o)
 		if err != nil {
-			in.log.Warn("server entry refused", zap.Error(err))
+			in.refuseEntry(sourceStore, o.Name, o.Version, err)
+			refused[o.Name] = true
 			continue
 		}
 		servers = append(servers, s)
 	}
+	in.refused.retain(refused)
 	if len(objects) > 0 && len(servers) == 0 {
 		// Taking this over would remove every server.
 		return 0, fmt.Errorf("%w: none of %d listed objects is the entry of a server", object.ErrUnavailable, len(objects))
@@ -222,15 +225,17 @@
 
 func (in *Instance) applyServerChange(v *fleet.View, now time.Time, c platform.Change) {
 	if c.Removed {
+		in.refused.forget(c.Object.Name)
 		v.Remove(now, c.Object.Name)
 		return
 	}
 	s, err := platform.DecodeServer(c.Object)
 	if err != nil {
-		in.log.Warn("server entry refused", zap.Error(err))
+		in.refuseEntry(sourceStore, c.Object.Name, c.Object.Version, err)
 		v.Remove(now, c.Object.Name)
 		return
 	}
+	in.refused.forget(s.ID)
 	v.Set(s)
 }
 
