edge: follow a list that has odd entries alone

While all entries in the list of servers were odd, each listing counted as a failed call of the store: instances listed again and again (up to every 0.4 s each), none became ready when the first sound server registered, and after a loss of the store's history requests went on to servers that were gone, without an end.

Cause: a listing in which no object is the entry of a server was refused, since a late copy of the answer to another call would have removed every server. A list of odd entries looks the same.

Such a listing is now checked by a call that tells the two apart: if the first listed name is an object among the servers, the list is theirs and is taken over; if not, it is refused as before. It costs one call, only then.

--- a/edge/harness_test.go
+++ b/edge/harness_test.go
@@ -42,6 +42,7 @@
 type instance struct {
 	kernel          *kernel.Kernel
 	callerAddress   string
+	peerAddress     string
 	operatorAddress string
 	stopped         bool
 }
@@ -131,7 +132,7 @@
 	if err := k.Start(s.t.Context()); err != nil {
 		s.t.Fatal(err)
 	}
-	inst := &instance{kernel: k, callerAddress: callerAddress, operatorAddress: operatorAddress}
+	inst := &instance{kernel: k, callerAddress: callerAddress, peerAddress: peerAddress, operatorAddress: operatorAddress}
 	s.mu.Lock()
 	s.instances = append(s.instances, inst)
 	s.mu.Unlock()
--- a/edge/storewatch.go
+++ b/edge/storewatch.go
@@ -196,11 +196,17 @@
 		}
 		servers = append(servers, s)
 	}
-	in.refused.retain(refused)
 	if len(objects) > 0 && len(servers) == 0 {
-		// Taking this over would remove every server.
-		return 0, fmt.Errorf("%w: none of %d listed objects is the entry of a server", object.ErrUnavailable, len(objects))
+		// Taking this over removes every server. It may be the answer to another call.
+		listed, err := in.store.HasServer(ctx, objects[0].Name)
+		if err != nil {
+			return 0, err
+		}
+		if !listed {
+			return 0, fmt.Errorf("%w: none of %d listed objects is the entry of a server", object.ErrUnavailable, len(objects))
+		}
 	}
+	in.refused.retain(refused)
 	in.state.updateServers(sourceStore, func(v *fleet.View, now time.Time) { v.Replace(now, servers, revision) })
 	in.state.recordConfirmations(sourceStore, time.Time{}, requestedAt)
 	return revision, nil
