--- a/core/relay/silence_test.go
+++ b/core/relay/silence_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"slices"
 	"strings"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -67,6 +68,8 @@
 	// stagePause is how long the stages take, if there are any.
 	stagePause time.Duration
 
+	// mu guards what the functions of Deps count.
+	mu                sync.Mutex
 	received          strings.Builder
 	headWritten       bool
 	attempts, retries int
@@ -113,15 +116,23 @@
 			case <-ctx.Done():
 				return nil, fault.Errorf(fault.Cancelled, "the stage was cancelled")
 			}
+			st.mu.Lock()
+			defer st.mu.Unlock()
 			st.stageRuns++
 			st.held++
 			return []string{fmt.Sprint("result-", st.stageRuns)}, nil
 		},
-		FreeResults: func(_ string, handles []string) { st.held -= len(handles) },
+		FreeResults: func(_ string, handles []string) {
+			st.mu.Lock()
+			defer st.mu.Unlock()
+			st.held -= len(handles)
+		},
 		AllowRetry: func(string) bool {
 			if st.allowRetry != nil && !st.allowRetry() {
 				return false
 			}
+			st.mu.Lock()
+			defer st.mu.Unlock()
 			st.retries++
 			return true
 		},
@@ -129,6 +140,8 @@
 			if len(q.Exclude) > 0 && st.placeable != nil && !st.placeable() {
 				return ""
 			}
+			st.mu.Lock()
+			defer st.mu.Unlock()
 			for _, s := range servers {
 				if !slices.Contains(q.Exclude, s.ID) {
 					st.placed[q.RequestID] = s.ID
@@ -138,11 +151,17 @@
 			return ""
 		},
 		Settle: func(_, request, server string, _ balance.Outcome) {
+			st.mu.Lock()
+			defer st.mu.Unlock()
 			if st.placed[request] == server {
 				delete(st.placed, request)
 			}
 		},
-		Suspect: func(string, string, string) { st.suspected++ },
+		Suspect: func(string, string, string) {
+			st.mu.Lock()
+			defer st.mu.Unlock()
+			st.suspected++
+		},
 		Send: func(ctx context.Context, _ Attempt) (*Response, error) {
 			st.attempts++
 			if st.attempts > len(st.parts) {
