front: limits for callers' connections follow the configuration in force

What callers saw: under a configuration whose idleTimeoutMs, headerTimeoutMs or maxHeaderBytes is larger than the instance's constants (15 s, 3 s, 16 KiB), a connection that was idle for four fifths of the limit was closed when the next request came, a header that took longer was answered 400, and a larger one 431.

Cause: http.Server reads its limits for each request without a lock, so they were constants that had to hold before a configuration is known.

Change: the server for callers has no timeouts of its own. Its listener wraps each connection, whose reads set the deadline from the limits in force: for a header from its first byte, and for an idle connection from the end of the response. When a deadline passes, the limit is read again, so that a raised one holds for a connection that is idle already. A lowered one holds for connections that become idle later: the caller may still rely on the limit with which it began. A deadline, unlike a close, never ends a request that has been read. Both times are longer by the propagation time of a configuration, since callers may know a version earlier. Bytes of a header are counted while they are read. Without a configuration the constants hold; a configuration's limits are followed up to 1 h and 1 MiB.

TestBodiesAcrossVersionsAreAnswered and TestPipelinedRequestsAreAnswered passed before, too: they rule out bodies across versions and pipelining as causes.

--- a/edge/services.go
+++ b/edge/services.go
@@ -12,6 +12,7 @@
 
 	"chervilpath/core/kernel"
 	"chervilpath/core/relay"
+	"chervilpath/io/front"
 	"chervilpath/io/peer"
 	"chervilpath/platform"
 )
@@ -28,12 +29,16 @@
 const (
 	peerIdleTimeout = 20 * time.Second
 
-	// headerTimeout, idleTimeout and maxHeaderBytes limit the HTTP servers. They
-	// are fixed, since the servers start before a configuration is known.
+	// headerTimeout, idleTimeout and maxHeaderBytes limit the HTTP servers, and that
+	// for callers while no configuration is known or it has no such limit.
 	headerTimeout  = 3 * time.Second
 	idleTimeout    = 15 * time.Second
 	maxHeaderBytes = 16 << 10
 
+	// maxCallerTimeout is the longest of a configuration's limits for callers that is
+	// followed.
+	maxCallerTimeout = time.Hour
+
 	// shutdownDelay is how long an instance still accepts new connections after
 	// its shutdown began: the platform probes readiness every second and acts
 	// after two failed probes.
@@ -98,8 +103,9 @@
 // steps: the instance reports that it is not ready, its responses close their
 // connections, and the requests in flight end.
 func (in *Instance) callerService() kernel.Service {
-	s := in.withHTTPServer(kernel.Service{Name: CallerService, DependsOn: []string{OperatorService}, Value: in.callerServer}, in.cfg.Load().CallerAddress(), in.callerServer)
-	server := in.httpServers[len(in.httpServers)-1]
+	server := &http.Server{Handler: in.callerServer, MaxHeaderBytes: front.MaxHeaderBytes, ConnState: front.TrackState}
+	s := in.withServer(kernel.Service{Name: CallerService, DependsOn: []string{OperatorService}, Value: in.callerServer}, in.cfg.Load().CallerAddress(), server,
+		func(ln net.Listener) net.Listener { return front.NewListener(ln, in.callerLimits) })
 	s.Drain = func(ctx context.Context) error {
 		in.draining.Store(true)
 		now := time.Now()
@@ -125,13 +131,40 @@
 	return s
 }
 
-// withHTTPServer returns the service with an HTTP server that starts and stops
-// with it.
-func (in *Instance) withHTTPServer(s kernel.Service, address string, h http.Handler) kernel.Service {
-	server := &http.Server{
-		Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
-		ErrorLog: zap.NewStdLog(in.log.Named("http").WithOptions(zap.IncreaseLevel(zap.ErrorLevel))),
+// callerLimits returns the limits for connections of callers. Limits of time are longer
+// by the propagation time of a configuration, since callers may already rely on a version
+// that raises them.
+func (in *Instance) callerLimits() front.Limits {
+	out := front.Limits{HeaderBytes: maxHeaderBytes, HeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
+	if t := in.state.table(); t != nil {
+		limits := t.Limits()
+		if limits.HeaderBytes > 0 {
+			out.HeaderBytes = int(min(limits.HeaderBytes, front.MaxHeaderBytes))
+		}
+		if limits.HeaderTimeout > 0 {
+			out.HeaderTimeout = min(limits.HeaderTimeout, maxCallerTimeout)
+		}
+		if limits.IdleTimeout > 0 {
+			out.IdleTimeout = min(limits.IdleTimeout, maxCallerTimeout)
+		}
 	}
+	propagation := in.cfg.Load().Bounds().ConfigPropagation
+	out.HeaderTimeout += propagation
+	out.IdleTimeout += propagation
+	return out
+}
+
+// withHTTPServer returns the service with an HTTP server for other instances or
+// operators that starts and stops with it.
+func (in *Instance) withHTTPServer(s kernel.Service, address string, h http.Handler) kernel.Service {
+	server := &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes}
+	return in.withServer(s, address, server, func(ln net.Listener) net.Listener { return ln })
+}
+
+// withServer returns the service with an HTTP server that starts and stops with it, on
+// the listener that wrap returns.
+func (in *Instance) withServer(s kernel.Service, address string, server *http.Server, wrap func(net.Listener) net.Listener) kernel.Service {
+	server.ErrorLog = zap.NewStdLog(in.log.Named("http").WithOptions(zap.IncreaseLevel(zap.ErrorLevel)))
 	in.httpServers = append(in.httpServers, server)
 	s.Start = func(context.Context) error {
 		ln, err := net.Listen("tcp", address)
@@ -139,7 +172,7 @@
 			return fmt.Errorf("listening for %s: %w", s.Name, err)
 		}
 		go func() {
-			if err := server.Serve(ln); err != http.ErrServerClosed {
+			if err := server.Serve(wrap(ln)); err != http.ErrServerClosed {
 				in.log.Error("HTTP server stopped unexpectedly", zap.String("service", s.Name), zap.Error(err))
 			}
 		}()
