front: a request without an answer gets a failure also if its caller sends no more

What callers saw: one that ended its sending direction after a whole request (a half-close) got a closed connection, neither an answer nor a refusal.

Cause: net/http cancels the context of a request when it reads the end of the caller's bytes, and the front closed the connection without an answer whenever the context was cancelled.

A half-close and a close can't be told apart before something is written, and the end of work for callers that have left must stay prompt. So the request still ends, but unless the response has started, a failure is written: 502, or 503 if nothing ran. A caller that has left does not read it.

TestCallerThatSendsNoMoreGetsAFailure also checks that the server stops within half a second.

--- a/edge/connection_test.go
+++ b/edge/connection_test.go
@@ -176,6 +176,34 @@
 	return "none"
 }
 
+// Failure: a caller that ends its sending direction after a whole request gets neither
+// an answer nor a refusal, or its request goes on as if it still waited.
+func TestCallerThatSendsNoMoreGetsAFailure(t *testing.T) {
+	t.Parallel()
+	server := stand.NewServer("i-1", "desk", "a")
+	ended := make(chan struct{})
+	server.Intercept = func(w http.ResponseWriter, r *http.Request) bool {
+		<-r.Context().Done()
+		close(ended)
+		return true
+	}
+	s := newTestSite(t, 1, configSpec(1, apiKeys, routeSpec("book", "non_idempotent", "desk", nil)), server)
+	c := s.connect(0)
+	c.send(requestHead("/book/1", "half-closed", "Content-Length: 0\r\n") + "\r\n")
+	s.eventually("the request at the server", func() bool { requests, _ := server.Requests(); return len(requests) == 1 })
+	if err := c.CloseWrite(); err != nil {
+		t.Fatal(err)
+	}
+	if got := c.response(); got.status != http.StatusBadGateway {
+		t.Errorf("%+v, want status 502, which promises nothing", got)
+	}
+	select {
+	case <-ended:
+	case <-time.After(500 * time.Millisecond):
+		t.Error("the server is still at work half a second later")
+	}
+}
+
 // Failure: a caller that sends its next request before it has the answer gets none.
 func TestPipelinedRequestsAreAnswered(t *testing.T) {
 	t.Parallel()
--- a/io/front/front.go
+++ b/io/front/front.go
@@ -83,12 +83,14 @@
 	if err == nil {
 		return
 	}
-	if started || r.Context().Err() != nil {
+	if started {
 		// Aborting the connection keeps the caller from taking the response
 		// for complete.
 		s.deps.RequestAborted(req.ID, err)
 		panic(http.ErrAbortHandler)
 	}
+	// A caller that seems to have disconnected may have ended its sending direction
+	// alone, and still reads.
 	s.writeError(w, req.ID, err)
 }
 
@@ -156,6 +158,10 @@
 func (s *Server) writeError(w http.ResponseWriter, id string, err error) {
 	e := fault.From(err)
 	status := e.Kind().Properties().HTTPStatus
+	if e.Kind() == fault.Cancelled {
+		// The status of the kind is for logs: it would say that the request is invalid.
+		status = http.StatusBadGateway
+	}
 	switch {
 	case promisesNotRun(status) && e.Ran() != fault.RanNo:
 		status = http.StatusBadGateway
