balance: the end of a call to a removed endpoint changes no totals

What callers saw: requests to a service whose servers had all been ejected waited until their deadlines, since no server was probed.

Cause: an endpoint that was removed while it was being probed counted as readmitted when that call ended, although the total of ejected endpoints did not contain it any more. At a total of zero no endpoint is probed, until the list of servers changes again.

TestEndOfACallToARemovedEndpointChangesNoOther failed before: picked -1 for the reason noneFree, want a probe of the ejected endpoint

--- a/core/balance/balance.go
+++ b/core/balance/balance.go
@@ -189,6 +189,12 @@
 		indexByName[e.Name()] = len(members)
 		members = append(members, g.memberFor(e))
 	}
+	for _, m := range g.members {
+		m.removed = true
+	}
+	for _, m := range members {
+		m.removed = false
+	}
 	g.members, g.indexByName = members, indexByName
 	g.refreshTotals()
 }
@@ -370,6 +376,9 @@
 	g.inFlight--
 	m.startSum -= c.start.Sub(m.startBase).Seconds()
 	m.expectedSum -= c.expected.Seconds()
+	if m.removed {
+		return
+	}
 	took := now.Sub(c.start)
 	switch outcome {
 	case Succeeded:
--- a/core/balance/member.go
+++ b/core/balance/member.go
@@ -13,6 +13,8 @@
 	decl    *declare.Endpoint
 	hash    uint64
 	leaving bool
+	// removed is set once the endpoint is no longer one of the group.
+	removed bool
 	// loaded lists the models and adapters that are loaded, as reported by the
 	// engine or else as declared.
 	loaded []string
