edge: services that left the configuration keep to the list of servers

What callers saw: a request that was in progress as its route and the service of its stages were dropped ended when a server of that service left, although others had come; its pieces were still sent to a server long after it was draining.

Cause: a change of the servers was passed only to the services of the configuration in force, so the queue of a service that had left it kept the servers of that time. Requests that began under an earlier version, here and at instances that have it longer, still use it.

Change: changes go to all services that have ever been in the configuration, as they were last used. Besides, a version comes into force only after its services have their servers: a request could find a new service without any.

The order of the two steps has no test of its own; the window was microseconds.

--- a/edge/state.go
+++ b/edge/state.go
@@ -100,11 +100,22 @@
 		// peers: a change, or a later confirmation by the store.
 		changed      chan struct{}
 		numInstances int
-		plainStages  map[string]*stage.Stage
-		retryShares  map[string]*retry.Share
+		// uses holds how each service has been used, by name. Requests that began
+		// under an earlier configuration go on using it as they did.
+		uses        map[string]serviceUse
+		plainStages map[string]*stage.Stage
+		retryShares map[string]*retry.Share
 	}
 )
 
+// serviceUse is how a service has been used: by engine or pieces if they are not nil, and
+// as a plain service if plain is set.
+type serviceUse struct {
+	engine *route.EngineConfig
+	pieces *route.PieceConfig
+	plain  bool
+}
+
 // encodedChanges are the changes of the servers from the revision after to revision,
 // as of a generation of the view.
 type encodedChanges struct {
@@ -115,7 +126,7 @@
 func newClusterState(in *Instance) *clusterState {
 	c := &clusterState{
 		instance: in, view: fleet.New(outageHeartbeats * in.cfg.Load().Bounds().HeartbeatInterval), numInstances: 1, changed: make(chan struct{}),
-		plainStages: make(map[string]*stage.Stage), retryShares: make(map[string]*retry.Share),
+		uses: make(map[string]serviceUse), plainStages: make(map[string]*stage.Stage), retryShares: make(map[string]*retry.Share),
 	}
 	c.snapshot.Store(c.view.Snapshot())
 	return c
@@ -199,13 +210,15 @@
 		c.mu.Unlock()
 		return
 	}
+	// A request must not find a version whose services have no servers yet.
+	c.recordUses(table)
+	c.updateServices()
 	c.currentTable.Store(table)
 	now := time.Now()
 	c.tableChangedAt.Store(&now)
 	c.history.add(spec)
 	c.needWhole = false
 	c.notifyWaiters()
-	c.updateServices()
 	c.mu.Unlock()
 	c.instance.log.Info("configuration in force", zap.Int64("version", table.Version()), zap.String("from", from))
 	c.instance.metrics.configVersion.Set(float64(table.Version()))
@@ -292,24 +305,38 @@
 	}
 }
 
-// updateServices passes the current servers, configuration and number of
-// instances to every service. The caller holds mu.
-func (c *clusterState) updateServices() {
-	table, snapshot := c.currentTable.Load(), c.snapshot.Load()
-	if table == nil {
-		return
-	}
+// recordUses records how a configuration uses its services. The caller holds mu.
+func (c *clusterState) recordUses(table *route.Table) {
 	for _, svc := range table.Services() {
-		servers := snapshot.Service(svc.Name)
+		use := c.uses[svc.Name]
 		if svc.Engine != nil {
-			c.instance.delegator.placer(svc.Name).SetServers(servers, svc.Engine.Slots)
-			continue
+			use.engine = svc.Engine
+		} else {
+			// A route may also send its requests to a service that runs stages.
+			use.plain = true
 		}
 		if svc.Pieces != nil {
-			c.instance.delegator.dispatcher(svc.Name, *svc.Pieces).SetServers(servers, *svc.Pieces)
+			use.pieces = svc.Pieces
+		}
+		c.uses[svc.Name] = use
+	}
+}
+
+// updateServices passes the current servers, settings and number of instances to every
+// service, also to those that are no longer in the configuration. The caller holds mu.
+func (c *clusterState) updateServices() {
+	snapshot := c.snapshot.Load()
+	for name, use := range c.uses {
+		servers := snapshot.Service(name)
+		if use.engine != nil {
+			c.instance.delegator.placer(name).SetServers(servers, use.engine.Slots)
+		}
+		if use.pieces != nil {
+			c.instance.delegator.dispatcher(name, *use.pieces).SetServers(servers, *use.pieces)
+		}
+		if use.plain {
+			c.updatePlainStage(name, servers)
 		}
-		// A route may also send its requests to a service that runs stages.
-		c.updatePlainStage(svc.Name, servers)
 	}
 }
 
