upstream: keep the connection to a server that reads nothing for a while

A request with a body larger than the server's receive window ended with "connection timed out" if the server paused for a second before or while it read the body, and then went on. A request that may not be repeated was lost, another one used a retry for a sound server.

Cause: TCP_USER_TIMEOUT, 900 ms, is meant for a machine that acknowledges nothing. The kernel also applies it to a closed window, counted from its first probe, although the peer acknowledges these probes. The two can be told apart by TCP_INFO. With the window closed, nothing is unacknowledged and some data is unsent, or the send window is 0. While a machine is gone, data stays unacknowledged with the window open.

Now a connection that was given a large write is checked every 300 ms until all is acknowledged, and the timeout is 4 s while the window is closed. Otherwise it stays at 900 ms. A small write costs nothing, and a large one that is acknowledged soon one check. If the system does not tell the state, the timeout stays as it is.

--- /dev/null
+++ b/io/upstream/conn.go
@@ -0,0 +1,135 @@
+package upstream
+
+import (
+	"errors"
+	"net"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+const (
+	// unackedTimeout is how long sent data may stay unacknowledged before the
+	// connection is closed.
+	unackedTimeout = 900 * time.Millisecond
+
+	// closedWindowTimeout is the same for data that a server has no window for: its
+	// machine answers, but it reads nothing.
+	closedWindowTimeout = 4 * time.Second
+
+	// A connection to which more than largeWriteBytes are written at once is checked
+	// for a closed window each windowCheckInterval, which is well below
+	// unackedTimeout, until all of it is acknowledged.
+	largeWriteBytes     = 8 << 10
+	windowCheckInterval = 300 * time.Millisecond
+)
+
+type (
+	// countingConn counts the bytes written to a connection, so that a send of
+	// which nothing left the process can be recognised. It lets a server that reads
+	// nothing for a while keep its connection.
+	countingConn struct {
+		net.Conn
+		written atomic.Int64
+		// checking is set while a check of the window is due.
+		checking atomic.Bool
+	}
+
+	// sendState says what becomes of the data written to a connection.
+	sendState uint8
+)
+
+const (
+	// allAcked means that the peer has acknowledged all data.
+	allAcked sendState = iota
+	// sending means that data is on its way, or not acknowledged.
+	sending
+	// windowClosed means that the peer accepts no more data now.
+	windowClosed
+)
+
+var errNoTCPInfo = errors.New("the state of the connection is not available")
+
+// Write implements net.Conn.
+func (c *countingConn) Write(b []byte) (int, error) {
+	if len(b) > largeWriteBytes {
+		c.scheduleWindowCheck()
+	}
+	n, err := c.Conn.Write(b)
+	c.written.Add(int64(n))
+	return n, err
+}
+
+func (c *countingConn) scheduleWindowCheck() {
+	if c.checking.CompareAndSwap(false, true) {
+		time.AfterFunc(windowCheckInterval, c.checkWindow)
+	}
+}
+
+// checkWindow sets the timeout for unacknowledged data. The kernel applies it to a
+// closed window as well, although the peer acknowledges each probe of it.
+func (c *countingConn) checkWindow() {
+	c.checking.Store(false)
+	state, err := c.sendState()
+	if err != nil {
+		// The connection is closed, or keeps unackedTimeout because the system does
+		// not tell its state.
+		return
+	}
+	timeout := unackedTimeout
+	if state == windowClosed {
+		timeout = closedWindowTimeout
+	}
+	if err := c.control(func(fd int) error { return setUserTimeout(fd, timeout) }); err != nil {
+		// As above, the connection is closed.
+		return
+	}
+	if state != allAcked {
+		c.scheduleWindowCheck()
+	}
+}
+
+func (c *countingConn) sendState() (sendState, error) {
+	var info *unix.TCPInfo
+	err := c.control(func(fd int) (err error) {
+		info, err = unix.GetsockoptTCPInfo(fd, unix.IPPROTO_TCP, unix.TCP_INFO)
+		return err
+	})
+	switch {
+	case err != nil:
+		return allAcked, err
+	case info.State == 0:
+		return allAcked, errNoTCPInfo
+	case info.Unacked == 0 && info.Notsent_bytes == 0:
+		return allAcked, nil
+	case info.Unacked == 0 || info.Snd_wnd == 0:
+		return windowClosed, nil
+	}
+	return sending, nil
+}
+
+// control calls f with the descriptor of the connection.
+func (c *countingConn) control(f func(fd int) error) error {
+	sc, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return errNoTCPInfo
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return err
+	}
+	return controlFD(raw, f)
+}
+
+func controlFD(raw syscall.RawConn, f func(fd int) error) error {
+	var optErr error
+	err := raw.Control(func(fd uintptr) { optErr = f(int(fd)) })
+	return errors.Join(err, optErr)
+}
+
+// setUserTimeout sets how long sent data may stay unacknowledged; see tcp(7).
+func setUserTimeout(fd int, timeout time.Duration) error {
+	return unix.SetsockoptInt(fd, unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(timeout.Milliseconds()))
+}
--- a/io/upstream/upstream.go
+++ b/io/upstream/upstream.go
@@ -17,7 +17,6 @@
 	"net/url"
 	"strings"
 	"sync"
-	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -31,10 +30,6 @@
 	// second.
 	dialTimeout = 250 * time.Millisecond
 
-	// unackedTimeout is how long sent data may stay unacknowledged before the
-	// connection is closed.
-	unackedTimeout = 900 * time.Millisecond
-
 	// idleTimeout is shorter than the idle timeout of servers, so that a
 	// request is rarely sent on a connection that the server is closing.
 	idleTimeout = 4 * time.Second
@@ -43,9 +38,6 @@
 
 	// maxHeaderBytes is the largest head of a response, interim responses included.
 	maxHeaderBytes = 64 << 10
-
-	// optTCPUserTimeout is the socket option TCP_USER_TIMEOUT; see tcp(7).
-	optTCPUserTimeout = 18
 )
 
 type (
@@ -70,13 +62,6 @@
 		reused        bool
 		writtenBefore int64
 	}
-
-	// countingConn counts the bytes written to a connection, so that a send of
-	// which nothing left the process can be recognised.
-	countingConn struct {
-		net.Conn
-		written atomic.Int64
-	}
 )
 
 // errUnprovedRefusal means that a refusal may be a late copy of one of an earlier
@@ -90,11 +75,7 @@
 		Timeout:         dialTimeout,
 		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: time.Second, Interval: time.Second, Count: 2},
 		Control: func(_, _ string, c syscall.RawConn) error {
-			var optErr error
-			err := c.Control(func(fd uintptr) {
-				optErr = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, optTCPUserTimeout, int(unackedTimeout.Milliseconds()))
-			})
-			return errors.Join(err, optErr)
+			return controlFD(c, func(fd int) error { return setUserTimeout(fd, unackedTimeout) })
 		},
 	}
 	return &http.Transport{
@@ -114,13 +95,6 @@
 	}
 }
 
-// Write implements net.Conn.
-func (c *countingConn) Write(b []byte) (int, error) {
-	n, err := c.Conn.Write(b)
-	c.written.Add(int64(n))
-	return n, err
-}
-
 // New returns a client. outgoingHeader returns the header to send with an
 // attempt, and readResponse decodes the head of the response to the request with
 // the given ID. observe is called with the server and the head of each response.
