relay: wait for servers that take no new connections

A request to a plain service was refused after about a second, whatever its deadline, if its servers had a full queue of new connections for that long and then went on.

Cause: an opening packet that meets a full queue is dropped, and the connection attempt ends after 250 ms. It counts towards the four attempts that a request may make without running, like a refusal by a full server. Four of them take a second, less than a sound server may be silent.

An attempt to which no server answered now does not count during the first half of the request's time; after that the old limit applies. A connection that is refused counts as before: its server is gone. Between attempts the ejection of the servers spaces them, as before.

--- a/core/relay/plain.go
+++ b/core/relay/plain.go
@@ -133,7 +133,7 @@
 		if ctx.Err() != nil {
 			return false, e.contextError(ctx)
 		}
-		if e.mayResend(false) {
+		if sendErr.Unanswered && e.mayAwaitServer() || e.mayResend(false) {
 			return true, nil
 		}
 		return false, e.refusal(fault.Errorf(fault.EndpointUnavailable, "%w", err))
--- a/core/relay/relay.go
+++ b/core/relay/relay.go
@@ -17,6 +17,10 @@
 	// not run, such as refusals by full servers.
 	maxNotRun = 4
 
+	// maxAwaitFraction is the fraction of a request's time for which it is sent again
+	// to servers that do not answer requests for connections.
+	maxAwaitFraction = 0.5
+
 	// minRemaining is the least time before the deadline at which a request is
 	// still sent.
 	minRemaining = 20 * time.Millisecond
@@ -348,6 +352,12 @@
 	return e.notRun < maxNotRun && e.remaining() > minRemaining && (!sent || e.relay.deps.AllowRetry(e.service))
 }
 
+// mayAwaitServer reports whether the request may be sent again, without counting, after
+// an attempt to which no server answered.
+func (e *execution) mayAwaitServer() bool {
+	return float64(e.remaining()) > (1-maxAwaitFraction)*float64(e.timeout())
+}
+
 // freeHeld releases all results that are kept for the request.
 func (e *execution) freeHeld() {
 	e.freeResults(e.held)
--- a/core/relay/types.go
+++ b/core/relay/types.go
@@ -98,6 +98,9 @@
 		// NotSent is set if the server provably received nothing of the
 		// request.
 		NotSent bool
+		// Unanswered is set along with NotSent if the server did not answer the
+		// request for a connection in time. It may only be silent for a while.
+		Unanswered bool
 	}
 
 	// StageJob is one stage of a request, whose pieces are to be processed.
--- a/io/upstream/silence_test.go
+++ b/io/upstream/silence_test.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"sync"
 	"syscall"
 	"testing"
@@ -229,3 +230,46 @@
 	})
 	return errors.Join(err, optErr)
 }
+
+// Guards against a server whose queue of new connections is full for a while and that
+// is taken for one that is gone: the send says that nothing answered, and a later one is
+// served.
+func TestFullQueueOfConnectionsIsReportedAsUnanswered(t *testing.T) {
+	fd, err := unix.Socket(unix.AF_INET, unix.SOCK_STREAM|unix.SOCK_CLOEXEC, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	f := os.NewFile(uintptr(fd), "listener")
+	defer func() { _ = f.Close() }()
+	if err := errors.Join(unix.Bind(fd, &unix.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}), unix.Listen(fd, 0)); err != nil {
+		t.Fatal(err)
+	}
+	l, err := net.FileListener(f)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = l.Close() }()
+	// A queue of length 0 takes one connection.
+	queued, err := net.Dial("tcp", l.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = queued.Close() }()
+	err = sendKept(t.Context(), l.Addr().String(), 100)
+	if sendErr, ok := errors.AsType[*relay.SendError](err); !ok || !sendErr.NotSent || !sendErr.Unanswered {
+		t.Errorf("error %v, want a SendError with NotSent and Unanswered", err)
+	}
+	first, err := l.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = first.Close() }()
+	served := make(chan error, 1)
+	go func() { served <- serveWithPause(l, pauseBeforeAccept, func(*net.TCPConn) error { return nil }) }()
+	if err := sendKept(t.Context(), l.Addr().String(), 100); err != nil {
+		t.Error(err)
+	}
+	if err := <-served; err != nil {
+		t.Errorf("the server: %v", err)
+	}
+}
--- a/io/upstream/upstream.go
+++ b/io/upstream/upstream.go
@@ -117,7 +117,9 @@
 	}
 	resp, err := transport.RoundTrip(req)
 	if err != nil {
-		return nil, &relay.SendError{Err: fmt.Errorf("sending to server %s: %w", a.Server.ID, err), NotSent: trace.notSent()}
+		return nil, &relay.SendError{
+			Err: fmt.Errorf("sending to server %s: %w", a.Server.ID, err), NotSent: trace.notSent(), Unanswered: ctx.Err() == nil && isDialTimeout(err),
+		}
 	}
 	c.observe(a.Server, resp)
 	out, err := c.readResponse(resp, a.Request.ID)
@@ -135,6 +137,12 @@
 	return out, nil
 }
 
+// isDialTimeout reports whether a server did not answer the request for a connection.
+func isDialTimeout(err error) bool {
+	opErr, ok := errors.AsType[*net.OpError](err)
+	return ok && opErr.Op == "dial" && opErr.Timeout()
+}
+
 func (c *Client) request(ctx context.Context, a relay.Attempt) (*http.Request, error) {
 	u, err := targetURL(a)
 	if err != nil {
