gather: test stage servers that take no connections for a while

Six more cases of TestSilentStageServersDelayRequestsOnly, in which a call ends without a connection after 250 ms. All pass: the pauses after failures spread the four attempts of a piece far enough for 1.8 s. No change was needed.

--- a/core/gather/silence_test.go
+++ b/core/gather/silence_test.go
@@ -14,12 +14,17 @@
 	"chervilpath/core/stage"
 )
 
+// dialTimeout is how long a server that takes no connections is waited for.
+const dialTimeout = 250 * time.Millisecond
+
 // stageService stands for the servers of a stage service, which are all silent until a
 // time: they take calls, and make and answer nothing. A call that has been given up by then
 // makes its results nevertheless, which occupy room that nobody frees.
 type stageService struct {
 	silentFrom, silentUntil time.Time
-	cfg                     route.PieceConfig
+	// unreachable is set if they take no connections either while they are silent.
+	unreachable bool
+	cfg         route.PieceConfig
 
 	mu             sync.Mutex
 	calls, results int
@@ -32,9 +37,15 @@
 	s.mu.Lock()
 	s.calls++
 	s.mu.Unlock()
+	now := time.Now()
+	silent := !now.Before(s.silentFrom) && now.Before(s.silentUntil)
+	if silent && s.unreachable {
+		time.Sleep(dialTimeout)
+		return gather.CallFailed, nil, errors.New("no connection")
+	}
 	answered := make(chan []gather.ItemOutcome, 1)
 	go func() {
-		if now := time.Now(); now.After(s.silentFrom) && now.Before(s.silentUntil) {
+		if silent {
 			time.Sleep(s.silentUntil.Sub(now))
 		}
 		time.Sleep(s.cfg.CallTime + s.cfg.ItemTime*time.Duration(len(b.Items)))
@@ -87,12 +98,15 @@
 		silentAt = time.Second
 	)
 	cfg := route.PieceConfig{Slots: 1, MaxQueue: 2, MaxBatch: 8, CallTime: 20 * time.Millisecond, ItemTime: time.Millisecond, ResultCapacity: 10 * bytes, ResultTTL: 4 * time.Second}
+	pauses := []time.Duration{300 * time.Millisecond, 1200 * time.Millisecond, 1800 * time.Millisecond}
+	pauses = append(pauses, pauses...)
 	for _, zones := range [][]string{{"a"}, {"a", "b", "c"}} {
-		for _, pause := range []time.Duration{300 * time.Millisecond, 1200 * time.Millisecond, 1800 * time.Millisecond} {
-			t.Run(fmt.Sprintf("%d servers, %v", len(zones), pause), func(t *testing.T) {
+		for n, pause := range pauses {
+			unreachable := n >= len(pauses)/2
+			t.Run(fmt.Sprintf("%d servers, %v, unreachable %v", len(zones), pause, unreachable), func(t *testing.T) {
 				synctest.Test(t, func(t *testing.T) {
 					began := time.Now()
-					s := &stageService{silentFrom: began.Add(silentAt), silentUntil: began.Add(silentAt + pause), cfg: cfg, heldBytes: make(map[string]int64), owner: make(map[string]string)}
+					s := &stageService{silentFrom: began.Add(silentAt), silentUntil: began.Add(silentAt + pause), unreachable: unreachable, cfg: cfg, heldBytes: make(map[string]int64), owner: make(map[string]string)}
 					d := gather.NewDispatcher("photos", cfg, stage.Clock{
 						Now: time.Now, AfterFunc: func(d time.Duration, f func()) func() bool { return time.AfterFunc(d, f).Stop },
 					}, gather.Deps{
