engine: a replaced trial leaves its engine free for the next

What callers saw: an engine that was ejected once got no request any more, but as the last resort, until its process started again.

Cause: after an ejection an engine gets one request at a time, which ends with its settlement or its expiry. If the settlement is lost, or on its way, and the request is placed again, its placement at the engine is replaced, and neither of the two followed.

All ends of a placement now take the same way.

--- a/core/engine/placer.go
+++ b/core/engine/placer.go
@@ -187,9 +187,7 @@
 
 // assign records the placement of a request and replaces its previous one.
 func (p *Placer) assign(e *engineState, q Query) string {
-	if previous, ok := p.placements[q.RequestID]; ok {
-		previous.engine.load--
-	}
+	p.drop(q.RequestID)
 	e.load++
 	if e.onTrial() {
 		e.trial = q.RequestID
@@ -215,16 +213,12 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if placed, ok := p.placements[requestID]; ok && placed.engine.id == serverID {
-		placed.engine.load--
-		delete(p.placements, requestID)
+		p.drop(requestID)
 	}
 	e, ok := p.byID[serverID]
 	if !ok {
 		return
 	}
-	if e.trial == requestID {
-		e.trial = ""
-	}
 	switch outcome {
 	case balance.Succeeded:
 		e.consecutiveFailures = 0
@@ -254,11 +248,20 @@
 	p.lastSweep = now
 	for id, placed := range p.placements {
 		if now.After(placed.expires) {
-			placed.engine.load--
-			if placed.engine.trial == id {
-				placed.engine.trial = ""
-			}
-			delete(p.placements, id)
+			p.drop(id)
 		}
 	}
 }
+
+// drop ends the placement of a request, if there is one.
+func (p *Placer) drop(requestID string) {
+	placed, ok := p.placements[requestID]
+	if !ok {
+		return
+	}
+	placed.engine.load--
+	if placed.engine.trial == requestID {
+		placed.engine.trial = ""
+	}
+	delete(p.placements, requestID)
+}
