edge: a test of requests beside versions in quick succession

Six callers keep their connections at two instances while versions that move a route, split it, change time-outs, attempts, keys, limits for callers, settings of engines and stages, and add and remove up to 237 routes and some services come each 60 ms on average, and entries of servers change. The test stays as a guard.

--- /dev/null
+++ b/edge/versions_test.go
@@ -0,0 +1,110 @@
+package edge_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"chervilpath/platform/stand"
+)
+
+// randomConfig returns a configuration that serves /book/, /look/ and /draft/ for apiKey
+// and differs at random in all that versions change.
+func randomConfig(version int, rng *rand.Rand) map[string]any {
+	timeout := func() int { return 4000 + rng.IntN(16000) }
+	plain := []string{"desk", "moved"}
+	routes := []map[string]any{
+		routeSpec("book", "non_idempotent", plain[rng.IntN(2)], map[string]any{"timeoutMs": timeout(), "maxAttempts": 1 + rng.IntN(3)}),
+		routeSpec("look", "idempotent", "", map[string]any{"timeoutMs": timeout(), "backends": []any{
+			map[string]any{"service": "desk", "weight": rng.IntN(5)}, map[string]any{"service": "moved", "weight": 1 + rng.IntN(5)},
+		}}),
+		routeSpec("draft", "streaming", "llm", map[string]any{"timeoutMs": timeout(), "resumable": rng.IntN(2) == 0, "stages": []any{
+			map[string]any{"service": "photos", "after": []int{}, "bytes": 1000},
+		}}),
+	}
+	for i := range rng.IntN(4) * rng.IntN(80) {
+		routes = append(routes, routeSpec(fmt.Sprint("added-", rng.IntN(1000), "-", i), "idempotent", plain[rng.IntN(2)], nil))
+	}
+	keys := []string{apiKey}
+	for range rng.IntN(4) {
+		keys = append(keys, fmt.Sprint("key-", rng.IntN(1000)))
+	}
+	out := configSpec(version, keys, routes...)
+	services := out["services"].([]any)
+	services[2].(map[string]any)["engine"] = map[string]any{"slots": 4 + rng.IntN(8), "kvCapacity": 100000}
+	services[3].(map[string]any)["pieces"] = map[string]any{
+		"slots": 1 + rng.IntN(2), "queue": 2, "batch": 1 + rng.IntN(8), "callMs": 10 + rng.IntN(30), "itemMs": 1, "roomMb": 5 + rng.IntN(10), "handleS": 2 + rng.IntN(8),
+	}
+	for range rng.IntN(4) {
+		services = append(services, map[string]any{"name": fmt.Sprint("service-", rng.IntN(10)), "healthPath": "/healthz", "maxConns": 100})
+	}
+	out["services"] = services
+	return withLimits(out, map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 4096 + rng.IntN(4096), "headerTimeoutMs": 1000 + rng.IntN(5000), "idleTimeoutMs": 2000 + rng.IntN(20000)})
+}
+
+// Failure: beside a new version of the configuration, or a change of the servers, a
+// whole request gets neither an answer nor a refusal, or is refused.
+func TestRequestsAreServedAcrossVersions(t *testing.T) {
+	t.Parallel()
+	const callers, duration = 6, 4 * time.Second
+	engines := []*stand.Server{stand.NewServer("e-1", "llm", "a"), stand.NewServer("e-2", "llm", "b")}
+	for _, e := range engines {
+		e.NumEvents, e.EventGap = 4, 60*time.Millisecond
+	}
+	servers := append(engines, stand.NewServer("p-1", "photos", "a"), stand.NewServer("p-2", "photos", "b"))
+	for i := range 4 {
+		servers = append(servers, stand.NewServer(fmt.Sprint("i-", i), []string{"desk", "moved"}[i%2], "a"))
+	}
+	for _, server := range servers[2:] {
+		server.WorkTime = 30 * time.Millisecond
+	}
+	rng := rand.New(rand.NewPCG(7, 7))
+	s := newTestSite(t, 2, randomConfig(1, rng), servers...)
+	end := time.Now().Add(duration)
+	var wg sync.WaitGroup
+	for i := range callers {
+		wg.Go(func() {
+			c := s.connect(i % 2)
+			for n := 0; time.Now().Before(end); n++ {
+				name := []string{"book", "look", "draft"}[(i+n)%3]
+				id := fmt.Sprintf("r-%d-%d", i, n)
+				extra := "Content-Length: 2\r\n"
+				if name == "draft" {
+					extra += stand.HeaderPieces + ": 2\r\n" + stand.HeaderPieceKey + ": k\r\n"
+				}
+				c.send(requestHead("/"+name+"/1", id, extra) + "\r\nab")
+				got := c.response()
+				if got.err != nil || got.status != http.StatusOK || name == "draft" && !stand.IsCompleteStream(got.body, 4) {
+					t.Errorf("%s %s: %+v", name, id, got)
+					return
+				}
+			}
+		})
+	}
+	for version := 2; time.Now().Before(end); version += 1 + rng.IntN(3) {
+		s.store.Put("config", "main", randomConfig(version, rng))
+		if rng.IntN(3) == 0 {
+			// A server that is listed with other values, and one that comes and goes.
+			server := servers[rng.IntN(len(servers))]
+			entry := server.Entry("ready")
+			entry["slots"] = 4 + rng.IntN(8)
+			s.store.Put("servers", server.ID, entry)
+			s.store.Put("servers", "gone-"+strconv.Itoa(version), map[string]any{"service": "nobody", "address": "127.0.0.1:1", "state": "ready", "slots": 1})
+		}
+		time.Sleep(time.Duration(rng.IntN(120)) * time.Millisecond)
+	}
+	wg.Wait()
+	for _, server := range servers {
+		requests, _ := server.Requests()
+		for _, r := range requests {
+			if id := r.Header.Get(stand.HeaderRequestID); strings.HasPrefix(r.URL.Path, "/book/") && server.Runs(id) != 1 {
+				t.Errorf("request %s ran %d times", id, server.Runs(id))
+			}
+		}
+	}
+}
