relay, stage: servers found unreachable use up no attempts beside a sound one

Cause: a retry went to a server that the request had not tried only if one was free at once. If not, the exclusion of the tried ones was dropped, and the queue gave the request any free server. An unreachable one is always free, until three failures in a row eject it, and due for probes after that, so the request failed there within microseconds, again and again, until its fourth attempt without a run (maxNotRun). Four unreachable servers used up the attempts even if the sound one was idle.

A request now says which endpoints it could not reach. The stage keeps it, when its turn comes, until another endpoint is free, as long as one that is only busy, or whose probe comes in time, may serve it before the deadline; other requests are not held up by it. If none may, it gets any endpoint as before. The relay counts no attempt for the first time that a server of a plain service cannot be reached while another one may serve the request; so each is passed over once.

If all servers are unreachable, requests end as before, after each was tried and up to four attempts more.

--- a/core/balance/balance.go
+++ b/core/balance/balance.go
@@ -10,6 +10,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"chervilpath/core/declare"
@@ -335,6 +336,22 @@
 	return false
 }
 
+// MayServe reports whether an endpoint that is not excluded is free or busy now, or will
+// be by the given time, and whether one is ejected and may be probed by then.
+func (g *Group) MayServe(by time.Time, exclude []int) (sound, ejected bool) {
+	for i, m := range g.members {
+		if m.leaving || m.restsUntil.After(by) || slices.Contains(exclude, i) {
+			continue
+		}
+		if m.consecutiveEjections == 0 {
+			sound = true
+		} else if !m.ejectedUntil.After(by) {
+			ejected = true
+		}
+	}
+	return sound, ejected
+}
+
 // NextProbe returns the earliest time after now at which an endpoint that is
 // ejected, reported being full or wants no calls may be called again, or the zero time if there is
 // none. Endpoints that are due already do not count, since they become available
--- a/core/relay/plain.go
+++ b/core/relay/plain.go
@@ -56,7 +56,8 @@
 
 // acquire waits until the stage grants a server. The first attempt fails at once
 // if the expected wait is too long for the deadline. A retry goes to a server
-// that was not tried before if one is free at once.
+// that was not tried before if one is free at once, and to one that could not be reached
+// only if no other may serve it.
 func (e *execution) acquire(ctx context.Context, s *stage.Stage) (stage.Grant, error) {
 	now := e.now()
 	if e.attempt == 0 {
@@ -78,6 +79,7 @@
 		}
 		req.Query.Exclude = nil
 	}
+	req.Unreachable = e.unreachable
 	return s.Acquire(ctx, req)
 }
 
@@ -98,6 +100,9 @@
 			outcome = balance.Abandoned
 		}
 		s.Release(grant, outcome)
+		if e.mayGoElsewhere(ctx, s, server, err) {
+			return true, nil
+		}
 		return e.handleSendError(ctx, err)
 	case resp.NotRun:
 		outcome := balance.Abandoned
@@ -125,6 +130,21 @@
 	return false, nil
 }
 
+// mayGoElsewhere reports whether a server that could not be reached leaves others that may
+// serve the request. Each such server is passed over once without using up an attempt.
+func (e *execution) mayGoElsewhere(ctx context.Context, s *stage.Stage, server fleet.Server, err error) bool {
+	sendErr, ok := errors.AsType[*SendError](err)
+	if !ok || !sendErr.NotSent || ctx.Err() != nil || slices.Contains(e.unreachable, server.ID) {
+		return false
+	}
+	e.unreachable = append(e.unreachable, server.ID)
+	if e.remaining() <= minRemaining || !s.MayServe(e.deadline.Add(-minRemaining), e.unreachable) {
+		return false
+	}
+	e.log("notSent", err.Error(), server.ID)
+	return true
+}
+
 // handleSendError decides what follows a send without a complete response.
 func (e *execution) handleSendError(ctx context.Context, err error) (retry bool, finalErr error) {
 	var sendErr *SendError
--- a/core/relay/relay.go
+++ b/core/relay/relay.go
@@ -105,6 +105,9 @@
 		// attempts that provably did not.
 		sends, notRun int
 		triedServers  []string
+		// unreachable holds the IDs of the servers of a plain service to which no
+		// connection could be opened for the request.
+		unreachable []string
 		// sentTo holds the IDs of the servers to which the request was sent.
 		sentTo []string
 		stream *stream
--- a/core/stage/stage.go
+++ b/core/stage/stage.go
@@ -53,11 +53,15 @@
 		policy     Policy
 		// probeAt is when the next scheduled dispatch comes, or zero.
 		probeAt time.Time
+		// parked are requests that have left the queue, where it was their turn, and wait
+		// for an endpoint that was not found unreachable for them.
+		parked []*waiter
 	}
 
 	// waiter is a queued item with the grant that it will get.
 	waiter struct {
 		admit.Item
+		req   CallRequest
 		grant Grant
 		done  chan error
 	}
@@ -165,7 +169,7 @@
 // Acquire waits for a grant until ctx is done. Its errors say that the call has
 // not run, since nothing has been sent.
 func (s *Stage) Acquire(ctx context.Context, req CallRequest) (Grant, error) {
-	wt := &waiter{done: make(chan error, 1)}
+	wt := &waiter{req: req, done: make(chan error, 1)}
 	wt.Item = admit.Item{
 		Organisation: req.Organisation.Name(),
 		Share:        req.Organisation.Share(),
@@ -175,8 +179,9 @@
 		Need:         req.Need,
 	}
 	wt.Wake = func(err error) {
-		if err == nil {
-			wt.grant = s.grant(s.clock.Now(), req)
+		if err == nil && !s.serve(s.clock.Now(), wt) {
+			s.park(wt)
+			return
 		}
 		wt.done <- err
 	}
@@ -216,7 +221,7 @@
 // granted at the same time, the grant is released.
 func (s *Stage) leaveQueue(ctx context.Context, wt *waiter) error {
 	s.mu.Lock()
-	if s.queue.Remove(&wt.Item) {
+	if s.queue.Remove(&wt.Item) || s.unpark(wt) {
 		s.mu.Unlock()
 		return fault.From(ctx.Err()).WithRan(fault.RanNo).WithStage(s.name)
 	}
@@ -227,14 +232,76 @@
 	return fault.From(ctx.Err()).WithRan(fault.RanNo).WithStage(s.name)
 }
 
-// grant chooses an endpoint and begins a call there. If none suits the query, it
-// takes any free endpoint. The caller holds mu and has checked that one is free.
-func (s *Stage) grant(now time.Time, req CallRequest) Grant {
-	i, reason := s.group.Pick(now, req.Query)
+// serve grants a waiting request an endpoint and reports whether there is one for it. The
+// caller holds mu and has checked that one is free, unless the request is parked.
+func (s *Stage) serve(now time.Time, wt *waiter) bool {
+	i, reason := s.pick(now, wt.req)
+	if i < 0 {
+		return false
+	}
+	wt.grant = s.grantEndpoint(now, wt.req, i, reason)
+	return true
+}
+
+// pick chooses an endpoint for a request whose turn it is. If none suits the query, it
+// chooses any free endpoint, but none that could not be reached for the request while
+// another one may serve it in time. The caller holds mu.
+func (s *Stage) pick(now time.Time, req CallRequest) (int, balance.Reason) {
+	q := req.Query
+	if len(req.Unreachable) > 0 {
+		q.Exclude = slices.Concat(q.Exclude, s.indexes(req.Unreachable))
+	}
+	i, reason := s.group.Pick(now, q)
+	if i >= 0 {
+		return i, reason
+	}
+	if len(req.Unreachable) > 0 {
+		sound, ejected := s.group.MayServe(req.Deadline.Add(-req.Need), q.Exclude)
+		if sound {
+			return i, reason
+		}
+		if ejected {
+			q.NoProbe = false
+			return s.group.Pick(now, q)
+		}
+	}
+	return s.group.Pick(now, s.baseQuery())
+}
+
+// park keeps a request that has left the queue until an endpoint may be called for it. The
+// caller holds mu.
+func (s *Stage) park(wt *waiter) {
+	if len(s.parked) >= s.decl.MaxQueue() {
+		wt.done <- fault.Errorf(fault.Overloaded, "%d requests wait for an endpoint that can be reached", len(s.parked))
+		return
+	}
+	s.parked = append(s.parked, wt)
+}
+
+// unpark removes a request and reports whether it was parked. The caller holds mu.
+func (s *Stage) unpark(wt *waiter) bool {
+	i := slices.Index(s.parked, wt)
 	if i < 0 {
-		i, reason = s.group.Pick(now, s.baseQuery())
+		return false
 	}
-	return s.grantEndpoint(now, req, i, reason)
+	s.parked = slices.Delete(s.parked, i, i+1)
+	return true
+}
+
+// dispatchParked grants endpoints to parked requests, and refuses those that none may
+// serve in time. The caller holds mu.
+func (s *Stage) dispatchParked(now time.Time) {
+	s.parked = slices.DeleteFunc(s.parked, func(wt *waiter) bool {
+		if s.serve(now, wt) {
+			wt.done <- nil
+			return true
+		}
+		if sound, ejected := s.group.MayServe(wt.Deadline.Add(-wt.Need), nil); !sound && !ejected {
+			wt.done <- fault.Errorf(fault.EndpointUnavailable, "no endpoint takes calls before the request's deadline")
+			return true
+		}
+		return false
+	})
 }
 
 // grantEndpoint begins a call at the endpoint with index i. The caller holds mu.
@@ -273,6 +340,14 @@
 // dispatch makes grants while an endpoint is free and requests wait. The caller
 // holds mu.
 func (s *Stage) dispatch(now time.Time) {
+	s.dispatchParked(now)
+	s.dispatchQueued(now)
+	if len(s.parked) > 0 {
+		s.scheduleProbe(now)
+	}
+}
+
+func (s *Stage) dispatchQueued(now time.Time) {
 	for s.queue.Len() > 0 {
 		if i, _ := s.group.Pick(now, s.baseQuery()); i < 0 {
 			s.scheduleProbe(now)
@@ -379,7 +454,7 @@
 	calls, retries, denied := s.retryBudget.Counts()
 	return Status{
 		Name:          s.name,
-		Waiting:       s.queue.Len(),
+		Waiting:       s.queue.Len() + len(s.parked),
 		Organisations: s.queue.Organisations(),
 		MedianMs:      milliseconds(s.estimator.Median()),
 		P95Ms:         milliseconds(s.estimator.P95()),
@@ -429,7 +504,7 @@
 func (s *Stage) Demand() (model string, calls float64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.decl.Model(), float64(s.queue.Len() + s.group.InFlight())
+	return s.decl.Model(), float64(s.queue.Len() + len(s.parked) + s.group.InFlight())
 }
 
 func milliseconds(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
@@ -439,6 +514,20 @@
 func (s *Stage) EndpointIndexes(names []string) []int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	return s.indexes(names)
+}
+
+// MayServe reports whether any endpoint but the named ones may serve a request by the
+// given time, if only after a wait.
+func (s *Stage) MayServe(by time.Time, except []string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	sound, ejected := s.group.MayServe(by, s.indexes(except))
+	return sound || ejected
+}
+
+// indexes returns the indexes of the named endpoints. The caller holds mu.
+func (s *Stage) indexes(names []string) []int {
 	var out []int
 	for i := range s.group.Len() {
 		if slices.Contains(names, s.group.Endpoint(i).Name()) {
--- a/core/stage/types.go
+++ b/core/stage/types.go
@@ -44,6 +44,9 @@
 		Deadline time.Time
 		Need     time.Duration
 		Query    balance.Query
+		// Unreachable names the endpoints that could not be reached for the request. It
+		// waits for another one as long as one may serve it before the deadline.
+		Unreachable []string
 		// Arrived is when the request arrived at the stage.
 		Arrived time.Time
 	}
