balance: readmit a slow endpoint when the others turn out unreachable

Requests were refused although a server would take them: one of three was ejected for slowness, as it may be on a busy machine, and then the two others were, since they cannot be reached. No endpoint was left until the first probe.

Cause: slowness may eject half of a stage, counting those that are ejected for failures. That was checked when the slow one was ejected and when servers ask for rest, but not when others were ejected later. A slow one that was ejected again because its probe was slow was no longer known as ejected for slowness alone.

Both are corrected.

--- a/core/balance/balance.go
+++ b/core/balance/balance.go
@@ -295,6 +295,12 @@
 	for _, m := range g.members {
 		m.exclude(until[m.decl.Name()])
 	}
+	g.readmitSlow(now)
+}
+
+// readmitSlow readmits members that were ejected for slowness alone, while too many are
+// ejected or want no calls.
+func (g *Group) readmitSlow(now time.Time) {
 	for _, m := range g.members {
 		if m.ejectedSlow && m.willing(now) && float64(g.unavailable(now)) > maxSlowEjectedFraction*float64(len(g.members)) {
 			m.consecutiveEjections, m.ejectedSlow, m.ejectedUntil = 0, false, time.Time{}
@@ -406,6 +412,7 @@
 		m.consecutiveFailures++
 		if m.consecutiveFailures >= failuresBeforeEjection || m.consecutiveEjections > 0 {
 			g.eject(now, m)
+			g.readmitSlow(now)
 		}
 		return
 	case Full:
@@ -437,7 +444,9 @@
 func (g *Group) ejectIfSlow(now time.Time, m *member) {
 	if m.consecutiveEjections > 0 {
 		if m.slowness > slowEjectRatio && !now.Before(m.ejectedUntil) {
+			slowAlone := m.ejectedSlow
 			g.eject(now, m)
+			m.ejectedSlow = slowAlone
 		}
 		return
 	}
--- a/core/balance/balance_test.go
+++ b/core/balance/balance_test.go
@@ -311,3 +311,34 @@
 		t.Error("a slow endpoint is not ejected while the other wants calls")
 	}
 }
+
+// Guards against requests that are refused although a server would take them: one of three
+// was ejected because it is slow, and the others cannot be reached, before or after that.
+func TestSlownessDoesNotEjectTheLastReachableEndpoint(t *testing.T) {
+	slow := func(g *balance.Group) {
+		for range 6 {
+			completeCall(g, start, 1, 10*callTime, balance.Succeeded)
+		}
+	}
+	unreachable := func(g *balance.Group) {
+		for range 3 {
+			completeCall(g, start, 0, 0, balance.Unreachable)
+			completeCall(g, start, 2, 0, balance.Unreachable)
+		}
+	}
+	probe := func(g *balance.Group) { completeCall(g, start.Add(time.Second), 1, 10*callTime, balance.Succeeded) }
+	for name, steps := range map[string][]func(*balance.Group){"before": {slow, unreachable}, "after": {unreachable, slow}, "also in a probe before": {slow, probe, unreachable}} {
+		g := newGroup(t, 3, 8)
+		for _, step := range steps {
+			step(g)
+		}
+		if i, reason := g.Pick(start, balance.Query{NoProbe: true}); i != 1 || !g.Usable(start) || g.Capacity(start) == 0 {
+			t.Errorf("slow %s the others are ejected: endpoint %d is picked as %v, want the slow one", name, i, reason)
+		}
+	}
+	g := newGroup(t, 3, 8)
+	slow(g)
+	if got := g.Status(start); !got[1].Ejected {
+		t.Error("a slow endpoint is not ejected while the others can be reached")
+	}
+}
