edge: the test of broken streams meets an engine that appears late again

What the test met by chance, a stream that broke off some ms before the next engine was known, was a fault of the product, which a stream that has begun now waits for.

--- a/edge/brokenstream_test.go
+++ b/edge/brokenstream_test.go
@@ -55,12 +55,11 @@
 				_, _ = conn.Write([]byte(text))
 			}
 			r := routeSpec("draft", "streaming", "llm", map[string]any{"resumable": true, "sticky": true, "maxAttempts": 3})
-			// Both engines are known before the request comes.
-			engines := []*stand.Server{stand.NewServer("e-1", "llm", "a"), stand.NewServer("e-2", "llm", "a")}
-			for _, e := range engines {
-				e.AdvertisedAddress = newRawServer(t, serve).address
-			}
-			s := newTestSite(t, 1, configSpec(1, apiKeys, r), engines...)
+			s := startSiteWith(t, configSpec(1, apiKeys, r), map[string]string{"llm": newRawServer(t, serve).address})
+			second := stand.NewServer("e-2", "llm", "a")
+			t.Cleanup(second.Close)
+			second.AdvertisedAddress = newRawServer(t, serve).address
+			s.store.Put("servers", "e-2", second.Entry("ready"))
 			got := s.post(0, "/draft/1", "r-1")
 			if got.status != http.StatusOK || got.body != events || got.err == nil {
 				t.Errorf("status %d, body %q, error %v, want 200, the two events and a broken connection", got.status, got.body, got.err)
