--- a/core/stage/changes_test.go
+++ b/core/stage/changes_test.go
@@ -90,7 +90,9 @@
 			begun := time.Now()
 			ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
 			defer cancel()
-			time.AfterFunc(time.Second, func() { s.SetDeclaration(declare.NewStage("s", 64, []*declare.Endpoint{declare.NewEndpoint("e-1", "10.0.0.1:80", "a", 1)})) })
+			time.AfterFunc(time.Second, func() {
+				s.SetDeclaration(declare.NewStage("s", 64, []*declare.Endpoint{declare.NewEndpoint("e-1", "10.0.0.1:80", "a", 1)}))
+			})
 			g, err := s.Acquire(ctx, stage.CallRequest{Organisation: org, Priority: declare.Normal, Cost: 1, Deadline: begun.Add(5 * time.Second), Arrived: begun})
 			if err != nil {
 				t.Errorf("seed %d: a request after all changes: %v", seed, err)
