gather: the end of a call to a replaced server changes no other

What callers saw: nothing that was traced to this; pieces waited although a server that had just started again under its id was free, or were sent to it beyond its capacity and came back.

Cause: the end of a call was counted for the server that has the id now. A call that its former incarnation broke off paused the new one and lowered its capacity in use below zero, and results of the former one were released from it.

A batch and a result now refer to the server itself.

--- a/core/gather/complete.go
+++ b/core/gather/complete.go
@@ -13,11 +13,8 @@
 func (q *Queue) Complete(now time.Time, b *Batch, status CallStatus, outcomes []ItemOutcome) (completed []Completion, orphaned []string) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	s := q.byID[b.Server.ID]
-	if s == nil {
-		// The server was removed while the call ran.
-		s = &server{Server: b.Server, removed: true}
-	}
+	// The server may have been removed, or have started again, while the call ran.
+	s := b.server
 	s.calls = slices.DeleteFunc(s.calls, func(c *Batch) bool { return c == b })
 	if status != CallAnswered || len(outcomes) != len(b.Items) {
 		q.callFailed(now, s, b, status)
@@ -138,9 +135,7 @@
 	}
 	r.freed = true
 	q.results[handle] = r
-	if s := q.byID[r.serverID]; s != nil {
-		s.usedBytes = max(0, s.usedBytes-r.bytes)
-	}
+	r.server.usedBytes = max(0, r.server.usedBytes-r.bytes)
 }
 
 // IsCopy reports whether the outcomes of a call name a result that an earlier call has
@@ -157,7 +152,7 @@
 
 // recordResult records that a result occupies capacity of a server.
 func (q *Queue) recordResult(now time.Time, s *server, handle string, bytes int64) {
-	r := result{serverID: s.ID, bytes: bytes, expires: now.Add(q.cfg.ResultTTL)}
+	r := result{server: s, bytes: bytes, expires: now.Add(q.cfg.ResultTTL)}
 	q.results[handle] = r
 	q.expiries = append(q.expiries, expiry{handle: handle, at: r.expires})
 }
--- a/core/gather/gather.go
+++ b/core/gather/gather.go
@@ -110,6 +110,7 @@
 	Batch struct {
 		Server   fleet.Server
 		Items    []*Item
+		server   *server
 		started  time.Time
 		expected time.Duration
 	}
@@ -157,15 +158,14 @@
 		// slowness is the moving average of the ratio of observed to expected
 		// call duration.
 		slowness float64
-		removed  bool
 	}
 
 	// result is a result that a server holds until it is freed or expires.
 	result struct {
-		serverID string
-		bytes    int64
-		expires  time.Time
-		freed    bool
+		server  *server
+		bytes   int64
+		expires time.Time
+		freed   bool
 	}
 
 	// expiry is when a result expires.
@@ -225,9 +225,8 @@
 		existing.Server = s
 		q.servers = append(q.servers, existing)
 	}
-	for id, s := range q.byID {
+	for id := range q.byID {
 		if !listed[id] {
-			s.removed = true
 			delete(q.byID, id)
 		}
 	}
@@ -347,7 +346,7 @@
 			blocked.Add(j.Lane)
 			continue
 		}
-		b := &Batch{Server: s.Server, started: now}
+		b := &Batch{Server: s.Server, server: s, started: now}
 		q.fill(now, s, b, j)
 		b.expected = time.Duration(float64(q.callTime(b.Items)) * max(1, s.slowness))
 		s.calls = append(s.calls, b)
