edge: settings that are read again keep what the retry budgets have recorded

What callers saw: a request whose server broke off just after the settings had been read again had fewer retries to its name, since the calls that earn them were forgotten. What servers saw: the slack of the budget anew after each change, up to 150 retries without a call in 5 s where 20 are allowed in 10 s (shares made anew each 100 ms, as the old code did).

Cause: a change of the settings dropped all shares of the budgets.

Share.SetBounds changes the bounds and keeps what is in the window. It did not exist before; the figure above is that of the old behaviour under the test's bounds.

--- a/core/retry/share.go
+++ b/core/retry/share.go
@@ -37,6 +37,31 @@
 	return &Share{ratio: ratio, slack: slack, bucketWidth: window / numBuckets}
 }
 
+// SetBounds changes the ratio, the slack and the window of the budget. What has been
+// recorded in the window so far still counts.
+func (s *Share) SetBounds(now time.Time, ratio, slack float64, window time.Duration) {
+	s.ratio, s.slack = ratio, slack
+	width := window / numBuckets
+	if width == s.bucketWidth {
+		return
+	}
+	s.advance(now)
+	calls, retries := s.counts()
+	s.bucketWidth = width
+	s.bucket = int64(now.Sub(s.start) / max(1, width))
+	s.calls, s.retries = [numBuckets]int{}, [numBuckets]int{}
+	s.calls[s.bucket%numBuckets], s.retries[s.bucket%numBuckets] = calls, retries
+}
+
+// counts returns the numbers of first calls and retries in the window.
+func (s *Share) counts() (calls, retries int) {
+	for i := range numBuckets {
+		calls += s.calls[i]
+		retries += s.retries[i]
+	}
+	return calls, retries
+}
+
 // RecordCall records a first call.
 func (s *Share) RecordCall(now time.Time) {
 	s.advance(now)
@@ -47,11 +72,7 @@
 // call now, and records the retry.
 func (s *Share) Allow(now time.Time, instances int) bool {
 	s.advance(now)
-	calls, retries := 0, 0
-	for i := range numBuckets {
-		calls += s.calls[i]
-		retries += s.retries[i]
-	}
+	calls, retries := s.counts()
 	age := min(1, float64(now.Sub(s.start))/float64(numBuckets*s.bucketWidth))
 	slack := (initialSlackFraction + (1-initialSlackFraction)*age) * s.slack / float64(max(1, instances))
 	allowed := s.ratio*float64(calls) + usableFraction*slack
--- a/core/retry/share_test.go
+++ b/core/retry/share_test.go
@@ -93,3 +93,35 @@
 		t.Errorf("%d of %d retries denied, want at most one in 50", denied, failed)
 	}
 }
+
+// Failure: a change of the bounds, or settings that are read again, forgets what was
+// spent, so that a budget can be spent twice in a window, or forgets calls that earn it.
+func TestChangedBoundsKeepWhatWasRecorded(t *testing.T) {
+	const window = 10 * time.Second
+	for _, other := range []time.Duration{window, window / 2, 3 * window} {
+		now := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+		s := retry.NewShare(0.2, 20, window)
+		retries, calls := 0, 0
+		for range 9 {
+			for range 5 {
+				s.RecordCall(now)
+				calls++
+			}
+			now = now.Add(window / 10)
+			s.SetBounds(now, 0.2, 20, window)
+		}
+		s.SetBounds(now, 0.2, 20, other)
+		for range 1000 {
+			s.SetBounds(now, 0.2, 20, other)
+			if s.Allow(now, 1) {
+				retries++
+			}
+		}
+		if most, least := calls/5+20, calls/5; retries > most || retries < least {
+			t.Errorf("window of %v after %v: %d retries of %d calls, want %d to %d", other, window, retries, calls, least, most)
+		}
+		if s.SetBounds(now, 0, 0, other); s.Allow(now, 1) {
+			t.Error("a retry is allowed without a budget")
+		}
+	}
+}
--- a/edge/harness_test.go
+++ b/edge/harness_test.go
@@ -45,6 +45,9 @@
 	peerAddress     string
 	operatorAddress string
 	stopped         bool
+	// edge is the instance itself, and settings the content of its settings file.
+	edge     *edge.Instance
+	settings string
 }
 
 // routeSpec returns a route of a configuration. The entries of extra are added to
@@ -126,13 +129,14 @@
 		s.t.Fatal(err)
 	}
 	k := kernel.New()
-	if _, err := edge.New(k, cfg, zap.NewNop(), func() int64 { return 0 }); err != nil {
+	in, err := edge.New(k, cfg, zap.NewNop(), func() int64 { return 0 })
+	if err != nil {
 		s.t.Fatal(err)
 	}
 	if err := k.Start(s.t.Context()); err != nil {
 		s.t.Fatal(err)
 	}
-	inst := &instance{kernel: k, callerAddress: callerAddress, peerAddress: peerAddress, operatorAddress: operatorAddress}
+	inst := &instance{kernel: k, callerAddress: callerAddress, peerAddress: peerAddress, operatorAddress: operatorAddress, edge: in, settings: ini}
 	s.mu.Lock()
 	s.instances = append(s.instances, inst)
 	s.mu.Unlock()
--- a/edge/reload.go
+++ b/edge/reload.go
@@ -69,13 +69,16 @@
 		in.log.Warn("changed names and addresses take effect only after a restart")
 	}
 	in.cfg.Store(&cfg)
-	in.state.resetRetryBudgets()
+	in.state.updateRetryBudgets()
 	in.log.Info("settings reloaded")
 }
 
-// resetRetryBudgets restarts the retry budgets with the bounds in force.
-func (c *clusterState) resetRetryBudgets() {
+// updateRetryBudgets applies the bounds in force to the retry budgets.
+func (c *clusterState) updateRetryBudgets() {
+	bounds := c.instance.cfg.Load().Bounds()
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	clear(c.retryShares)
+	for _, s := range c.retryShares {
+		s.SetBounds(time.Now(), bounds.RetryRatio, bounds.RetrySlack, bounds.RetryWindow)
+	}
 }
--- a/edge/versions_test.go
+++ b/edge/versions_test.go
@@ -4,12 +4,16 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
+	"os"
+	"path/filepath"
 	"strconv"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
+	"chervilpath/edge"
 	"chervilpath/platform/stand"
 )
 
@@ -108,3 +112,44 @@
 		}
 	}
 }
+
+// Failure: settings that are read again, with or without SIGHUP, end or forget a request
+// in progress, or the retries that it may make.
+func TestRequestsAreServedAcrossChangedSettings(t *testing.T) {
+	t.Parallel()
+	engine := stand.NewServer("e-1", "llm", "a")
+	engine.NumEvents, engine.EventGap = 10, 100*time.Millisecond
+	broken, sound := stand.NewServer("i-1", "desk", "a"), stand.NewServer("i-2", "desk", "a")
+	broken.Intercept, sound.WorkTime = runAndAbort(broken), 50*time.Millisecond
+	s := newTestSite(t, 1, configSpec(1, apiKeys, routeSpec("draft", "streaming", "llm", nil), routeSpec("look", "idempotent", "desk", map[string]any{"timeoutMs": 10000, "maxAttempts": 4})), engine, broken, sound)
+	file := filepath.Join(t.TempDir(), "settings.ini")
+	signals := make(chan os.Signal)
+	go s.instances[0].edge.WatchSettings(t.Context(), edge.SettingsSource{File: file, Data: []byte(s.instances[0].settings), ReloadSignals: signals})
+	end := time.Now().Add(3 * time.Second)
+	var wg sync.WaitGroup
+	for i := range 4 {
+		wg.Go(func() {
+			c := s.connect(0)
+			for n := 0; time.Now().Before(end); n++ {
+				name, id := []string{"draft", "look"}[i%2], fmt.Sprintf("r-%d-%d", i, n)
+				c.send(requestHead("/"+name+"/1", id, "Content-Length: 2\r\n") + "\r\nab")
+				if got := c.response(); got.err != nil || got.status != http.StatusOK || name == "draft" && !stand.IsCompleteStream(got.body, 10) {
+					t.Errorf("%s %s: %+v", name, id, got)
+					return
+				}
+			}
+		})
+	}
+	for n := 0; time.Now().Before(end); n++ {
+		changed := fmt.Sprintf("%s\n# change %d\n", strings.Replace(s.instances[0].settings, "grace = 6s", fmt.Sprintf("grace = %ds", 6+n%3), 1), n)
+		if n%4 == 3 {
+			changed = changed[:len(changed)/2]
+		}
+		if err := os.WriteFile(file, []byte(changed), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		signals <- syscall.SIGHUP
+		time.Sleep(30 * time.Millisecond)
+	}
+	wg.Wait()
+}
