front: close idle connections without losing requests

What callers saw: a request on a kept connection that comes just as a stopping instance closes its idle connections, once nothing is in flight, was read and closed without an answer.

Cause: http.Server.Shutdown. conn.serve reads a request, and only then marks the connection as active; if the shutdown has begun by then, it returns and closes the connection. The request is not passed on, and the connection closes at once, so that the rule against lost requests excuses it; but a caller cannot repeat a request that must run once only after the instance has read it.

Why the fix works: idle connections are closed by a read deadline in the past instead. What has arrived but was not read stays unread, and the caller learns this from the reset; what was read makes the connection active, which removes the deadline, and is answered.

--- a/edge/edge.go
+++ b/edge/edge.go
@@ -78,6 +78,8 @@
 		// lastReplyAt is when a peer last answered a request for changes, or nil.
 		lastReplyAt atomic.Pointer[time.Time]
 		httpServers []*http.Server
+		// listeners holds the listeners of the started HTTP servers by service.
+		listeners map[string]*listener
 
 		// shutdownCtx is cancelled shortly before a planned shutdown ends.
 		shutdownCtx       context.Context
@@ -95,7 +97,7 @@
 	in := &Instance{
 		name: cfg.Name(), incarnation: cfg.Name() + "-" + rand.Text()[:10], peerAddress: cfg.PeerAddress(),
 		log:      log.With(zap.String("instance", cfg.Name()), zap.String("failureDomain", cfg.FailureDomain())),
-		registry: prometheus.NewRegistry(), refused: newRefusedEntries(), ready: make(chan struct{}), startedAt: time.Now(),
+		registry: prometheus.NewRegistry(), refused: newRefusedEntries(), ready: make(chan struct{}), listeners: make(map[string]*listener), startedAt: time.Now(),
 		clock: stage.Clock{
 			Now:       time.Now,
 			AfterFunc: func(d time.Duration, f func()) func() bool { return time.AfterFunc(d, f).Stop },
--- a/edge/services.go
+++ b/edge/services.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net"
 	"net/http"
@@ -63,6 +64,13 @@
 	killMargin = 400 * time.Millisecond
 )
 
+// listener is that of an HTTP server.
+type listener struct {
+	net.Listener
+	// done is closed when the server accepts no more connections.
+	done chan struct{}
+}
+
 func (in *Instance) addServices(k *kernel.Kernel) error {
 	for _, s := range []kernel.Service{
 		in.withHTTPServer(kernel.Service{Name: PeerService, Value: in.peers}, in.cfg.Load().PeerAddress(), in.peerHandler()),
@@ -99,11 +107,12 @@
 	return mux
 }
 
-// callerService returns the service that serves callers. It drains in three
+// callerService returns the service that serves callers. It drains in four
 // steps: the instance reports that it is not ready, its responses close their
-// connections, and the requests in flight end.
+// connections, the requests in flight end, and idle connections are closed.
 func (in *Instance) callerService() kernel.Service {
-	server := &http.Server{Handler: in.callerServer, MaxHeaderBytes: front.MaxHeaderBytes, ConnState: front.TrackState}
+	var conns front.Conns
+	server := &http.Server{Handler: in.callerServer, MaxHeaderBytes: front.MaxHeaderBytes, ConnState: conns.Track}
 	s := in.withServer(kernel.Service{Name: CallerService, DependsOn: []string{OperatorService}, Value: in.callerServer}, in.cfg.Load().CallerAddress(), server,
 		func(ln net.Listener) net.Listener { return front.NewListener(ln, in.callerLimits) })
 	s.Drain = func(ctx context.Context) error {
@@ -122,12 +131,14 @@
 		for in.callerServer.InFlight() > 0 && ctx.Err() == nil {
 			in.sleep(ctx, drainPollInterval)
 		}
-		if err := server.Shutdown(ctx); err != nil {
-			return fmt.Errorf("waiting for requests in flight: %w", err)
+		in.closeListener(CallerService)
+		for conns.CloseIdle() > 0 {
+			if in.sleep(ctx, drainPollInterval); ctx.Err() != nil {
+				return fmt.Errorf("waiting for requests in flight: %w", ctx.Err())
+			}
 		}
 		return nil
 	}
-	s.Stop = func(context.Context) error { return server.Close() }
 	return s
 }
 
@@ -171,8 +182,11 @@
 		if err != nil {
 			return fmt.Errorf("listening for %s: %w", s.Name, err)
 		}
+		l := &listener{Listener: ln, done: make(chan struct{})}
+		in.listeners[s.Name] = l
 		go func() {
-			if err := server.Serve(wrap(ln)); err != http.ErrServerClosed {
+			defer close(l.done)
+			if err := server.Serve(wrap(ln)); !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
 				in.log.Error("HTTP server stopped unexpectedly", zap.String("service", s.Name), zap.Error(err))
 			}
 		}()
@@ -182,6 +196,16 @@
 	return s
 }
 
+// closeListener makes the HTTP server of a service accept no more connections.
+func (in *Instance) closeListener(service string) {
+	l := in.listeners[service]
+	if err := l.Close(); err != nil {
+		in.log.Warn("could not close a listener", zap.String("service", service), zap.Error(err))
+		return
+	}
+	<-l.done
+}
+
 // startLoops returns a start function for a service that runs loops in the
 // background until the instance stops.
 func (in *Instance) startLoops(loops ...func(context.Context)) func(context.Context) error {
--- a/io/front/listener.go
+++ b/io/front/listener.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"os"
+	"sync/atomic"
 	"time"
 )
 
@@ -54,6 +55,8 @@
 		// since is when the phase began.
 		since       time.Time
 		headerBytes int
+		// interrupted is set while the connection is to be closed as soon as it is idle.
+		interrupted atomic.Bool
 	}
 
 	// phase is what a connection waits for.
@@ -102,6 +105,9 @@
 
 // deadline returns when the phase has to end.
 func (c *callerConn) deadline() time.Time {
+	if c.phase == idle && c.interrupted.Load() {
+		return time.Unix(1, 0)
+	}
 	if c.phase == idle {
 		return c.since.Add(c.limits().IdleTimeout)
 	}
@@ -117,6 +123,10 @@
 		if err := c.SetReadDeadline(c.deadline()); err != nil {
 			return 0, err
 		}
+		if d := c.deadline(); c.interrupted.Load() {
+			// The connection was interrupted after its deadline had been computed.
+			_ = c.SetReadDeadline(d)
+		}
 		n, err := c.Conn.Read(p)
 		if n == 0 && errors.Is(err, os.ErrDeadlineExceeded) && time.Now().Before(c.deadline()) {
 			// The limit was raised meanwhile.
