front: close the connection with an error response while draining

What callers saw: an error response to a request that had arrived before SIGTERM left its connection open, so that the next request could be sent on a connection that the instance was about to close.

Cause: only responses of servers, and requests that arrive while the instance drains, set Connection: close. Before: TestErrorResponseClosesItsConnectionWhileDraining "the response does not say that its connection closes". newServer in the test is split to make the handler available; no test changes.

--- a/io/front/front.go
+++ b/io/front/front.go
@@ -173,6 +173,9 @@
 		s.deps.SetRetryAfter(w.Header(), refusal.RetryAfter)
 	}
 	s.deps.RequestFailed(id, e, status)
+	if s.closing.Load() {
+		w.Header().Set("Connection", "close")
+	}
 	http.Error(w, e.Kind().String(), status)
 }
 
--- a/io/front/front_test.go
+++ b/io/front/front_test.go
@@ -17,7 +17,13 @@
 
 func newServer(t *testing.T, serve func(context.Context, relay.ResponseWriter) (bool, error)) *httptest.Server {
 	t.Helper()
-	s := front.New(front.Deps{
+	server := httptest.NewServer(newFront(serve))
+	t.Cleanup(server.Close)
+	return server
+}
+
+func newFront(serve func(context.Context, relay.ResponseWriter) (bool, error)) *front.Server {
+	return front.New(front.Deps{
 		Now: time.Now, MaxBodyBytes: func() int64 { return 10 },
 		ParseRequest: func(r *http.Request, _ []byte, _ time.Time) (*relay.Request, error) {
 			return &relay.Request{ID: "r"}, nil
@@ -28,9 +34,6 @@
 		SetRetryAfter:  func(h http.Header, after time.Duration) { h.Set("Retry-After", after.String()) },
 		RequestAborted: func(string, error) {}, RequestFailed: func(string, *fault.Error, int) {}, RequestDone: func(string, time.Duration) {},
 	})
-	server := httptest.NewServer(s)
-	t.Cleanup(server.Close)
-	return server
 }
 
 // TestNotRunStatusRequiresProof guards against callers that retry a request which
@@ -90,3 +93,23 @@
 		t.Errorf("status %d, want 413", resp.StatusCode)
 	}
 }
+
+// An error response that came after the instance had begun to drain left its connection
+// open, so that the caller sent its next request on a connection about to be closed.
+func TestErrorResponseClosesItsConnectionWhileDraining(t *testing.T) {
+	var s *front.Server
+	s = newFront(func(context.Context, relay.ResponseWriter) (bool, error) {
+		s.DisableKeepAlives()
+		return false, fault.Errorf(fault.EndpointFailed, "a cause")
+	})
+	server := httptest.NewServer(s)
+	defer server.Close()
+	resp, err := http.Get(server.URL)
+	if err != nil {
+		t.Fatal(err)
+	}
+	_ = resp.Body.Close()
+	if !resp.Close {
+		t.Error("the response does not say that its connection closes")
+	}
+}
