--- a/scenario/stop_test.go
+++ b/scenario/stop_test.go
@@ -87,6 +87,7 @@
 		exited  chan struct{}
 		log     *bytes.Buffer
 
+		settingsFile, settings         string
 		callerAddress, operatorAddress string
 		sigterm                        time.Time
 
@@ -169,13 +170,11 @@
 	ip := siteIP()
 	address := func(port string) string { return net.JoinHostPort(ip, port) }
 	s.callerAddress, s.operatorAddress = address("8080"), address("8082")
-	file := filepath.Join(t.TempDir(), "entry.ini")
-	text := fmt.Sprintf("[site]\nname = edge-0\nfailureDomain = a\ncallerAddress = %s\npeerAddress = %s\noperatorAddress = %s\nseeds = %s\n[store]\naddress = %s\n[bounds]\ngrace = %v\n",
+	s.settingsFile = filepath.Join(t.TempDir(), "entry.ini")
+	s.settings = fmt.Sprintf("[site]\nname = edge-0\nfailureDomain = a\ncallerAddress = %s\npeerAddress = %s\noperatorAddress = %s\nseeds = %s\n[store]\naddress = %s\n[bounds]\ngrace = %v\n",
 		s.callerAddress, address(sitePeerPort), s.operatorAddress, address(sitePeerPort), s.store.Address(), stopGrace)
-	if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
-		t.Fatal(err)
-	}
-	s.process = exec.Command(os.Args[0], "entry", "--settings", file)
+	s.writeSettings(s.settings)
+	s.process = exec.Command(os.Args[0], "entry", "--settings", s.settingsFile)
 	s.process.Env = append(os.Environ(), processVariable+"=1")
 	s.process.Stdout, s.process.Stderr = s.log, s.log
 	if err := s.process.Start(); err != nil {
@@ -206,6 +205,18 @@
 	}
 }
 
+func (s *stopSite) writeSettings(text string) {
+	if err := os.WriteFile(s.settingsFile, []byte(text), 0o600); err != nil {
+		s.t.Error(err)
+	}
+}
+
+func (s *stopSite) signal(sig syscall.Signal) {
+	if err := s.process.Process.Signal(sig); err != nil {
+		s.t.Errorf("signal %v: %v", sig, err)
+	}
+}
+
 func (s *stopSite) newRequest(r *stopRequest, body io.Reader) *http.Request {
 	req, err := http.NewRequestWithContext(context.Background(), http.MethodPost, "http://"+s.callerAddress+"/"+r.route+"/x", body)
 	if err != nil {
@@ -358,10 +369,14 @@
 	}
 	time.Sleep(time.Second)
 	s.sigterm = time.Now()
-	if err := s.process.Process.Signal(syscall.SIGTERM); err != nil {
-		t.Fatal(err)
-	}
+	s.signal(syscall.SIGTERM)
 	close(sigterm)
+	// Nothing else that the platform may do then ends the stop earlier.
+	time.AfterFunc(time.Second, func() {
+		s.writeSettings(strings.Replace(s.settings, "grace = 8s", "grace = 4s", 1))
+		s.signal(syscall.SIGHUP)
+		s.signal(syscall.SIGTERM)
+	})
 	var exited time.Duration
 	select {
 	case <-s.exited:
