--- a/edge/odd_test.go
+++ b/edge/odd_test.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -224,3 +225,28 @@
 		t.Errorf("%d requests ran at servers without an entry", n)
 	}
 }
+
+// Guards against requests that are refused beside servers that cannot be reached, although a
+// sound one takes them.
+func TestSoundServerServesBesideUnreachableOnes(t *testing.T) {
+	t.Parallel()
+	sound := stand.NewServer("i-1", "desk", "a")
+	sound.WorkTime = 5 * time.Millisecond
+	s := newTestSite(t, 2, configSpec(1, apiKeys, routeSpec("book", "non_idempotent", "desk", nil)), sound)
+	for i := range 6 {
+		entry := sound.Entry(stand.Ready)
+		entry["address"] = fmt.Sprint("127.0.0.1:", 1+i)
+		s.store.Put("servers", fmt.Sprint("down-", i), entry)
+	}
+	time.Sleep(propagationBound / 2)
+	var wg sync.WaitGroup
+	for i := range 60 {
+		wg.Go(func() {
+			time.Sleep(time.Duration(i) * 3 * time.Millisecond)
+			if got := s.post(i%2, "/book/1", fmt.Sprint("r-", i)); got.status != http.StatusOK {
+				t.Errorf("request %d: status %d, error %v", i, got.status, got.err)
+			}
+		})
+	}
+	wg.Wait()
+}
