once, cost: one stored object that cannot be read hides no others

The outcome of a key counted as unknown, and a report of costs had no lines at all, if any other object of the same list could not be read, such as one of another writer.

The search for an outcome goes on past such an object. If the key is not found, the error still says that it may be there: the key must not count as unused. cost.Read returns the windows that it could read, with an error; the command prints them and ends with that error.

--- a/cmd/cost.go
+++ b/cmd/cost.go
@@ -56,19 +56,26 @@
 			return &exitError{exitUsage, err}
 		}
 	}
-	windows, err := cost.Read(c.ctx, c.client().Store(), day, c.Hour)
-	if err != nil {
-		return fault.Errorf(fault.StoreUnavailable, "%w", err)
+	windows, readErr := cost.Read(c.ctx, c.client().Store(), day, c.Hour)
+	if readErr != nil {
+		readErr = fault.Errorf(fault.StoreUnavailable, "%w", readErr)
+		if len(windows) == 0 {
+			return readErr
+		}
 	}
 	if c.Plot != "" {
 		if err := plotCost(c.Plot, cost.Sum(windows)); err != nil {
 			return err
 		}
 	}
+	shown := []cost.Window{{From: day.UTC(), Lines: cost.Sum(windows)}}
 	if c.ByHour {
-		return c.print(cost.ByHour(windows))
+		shown = cost.ByHour(windows)
+	}
+	if err := c.print(shown); err != nil {
+		return err
 	}
-	return c.print([]cost.Window{{From: day.UTC(), Lines: cost.Sum(windows)}})
+	return readErr
 }
 
 // print writes the lines of each window in the requested format.
--- a/core/cost/cost.go
+++ b/core/cost/cost.go
@@ -187,7 +187,8 @@
 }
 
 // Read returns the stored windows that began on the given day in UTC or, if hour
-// is not negative, in that hour of the day.
+// is not negative, in that hour of the day. If some cannot be decoded, it returns the
+// others with an error.
 func Read(ctx context.Context, store object.Store, day time.Time, hour int) ([]Window, error) {
 	prefix := day.UTC().Format("20060102T")
 	if hour >= 0 {
@@ -198,14 +199,16 @@
 		return nil, fmt.Errorf("listing cost windows: %w", err)
 	}
 	out := make([]Window, 0, len(objs))
+	var errs []error
 	for _, obj := range objs {
 		var w Window
 		if err := json.Unmarshal(obj.Data, &w); err != nil {
-			return nil, fmt.Errorf("decoding cost window %s: %w", obj.Name, err)
+			errs = append(errs, fmt.Errorf("decoding cost window %s: %w", obj.Name, err))
+			continue
 		}
 		out = append(out, w)
 	}
-	return out, nil
+	return out, errors.Join(errs...)
 }
 
 // ByHour returns one window for each hour in UTC, ordered by time, with the sums
--- a/core/cost/cost_test.go
+++ b/core/cost/cost_test.go
@@ -125,3 +125,21 @@
 		t.Errorf("ByHour() = %+v, want two hours of 30 units each", hours)
 	}
 }
+
+// Guards against a report of costs that has none because one stored window cannot be read.
+func TestUnreadableWindowHidesNoOthers(t *testing.T) {
+	store := stand.New(func() time.Time { return start })
+	l := cost.New(start, "entry-1", "i1")
+	l.Record(newCharge("roofs", 10))
+	if err := l.Flush(ctx, start.Add(time.Minute), store.Objects()); err != nil {
+		t.Fatal(err)
+	}
+	store.PutRaw("costs", start.Format("20060102T")+"08odd", []byte(`["odd"]`))
+	windows, err := cost.Read(ctx, store.Objects(), start, -1)
+	if len(windows) != 1 || windows[0].Lines[0].Units != 10 {
+		t.Errorf("windows %+v, want the sound one", windows)
+	}
+	if err == nil {
+		t.Error("no error tells of the window that cannot be read")
+	}
+}
--- a/core/once/claim.go
+++ b/core/once/claim.go
@@ -109,16 +109,19 @@
 }
 
 // findStoredRecord searches the records that an owner stored for one key. The
-// error is object.ErrNotFound if there is none.
+// error is object.ErrNotFound if there is none. If it is not found, but records cannot be
+// decoded, the error is another one, since it may be among these.
 func findStoredRecord(ctx context.Context, store object.Store, owner Owner, key string) (Record, error) {
 	objs, err := store.List(ctx, outcomeKind, owner.Incarnation+".")
 	if err != nil {
 		return Record{}, err
 	}
+	notFound := object.ErrNotFound
 	for _, obj := range objs {
 		var records []Record
 		if err := json.Unmarshal(obj.Data, &records); err != nil {
-			return Record{}, fmt.Errorf("decoding outcomes %s: %w", obj.Name, err)
+			notFound = fmt.Errorf("decoding outcomes %s: %w", obj.Name, err)
+			continue
 		}
 		for _, r := range records {
 			if r.Key == key {
@@ -126,5 +129,5 @@
 			}
 		}
 	}
-	return Record{}, object.ErrNotFound
+	return Record{}, notFound
 }
