soak: silence of sound servers, odd entries, slow and late callers; a check of cut answers

A new check reports each request that was read and whose connection ended without a complete answer, or whose stream broke, while its instance, the store and the servers that it reached were undisturbed, with the last SIGTERM, version and silence beside it. Stops, versions and silence excuse nothing, nor does the fault of another server. The ends of all requests are counted by kind and route.

--- a/soak/checker.go
+++ b/soak/checker.go
@@ -42,6 +42,14 @@
 		valid bool
 		// service is the service of the server that produced the response.
 		service string
+		// slow is set if the caller reads the answer slowly.
+		slow bool
+		// written is when the request had been written, or zero if it was not.
+		written time.Time
+		// received is the number of bytes of the answer's body, and err the error with
+		// which the connection ended, if any.
+		received int
+		err      error
 		// abandoned is set if the caller gave up or its timeout had passed when the
 		// request ended.
 		abandoned bool
@@ -64,8 +72,12 @@
 	}
 
 	// disturbance is a period in which an instance or the store is subject to a
-	// fault. It has not ended while to is zero.
-	disturbance struct{ from, to time.Time }
+	// fault. It has not ended while to is zero. server is the server at fault, if it is
+	// the fault of one.
+	disturbance struct {
+		from, to time.Time
+		server   string
+	}
 
 	// checker records what callers, servers and the operator observe, and determines
 	// which promises were broken. Its fields must be used under mu, see locked.
@@ -89,6 +101,7 @@
 		// stoppedAt holds when a process received SIGTERM, by the numbers of its
 		// instance and of the process.
 		stoppedAt map[[2]int]time.Time
+		silences  []silence
 	}
 )
 
@@ -112,16 +125,21 @@
 // beginDisturbance records that a disturbance of an instance begins. It returns a
 // function that records its end.
 func (c *checker) beginDisturbance(instance int) (end func()) {
-	d := &disturbance{from: time.Now()}
+	return c.beginDisturbanceBy(instance, "")
+}
+
+func (c *checker) beginDisturbanceBy(instance int, server string) (end func()) {
+	d := &disturbance{from: time.Now(), server: server}
 	c.locked(func() { c.disturbances[instance] = append(c.disturbances[instance], d) })
 	return func() { c.locked(func() { d.to = time.Now() }) }
 }
 
-// beginDisturbances does the same as beginDisturbance for several instances.
-func (c *checker) beginDisturbances(instances []*instance) (end func()) {
+// beginDisturbances does the same as beginDisturbance for several instances, which a
+// server disturbs.
+func (c *checker) beginDisturbances(instances []*instance, server string) (end func()) {
 	var ends []func()
 	for _, in := range instances {
-		ends = append(ends, c.beginDisturbance(in.number))
+		ends = append(ends, c.beginDisturbanceBy(in.number, server))
 	}
 	return func() {
 		for _, end := range ends {
@@ -135,7 +153,7 @@
 func (c *checker) undisturbed(instance int, from, to time.Time) bool {
 	for _, number := range []int{instance, storeNumber} {
 		for _, d := range c.disturbances[number] {
-			if d.from.Before(to) && (d.to.IsZero() || d.to.Add(recoveryTime).After(from)) {
+			if d.overlaps(from, to) {
 				return false
 			}
 		}
@@ -143,6 +161,12 @@
 	return true
 }
 
+// overlaps reports whether the disturbance, or the recovery from it, was in progress at
+// any time between from and to.
+func (d *disturbance) overlaps(from, to time.Time) bool {
+	return d.from.Before(to) && (d.to.IsZero() || d.to.Add(recoveryTime).After(from))
+}
+
 // violations returns a message for each broken promise. It must be called after all
 // requests have ended and their runs have been counted.
 func (c *checker) violations() []string {
@@ -150,8 +174,10 @@
 	defer c.mu.Unlock()
 	var violations []string
 	report := func(format string, args ...any) { violations = append(violations, fmt.Sprintf(format, args...)) }
+	reached := c.serversReached()
 	for _, r := range c.requests {
 		c.checkRequest(r, report)
+		c.checkEnding(r, reached[r.id], report)
 	}
 	for _, a := range c.arrivals {
 		c.checkArrival(a, report)
@@ -172,7 +198,7 @@
 	case (r.status == 429 || r.status == 503) && runs > 0:
 		report("%s: refused with %d and ran %d times", r.id, r.status, runs)
 	}
-	if r.route == routeBook && runs > 1 {
+	if nonIdempotent(r.route) && runs > 1 {
 		report("%s: ran %d times, but must run at most once", r.id, runs)
 	}
 	stoppedAt, stopped := c.stoppedAt[[2]int{r.instance, r.processNumber}]
--- a/soak/checker_test.go
+++ b/soak/checker_test.go
@@ -1,6 +1,8 @@
 package main
 
 import (
+	"io"
+	"net/http"
 	"strings"
 	"testing"
 	"time"
@@ -131,6 +133,101 @@
 	}
 }
 
+// cutOff returns a checker with a request that reached server s and was cut off after 1 s.
+func cutOff() (*checker, *request) {
+	c, r := undisturbedRequest(routeChat)
+	r.status, r.ended = 0, r.sent.Add(time.Second)
+	r.written = r.sent.Add(time.Millisecond)
+	c.arrivals = append(c.arrivals, arrival{id: r.id, server: "s", service: serviceLLM, at: r.written})
+	return c, r
+}
+
+// TestCheckerFindsEndsWithoutAnAnswer tests that the end of a request without a complete
+// answer is reported with what happened beside it, unless its server, its instance or the
+// store was disturbed, its caller gave up, or it was not read.
+func TestCheckerFindsEndsWithoutAnAnswer(t *testing.T) {
+	for name, test := range map[string]struct {
+		// want is part of the violation, or "" if there must be none.
+		want  string
+		plant func(c *checker, r *request)
+	}{
+		"beside nothing": {"no stop, version or silence", func(*checker, *request) {}},
+		"beside a silence of its server": {"server s fell silent 500ms before its end for 1s", func(c *checker, r *request) {
+			c.silences = []silence{{"s", r.ended.Add(-500 * time.Millisecond), r.ended.Add(500 * time.Millisecond)}}
+		}},
+		"beside a version": {"version 2 written 500ms before its end", func(c *checker, r *request) {
+			c.versions = []version{{number: 2, service: serviceDesk, keys: []string{"k"}, sent: r.ended.Add(-500 * time.Millisecond), acked: r.ended.Add(-490 * time.Millisecond)}}
+		}},
+		"in a stop, sent at its end": {"SIGTERM 4.5s before it was sent", func(c *checker, r *request) {
+			c.stoppedAt[[2]int{0, 0}] = r.sent.Add(-4500 * time.Millisecond)
+		}},
+		"read but not passed on": {"no stop, version or silence", func(c *checker, r *request) { c.arrivals = nil }},
+		"while another server is disturbed": {"no stop, version or silence", func(c *checker, r *request) {
+			c.beginDisturbanceBy(0, "other")
+			c.disturbances[0][0].from = r.sent
+		}},
+		"while its server is disturbed": {"", func(c *checker, r *request) {
+			c.beginDisturbanceBy(0, "s")
+			c.disturbances[0][0].from = r.sent
+		}},
+		"while its instance is disturbed": {"", func(c *checker, r *request) {
+			c.beginDisturbance(0)
+			c.disturbances[0][0].from = r.sent
+		}},
+		"while the store is disturbed": {"", func(c *checker, r *request) {
+			c.beginDisturbance(storeNumber)
+			c.disturbances[storeNumber][0].from = r.sent
+		}},
+		"given up by its caller": {"", func(_ *checker, r *request) { r.abandoned = true }},
+		"closed before it was read": {"", func(c *checker, r *request) {
+			c.arrivals, r.written = nil, r.ended.Add(-lossSlack)
+		}},
+		"at work at the end of the grace period": {"", func(c *checker, r *request) {
+			r.sent = r.ended.Add(-gracePeriod + time.Second)
+			c.stoppedAt[[2]int{0, 0}] = r.sent.Add(-stopWindow - 500*time.Millisecond)
+		}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c, r := cutOff()
+			test.plant(c, r)
+			got := strings.Join(c.violations(), "\n")
+			if test.want == "" && got != "" {
+				t.Errorf("violations = %q, want none", got)
+			}
+			if !strings.Contains(got, test.want) {
+				t.Errorf("violations = %q, want one that contains %q", got, test.want)
+			}
+			if counted := strings.Contains(c.endings(), "CUT"); counted != (test.want != "") {
+				t.Errorf("counted as:\n%s", c.endings())
+			}
+		})
+	}
+}
+
+// TestSilentServerGoesOn tests that a server that falls silent in the middle of a stream
+// sends nothing for that time and then the rest.
+func TestSilentServerGoesOn(t *testing.T) {
+	const quiet = 300 * time.Millisecond
+	s := stand.NewServer("s", serviceLLM, "a")
+	defer s.Close()
+	s.NumEvents, s.EventGap = 8, 10*time.Millisecond
+	req, err := stand.NewRequest(t.Context(), s.Address(), stand.Request{ID: "r", Path: "/chat/1", Timeout: time.Second})
+	if err != nil {
+		t.Fatal(err)
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	start := time.Now()
+	s.FallSilent(quiet)
+	body, err := io.ReadAll(resp.Body)
+	if took := time.Since(start); err != nil || !stand.IsCompleteStream(string(body), 8) || took < quiet {
+		t.Errorf("received %q after %v, error %v", body, took, err)
+	}
+}
+
 // TestDisturbanceExcusesTimeBounds tests that a time bound is not checked while the
 // instance or the store is disturbed or recovering, but is checked while only another
 // instance is.
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"syscall"
 	"time"
 
@@ -13,9 +15,11 @@
 
 // meanFaultPauses are the mean times between two faults, one of which is drawn for
 // each run. With the shortest, faults overlap. With the longest, there are enough
-// undisturbed periods for most time bounds to be checked.
+// undisturbed periods for most time bounds to be checked. calmPause is that of calmFaults.
 var meanFaultPauses = []time.Duration{700 * time.Millisecond, 2 * time.Second, 4 * time.Second}
 
+const calmPause = time.Second
+
 // fault is a kind of fault and its relative frequency. inject starts a fault and
 // returns a description of it. A fault that has to be reverted is reverted by a timer,
 // possibly only after the last fault of the run.
@@ -44,7 +48,7 @@
 		s := servers[rng.IntN(len(servers))]
 		// All instances use this link, and it is not known whose requests are on
 		// it, so all of them count as disturbed.
-		return s.ID + " " + disruptSharedLink(h, s.link, rng)
+		return s.ID + " " + disruptServerLink(h, s, rng)
 	}},
 	{"server withdrawal", 4, withdrawServer},
 	{"server refusal", 3, func(h *harness, rng *rand.Rand) string {
@@ -54,25 +58,64 @@
 		return s.ID
 	}},
 	{"server crash", 2, crashServer},
-	{"configuration", 4, func(h *harness, rng *rand.Rand) string {
+	{"odd entry", 3, putOddEntry},
+}
+
+// calmFaults are what disturbs nothing. They are drawn beside the others.
+var calmFaults = []fault{
+	{"server silence", 3, silenceServer},
+	{"configuration", 1, func(h *harness, rng *rand.Rand) string {
 		service := []string{serviceDesk, serviceAlternate}[rng.IntN(2)]
 		h.putConfig(service)
 		return service
 	}},
 }
 
+// silenceServer makes a random server, or in one of three cases all servers of a service,
+// read and send nothing for 0.3 s to 1.8 s. They stay sound, so that is no disturbance.
+func silenceServer(h *harness, rng *rand.Rand) string {
+	servers := h.activeServers()
+	s := servers[rng.IntN(len(servers))]
+	d := 300*time.Millisecond + time.Duration(rng.Int64N(int64(1500*time.Millisecond)))
+	silent := []*server{s}
+	if rng.IntN(3) == 0 {
+		silent = slices.DeleteFunc(servers, func(other *server) bool { return other.Service != s.Service })
+	}
+	from := time.Now()
+	for _, s := range silent {
+		s.FallSilent(d)
+		h.checker.locked(func() { h.checker.silences = append(h.checker.silences, silence{s.ID, from, from.Add(d)}) })
+	}
+	return fmt.Sprintf("%d of %s (%s) for %v", len(silent), s.Service, s.ID, d.Round(time.Millisecond))
+}
+
+// putOddEntry puts an entry of another writer, which names no server, among those of the
+// servers for some time.
+func putOddEntry(h *harness, rng *rand.Rand) string {
+	services := []string{serviceDesk, serviceAlternate, serviceLLM, servicePhotos}
+	kinds := slices.Sorted(maps.Keys(stand.OddEntries))
+	kind, service := kinds[rng.IntN(len(kinds))], services[rng.IntN(len(services))]
+	h.mu.Lock()
+	h.serverCount++
+	id := fmt.Sprintf("odd-%d", h.serverCount)
+	h.mu.Unlock()
+	h.store.PutOdd(id, service, kind)
+	time.AfterFunc(2*drawFaultDuration(rng), func() { h.store.RemoveServer(id) })
+	return fmt.Sprintf("%s (%s): %s", id, service, kind)
+}
+
 // drawFaultDuration returns a random duration between 0.3 s and 2.3 s.
 func drawFaultDuration(rng *rand.Rand) time.Duration {
 	return 300*time.Millisecond + time.Duration(rng.Int64N(int64(2*time.Second)))
 }
 
-// injectFaults injects random faults until ctx is done.
-func (h *harness) injectFaults(ctx context.Context, rng *rand.Rand, logf func(format string, args ...any)) {
+// injectFaults injects random faults of a list, with the given mean pause, until ctx is
+// done.
+func (h *harness) injectFaults(ctx context.Context, rng *rand.Rand, faults []fault, pause time.Duration, logf func(format string, args ...any)) {
 	total := 0
 	for _, f := range faults {
 		total += f.weight
 	}
-	pause := meanFaultPauses[rng.IntN(len(meanFaultPauses))]
 	for {
 		select {
 		case <-time.After(time.Duration(rng.Int64N(int64(2 * pause)))):
@@ -159,15 +202,15 @@
 	return fmt.Sprintf("instance %d %s", instance, modeNames[m])
 }
 
-// disruptSharedLink puts a link that all instances use in a random failure mode for
-// some time. All instances count as disturbed meanwhile.
-func disruptSharedLink(h *harness, link *proxy, rng *rand.Rand) string {
+// disruptServerLink puts the link of a server, which all instances use, in a random
+// failure mode for some time. All instances count as disturbed by the server meanwhile.
+func disruptServerLink(h *harness, s *server, rng *rand.Rand) string {
 	m := mode(1 + rng.IntN(len(modeNames)-1))
-	end := h.checker.beginDisturbances(h.instances)
-	link.set(m)
+	end := h.checker.beginDisturbances(h.instances, s.ID)
+	s.link.set(m)
 	time.AfterFunc(drawFaultDuration(rng), func() {
-		link.set(reset)
-		link.set(pass)
+		s.link.set(reset)
+		s.link.set(pass)
 		end()
 	})
 	return modeNames[m]
@@ -243,7 +286,7 @@
 	h.mu.Lock()
 	s.retired = true
 	h.mu.Unlock()
-	end := h.checker.beginDisturbances(h.instances)
+	end := h.checker.beginDisturbances(h.instances, s.ID)
 	s.link.set(reset)
 	time.AfterFunc(drawFaultDuration(rng), func() {
 		h.store.RemoveServer(s.ID)
--- a/soak/harness.go
+++ b/soak/harness.go
@@ -24,6 +24,10 @@
 	routeStatus     = "status"
 	routeDraft      = "draft"
 	routeReassigned = "moves"
+	// routeOrder has large requests and answers, and routeChat streams that must not be
+	// resumed.
+	routeOrder = "order"
+	routeChat  = "chat"
 
 	serviceDesk      = "desk"
 	serviceAlternate = "moved"
@@ -215,7 +219,7 @@
 	id := fmt.Sprintf("s-%d", h.serverCount)
 	h.mu.Unlock()
 	s := &server{Server: stand.NewServer(id, service, fmt.Sprintf("d%d", h.serverCount%2))}
-	s.WorkTime = 15 * time.Millisecond
+	s.WorkTime, s.AnswerGap, s.Echo = 15*time.Millisecond, 10*time.Millisecond, true
 	if service == serviceLLM {
 		s.NumEvents, s.EventGap = 8, 40*time.Millisecond
 	}
@@ -275,6 +279,8 @@
 		{Name: routeBook, Service: serviceDesk, Kind: stand.NonIdempotent, Timeout: 1500 * time.Millisecond, TargetLatency: 300 * time.Millisecond},
 		{Name: routeStatus, Service: serviceDesk, Kind: stand.Idempotent, Timeout: 1500 * time.Millisecond, TargetLatency: 300 * time.Millisecond},
 		{Name: routeDraft, Service: serviceLLM, Kind: stand.Streaming, Resumable: true, Timeout: 4 * time.Second, TargetLatency: time.Second, Stages: []string{servicePhotos, servicePhotos}},
+		{Name: routeOrder, Service: serviceDesk, Kind: stand.NonIdempotent, Timeout: 4 * time.Second, TargetLatency: time.Second},
+		{Name: routeChat, Service: serviceLLM, Kind: stand.Streaming, Timeout: 4 * time.Second, TargetLatency: time.Second},
 		{Name: routeReassigned, Service: reassignedTo, Kind: stand.Idempotent, Timeout: 1500 * time.Millisecond, TargetLatency: 300 * time.Millisecond},
 	}
 	services := []stand.Service{{Name: serviceDesk}, {Name: serviceAlternate}, {Name: serviceLLM, Engine: true}, {Name: servicePhotos, Pieces: true}}
--- a/soak/main.go
+++ b/soak/main.go
@@ -40,6 +40,10 @@
 
 	// settleTime is how long callers continue to send requests after the last fault.
 	settleTime = 4 * time.Second
+
+	// calmStream selects the random numbers for calmFaults. The callers use those from 1
+	// on.
+	calmStream = 1 << 32
 )
 
 func main() {
@@ -98,6 +102,7 @@
 		}
 	}
 	_, _ = fmt.Fprintf(out, "seed %d: %d requests, %d answered, %d versions, %d broken promises\n", o.Seed, len(h.checker.requests), answered, len(h.checker.versions), len(violations))
+	_, _ = fmt.Fprint(out, h.checker.endings())
 	for _, v := range violations {
 		_, _ = fmt.Fprintln(out, "BROKEN", v)
 	}
@@ -116,10 +121,15 @@
 	}
 	faultCtx, stopFaults := context.WithTimeout(context.Background(), o.Duration)
 	defer stopFaults()
-	h.injectFaults(faultCtx, rand.New(rand.NewPCG(o.Seed, 0)), func(format string, args ...any) {
+	logf := func(format string, args ...any) {
 		if !o.Quiet {
 			_, _ = fmt.Fprintf(out, "%7.3f %s\n", time.Since(start).Seconds(), fmt.Sprintf(format, args...))
 		}
+	}
+	wg.Go(func() {
+		h.injectFaults(faultCtx, rand.New(rand.NewPCG(o.Seed, calmStream)), calmFaults, calmPause, logf)
 	})
+	rng := rand.New(rand.NewPCG(o.Seed, 0))
+	h.injectFaults(faultCtx, rng, faults, meanFaultPauses[rng.IntN(len(meanFaultPauses))], logf)
 	wg.Wait()
 }
