pipeline: give up a silent endpoint only if a retry may follow

A request whose endpoint was silent for a while, and then went on, failed although it had seconds left: a stream after 500 ms, also one that may not run again or whose endpoint does not resume streams, and a call that may be retried after three times the 95th percentile for each of its attempts, the last one included.

Cause: the limits of an attempt cancelled it first and asked afterwards whether another one may follow. Now an attempt has a limit only if the stage may be repeated and has retries left, and a stream moves only if the caller has got nothing yet or the endpoint resumes. When the limit passes, the retry is taken from the budgets first; without one, the attempt goes on until the deadline of the request. A retry that was taken so is not taken again.

Evidence: TestSilentStreamThatCannotMoveIsKept and TestSilentEndpointsDelayTheRequestOnly.

--- a/core/pipeline/attempt.go
+++ b/core/pipeline/attempt.go
@@ -11,17 +11,25 @@
 	"chervilpath/core/stage"
 )
 
-var errHedged = errors.New("the other call of the hedged pair answered first")
+var (
+	errHedged         = errors.New("the other call of the hedged pair answered first")
+	errAttemptTimeout = errors.New("the attempt took longer than its time limit")
+)
 
 // stream passes the text of one attempt on to the caller and cancels the attempt
-// if it stalls.
+// if it stalls and another one may go on.
 type stream struct {
 	call      *stageCall
 	clock     stage.Clock
 	stopTimer func() bool
+	// mayRetry is set if another attempt may follow, and resumes if the endpoint
+	// resumes streams.
+	mayRetry, resumes bool
 
-	mu           sync.Mutex
-	closed       bool
+	mu     sync.Mutex
+	closed bool
+	// started is set once the caller has got text of this attempt or an earlier one.
+	started      bool
 	stallTimeout time.Duration
 	cancel       context.CancelCauseFunc
 	// correctedTokens is the number of tokens beyond the expected cost that the
@@ -37,15 +45,16 @@
 	r := c.run
 	c.attempts++
 	a := c.newAttempt(g)
+	mayRetry := c.decl.Idempotent() && c.retriesLeft(c.decl.Retries())
 	r.runner.deps.LogDecision(c.newDecision(a, g, hedge))
 	if c.affectsRan() {
 		r.mayHaveRun++
 	}
 	return func() attemptResult {
-		callCtx, cancel := c.withAttemptTimeout(ctx)
+		callCtx, cancel := c.withAttemptTimeout(ctx, mayRetry)
 		defer cancel()
-		result, err := c.call(callCtx, a)
-		if err != nil && ctx.Err() == nil && errors.Is(callCtx.Err(), context.DeadlineExceeded) {
+		result, err := c.call(callCtx, a, mayRetry)
+		if err != nil && errors.Is(context.Cause(callCtx), errAttemptTimeout) {
 			err = &CallError{Err: fault.Errorf(fault.EndpointFailed, "endpoint %q did not answer within the attempt's time limit", a.Endpoint.Name())}
 		}
 		c.settle(ctx, g, result, err)
@@ -86,23 +95,30 @@
 	}
 }
 
-// withAttemptTimeout limits the time of an attempt that may be retried, so that
-// time remains for a retry. Other attempts may take until the deadline of the
-// request, since cancelling them earlier would leave their outcome unknown.
-func (c *stageCall) withAttemptTimeout(ctx context.Context) (context.Context, context.CancelFunc) {
-	if !c.decl.Idempotent() || c.decl.Retries() == 0 || c.streams() {
-		return context.WithCancel(ctx)
-	}
+// withAttemptTimeout limits the time of an attempt that another one may follow, so
+// that time remains for it. An attempt that none may follow, or for which no retry
+// budget is left by then, may take until the deadline of the request: its endpoint may
+// only be silent for a while.
+func (c *stageCall) withAttemptTimeout(ctx context.Context, mayRetry bool) (context.Context, context.CancelFunc) {
 	p95, known := c.stage.P95(c.run.plan.expectedCost[c.index])
-	if !known {
+	if !mayRetry || !known || c.streams() {
 		return context.WithCancel(ctx)
 	}
-	return context.WithTimeout(ctx, max(minAttemptTimeout, attemptTimeoutFactor*p95))
+	ctx, cancel := context.WithCancelCause(ctx)
+	stop := c.run.runner.deps.Clock.AfterFunc(max(minAttemptTimeout, attemptTimeoutFactor*p95), func() {
+		if c.reserveRetry() {
+			cancel(errAttemptTimeout)
+		}
+	})
+	return ctx, func() {
+		stop()
+		cancel(nil)
+	}
 }
 
 // call makes the call. If the stage streams, it passes the text on to the caller
-// and returns an error if the stream stalls.
-func (c *stageCall) call(ctx context.Context, a Attempt) (Result, error) {
+// and returns an error if the stream stalls and another attempt may go on.
+func (c *stageCall) call(ctx context.Context, a Attempt, mayRetry bool) (Result, error) {
 	deps := c.run.runner.deps
 	if !c.streams() {
 		return deps.Call(ctx, a, func(string) {})
@@ -114,6 +130,9 @@
 		clock:        deps.Clock,
 		stallTimeout: max(minStallTimeout, stallTimeoutFactor*c.stage.ExpectedTime(c.run.plan.expectedCost[c.index])),
 		cancel:       cancel,
+		mayRetry:     mayRetry,
+		resumes:      a.Endpoint.Resumes(),
+		started:      a.ResumeAfter > 0,
 	}
 	s.resetStallTimer()
 	result, err := deps.Call(ctx, a, s.emit)
@@ -137,8 +156,7 @@
 	return fault.Errorf(fault.AnswerIncomplete, "the stream failed after %d tokens: %w", c.streamedTokens, err)
 }
 
-// resetStallTimer restarts the timeout after which the attempt is cancelled with
-// errStalled.
+// resetStallTimer restarts the timeout after which the stream counts as stalled.
 func (s *stream) resetStallTimer() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -148,7 +166,18 @@
 	if s.stopTimer != nil {
 		s.stopTimer()
 	}
-	s.stopTimer = s.clock.AfterFunc(s.stallTimeout, func() { s.cancel(errStalled) })
+	s.stopTimer = s.clock.AfterFunc(s.stallTimeout, s.handleStall)
+}
+
+// handleStall cancels the attempt with errStalled if the stream may go on with another
+// one. Otherwise it goes on when its endpoint does.
+func (s *stream) handleStall() {
+	s.mu.Lock()
+	mayMove := !s.closed && s.mayRetry && (!s.started || s.resumes)
+	s.mu.Unlock()
+	if mayMove && s.call.reserveRetry() {
+		s.cancel(errStalled)
+	}
 }
 
 // close stops the timer. Tokens emitted afterwards are dropped.
@@ -170,6 +199,7 @@
 	// The timer stops while the caller takes the token, so that a slow caller is
 	// not mistaken for a stalled endpoint.
 	s.stopTimer()
+	s.started = true
 	s.mu.Unlock()
 	c := s.call
 	s.observeToken()
--- a/core/pipeline/run.go
+++ b/core/pipeline/run.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"chervilpath/core/balance"
@@ -23,7 +24,8 @@
 	maxUnsentAttempts = 4
 
 	// A stream counts as stalled when no token has arrived for stallTimeoutFactor
-	// times the expected duration of the call, but not before minStallTimeout.
+	// times the expected duration of the call, but not before minStallTimeout. It is
+	// ended only if it may go on at another endpoint.
 	stallTimeoutFactor = 2
 	minStallTimeout    = 500 * time.Millisecond
 
@@ -66,6 +68,9 @@
 		streamedText   strings.Builder
 		streamedTokens int
 		waited         time.Duration
+		// retryReserved is set if an attempt was cancelled after a retry had been
+		// taken from the budgets for it.
+		retryReserved atomic.Bool
 	}
 
 	// attemptResult is the outcome of one attempt.
@@ -267,16 +272,39 @@
 		c.unsentAttempts++
 		return c.unsentAttempts < maxUnsentAttempts
 	}
-	if c.attempts-c.unsentAttempts > limit {
+	if !c.retriesLeft(limit) {
+		return false
+	}
+	if !c.retryReserved.Swap(false) && !c.stage.AllowRetry(r.req.Organisation.Name()) {
 		return false
 	}
-	if r.req.Kind.Idempotent() && r.retries >= max(r.req.Kind.Retries(), limit) {
+	r.retries++
+	return true
+}
+
+// retriesLeft reports whether another attempt may follow, apart from the retry budgets,
+// if the stage may be retried the given number of times.
+func (c *stageCall) retriesLeft(limit int) bool {
+	r := c.run
+	if r.runner.policy.UnlimitedRetries {
+		return true
+	}
+	if c.attempts-c.unsentAttempts > limit {
 		return false
 	}
-	if !c.stage.AllowRetry(r.req.Organisation.Name()) {
+	return !r.req.Kind.Idempotent() || r.retries < max(r.req.Kind.Retries(), limit)
+}
+
+// reserveRetry takes the retry of an attempt that is about to be cancelled from the
+// budgets, and reports whether there is one.
+func (c *stageCall) reserveRetry() bool {
+	if c.run.runner.policy.UnlimitedRetries {
+		return true
+	}
+	if !c.stage.AllowRetry(c.run.req.Organisation.Name()) {
 		return false
 	}
-	r.retries++
+	c.retryReserved.Store(true)
 	return true
 }
 
