edge: withdraw the placement of an owner that was silent

An owner of a service that is silent for a while reads the calls for placements when it goes on. Their callers have turned elsewhere after 250 ms by then, and settle what the next owner or they themselves chose. The late placements counted as load of the engines until the deadlines of their requests: requests were placed elsewhere than best, and with few engines found none.

The caller now withdraws a placement that got no answer: a second later, and again until the owner has answered twice, since the first call may overtake the placement that the owner reads at the same time. It leaves a later placement of the same request at that owner alone.

--- a/core/engine/placer.go
+++ b/core/engine/placer.go
@@ -208,11 +208,13 @@
 	return -max(weight, 0.01) / math.Log(uniform)
 }
 
-// Settle ends the placement of a request and records its outcome for the engine.
+// Settle ends the placement of a request and records its outcome for the engine. An
+// empty serverID stands for the engine on which the request was placed, if any.
 func (p *Placer) Settle(now time.Time, requestID, serverID string, outcome balance.Outcome) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if placed, ok := p.placements[requestID]; ok && placed.engine.id == serverID {
+	if placed, ok := p.placements[requestID]; ok && (serverID == "" || placed.engine.id == serverID) {
+		serverID = placed.engine.id
 		p.drop(requestID)
 	}
 	e, ok := p.byID[serverID]
--- a/edge/delegator.go
+++ b/edge/delegator.go
@@ -280,6 +280,7 @@
 			}
 			return id
 		}
+		go d.withdrawPlacement(address, service, q)
 		if ctx.Err() != nil {
 			return ""
 		}
@@ -290,6 +291,26 @@
 	return d.placeLocally(service, q)
 }
 
+// withdrawPlacement ends the placement of a request at a peer that did not answer. The
+// peer may make it later, when it reads the call. The peer is asked until it has
+// answered twice, since the first call may overtake the placement, or until the
+// placement expires.
+func (d *delegator) withdrawPlacement(address, service string, q engine.Query) {
+	for answers := 0; answers < 2 && time.Now().Before(q.Expires); {
+		d.instance.sleep(d.instance.loopCtx, peerBackoff)
+		if d.instance.loopCtx.Err() != nil || d.placedBy.has(q.RequestID, address) {
+			// A later placement of the request has replaced it.
+			return
+		}
+		err := d.instance.peers.Settle(d.instance.loopCtx, address, service, q.RequestID, "", balance.Abandoned)
+		if err == nil {
+			answers++
+			continue
+		}
+		d.instance.log.Info("peer did not withdraw placement", zap.String("peer", address), zap.String("requestId", q.RequestID), zap.Error(err))
+	}
+}
+
 func (d *delegator) placeLocally(service string, q engine.Query) string {
 	return d.placer(service).Place(time.Now(), q)
 }
--- a/edge/peerindex.go
+++ b/edge/peerindex.go
@@ -60,6 +60,13 @@
 	return x.older[key]
 }
 
+// has reports whether an address is recorded for a key.
+func (x *peerIndex) has(key, address string) bool {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	return x.recent[key] == address || x.older[key] == address
+}
+
 // len returns the number of entries.
 func (x *peerIndex) len() int {
 	x.mu.Lock()
