edge: owners wait shortly for a version that has the service they are asked for

What callers saw: requests for an engine or stage service that is new in a version were refused with 503 as the version came into force, though its servers were free.

Cause: the instance that places requests for the service may learn of the version some milliseconds later than the one that has the request. It found no engine, or refused the pieces.

An owner now waits for up to 150 ms until it has the service. TestNewServicesServeFromTheFirstRequest (12 versions, each with new services, 3 instances, 8 callers) failed before with 3 refusals in two runs: status:503 body:endpointUnavailable. With the change no request was refused in five.

--- a/edge/delegator.go
+++ b/edge/delegator.go
@@ -164,6 +164,7 @@
 	if !d.instance.awaitReady(ctx) {
 		return nil, fault.Errorf(fault.Draining, "the owner of service %q is not ready", job.Service)
 	}
+	d.instance.state.awaitUse(ctx, job.Service, func(u serviceUse) bool { return u.pieces != nil })
 	elapsed := time.Since(start)
 	job.Due, job.Remaining = job.Due-elapsed, job.Remaining-elapsed
 	return d.runStageLocally(ctx, job)
@@ -173,6 +174,7 @@
 // instance is ready. An instance that does not become ready finds none.
 func (d *delegator) placeForPeer(ctx context.Context, service string, q engine.Query) string {
 	d.instance.awaitReady(ctx)
+	d.instance.state.awaitUse(ctx, service, func(u serviceUse) bool { return u.engine != nil })
 	return d.placeLocally(service, q)
 }
 
--- a/edge/state.go
+++ b/edge/state.go
@@ -56,6 +56,10 @@
 	// waits for a change.
 	maxFollowWait = time.Second
 
+	// maxUseWait is how long a call of another instance for a service waits for the
+	// version that has it. It is below the timeout of such calls.
+	maxUseWait = 150 * time.Millisecond
+
 	// The sources of changes in the log besides the addresses of peers: the platform's
 	// store, an answer of the server itself, and the end of an exclusion or of the grace
 	// period for entries that are missing after an outage.
@@ -322,6 +326,28 @@
 	}
 }
 
+// awaitUse waits until the configuration in force has a service in a use that fits, up to
+// maxUseWait: another instance may have a version earlier than this one.
+func (c *clusterState) awaitUse(ctx context.Context, service string, fits func(serviceUse) bool) {
+	timer := time.NewTimer(maxUseWait)
+	defer timer.Stop()
+	for {
+		c.mu.Lock()
+		ok, changed := fits(c.uses[service]), c.changed
+		c.mu.Unlock()
+		if ok {
+			return
+		}
+		select {
+		case <-changed:
+		case <-timer.C:
+			return
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
 // updateServices passes the current servers, settings and number of instances to every
 // service, also to those that are no longer in the configuration. The caller holds mu.
 func (c *clusterState) updateServices() {
--- a/edge/versions_test.go
+++ b/edge/versions_test.go
@@ -153,3 +153,53 @@
 	}
 	wg.Wait()
 }
+
+// Failure: a request for a service that is new in a version is refused, since the instance
+// that places its requests, or has its pieces processed, learns of the version later.
+func TestNewServicesServeFromTheFirstRequest(t *testing.T) {
+	t.Parallel()
+	const versions, callers = 12, 8
+	var servers []*stand.Server
+	name := func(kind string, version int) string { return fmt.Sprint(kind, "-", version) }
+	for v := 1; v <= versions; v++ {
+		engine := stand.NewServer(name("engine", v), name("llm", v), "a")
+		engine.NumEvents = 2
+		servers = append(servers, engine, stand.NewServer(name("stage", v), name("photos", v), "a"))
+	}
+	config := func(version int) map[string]any {
+		out := configSpec(version, apiKeys, routeSpec("draft", "streaming", name("llm", version), map[string]any{"stages": []any{
+			map[string]any{"service": name("photos", version), "after": []int{}, "bytes": 1000},
+		}}))
+		services := out["services"].([]any)
+		services[2].(map[string]any)["name"] = name("llm", version)
+		services[3].(map[string]any)["name"] = name("photos", version)
+		return out
+	}
+	s := newTestSite(t, 3, config(1), servers...)
+	done := make(chan struct{})
+	var wg sync.WaitGroup
+	for i := range callers {
+		wg.Go(func() {
+			c := s.connect(i % 3)
+			for n := 0; ; n++ {
+				select {
+				case <-done:
+					return
+				default:
+				}
+				id := fmt.Sprintf("r-%d-%d", i, n)
+				c.send(requestHead("/draft/1", id, fmt.Sprintf("Content-Length: 0\r\n%s: 2\r\n%s: k\r\n", stand.HeaderPieces, stand.HeaderPieceKey)) + "\r\n")
+				if got := c.response(); got.err != nil || got.status != http.StatusOK || !stand.IsCompleteStream(got.body, 2) {
+					t.Errorf("%s: %+v", id, got)
+				}
+			}
+		})
+	}
+	for v := 2; v <= versions; v++ {
+		time.Sleep(200 * time.Millisecond)
+		s.store.Put("config", "main", config(v))
+	}
+	time.Sleep(200 * time.Millisecond)
+	close(done)
+	wg.Wait()
+}
