--- a/soak/faults.go
+++ b/soak/faults.go
@@ -20,6 +20,9 @@
 
 const calmPause = 600 * time.Millisecond
 
+// minSpeech is the least time between two silences of a server.
+const minSpeech = time.Second
+
 // fault is a kind of fault and its relative frequency. inject starts a fault and
 // returns a description of it. A fault that has to be reverted is reverted by a timer,
 // possibly only after the last fault of the run.
@@ -71,19 +74,25 @@
 	}},
 }
 
-// silenceServer makes a random server of a random service, or in one of three cases all
-// its servers, read and send nothing for 0.3 s to 1.8 s. They stay sound, so that is no disturbance.
+// silenceServer makes a random server of a random service, or in one of three cases all its
+// servers, read and send nothing for 0.3 s to 1.8 s. They stay sound: it disturbs nothing.
 func silenceServer(h *harness, rng *rand.Rand) string {
 	service := services[rng.IntN(len(services))]
-	servers := slices.DeleteFunc(h.activeServers(), func(s *server) bool { return s.Service != service })
+	from := time.Now()
+	servers := slices.DeleteFunc(h.activeServers(), func(s *server) bool {
+		return s.Service != service || from.Before(s.silentAgainAt)
+	})
+	if len(servers) == 0 {
+		return "no server of " + service + " has spoken for long enough"
+	}
 	d := 300*time.Millisecond + time.Duration(rng.Int64N(int64(1500*time.Millisecond)))
 	silent := servers
 	if one := rng.IntN(len(servers)); rng.IntN(3) > 0 {
 		silent = servers[one : one+1]
 	}
-	from := time.Now()
 	for _, s := range silent {
 		s.FallSilent(d)
+		s.silentAgainAt = from.Add(d + minSpeech)
 		h.checker.locked(func() { h.checker.silences = append(h.checker.silences, silence{s.ID, from, from.Add(d)}) })
 	}
 	return fmt.Sprintf("%d of %s for %v", len(silent), service, d.Round(time.Millisecond))
--- a/soak/harness.go
+++ b/soak/harness.go
@@ -87,6 +87,9 @@
 		link *proxy
 		// retired is set once the server is being withdrawn or has crashed.
 		retired bool
+		// silentAgainAt is when the server may fall silent again. Only the goroutine that
+		// injects calmFaults uses it.
+		silentAgainAt time.Time
 	}
 )
 
