relay: a server that has just left uses up no attempts

What callers saw: 503 for a request of a plain service whose servers were replaced, though others were free.

A request that came between the two was granted a server that had left, skipped it, and got the same one again, four times within the same moment, until no attempt was left.

A server that was skipped is now left aside like one that could not be reached: the stage keeps the request until another one is free.

--- a/core/relay/plain.go
+++ b/core/relay/plain.go
@@ -42,6 +42,8 @@
 		if !ok {
 			s.Release(grant, balance.Abandoned)
 			e.log("skip", "the server takes no more requests", grant.Endpoint.Name())
+			// The stage may learn of this a moment later.
+			e.unreachable = append(e.unreachable, grant.Endpoint.Name())
 			if e.mayResend(false) {
 				continue
 			}
--- a/core/relay/unreachable_test.go
+++ b/core/relay/unreachable_test.go
@@ -27,6 +27,7 @@
 type plainSite struct {
 	relay *Relay
 	stage *stage.Stage
+	view  *fleet.View
 
 	mu    sync.Mutex
 	sends map[string][]string
@@ -53,7 +54,7 @@
 	}
 	view.Replace(time.Now(), servers, 1)
 	clock := stage.Clock{Now: time.Now, AfterFunc: func(d time.Duration, f func()) func() bool { return time.AfterFunc(d, f).Stop }}
-	p := &plainSite{sends: make(map[string][]string)}
+	p := &plainSite{view: view, sends: make(map[string][]string)}
 	p.stage = stage.New(declare.NewStage("desk", 512, endpoints), "edge-0", 1, clock, rand.New(rand.NewPCG(seed, 1)), stage.Policy{})
 	p.relay = New(Deps{
 		Clock: clock, AwaitReady: func(context.Context) bool { return true },
@@ -158,6 +159,31 @@
 	}
 }
 
+// Guards against requests that are refused because the stage still grants a server that has
+// left the list, again and again within the same moment.
+func TestServerThatHasJustLeftUsesUpNoRequest(t *testing.T) {
+	var refused atomic.Int64
+	for seed := range uint64(20) {
+		synctest.Test(t, func(t *testing.T) {
+			p := newPlainSite(t, route.NonIdempotent, seed, 50*time.Millisecond, "gone-1", "gone-2", "up-1")
+			p.view.Replace(time.Now(), []fleet.Server{{ID: "up-1", Service: "desk", Address: "10.0.0.1:3", Slots: 1}}, 2)
+			var wg sync.WaitGroup
+			for i := range 3 {
+				wg.Go(func() {
+					if err := p.serve(t, fmt.Sprint("r-", i)); err != nil {
+						refused.Add(1)
+					}
+				})
+				synctest.Wait()
+			}
+			wg.Wait()
+		})
+	}
+	if refused.Load() > 0 {
+		t.Errorf("%d of 60 requests are refused", refused.Load())
+	}
+}
+
 // Guards against requests that are held for servers of which none can be reached, or for a
 // sound one that is busy until their time is over.
 func TestRequestWithoutAServerInTimeIsRefused(t *testing.T) {
