edge: connections between instances end before the other side closes them

Idle connections were kept for 20 s by the instance that calls and for 15 s by the one that is called, so that a call could be sent on a connection that was being closed; it had no answer, and the owner was passed over for a second. Found by reading; no run showed it.

--- a/edge/services.go
+++ b/edge/services.go
@@ -28,7 +28,9 @@
 )
 
 const (
-	peerIdleTimeout = 20 * time.Second
+	// peerIdleTimeout is shorter than idleTimeout, so that a call is not sent on a connection
+	// that the other instance is closing.
+	peerIdleTimeout = 12 * time.Second
 
 	// headerTimeout, idleTimeout and maxHeaderBytes limit the HTTP servers, and that
 	// for callers while no configuration is known or it has no such limit.
