--- a/soak/faults.go
+++ b/soak/faults.go
@@ -99,10 +99,13 @@
 }
 
 // putOddEntry puts an entry of another writer, which names no server, among those of the
-// servers for some time.
+// servers for some time. One in three is deeply nested.
 func putOddEntry(h *harness, rng *rand.Rand) string {
 	kinds := slices.Sorted(maps.Keys(stand.OddEntries))
 	kind, service := kinds[rng.IntN(len(kinds))], services[rng.IntN(len(services))]
+	if rng.IntN(3) == 0 {
+		kind = stand.DeeplyNested
+	}
 	h.mu.Lock()
 	h.serverCount++
 	id := fmt.Sprintf("odd-%d", h.serverCount)
