edge: an owner without the service it is asked for is passed over

What callers saw: a 503 for a service that was new in a version, though its servers were free.

Cause, by reading: an owner that learns of the version more than 150 ms later answered 'no engine is free' or 'does not run stages', which ends the request, where 'ask another one' was meant. It now answers so.

TestOwnerWithoutTheServiceIsPassedOver failed before: a request was placed at "" without an error, and a stage failed with endpointUnavailable.

--- a/edge/delegator.go
+++ b/edge/delegator.go
@@ -164,18 +164,23 @@
 	if !d.instance.awaitReady(ctx) {
 		return nil, fault.Errorf(fault.Draining, "the owner of service %q is not ready", job.Service)
 	}
-	d.instance.state.awaitUse(ctx, job.Service, func(u serviceUse) bool { return u.pieces != nil })
+	if !d.instance.state.awaitUse(ctx, job.Service, func(u serviceUse) bool { return u.pieces != nil }) {
+		return nil, fault.Errorf(fault.Draining, "service %q does not run stages at its owner yet", job.Service)
+	}
 	elapsed := time.Since(start)
 	job.Due, job.Remaining = job.Due-elapsed, job.Remaining-elapsed
 	return d.runStageLocally(ctx, job)
 }
 
 // placeForPeer chooses an engine for another instance's request, once this
-// instance is ready. An instance that does not become ready finds none.
-func (d *delegator) placeForPeer(ctx context.Context, service string, q engine.Query) string {
+// instance is ready. An instance that does not become ready finds none. It returns an
+// error if the service has no engines here yet, so that the other instance turns elsewhere.
+func (d *delegator) placeForPeer(ctx context.Context, service string, q engine.Query) (string, error) {
 	d.instance.awaitReady(ctx)
-	d.instance.state.awaitUse(ctx, service, func(u serviceUse) bool { return u.engine != nil })
-	return d.placeLocally(service, q)
+	if !d.instance.state.awaitUse(ctx, service, func(u serviceUse) bool { return u.engine != nil }) {
+		return "", fault.Errorf(fault.Draining, "service %q has no engines at its owner yet", service)
+	}
+	return d.placeLocally(service, q), nil
 }
 
 // runStageLocally has the pieces of a stage computed through this instance's own
--- a/edge/silence_test.go
+++ b/edge/silence_test.go
@@ -13,6 +13,7 @@
 
 	"chervilpath/core/balance"
 	"chervilpath/core/engine"
+	"chervilpath/core/fault"
 	"chervilpath/core/fleet"
 	"chervilpath/core/kernel"
 	"chervilpath/core/member"
@@ -54,8 +55,10 @@
 		Members: peer.NewMembers(member.Member{ID: "o"}, nil, peers, time.Now, peer.NewRand(), func(string, int64) {}, func(int) {}),
 		Now:     time.Now,
 		Platform: &peer.PlatformHandler{
-			Now:   time.Now,
-			Place: func(_ context.Context, _ string, q engine.Query) string { return o.placer.Place(time.Now(), q) },
+			Now: time.Now,
+			Place: func(_ context.Context, _ string, q engine.Query) (string, error) {
+				return o.placer.Place(time.Now(), q), nil
+			},
 			Settle: func(_, request, server string, outcome balance.Outcome) {
 				o.placer.Settle(time.Now(), request, server, outcome)
 			},
@@ -229,3 +232,18 @@
 		}
 	}
 }
+
+// Guards against a request that is refused because the owner of a service that is new in a
+// version does not have that version yet: the caller has to turn elsewhere.
+func TestOwnerWithoutTheServiceIsPassedOver(t *testing.T) {
+	t.Parallel()
+	in := newCallerOf(t)
+	in.readyOnce.Do(func() { close(in.ready) })
+	if id, err := in.delegator.placeForPeer(t.Context(), silentService, engine.Query{RequestID: "r-1"}); err == nil {
+		t.Errorf("a request is placed at %q without an error", id)
+	}
+	_, err := in.delegator.runStageForPeer(t.Context(), relay.StageJob{Service: silentService, RequestID: "r-1", Pieces: 1, Remaining: time.Second})
+	if kind := fault.From(err).Kind(); kind != fault.Draining {
+		t.Errorf("a stage fails with %v, want %v", err, fault.Draining)
+	}
+}
--- a/edge/state.go
+++ b/edge/state.go
@@ -327,8 +327,9 @@
 }
 
 // awaitUse waits until the configuration in force has a service in a use that fits, up to
-// maxUseWait: another instance may have a version earlier than this one.
-func (c *clusterState) awaitUse(ctx context.Context, service string, fits func(serviceUse) bool) {
+// maxUseWait, and reports whether it has: another instance may have a version earlier than
+// this one.
+func (c *clusterState) awaitUse(ctx context.Context, service string, fits func(serviceUse) bool) bool {
 	timer := time.NewTimer(maxUseWait)
 	defer timer.Stop()
 	for {
@@ -336,14 +337,14 @@
 		ok, changed := fits(c.uses[service]), c.changed
 		c.mu.Unlock()
 		if ok {
-			return
+			return true
 		}
 		select {
 		case <-changed:
 		case <-timer.C:
-			return
+			return false
 		case <-ctx.Done():
-			return
+			return false
 		}
 	}
 }
--- a/io/peer/platform.go
+++ b/io/peer/platform.go
@@ -80,9 +80,11 @@
 		Follow      func(context.Context, FollowRequest) FollowReply
 		RunStage    func(context.Context, relay.StageJob) ([]string, error)
 		FreeResults func(service string, handles []string)
-		Place       func(ctx context.Context, service string, q engine.Query) string
-		Settle      func(service, request, server string, outcome balance.Outcome)
-		Now         func() time.Time
+		// Place returns "" if no engine is free, and an error if this instance cannot
+		// place requests of the service.
+		Place  func(ctx context.Context, service string, q engine.Query) (string, error)
+		Settle func(service, request, server string, outcome balance.Outcome)
+		Now    func() time.Time
 	}
 )
 
@@ -157,7 +159,11 @@
 			q.Weights[w.Zone] = w.Weight
 		}
 	}
-	return &peerpb.PlaceReply{Server: s.Platform.Place(ctx, req.Service, q)}, nil
+	server, err := s.Platform.Place(ctx, req.Service, q)
+	if err != nil {
+		return nil, twirp.NewError(twirp.Unavailable, err.Error())
+	}
+	return &peerpb.PlaceReply{Server: server}, nil
 }
 
 // Settle implements peerpb.Peer.
