relay: an empty stream whose head is withheld ends in an error

A caller would have got an empty 200 of net/http, without a server's head: after the end of a planned shutdown the head of a stream is not written, and a stream that ended without an event counted as answered, so that the request ended without an error and without a response.

The request now ends in the error of the shutdown if its stream began but its head was withheld. Seen in a review by reading; reproduced only with a body that ends after the shutdown whoever cancels it. Test before the fix:

stop_test.go:245: started false, error <nil>, want an error that promises nothing

--- a/core/relay/relay.go
+++ b/core/relay/relay.go
@@ -172,7 +172,8 @@
 		e.discard(e.next)
 	}
 	started = guard.hasBegun()
-	if err != nil && !started && errors.Is(context.Cause(ctx), errShuttingDown) {
+	withheld := e.stream != nil && e.stream.started && !started
+	if withheld || err != nil && !started && errors.Is(context.Cause(ctx), errShuttingDown) {
 		err = e.shutdownError()
 	}
 	e.log("end", outcomeText(err), "")
--- a/core/relay/stop_test.go
+++ b/core/relay/stop_test.go
@@ -222,3 +222,27 @@
 		}
 	})
 }
+
+// pausedEnd is a body that ends without an event after a pause, whoever cancels it.
+type pausedEnd time.Duration
+
+func (p pausedEnd) Read([]byte) (int, error) {
+	time.Sleep(time.Duration(p))
+	return 0, io.EOF
+}
+
+func (p pausedEnd) Close() error { return nil }
+
+// Guards against a success without a server's head: net/http sends one for a request that
+// ends without an error and without a response.
+func TestEmptyStreamThatEndsAfterShutdownIsAnError(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		rig := newStopRig(t, 1, func(context.Context, Attempt) (*Response, error) {
+			return &Response{Status: http.StatusOK, EventStream: true, Body: pausedEnd(stopEnd + time.Second)}, nil
+		})
+		started, err := rig.serve("/draft/x", ResponseWriter{WriteHeader: func(int, map[string][]string) { t.Error("the head was written") }})
+		if f := fault.From(err); started || err == nil || f.Kind() != fault.EndpointFailed || f.Ran() != fault.RanUnknown {
+			t.Errorf("started %v, error %v, want an error that promises nothing", started, err)
+		}
+	})
+}
