relay: a stream that has begun waits for engines that want no requests

A stream whose server broke off was cut at once if all engines of its service wanted no requests for a moment, however short: the wait for the first of them was bounded by the deadline for the first event, which has long passed for a stream that is in progress.

The bound is now when the stream has to go on, the same as for the stages of that attempt and for an engine or a budget that is not free. Requests that have not begun keep their bound.

--- a/core/relay/engine.go
+++ b/core/relay/engine.go
@@ -62,11 +62,7 @@
 	if len(e.held) > 0 {
 		return nil
 	}
-	deadline := e.firstEventDeadline
-	if e.stream.started {
-		deadline = e.resumeDeadline()
-	}
-	results, err := e.runStages(ctx, engineZone, deadline)
+	results, err := e.runStages(ctx, engineZone, e.nextEventDeadline())
 	if err != nil {
 		return err
 	}
--- a/core/relay/place.go
+++ b/core/relay/place.go
@@ -120,6 +120,14 @@
 	return e.sleep(ctx, replaceInterval) == nil
 }
 
+// nextEventDeadline returns when an attempt that follows has to have its first event.
+func (e *execution) nextEventDeadline() time.Time {
+	if e.stream != nil && e.stream.started {
+		return e.resumeDeadline()
+	}
+	return e.firstEventDeadline
+}
+
 // resumeDeadline returns when a stream that has begun has to go on at the latest.
 func (e *execution) resumeDeadline() time.Time {
 	at := e.lastEvent.Add(resumeBy(eventTimeout(e.route)))
--- a/core/relay/silence_test.go
+++ b/core/relay/silence_test.go
@@ -67,6 +67,8 @@
 	writePause time.Duration
 	// stagePause is how long the stages take, if there are any.
 	stagePause time.Duration
+	// After excludeAfter, all engines want no requests for excludeFor.
+	excludeAfter, excludeFor time.Duration
 
 	// mu guards what the functions of Deps count.
 	mu                sync.Mutex
@@ -109,7 +111,12 @@
 		AwaitReady: func(context.Context) bool { return true },
 		Table:      func() *route.Table { return table }, Random: func() float64 { return 0 }, Log: func(Decision) {},
 		Shutdown: func() Shutdown { return Shutdown{} }, ShutdownCtx: ctx, RecordCall: func(string) {},
-		Servers: view.Snapshot, ResultZone: func(string) string { return "" },
+		Servers: func() *fleet.Snapshot {
+			st.mu.Lock()
+			defer st.mu.Unlock()
+			return view.Snapshot()
+		},
+		ResultZone: func(string) string { return "" },
 		RunStage: func(ctx context.Context, job StageJob) ([]string, error) {
 			select {
 			case <-time.After(st.stagePause):
@@ -172,6 +179,13 @@
 	}
 	deps.Clock.Now = time.Now
 	deps.Clock.AfterFunc = func(d time.Duration, f func()) func() bool { return time.AfterFunc(d, f).Stop }
+	time.AfterFunc(st.excludeAfter, func() {
+		st.mu.Lock()
+		defer st.mu.Unlock()
+		for _, s := range servers {
+			view.Exclude(s.Incarnation(), time.Now().Add(st.excludeFor))
+		}
+	})
 	start := time.Now()
 	req := &Request{ID: "r", Host: "h", Path: "/x", Timeout: 20 * time.Second, Arrived: start, Pieces: pieces}
 	st.started, st.err = New(deps).Serve(ctx, req, ResponseWriter{
@@ -388,3 +402,18 @@
 		})
 	})
 }
+
+// Guards against a stream that has begun and is cut because its server breaks off while
+// all engines want no requests for a short time.
+func TestBrokenStreamWaitsForUnwillingEngines(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var parts []part
+		for n := range 10 {
+			parts = append(parts, event(n+1, 1500*time.Millisecond))
+		}
+		st := &streamTest{engines: 2, parts: [][]part{append(parts, part{err: io.ErrUnexpectedEOF}), {event(11, 0)}}}
+		st.excludeAfter, st.excludeFor = 14*time.Second, 1500*time.Millisecond
+		st.serve(t, t.Context())
+		st.check(t, 11, 2)
+	})
+}
--- a/core/relay/unwilling.go
+++ b/core/relay/unwilling.go
@@ -21,12 +21,12 @@
 		if at.IsZero() {
 			return nil
 		}
-		wait := at.Sub(now)
-		if deadline := e.firstEventDeadline; now.Add(wait + needed).After(deadline) {
+		wait, deadline := at.Sub(now), e.nextEventDeadline()
+		if now.Add(wait + needed).After(deadline) {
 			return e.refusal(fault.Errorf(fault.EndpointUnavailable, "all servers of service %q want no requests for %v", e.service, wait.Round(time.Millisecond)))
 		}
 		e.log("wait", "all servers want no requests for "+wait.Round(time.Millisecond).String(), "")
-		spread := time.Duration(maxReturnSpread * e.relay.deps.Random() * float64(min(wait, e.firstEventDeadline.Sub(at)-needed)))
+		spread := time.Duration(maxReturnSpread * e.relay.deps.Random() * float64(min(wait, deadline.Sub(at)-needed)))
 		if err := e.sleep(ctx, wait+max(0, spread)); err != nil {
 			return e.contextError(ctx)
 		}
