relay: an event that is being written to its caller ends a silence

A server that was silent for long lost its stream although its event had come: while another attempt was being prepared, the event was read and was being written to a slow caller, and it counts as progress only after that. The stream went on elsewhere, for a retry from the budget.

No attempt is replaced any more while nothing is expected from its server. Test before the fix:

silence_test.go:427: 2 attempts, want 1 silence_test.go:429: 1 retries were taken from the budget

--- a/core/relay/silence.go
+++ b/core/relay/silence.go
@@ -223,7 +223,8 @@
 	if !ok {
 		return
 	}
-	if w.ended || w.events != events || !w.commit() {
+	// Without a wait for the server, what it has sent is being written to the caller.
+	if w.ended || w.events != events || w.waitingSince.IsZero() || !w.commit() {
 		w.mu.Unlock()
 		w.discard(next)
 		w.mu.Lock()
--- a/core/relay/silence_test.go
+++ b/core/relay/silence_test.go
@@ -417,3 +417,16 @@
 		st.check(t, 11, 2)
 	})
 }
+
+// Guards against a sound server that loses its stream while its event is being written to
+// a slow caller.
+func TestEventThatIsBeingWrittenEndsSilence(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		st := &streamTest{engines: 2, stagePause: 600 * time.Millisecond, writePause: time.Second, parts: [][]part{{event(1, 0), event(2, 3300*time.Millisecond), event(3, 100*time.Millisecond)}, {event(3, 0)}}}
+		st.serve(t, t.Context())
+		st.check(t, 3, 1)
+		if st.retries > 0 {
+			t.Errorf("%d retries were taken from the budget", st.retries)
+		}
+	})
+}
