relay: no stream is taken from a silent server at its deadline

A stream whose server was silent until just before its caller's deadline went on at another server even when no time was left for that, so that the last event, which was in time, did not arrive.

A silent server keeps its stream when no more time remains than for a retry. Test before the fix:

silence_test.go:445: received events 1 to 12 after 20s, error the stream broke after event "12": context deadline exceeded, want events 1 to 13 silence_test.go:445: 2 attempts, want 1

--- a/core/relay/engine.go
+++ b/core/relay/engine.go
@@ -246,7 +246,7 @@
 		return next, err == nil
 	}
 	w.commit = func() bool {
-		if e.relay.deps.ShutdownCtx.Err() != nil {
+		if e.relay.deps.ShutdownCtx.Err() != nil || e.remaining() <= minRemaining {
 			return false
 		}
 		allowed := e.relay.deps.AllowRetry(e.service)
--- a/core/relay/silence_test.go
+++ b/core/relay/silence_test.go
@@ -430,3 +430,18 @@
 		}
 	})
 }
+
+// Guards against a sound server that loses its stream so late that no other one may end it
+// before the caller's deadline.
+func TestSilenceAtTheDeadlineEndsNoStream(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var parts []part
+		for n := range 12 {
+			parts = append(parts, event(n+1, 1500*time.Millisecond))
+		}
+		parts[0].pause -= 20 * time.Millisecond
+		st := &streamTest{engines: 2, parts: [][]part{append(parts, event(13, maxSoundSilence+10*time.Millisecond)), {event(13, time.Second)}}}
+		st.serve(t, t.Context())
+		st.check(t, 13, 1)
+	})
+}
