relay: test long silences with the budget used up and no free engine

The cases of TestSilenceOfSoundServerEndsNoStream are silent for 1.8 s, which is less than the 2 s after which an attempt is replaced, so that the budget was never asked: with the question for the budget taken out ("|| !w.commit()" in silence.go), no test failed. The test of a long silence now has these cases too. With it taken out:

TestLongSilenceEndsNoStreamWithoutPlaceToGoOn/retry_budget_used_up/stages_of_0s FAIL TestLongSilenceEndsNoStreamWithoutPlaceToGoOn/retry_budget_used_up/stages_of_200ms FAIL

--- a/core/relay/silence_test.go
+++ b/core/relay/silence_test.go
@@ -270,11 +270,22 @@
 // Guards against a stream that is ended although its server goes on after a silence that
 // is longer than what is expected of a sound one, because there is no place to go on.
 func TestLongSilenceEndsNoStreamWithoutPlaceToGoOn(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		st := &streamTest{engines: 1, parts: [][]part{{event(1, 0), event(2, 3500*time.Millisecond)}}}
-		st.serve(t, t.Context())
-		st.check(t, 2, 1)
-	})
+	no := func() bool { return false }
+	for name, st := range map[string]*streamTest{
+		"no other engine":         {engines: 1},
+		"no other engine is free": {engines: 2, placeable: no},
+		"retry budget used up":    {engines: 2, allowRetry: no},
+	} {
+		for _, stages := range []time.Duration{0, 200 * time.Millisecond} {
+			t.Run(name+"/stages of "+stages.String(), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					st := &streamTest{engines: st.engines, placeable: st.placeable, allowRetry: st.allowRetry, stagePause: stages, parts: [][]part{{event(1, 0), event(2, 3500*time.Millisecond)}}}
+					st.serve(t, t.Context())
+					st.check(t, 2, 1)
+				})
+			})
+		}
+	}
 }
 
 // Guards against a caller who waits for a server that will not go on, while another one
