relay: a caller that leaves a waiting stream is recorded as the cause

A stream that had broken off and waited for an engine or for the retry budget was recorded as ended for want of a server, or by its server, when its caller left or its deadline passed meanwhile. So the counts of connections that were closed by cause had ends that were none of the system's. The context is now looked at after the wait as well. The test also guards that stages which run for another attempt end with the caller: with the cancel in silenceWatch.end taken out, they run on ("2 stage runs"). Test before the fix:

ended after 3.5s and 1 attempts with service "llm": no engine is free (noServer) ended after 3.5s and 1 attempts with the stream broke after event "1": unexpected EOF (server)

--- a/core/relay/engine.go
+++ b/core/relay/engine.go
@@ -367,10 +367,11 @@
 		e.sends++
 	}
 	e.log("broken", err.Error(), p.server.ID)
+	if ctx.Err() == nil && e.mayResume(ctx, !notSent) {
+		return stepRetry, nil
+	}
 	if ctx.Err() != nil {
 		err = ctx.Err()
-	} else if e.mayResume(ctx, !notSent) {
-		return stepRetry, nil
 	}
 	return stepFinish, fault.Errorf(fault.AnswerIncomplete, "the stream broke after event %q: %w", e.stream.lastEventID, err)
 }
--- a/core/relay/place.go
+++ b/core/relay/place.go
@@ -60,6 +60,9 @@
 			return p, nil
 		}
 		if !e.pauseBeforeResuming(ctx) {
+			if ctx.Err() != nil {
+				return placement{}, e.contextError(ctx)
+			}
 			return placement{}, e.refusal(fault.Errorf(fault.EndpointUnavailable, "service %q: %w", e.service, errNoEngine))
 		}
 	}
--- a/core/relay/silence_test.go
+++ b/core/relay/silence_test.go
@@ -456,3 +456,37 @@
 		st.check(t, 13, 1)
 	})
 }
+
+// Guards against stages or waits that go on for a caller who left while another attempt was
+// being prepared, and against another cause being recorded.
+func TestCallerLeavesWhileAnotherAttemptIsPrepared(t *testing.T) {
+	for name, parts := range map[string][]part{
+		"silent server":                       {event(1, 0), event(2, time.Hour)},
+		"broken stream, no engine":            {event(1, 0), {err: io.ErrUnexpectedEOF}},
+		"broken stream, retry budget used up": {event(1, 0), {err: io.ErrUnexpectedEOF}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				const leaves = 3500 * time.Millisecond
+				ctx, leave := context.WithCancel(t.Context())
+				time.AfterFunc(leaves, leave)
+				st := &streamTest{engines: 2, stagePause: time.Second, parts: [][]part{parts}}
+				no := func() bool { return false }
+				switch name {
+				case "broken stream, no engine":
+					st.placeable = no
+				case "broken stream, retry budget used up":
+					st.allowRetry = no
+				}
+				st.serve(t, ctx)
+				if st.took != leaves || st.attempts != 1 || CauseOfAbort(st.err) != CallerLeft {
+					t.Errorf("ended after %v and %d attempts with %v (%s), want %v", st.took, st.attempts, st.err, CauseOfAbort(st.err), leaves)
+				}
+				time.Sleep(5 * time.Second)
+				if st.stageRuns != 1 || st.held != 0 || len(st.placed) != 0 {
+					t.Errorf("%d stage runs, %d results held, placements %v after the end", st.stageRuns, st.held, st.placed)
+				}
+			})
+		})
+	}
+}
