relay: run stages again only with a retry reserved from the budget

While a server was silent, the stages of its request ran again and again, once each 250 ms and the time that they take, if the retry budget of the engines was used up: the budget was asked only when another attempt was ready. The results were freed unused. Without an answer of the server that lasted until the caller's deadline.

A retry is now reserved before the stages run, and kept for the next try if it is not used then. Requests without stages take it as before, when the other attempt is ready. Test before the fix, a server that is silent for 3.9 s and stages of 200 ms:

silence_test.go:502: the stages ran 5 times, want once

--- a/core/relay/engine.go
+++ b/core/relay/engine.go
@@ -227,6 +227,11 @@
 		e.relay.deps.Log(d)
 	}
 	id, exclude, held := e.newPlacementID(), append(slices.Clone(e.triedServers), p.server.ID), len(e.held) > 0
+	reserved := false
+	reserveRetry := func() bool {
+		reserved = reserved || e.relay.deps.AllowRetry(e.service)
+		return reserved
+	}
 	w.suspect = func(silent time.Duration) {
 		log("no event for " + silent.Round(time.Millisecond).String())
 		e.relay.deps.Suspect(e.service, p.id, p.server.ID)
@@ -239,7 +244,7 @@
 		case started:
 			deadline = lastEvent.Add(eventTimeout(e.route))
 		}
-		next, err := e.prepareNext(ctx, id, exclude, held && !anyEvent, deadline)
+		next, err := e.prepareNext(ctx, id, exclude, held && !anyEvent, deadline, reserveRetry)
 		if err != nil {
 			log("goes on waiting: " + err.Error())
 		}
@@ -249,26 +254,30 @@
 		if e.relay.deps.ShutdownCtx.Err() != nil || e.remaining() <= minRemaining {
 			return false
 		}
-		allowed := e.relay.deps.AllowRetry(e.service)
-		if !allowed {
-			log("goes on waiting: the retry budget is used up")
+		if !reserveRetry() {
+			log("goes on waiting: " + errNoRetryBudget.Error())
+			return false
 		}
-		return allowed
+		return true
 	}
 	return w
 }
 
-// prepareNext places another attempt and runs the stages again if their results are no
-// longer held. It is called while an attempt is in progress.
-func (e *execution) prepareNext(ctx context.Context, id string, exclude []string, held bool, deadline time.Time) (*nextAttempt, error) {
+// prepareNext places another attempt and, if a retry can be reserved, runs the stages again
+// if their results are no longer held. It is called while an attempt is in progress.
+func (e *execution) prepareNext(ctx context.Context, id string, exclude []string, held bool, deadline time.Time, reserveRetry func() bool) (*nextAttempt, error) {
 	p, ok := e.place(ctx, id, exclude)
 	if !ok {
 		return nil, errNoEngine
 	}
 	next := &nextAttempt{placement: p}
-	if held {
+	if held || e.pieces() == 0 {
 		return next, nil
 	}
+	if !reserveRetry() {
+		e.settle(p, balance.Abandoned)
+		return nil, errNoRetryBudget
+	}
 	results, err := e.runStages(ctx, p.server.Zone, deadline)
 	if err != nil {
 		e.settle(p, balance.Abandoned)
--- a/core/relay/silence_test.go
+++ b/core/relay/silence_test.go
@@ -433,7 +433,11 @@
 // a slow caller.
 func TestEventThatIsBeingWrittenEndsSilence(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		st := &streamTest{engines: 2, stagePause: 600 * time.Millisecond, writePause: time.Second, parts: [][]part{{event(1, 0), event(2, 3300*time.Millisecond), event(3, 100*time.Millisecond)}, {event(3, 0)}}}
+		slowly := func() bool {
+			time.Sleep(600 * time.Millisecond)
+			return true
+		}
+		st := &streamTest{engines: 2, placeable: slowly, writePause: time.Second, parts: [][]part{{event(1, 0), event(2, 3300*time.Millisecond), event(3, 2*time.Second)}, {event(3, 0)}}}
 		st.serve(t, t.Context())
 		st.check(t, 3, 1)
 		if st.retries > 0 {
@@ -490,3 +494,16 @@
 		})
 	}
 }
+
+// Guards against stages that run again and again for a silent server whose stream cannot go
+// on elsewhere, since the retry budget is used up.
+func TestStagesDoNotRunAgainWithoutRetryBudget(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		st := &streamTest{engines: 2, allowRetry: func() bool { return false }, stagePause: 200 * time.Millisecond, parts: [][]part{{event(1, 0), event(2, 3900*time.Millisecond)}}}
+		st.serve(t, t.Context())
+		st.check(t, 2, 1)
+		if st.stageRuns != 1 {
+			t.Errorf("the stages ran %d times, want once", st.stageRuns)
+		}
+	})
+}
--- a/core/relay/stages.go
+++ b/core/relay/stages.go
@@ -46,11 +46,7 @@
 // runStages runs the stages of a request for an engine in the given zone, whose next
 // event has to come by deadline. It may be called while an attempt is in progress.
 func (e *execution) runStages(ctx context.Context, engineZone string, deadline time.Time) (stageResults, error) {
-	pieces := 0
-	for _, n := range e.req.Pieces {
-		pieces += n
-	}
-	if pieces == 0 {
+	if e.pieces() == 0 {
 		return stageResults{}, nil
 	}
 	ctx, cancel := context.WithCancel(ctx)
@@ -79,6 +75,15 @@
 	return r.engineInputs(), nil
 }
 
+// pieces returns the number of pieces of all stages.
+func (e *execution) pieces() int {
+	sum := 0
+	for _, n := range e.req.Pieces {
+		sum += n
+	}
+	return sum
+}
+
 // runStage runs stage i once the stages that it depends on are done.
 func (r *stageRunner) runStage(ctx context.Context, i int) {
 	e := r.exec
