relay: a request that was taken from a silent server is not refused at the next hurdle

What callers saw: a 502 after 2.3 s, with time left, where the first engine was silent and the next one full; and a stream that had begun and was cut after 200 ms, as its stages were refused once when it was to go on.

Cause: only streams that had begun looked again for an engine, and they did so for engines and the budget, not for their stages.

A request whose silent server was given up now counts like a stream that has begun: both look again until the caller would give up, after any refusal, and take the engine that was tried before rather than none. TestRequestReturnsFromAFullEngine and TestBrokenStreamOutlivesARefusalOfItsStages failed before.

--- a/core/relay/engine.go
+++ b/core/relay/engine.go
@@ -31,9 +31,12 @@
 			if ctx.Err() != nil {
 				return e.contextError(ctx)
 			}
-			if fault.From(err).Kind() == fault.InputGone && e.mayRerunStages() {
+			if fault.From(err).Kind() == fault.InputGone && e.mayRerunStages() || e.pauseBeforeResuming(ctx) {
 				continue
 			}
+			if ctx.Err() != nil {
+				return e.contextError(ctx)
+			}
 			return e.refusal(fault.From(err))
 		}
 		// While the stages ran, the engine may have been removed, or have said that it
@@ -300,12 +303,12 @@
 	if resp.Full {
 		outcome = balance.Full
 	}
-	if resp.Full || e.stream.started && !resp.InputGone {
+	if resp.Full || e.mustGoOn() && !resp.InputGone {
 		e.triedServers = append(e.triedServers, p.server.ID)
 	}
 	e.settle(p, outcome)
 	e.log("notRun", "the engine did not run the request", p.server.ID)
-	if !e.mayResend(true) && !(e.stream.started && e.mayResume(ctx, true)) {
+	if !e.mayResend(true) && !(e.mustGoOn() && e.mayResume(ctx, true)) {
 		return stepFinish, e.refusal(fault.Errorf(fault.EndpointUnavailable, "the engines of service %q accept no more requests", e.service))
 	}
 	if resp.InputGone {
@@ -346,7 +349,7 @@
 		e.sends++
 		e.settle(p, balance.Abandoned)
 		e.log("silent", "the stream goes on at another engine", p.server.ID)
-		e.next = next
+		e.next, e.replaced = next, true
 		return stepRetry, nil
 	}
 	var writeErr *callerWriteError
--- a/core/relay/place.go
+++ b/core/relay/place.go
@@ -29,7 +29,7 @@
 	return e.req.ID + "/" + strconv.Itoa(e.placements)
 }
 
-// nextPlacement returns the engine for the next attempt. For a stream that has begun it
+// nextPlacement returns the engine for the next attempt. For a stream that must go on it
 // waits until there is one, as long as the caller may still wait for the next event.
 func (e *execution) nextPlacement(ctx context.Context) (placement, error) {
 	if e.next != nil {
@@ -45,7 +45,7 @@
 	}
 	for {
 		p, ok := e.place(ctx, e.newPlacementID(), e.triedServers)
-		if !ok && e.stream.started {
+		if !ok && e.mustGoOn() {
 			// Any other one is better than none.
 			p, ok = e.place(ctx, e.newPlacementID(), e.triedServers[len(e.triedServers)-1:])
 		}
@@ -98,8 +98,11 @@
 	e.relay.deps.Settle(e.service, p.id, p.server.ID, outcome)
 }
 
-// mayResume reports whether a stream that has begun and broken off may go on at another
-// engine. It waits for the retry budget as long as the caller may still wait for the next
+// mustGoOn reports whether the caller would lose an answer that was on its way: its stream
+// has begun, or a server that may have been sound was given up.
+func (e *execution) mustGoOn() bool { return e.stream.started || e.replaced }
+
+// mayResume reports whether a stream that must go on may do so at another engine. It waits for the retry budget as long as the caller may still wait for the next
 // event. sent is set if the engine may have run the request.
 func (e *execution) mayResume(ctx context.Context, sent bool) bool {
 	for e.route.MayRunAgain() && e.sends < e.route.MaxAttempts && e.remaining() > minRemaining {
@@ -114,10 +117,10 @@
 	return false
 }
 
-// pauseBeforeResuming waits before the next try to resume a stream that has begun. It
-// reports false if the stream has not, or its caller does not wait long enough.
+// pauseBeforeResuming waits before the next try to go on with a stream. It reports false if
+// the stream need not go on, or its caller does not wait long enough.
 func (e *execution) pauseBeforeResuming(ctx context.Context) bool {
-	if !e.stream.started || e.now().Add(replaceInterval).After(e.resumeDeadline()) {
+	if !e.mustGoOn() || e.now().Add(replaceInterval).After(e.resumeDeadline()) {
 		return false
 	}
 	return e.sleep(ctx, replaceInterval) == nil
@@ -131,8 +134,11 @@
 	return e.firstEventDeadline
 }
 
-// resumeDeadline returns when a stream that has begun has to go on at the latest.
+// resumeDeadline returns when a stream that must go on has to do so at the latest.
 func (e *execution) resumeDeadline() time.Time {
+	if !e.stream.started {
+		return e.firstEventDeadline.Add(-e.relay.stats.FirstEventTime(e.now(), e.route.Name))
+	}
 	at := e.lastEvent.Add(resumeBy(eventTimeout(e.route)))
 	if latest := e.deadline.Add(-minRemaining); latest.Before(at) {
 		return latest
--- a/core/relay/relay.go
+++ b/core/relay/relay.go
@@ -115,6 +115,8 @@
 		// ready to be made, or nil.
 		placements int
 		next       *nextAttempt
+		// replaced is set once an attempt was replaced because its server was silent.
+		replaced bool
 		// lastEvent is when the last event was relayed to the caller, and longestGap the
 		// longest time between two events of one attempt.
 		lastEvent  time.Time
--- a/core/relay/silence_test.go
+++ b/core/relay/silence_test.go
@@ -67,6 +67,9 @@
 	writePause time.Duration
 	// stagePause is how long the stages take, if there are any.
 	stagePause time.Duration
+	// full is the number of the attempt that a full engine refuses, and refusedRun that of
+	// the run of the stages that is refused; 0 stands for none.
+	full, refusedRun int
 	// After excludeAfter, all engines want no requests for excludeFor.
 	excludeAfter, excludeFor time.Duration
 
@@ -126,6 +129,9 @@
 			st.mu.Lock()
 			defer st.mu.Unlock()
 			st.stageRuns++
+			if st.stageRuns == st.refusedRun {
+				return nil, fault.Errorf(fault.Overloaded, "the stage is full")
+			}
 			st.held++
 			return []string{fmt.Sprint("result-", st.stageRuns)}, nil
 		},
@@ -171,6 +177,9 @@
 		},
 		Send: func(ctx context.Context, _ Attempt) (*Response, error) {
 			st.attempts++
+			if st.attempts == st.full {
+				return &Response{Status: http.StatusServiceUnavailable, NotRun: true, Full: true, Body: http.NoBody}, nil
+			}
 			if st.attempts > len(st.parts) {
 				return nil, &SendError{Err: io.ErrUnexpectedEOF}
 			}
@@ -373,6 +382,25 @@
 	}
 }
 
+// Guards against a request that is refused because its silent server was given up for one
+// that turned out to be full.
+func TestRequestReturnsFromAFullEngine(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		st := &streamTest{engines: 2, full: 2, parts: [][]part{{event(1, time.Hour)}, nil, {event(1, 0), event(2, 0)}}}
+		st.serve(t, t.Context())
+		st.check(t, 2, 3)
+	})
+}
+
+// Guards against a stream that has begun and is cut because its stages are refused once.
+func TestBrokenStreamOutlivesARefusalOfItsStages(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		st := &streamTest{engines: 2, stagePause: 100 * time.Millisecond, refusedRun: 2, parts: [][]part{{event(1, 0), {err: io.ErrUnexpectedEOF}}, {event(2, 0)}}}
+		st.serve(t, t.Context())
+		st.check(t, 2, 2)
+	})
+}
+
 // Guards against a silent but sound server that loses its stream while the stages run
 // again for another engine.
 func TestStagesRunBeforeSilentServerIsGivenUp(t *testing.T) {
