--- a/core/relay/engine.go
+++ b/core/relay/engine.go
@@ -3,9 +3,6 @@
 import (
 	"context"
 	"errors"
-	"fmt"
-	"slices"
-	"time"
 
 	"chervilpath/core/balance"
 	"chervilpath/core/fault"
@@ -123,14 +120,6 @@
 	return weights
 }
 
-// nextAttempt is an attempt that is ready to follow the one in progress.
-type nextAttempt struct {
-	placement placement
-	// results are those of the stages, if they had to run again.
-	results stageResults
-	rerun   bool
-}
-
 // sendToEngine makes one attempt at an engine.
 func (e *execution) sendToEngine(ctx context.Context, p placement) (nextStep, error) {
 	e.attempt++
@@ -206,96 +195,6 @@
 	return stepFinish, nil
 }
 
-// watchSilence returns the watch of an attempt, which cancels the attempt once another
-// one is ready to follow it.
-func (e *execution) watchSilence(p placement, cancel context.CancelCauseFunc) *silenceWatch {
-	now := e.now()
-	w := &silenceWatch{
-		clock: e.relay.deps.Clock, limits: limitsBeforeFirstEvent(e.route.TargetLatency, e.relay.stats.FirstEventTime(now, e.route.Name), e.firstEventDeadline.Sub(now)),
-		betweenEvents: limitsBetweenEvents(e.route.TargetGap, eventTimeout(e.route)),
-		discard:       e.discard, cancel: func() { cancel(errStalled) },
-	}
-	started, lastEvent := e.stream.started, e.lastEvent
-	if started {
-		w.limits = w.betweenEvents
-	}
-	if !e.route.MayRunAgain() || e.sends+1 >= e.route.MaxAttempts {
-		w.ended = true
-		return w
-	}
-	decision := e.decision("silence", "", p.server.ID, 0)
-	log := func(outcome string) {
-		d, now := decision, e.now()
-		d.Outcome, d.Elapsed, d.Remaining = outcome, now.Sub(e.req.Arrived), e.deadline.Sub(now)
-		e.relay.deps.Log(d)
-	}
-	id, exclude, held := e.newPlacementID(), append(slices.Clone(e.triedServers), p.server.ID), len(e.held) > 0
-	reserved := false
-	reserveRetry := func() bool {
-		reserved = reserved || e.relay.deps.AllowRetry(e.service)
-		return reserved
-	}
-	w.suspect = func(silent time.Duration) {
-		log("no event for " + silent.Round(time.Millisecond).String())
-		e.relay.deps.Suspect(e.service, p.id, p.server.ID)
-	}
-	w.prepare = func(ctx context.Context, anyEvent bool, silent time.Duration) (*nextAttempt, bool) {
-		deadline := e.firstEventDeadline
-		switch {
-		case anyEvent:
-			deadline = e.now().Add(eventTimeout(e.route) - silent)
-		case started:
-			deadline = lastEvent.Add(eventTimeout(e.route))
-		}
-		next, err := e.prepareNext(ctx, id, exclude, held && !anyEvent, deadline, reserveRetry)
-		if err != nil {
-			log("goes on waiting: " + err.Error())
-		}
-		return next, err == nil
-	}
-	w.commit = func() bool {
-		if e.relay.deps.ShutdownCtx.Err() != nil || e.remaining() <= minRemaining {
-			return false
-		}
-		if !reserveRetry() {
-			log("goes on waiting: " + errNoRetryBudget.Error())
-			return false
-		}
-		return true
-	}
-	return w
-}
-
-// prepareNext places another attempt and, if a retry can be reserved, runs the stages again
-// if their results are no longer held. It is called while an attempt is in progress.
-func (e *execution) prepareNext(ctx context.Context, id string, exclude []string, held bool, deadline time.Time, reserveRetry func() bool) (*nextAttempt, error) {
-	p, ok := e.place(ctx, id, exclude)
-	if !ok {
-		return nil, errNoEngine
-	}
-	next := &nextAttempt{placement: p}
-	if held || e.pieces() == 0 {
-		return next, nil
-	}
-	if !reserveRetry() {
-		e.settle(p, balance.Abandoned)
-		return nil, errNoRetryBudget
-	}
-	results, err := e.runStages(ctx, p.server.Zone, deadline)
-	if err != nil {
-		e.settle(p, balance.Abandoned)
-		return nil, fmt.Errorf("running the stages again: %w", err)
-	}
-	next.results, next.rerun = results, true
-	return next, nil
-}
-
-// discard gives up an attempt that was ready.
-func (e *execution) discard(next *nextAttempt) {
-	e.settle(next.placement, balance.Abandoned)
-	e.freeResults(next.results.held)
-}
-
 // handleEngineNotRun decides what follows an attempt that the engine did not
 // run.
 func (e *execution) handleEngineNotRun(ctx context.Context, p placement, resp *Response) (nextStep, error) {
--- a/core/relay/relay.go
+++ b/core/relay/relay.go
@@ -140,8 +140,6 @@
 var (
 	errStalled  = errors.New("the server is silent and the stream goes on at another one")
 	errNoEngine = errors.New("no engine is free")
-
-	errNoRetryBudget = errors.New("the retry budget is used up")
 )
 
 // New returns a relay without observations of earlier requests.
