--- a/core/relay/abort.go
+++ b/core/relay/abort.go
@@ -21,14 +21,20 @@
 	ServerFailed AbortCause = "server"
 	// NoServer means that no server was free to go on.
 	NoServer AbortCause = "noServer"
+	// ShutDown means that a planned shutdown ended.
+	ShutDown AbortCause = "shutdown"
 	// OtherCause is any other one.
 	OtherCause AbortCause = "other"
 )
 
 // CauseOfAbort returns why a request that ended with an error got no complete response.
-func CauseOfAbort(err error) AbortCause {
+// shutDown is set if a planned shutdown has reached its end by then.
+func CauseOfAbort(err error, shutDown bool) AbortCause {
 	kind := fault.From(err).Kind()
 	switch {
+	case errors.Is(err, errShuttingDown) || shutDown && (kind == fault.Cancelled || errors.Is(err, context.Canceled)):
+		// At its end, a shutdown closes the connections of streams that have begun.
+		return ShutDown
 	case kind == fault.Cancelled || errors.Is(err, context.Canceled):
 		return CallerLeft
 	case kind == fault.DeadlineExceeded || errors.Is(err, context.DeadlineExceeded):
--- a/core/relay/silence_test.go
+++ b/core/relay/silence_test.go
@@ -340,7 +340,7 @@
 		}
 		st := &streamTest{engines: 1, parts: [][]part{parts}}
 		st.serve(t, t.Context())
-		if CauseOfAbort(st.err) != DeadlinePassed || st.took != 20*time.Second {
+		if CauseOfAbort(st.err, false) != DeadlinePassed || st.took != 20*time.Second {
 			t.Errorf("the stream ended after %v with error %v, want its deadline of 20s", st.took, st.err)
 		}
 	})
@@ -511,8 +511,8 @@
 					st.allowRetry = no
 				}
 				st.serve(t, ctx)
-				if st.took != leaves || st.attempts != 1 || CauseOfAbort(st.err) != CallerLeft {
-					t.Errorf("ended after %v and %d attempts with %v (%s), want %v", st.took, st.attempts, st.err, CauseOfAbort(st.err), leaves)
+				if st.took != leaves || st.attempts != 1 || CauseOfAbort(st.err, false) != CallerLeft {
+					t.Errorf("ended after %v and %d attempts with %v (%s), want %v", st.took, st.attempts, st.err, CauseOfAbort(st.err, false), leaves)
 				}
 				time.Sleep(5 * time.Second)
 				if st.stageRuns != 1 || st.held != 0 || len(st.placed) != 0 {
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -169,7 +169,7 @@
 // since the configuration came into force and whether the instance is shutting down are
 // logged, so that ends beside planned work can be told from others.
 func (in *Instance) recordAbort(id string, err error) {
-	cause := relay.CauseOfAbort(err)
+	cause := relay.CauseOfAbort(err, in.shutdownCtx.Err() != nil)
 	in.metrics.recordAbort(string(cause))
 	in.log.Warn("connection closed without a complete response", zap.String("requestId", id), zap.String("kind", fault.From(err).Kind().String()),
 		zap.String("abortCause", string(cause)), zap.Error(err), zap.Int64("configAgeMs", in.state.configAge(time.Now()).Milliseconds()), zap.Bool("draining", in.draining.Load()))
--- a/edge/metrics.go
+++ b/edge/metrics.go
@@ -41,7 +41,7 @@
 		refusedEntries:  prometheus.NewCounter(prometheus.CounterOpts{Name: "chervilpath_server_entries_refused_total", Help: "Entries in the list of servers that name no server to use, once for each revision of an entry."}),
 		requests:        prometheus.NewCounterVec(prometheus.CounterOpts{Name: "chervilpath_site_requests_total", Help: "Requests by result."}, []string{"result"}),
 		faults:          prometheus.NewCounterVec(prometheus.CounterOpts{Name: "chervilpath_site_faults_total", Help: "Requests answered with a fault, by kind."}, []string{"kind"}),
-		aborts:          prometheus.NewCounterVec(prometheus.CounterOpts{Name: "chervilpath_site_aborts_total", Help: "Connections of callers closed without a complete response, by cause: caller, deadline, server, noServer or other."}, []string{"cause"}),
+		aborts:          prometheus.NewCounterVec(prometheus.CounterOpts{Name: "chervilpath_site_aborts_total", Help: "Connections of callers closed without a complete response, by cause: caller, deadline, server, noServer, shutdown or other."}, []string{"cause"}),
 		requestDuration: prometheus.NewHistogram(prometheus.HistogramOpts{Name: "chervilpath_site_request_seconds", Help: "Time from a request to its end.", Buckets: durationBuckets}),
 		batches:         prometheus.NewCounterVec(prometheus.CounterOpts{Name: "chervilpath_batches_total", Help: "Calls of stage servers by result."}, []string{"result"}),
 		batchPieces:     prometheus.NewHistogram(prometheus.HistogramOpts{Name: "chervilpath_batch_pieces", Help: "Pieces in a call of a stage server.", Buckets: prometheus.ExponentialBuckets(1, 2, 8)}),
