--- a/core/relay/plain_silence_test.go
+++ b/core/relay/plain_silence_test.go
@@ -46,16 +46,12 @@
 	}
 	view.Replace(time.Now(), listed, 1)
 	p := &plainService{}
-	clock := stage.Clock{Now: time.Now, AfterFunc: func(d time.Duration, f func()) func() bool { return time.AfterFunc(d, f).Stop }}
-	p.stage = stage.New(declare.NewStage("desk", 100, endpoints), "i", 1, clock, rand.New(rand.NewPCG(1, 1)), stage.Policy{})
-	p.relay = New(Deps{
-		Clock: clock, AwaitReady: func(context.Context) bool { return true },
-		Table: func() *route.Table { return table }, Random: func() float64 { return 0 }, Log: func(d Decision) { t.Logf("%v %s %s %s", d.Elapsed, d.Step, d.Server, d.Outcome) },
-		Shutdown: func() Shutdown { return Shutdown{} }, ShutdownCtx: t.Context(), RecordCall: func(string) {},
-		Servers: view.Snapshot, FreeResults: func(string, []string) {}, AllowRetry: func(string) bool { return true },
-		PlainStage: func(string) *stage.Stage { return p.stage },
-		Send:       func(ctx context.Context, a Attempt) (*Response, error) { return p.send(ctx, a) },
-	})
+	p.stage = stage.New(declare.NewStage("desk", 100, endpoints), "i", 1, systemClock, rand.New(rand.NewPCG(1, 1)), stage.Policy{})
+	deps := newDeps(t.Context(), table, view)
+	deps.Log = func(d Decision) { t.Logf("%v %s %s %s", d.Elapsed, d.Step, d.Server, d.Outcome) }
+	deps.PlainStage = func(string) *stage.Stage { return p.stage }
+	deps.Send = func(ctx context.Context, a Attempt) (*Response, error) { return p.send(ctx, a) }
+	p.relay = New(deps)
 	return p
 }
 
--- a/core/relay/silence_test.go
+++ b/core/relay/silence_test.go
@@ -110,84 +110,78 @@
 	}
 	view.Replace(time.Now(), servers, 1)
 	st.placed = make(map[string]string)
-	deps := Deps{
-		AwaitReady: func(context.Context) bool { return true },
-		Table:      func() *route.Table { return table }, Random: func() float64 { return 0 }, Log: func(Decision) {},
-		Shutdown: func() Shutdown { return Shutdown{} }, ShutdownCtx: ctx, RecordCall: func(string) {},
-		Servers: func() *fleet.Snapshot {
-			st.mu.Lock()
-			defer st.mu.Unlock()
-			return view.Snapshot()
-		},
-		ResultZone: func(string) string { return "" },
-		RunStage: func(ctx context.Context, job StageJob) ([]string, error) {
-			select {
-			case <-time.After(st.stagePause):
-			case <-ctx.Done():
-				return nil, fault.Errorf(fault.Cancelled, "the stage was cancelled")
-			}
-			st.mu.Lock()
-			defer st.mu.Unlock()
-			st.stageRuns++
-			if st.stageRuns == st.refusedRun {
-				return nil, fault.Errorf(fault.Overloaded, "the stage is full")
-			}
-			st.held++
-			return []string{fmt.Sprint("result-", st.stageRuns)}, nil
-		},
-		FreeResults: func(_ string, handles []string) {
-			st.mu.Lock()
-			defer st.mu.Unlock()
-			st.held -= len(handles)
-		},
-		AllowRetry: func(string) bool {
-			if st.allowRetry != nil && !st.allowRetry() {
-				return false
-			}
-			st.mu.Lock()
-			defer st.mu.Unlock()
-			st.retries++
-			return true
-		},
-		Place: func(_ context.Context, _ string, q engine.Query) string {
-			if len(q.Exclude) > 0 && st.placeable != nil && !st.placeable() {
-				return ""
-			}
-			st.mu.Lock()
-			defer st.mu.Unlock()
-			for _, s := range servers {
-				if !slices.Contains(q.Exclude, s.ID) {
-					st.placed[q.RequestID] = s.ID
-					return s.ID
-				}
-			}
+	deps := newDeps(ctx, table, view)
+	deps.Servers = func() *fleet.Snapshot {
+		st.mu.Lock()
+		defer st.mu.Unlock()
+		return view.Snapshot()
+	}
+	deps.RunStage = func(ctx context.Context, job StageJob) ([]string, error) {
+		select {
+		case <-time.After(st.stagePause):
+		case <-ctx.Done():
+			return nil, fault.Errorf(fault.Cancelled, "the stage was cancelled")
+		}
+		st.mu.Lock()
+		defer st.mu.Unlock()
+		st.stageRuns++
+		if st.stageRuns == st.refusedRun {
+			return nil, fault.Errorf(fault.Overloaded, "the stage is full")
+		}
+		st.held++
+		return []string{fmt.Sprint("result-", st.stageRuns)}, nil
+	}
+	deps.FreeResults = func(_ string, handles []string) {
+		st.mu.Lock()
+		defer st.mu.Unlock()
+		st.held -= len(handles)
+	}
+	deps.AllowRetry = func(string) bool {
+		if st.allowRetry != nil && !st.allowRetry() {
+			return false
+		}
+		st.mu.Lock()
+		defer st.mu.Unlock()
+		st.retries++
+		return true
+	}
+	deps.Place = func(_ context.Context, _ string, q engine.Query) string {
+		if len(q.Exclude) > 0 && st.placeable != nil && !st.placeable() {
 			return ""
-		},
-		Settle: func(_, request, server string, _ balance.Outcome) {
-			st.mu.Lock()
-			defer st.mu.Unlock()
-			if st.placed[request] == server {
-				delete(st.placed, request)
-			}
-		},
-		Suspect: func(string, string, string) {
-			st.mu.Lock()
-			defer st.mu.Unlock()
-			st.suspected++
-		},
-		Send: func(ctx context.Context, _ Attempt) (*Response, error) {
-			st.attempts++
-			if st.attempts == st.full {
-				return &Response{Status: http.StatusServiceUnavailable, NotRun: true, Full: true, Body: http.NoBody}, nil
-			}
-			if st.attempts > len(st.parts) {
-				return nil, &SendError{Err: io.ErrUnexpectedEOF}
+		}
+		st.mu.Lock()
+		defer st.mu.Unlock()
+		for _, s := range servers {
+			if !slices.Contains(q.Exclude, s.ID) {
+				st.placed[q.RequestID] = s.ID
+				return s.ID
 			}
-			return &Response{Status: http.StatusOK, EventStream: true, Body: &timedBody{ctx: ctx, due: time.Now(), parts: st.parts[st.attempts-1]}}, nil
-		},
+		}
+		return ""
+	}
+	deps.Settle = func(_, request, server string, _ balance.Outcome) {
+		st.mu.Lock()
+		defer st.mu.Unlock()
+		if st.placed[request] == server {
+			delete(st.placed, request)
+		}
+	}
+	deps.Suspect = func(string, string, string) {
+		st.mu.Lock()
+		defer st.mu.Unlock()
+		st.suspected++
+	}
+	deps.Send = func(ctx context.Context, _ Attempt) (*Response, error) {
+		st.attempts++
+		if st.attempts == st.full {
+			return &Response{Status: http.StatusServiceUnavailable, NotRun: true, Full: true, Body: http.NoBody}, nil
+		}
+		if st.attempts > len(st.parts) {
+			return nil, &SendError{Err: io.ErrUnexpectedEOF}
+		}
+		return &Response{Status: http.StatusOK, EventStream: true, Body: &timedBody{ctx: ctx, due: time.Now(), parts: st.parts[st.attempts-1]}}, nil
 	}
-	deps.Clock.Now = time.Now
-	deps.Clock.AfterFunc = func(d time.Duration, f func()) func() bool { return time.AfterFunc(d, f).Stop }
+
 	time.AfterFunc(st.excludeAfter, func() {
 		st.mu.Lock()
 		defer st.mu.Unlock()
--- a/core/relay/slowcaller_test.go
+++ b/core/relay/slowcaller_test.go
@@ -43,32 +43,25 @@
 	const events = 10
 	attempts, writes := 0, 0
 	var out bytes.Buffer
-	deps := Deps{
-		AwaitReady: func(context.Context) bool { return true },
-		Table:      func() *route.Table { return table }, Random: func() float64 { return 0 }, Log: func(Decision) {},
-		Shutdown: func() Shutdown { return Shutdown{} }, ShutdownCtx: t.Context(), RecordCall: func(string) {},
-		Servers: view.Snapshot, ResultZone: func(string) string { return "" }, FreeResults: func(string, []string) {},
-		AllowRetry: func(string) bool { return budget },
-		Place: func(_ context.Context, _ string, q engine.Query) string {
-			if len(q.Exclude) > 0 {
-				return "e-2"
-			}
-			return "e-1"
-		},
-		Settle: func(_, _, server string, outcome balance.Outcome) {
-			if outcome != balance.Succeeded {
-				t.Errorf("the attempt at %s is settled as %v", server, outcome)
-			}
-		},
-		Send: func(ctx context.Context, a Attempt) (*Response, error) {
-			attempts++
-			// An empty ID is that of a stream that has not begun.
-			last, _ := strconv.Atoi(a.LastEventID)
-			return &Response{Status: http.StatusOK, EventStream: true, Body: steadyStream(ctx, last+1, events)}, nil
-		},
+	deps := newDeps(t.Context(), table, view)
+	deps.AllowRetry = func(string) bool { return budget }
+	deps.Place = func(_ context.Context, _ string, q engine.Query) string {
+		if len(q.Exclude) > 0 {
+			return "e-2"
+		}
+		return "e-1"
+	}
+	deps.Settle = func(_, _, server string, outcome balance.Outcome) {
+		if outcome != balance.Succeeded {
+			t.Errorf("the attempt at %s is settled as %v", server, outcome)
+		}
+	}
+	deps.Send = func(ctx context.Context, a Attempt) (*Response, error) {
+		attempts++
+		// An empty ID is that of a stream that has not begun.
+		last, _ := strconv.Atoi(a.LastEventID)
+		return &Response{Status: http.StatusOK, EventStream: true, Body: steadyStream(ctx, last+1, events)}, nil
 	}
-	deps.Clock.Now = time.Now
-	deps.Clock.AfterFunc = func(d time.Duration, f func()) func() bool { return time.AfterFunc(d, f).Stop }
 	_, err = New(deps).Serve(t.Context(), &Request{ID: "r", Host: "h", Path: "/x", Timeout: 20 * time.Second, Arrived: time.Now()}, ResponseWriter{
 		WriteHeader: func(int, map[string][]string) {},
 		Write: func(p []byte) error {
--- a/core/relay/stall_test.go
+++ b/core/relay/stall_test.go
@@ -9,7 +9,6 @@
 	"testing/synctest"
 	"time"
 
-	"chervilpath/core/balance"
 	"chervilpath/core/engine"
 	"chervilpath/core/fleet"
 	"chervilpath/core/route"
@@ -53,26 +52,17 @@
 	view := fleet.New(time.Second)
 	view.Replace(time.Now(), []fleet.Server{{ID: "e-1", Service: "llm", Address: "a:1"}, {ID: "e-2", Service: "llm", Address: "b:1"}}, 1)
 	var out bytes.Buffer
-	deps := Deps{
-		AwaitReady: func(context.Context) bool { return true },
-		Table:      func() *route.Table { return table }, Random: func() float64 { return 0 }, Log: func(Decision) {},
-		Shutdown: func() Shutdown { return Shutdown{} }, ShutdownCtx: t.Context(), RecordCall: func(string) {},
-		Servers: view.Snapshot, ResultZone: func(string) string { return "" }, FreeResults: func(string, []string) {},
-		AllowRetry: func(string) bool { return true },
-		Place: func(_ context.Context, _ string, q engine.Query) string {
-			if len(q.Exclude) > 0 {
-				return "e-2"
-			}
-			return "e-1"
-		},
-		Settle: func(string, string, string, balance.Outcome) {}, Suspect: func(string, string, string) {},
-		Send: func(ctx context.Context, _ Attempt) (*Response, error) {
-			attempts++
-			return &Response{Status: http.StatusOK, EventStream: true, Body: bodies[attempts-1](ctx)}, nil
-		},
+	deps := newDeps(t.Context(), table, view)
+	deps.Place = func(_ context.Context, _ string, q engine.Query) string {
+		if len(q.Exclude) > 0 {
+			return "e-2"
+		}
+		return "e-1"
+	}
+	deps.Send = func(ctx context.Context, _ Attempt) (*Response, error) {
+		attempts++
+		return &Response{Status: http.StatusOK, EventStream: true, Body: bodies[attempts-1](ctx)}, nil
 	}
-	deps.Clock.Now = time.Now
-	deps.Clock.AfterFunc = func(d time.Duration, f func()) func() bool { return time.AfterFunc(d, f).Stop }
 	_, err = New(deps).Serve(t.Context(), &Request{ID: "r", Host: "h", Path: "/x", Timeout: 20 * time.Second, Arrived: time.Now()}, ResponseWriter{
 		WriteHeader: func(int, map[string][]string) {},
 		Write:       func(p []byte) error { out.Write(p); return nil },
--- a/core/relay/unreachable_test.go
+++ b/core/relay/unreachable_test.go
@@ -53,29 +53,25 @@
 		endpoints = append(endpoints, declare.NewEndpoint(s.ID, s.Address, "a", s.Slots))
 	}
 	view.Replace(time.Now(), servers, 1)
-	clock := stage.Clock{Now: time.Now, AfterFunc: func(d time.Duration, f func()) func() bool { return time.AfterFunc(d, f).Stop }}
 	p := &plainSite{view: view, sends: make(map[string][]string)}
-	p.stage = stage.New(declare.NewStage("desk", 512, endpoints), "edge-0", 1, clock, rand.New(rand.NewPCG(seed, 1)), stage.Policy{})
-	p.relay = New(Deps{
-		Clock: clock, AwaitReady: func(context.Context) bool { return true },
-		Table: func() *route.Table { return table }, Random: func() float64 { return 0 }, Log: func(Decision) {},
-		Shutdown: func() Shutdown { return Shutdown{} }, ShutdownCtx: t.Context(), RecordCall: func(string) {},
-		Servers: view.Snapshot, AllowRetry: func(string) bool { return true }, PlainStage: func(string) *stage.Stage { return p.stage },
-		Send: func(ctx context.Context, a Attempt) (*Response, error) {
-			p.mu.Lock()
-			p.sends[a.Request.ID] = append(p.sends[a.Request.ID], a.Server.ID)
-			p.mu.Unlock()
-			if strings.HasPrefix(a.Server.ID, "down") {
-				return nil, &SendError{Err: errors.New("connection refused"), NotSent: true}
-			}
-			select {
-			case <-time.After(work):
-			case <-ctx.Done():
-				return nil, &SendError{Err: ctx.Err()}
-			}
-			return &Response{Status: http.StatusOK, Body: io.NopCloser(strings.NewReader("answer"))}, nil
-		},
-	})
+	p.stage = stage.New(declare.NewStage("desk", 512, endpoints), "edge-0", 1, systemClock, rand.New(rand.NewPCG(seed, 1)), stage.Policy{})
+	deps := newDeps(t.Context(), table, view)
+	deps.PlainStage = func(string) *stage.Stage { return p.stage }
+	deps.Send = func(ctx context.Context, a Attempt) (*Response, error) {
+		p.mu.Lock()
+		p.sends[a.Request.ID] = append(p.sends[a.Request.ID], a.Server.ID)
+		p.mu.Unlock()
+		if strings.HasPrefix(a.Server.ID, "down") {
+			return nil, &SendError{Err: errors.New("connection refused"), NotSent: true}
+		}
+		select {
+		case <-time.After(work):
+		case <-ctx.Done():
+			return nil, &SendError{Err: ctx.Err()}
+		}
+		return &Response{Status: http.StatusOK, Body: io.NopCloser(strings.NewReader("answer"))}, nil
+	}
+	p.relay = New(deps)
 	return p
 }
 
