node: the test of metrics checks labels, too

It now also refuses a label with the name or the value of an organisation, of a request that has one.

--- a/node/metrics_test.go
+++ b/node/metrics_test.go
@@ -7,6 +7,7 @@
 	"testing"
 	"time"
 
+	dto "github.com/prometheus/client_model/go"
 	"go.uber.org/zap"
 
 	"chervilpath/core/declare"
@@ -16,6 +17,8 @@
 	"chervilpath/io/caller"
 )
 
+const testOrganisation = "sandton-homes"
+
 const metricsSettings = `[instance]
 name = m
 failureDomain = d
@@ -28,9 +31,9 @@
 secretFile = s
 `
 
-// metricNames returns the names of all metrics of an instance that has served
-// requests.
-func metricNames(t *testing.T) map[string]bool {
+// gatherMetrics returns all metrics of an instance that has served requests of an
+// organisation.
+func gatherMetrics(t *testing.T) []*dto.MetricFamily {
 	t.Helper()
 	cfg, err := settings.ParseEntry("m.ini", []byte(metricsSettings), func(string) ([]byte, error) { return []byte("0123456789abcdef"), nil })
 	if err != nil {
@@ -46,7 +49,7 @@
 	}
 	in.runner.SetDeclarations(set)
 	in.observeRequest(caller.Completion{Kind: "k", Took: time.Second})
-	in.recordCharge(pipeline.Charge{Stage: "s"})
+	in.recordCharge(pipeline.Charge{Stage: "s", Organisation: testOrganisation})
 	in.metrics.observeStage("s", 0, time.Second, nil)
 	in.metrics.observeToken("s", true, time.Second)
 	in.metrics.observeToken("s", false, time.Second)
@@ -54,11 +57,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	names := make(map[string]bool)
-	for _, f := range families {
-		names[f.GetName()] = true
-	}
-	return names
+	return families
 }
 
 var metricPattern = regexp.MustCompile(`chervilpath_[a-z_]+`)
@@ -66,7 +65,10 @@
 // TestDashboardsUseExistingMetrics checks that the alerting rules and the
 // dashboard refer only to metrics that an instance exports.
 func TestDashboardsUseExistingMetrics(t *testing.T) {
-	existing := metricNames(t)
+	existing := make(map[string]bool)
+	for _, f := range gatherMetrics(t) {
+		existing[f.GetName()] = true
+	}
 	for _, file := range []string{"../deploy/alerts.yaml", "../deploy/dashboard.json"} {
 		data, err := os.ReadFile(file)
 		if err != nil {
@@ -85,11 +87,19 @@
 }
 
 // TestMetricsAreNotPerOrganisation checks that no metric is named after
-// organisations: a metric for each of 30,000 would make scrapes too large.
+// organisations or has one as a label: a series for each of 30,000 would make scrapes
+// too large.
 func TestMetricsAreNotPerOrganisation(t *testing.T) {
-	for name := range metricNames(t) {
-		if strings.Contains(name, "organisation") {
-			t.Errorf("metric %s", name)
+	for _, f := range gatherMetrics(t) {
+		if strings.Contains(f.GetName(), "organisation") {
+			t.Errorf("metric %s", f.GetName())
+		}
+		for _, m := range f.GetMetric() {
+			for _, l := range m.GetLabel() {
+				if strings.Contains(l.GetName(), "organisation") || l.GetValue() == testOrganisation {
+					t.Errorf("metric %s has the label %s=%q", f.GetName(), l.GetName(), l.GetValue())
+				}
+			}
 		}
 	}
 }
