--- a/core/gather/silence_test.go
+++ b/core/gather/silence_test.go
@@ -143,11 +143,13 @@
 					}
 					wg.Wait()
 					time.Sleep(2 * cfg.ResultTTL)
+					s.mu.Lock()
 					for id, n := range s.heldBytes {
 						if n != 0 {
 							t.Errorf("%d bytes stay taken at %s", n, id)
 						}
 					}
+					s.mu.Unlock()
 					// The queue must know that the room is free again: a stage that needs
 					// nearly all of it is made at once.
 					arrived := time.Now()
