relay: log what the prompts of broken answers share

The step broken now has sharedParts and begun, and names its server, which it left out unless a stream had begun. No decision changes.

--- a/core/relay/engine.go
+++ b/core/relay/engine.go
@@ -151,9 +151,11 @@
 // its watch, and ctx only if the request ends.
 func (e *execution) relayAttempt(ctx, attemptCtx context.Context, p placement, attempt Attempt, watch *silenceWatch) (nextStep, error) {
 	start := e.now()
+	e.begun = false
 	watch.wait()
 	resp, err := e.relay.deps.Send(attemptCtx, attempt)
 	watch.pause()
+	e.begun = err == nil && !resp.NotRun
 	if err != nil {
 		return e.handleEngineSendError(ctx, p, watch, err)
 	}
@@ -266,7 +268,7 @@
 		return stepFinish, fault.Errorf(fault.Cancelled, "%w", err)
 	}
 	if !e.stream.started {
-		retry, finalErr := e.handleSendError(ctx, err)
+		retry, finalErr := e.handleSendError(ctx, p.server.ID, err)
 		if retry {
 			return stepRetry, nil
 		}
@@ -277,7 +279,7 @@
 	} else {
 		e.sends++
 	}
-	e.log("broken", err.Error(), p.server.ID)
+	e.logBroken(err, p.server.ID)
 	if ctx.Err() == nil && e.mayResume(ctx, !notSent) {
 		return stepRetry, nil
 	}
--- a/core/relay/plain.go
+++ b/core/relay/plain.go
@@ -91,6 +91,7 @@
 	e.triedServers = append(e.triedServers, server.ID)
 	e.log("send", grant.Reason.String(), server.ID)
 	resp, err := e.relay.deps.Send(ctx, e.newAttempt(server, nil))
+	e.begun = err == nil
 	var body []byte
 	if err == nil {
 		body, err = readBody(resp)
@@ -105,7 +106,7 @@
 		if e.mayGoElsewhere(ctx, s, server, err) {
 			return true, nil
 		}
-		return e.handleSendError(ctx, err)
+		return e.handleSendError(ctx, server.ID, err)
 	case resp.NotRun:
 		outcome := balance.Abandoned
 		if resp.Full {
@@ -148,10 +149,10 @@
 }
 
 // handleSendError decides what follows a send without a complete response.
-func (e *execution) handleSendError(ctx context.Context, err error) (retry bool, finalErr error) {
+func (e *execution) handleSendError(ctx context.Context, server string, err error) (retry bool, finalErr error) {
 	var sendErr *SendError
 	if errors.As(err, &sendErr) && sendErr.NotSent {
-		e.log("notSent", err.Error(), "")
+		e.log("notSent", err.Error(), server)
 		if ctx.Err() != nil {
 			return false, e.contextError(ctx)
 		}
@@ -161,7 +162,7 @@
 		return false, e.refusal(fault.Errorf(fault.EndpointUnavailable, "%w", err))
 	}
 	e.sends++
-	e.log("broken", err.Error(), "")
+	e.logBroken(err, server)
 	if ctx.Err() != nil {
 		return false, e.contextError(ctx)
 	}
--- a/core/relay/relay.go
+++ b/core/relay/relay.go
@@ -128,6 +128,8 @@
 		// stageReruns counts how often the stages were run again.
 		stageReruns int
 		attempt     int
+		// begun is set once the server of the attempt in progress has begun to answer.
+		begun bool
 	}
 
 	// heldResults are results of one service that have to be released.
@@ -282,6 +284,13 @@
 	e.relay.deps.Log(e.decision(step, outcome, server, 0))
 }
 
+// logBroken records that the answer of a server broke off.
+func (e *execution) logBroken(err error, server string) {
+	d := e.decision(StepBroken, err.Error(), server, 0)
+	d.SharedParts, d.Begun = e.req.SharedParts, e.begun
+	e.relay.deps.Log(d)
+}
+
 func (e *execution) decision(step, outcome, server string, due time.Duration) Decision {
 	return Decision{
 		RequestID: e.req.ID, Step: step, Version: e.table.Version(), Route: e.route.Name, Service: e.service,
--- a/core/relay/types.go
+++ b/core/relay/types.go
@@ -42,7 +42,10 @@
 		Timeout time.Duration
 		// Affinity identifies the part of the prompt that other requests share,
 		// or is "".
-		Affinity     string
+		Affinity string
+		// SharedParts holds the IDs of the parts of the prompt that other requests may
+		// share, in order.
+		SharedParts  []string
 		PromptTokens int
 		OutputTokens int
 		// Pieces holds the number of pieces of each stage.
@@ -163,6 +166,10 @@
 		Due time.Duration
 		// LongestGap is the longest time between two events of the stream so far.
 		LongestGap time.Duration
+		// SharedParts and Begun are set if the answer broke off: the parts of the prompt
+		// that other requests may share, and whether the server had begun to answer.
+		SharedParts []string
+		Begun       bool
 	}
 
 	// Deps holds what a Relay uses.
@@ -215,6 +222,9 @@
 	}
 )
 
+// StepBroken is the step of a Decision about an answer that broke off.
+const StepBroken = "broken"
+
 // Error returns the cause's message.
 func (e *SendError) Error() string { return e.Err.Error() }
 
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -188,6 +188,9 @@
 	if d.LongestGap > 0 {
 		fields = append(fields, zap.Int64("longestGapMs", d.LongestGap.Milliseconds()))
 	}
+	if d.Step == relay.StepBroken {
+		fields = append(fields, zap.Strings("sharedParts", d.SharedParts), zap.Bool("begun", d.Begun))
+	}
 	in.log.Info("decision", fields...)
 }
 
