relay: a stream that ends with its connection before any event is broken

Callers would have seen an empty stream that looks complete. The end of a connection right after the head, as a crash leaves it, counted as the whole answer and as a success of the server.

A response says whether its end is only that of its connection. Then a stream without an event is broken off, as one that ends inside an event is, and another server is asked. One that ends after an event still counts as complete: the protocol has nothing that tells it apart.

The test fails without the condition: the caller receives nothing, with one attempt.

--- a/core/relay/engine.go
+++ b/core/relay/engine.go
@@ -171,7 +171,7 @@
 		return e.handleEngineSendError(ctx, p, watch, err)
 	}
 	awaitingFirst := true
-	err = e.stream.relayEvents(resp.Body, func(events int) {
+	err = e.stream.relayEvents(resp.Body, resp.EventStream && resp.EndsWithConnection, func(events int) {
 		// Bytes alone are no progress: a server may send some now and then and never
 		// complete an event.
 		if events == 0 {
--- a/core/relay/silence_test.go
+++ b/core/relay/silence_test.go
@@ -72,6 +72,8 @@
 	full, refusedRun int
 	// After excludeAfter, all engines want no requests for excludeFor.
 	excludeAfter, excludeFor time.Duration
+	// endsWithConnection is set if the answers have neither a length nor chunks.
+	endsWithConnection bool
 
 	// mu guards what the functions of Deps count.
 	mu                sync.Mutex
@@ -179,7 +181,7 @@
 		if st.attempts > len(st.parts) {
 			return nil, &SendError{Err: io.ErrUnexpectedEOF}
 		}
-		return &Response{Status: http.StatusOK, EventStream: true, Body: &timedBody{ctx: ctx, due: time.Now(), parts: st.parts[st.attempts-1]}}, nil
+		return &Response{Status: http.StatusOK, EventStream: true, EndsWithConnection: st.endsWithConnection, Body: &timedBody{ctx: ctx, due: time.Now(), parts: st.parts[st.attempts-1]}}, nil
 	}
 
 	time.AfterFunc(st.excludeAfter, func() {
@@ -529,3 +531,13 @@
 		}
 	})
 }
+
+// Guards against an answer with neither a length nor chunks that ends right after its head
+// and is taken for complete.
+func TestStreamThatEndsWithItsConnectionBeforeAnyEventIsBroken(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		st := &streamTest{engines: 2, endsWithConnection: true, parts: [][]part{nil, {event(1, 0), event(2, 0)}}}
+		st.serve(t, t.Context())
+		st.check(t, 2, 2)
+	})
+}
--- a/core/relay/stream.go
+++ b/core/relay/stream.go
@@ -59,9 +59,10 @@
 
 // relayEvents relays events until the body ends. After each read it calls
 // onRead with the number of events relayed. It returns nil if the stream is
-// complete.
-func (s *stream) relayEvents(body io.Reader, onRead func(events int)) error {
+// complete. One whose end is that of its connection is not if it has no event.
+func (s *stream) relayEvents(body io.Reader, endsWithConnection bool, onRead func(events int)) error {
 	s.pending = s.pending[:0]
+	before := s.eventCount
 	buf := make([]byte, 16<<10)
 	for {
 		n, err := body.Read(buf)
@@ -74,7 +75,7 @@
 			onRead(events)
 		}
 		if err == io.EOF {
-			if len(s.pending) > 0 {
+			if len(s.pending) > 0 || endsWithConnection && s.eventCount == before {
 				return io.ErrUnexpectedEOF
 			}
 			s.start()
--- a/core/relay/stream_test.go
+++ b/core/relay/stream_test.go
@@ -17,7 +17,7 @@
 func TestOnlyCompleteEventsAreRelayed(t *testing.T) {
 	var out bytes.Buffer
 	s := newStream(&out)
-	err := s.relayEvents(io.MultiReader(bytes.NewBufferString("id: 1\ndata: a\n\nid: 2\nda"), iotest.ErrReader(io.ErrUnexpectedEOF)), func(int) {})
+	err := s.relayEvents(io.MultiReader(bytes.NewBufferString("id: 1\ndata: a\n\nid: 2\nda"), iotest.ErrReader(io.ErrUnexpectedEOF)), false, func(int) {})
 	if !errors.Is(err, io.ErrUnexpectedEOF) || out.String() != "id: 1\ndata: a\n\n" || s.lastEventID != "1" {
 		t.Errorf("relayed %q up to event %q: %v", out.String(), s.lastEventID, err)
 	}
@@ -25,7 +25,7 @@
 
 func TestStreamEndingWithinAnEventIsIncomplete(t *testing.T) {
 	var out bytes.Buffer
-	if err := newStream(&out).relayEvents(bytes.NewBufferString("id: 1\ndata: a\n\nid: 2\n"), func(int) {}); err == nil {
+	if err := newStream(&out).relayEvents(bytes.NewBufferString("id: 1\ndata: a\n\nid: 2\n"), false, func(int) {}); err == nil {
 		t.Error("a stream that ends within an event is reported as complete")
 	}
 }
@@ -44,7 +44,7 @@
 		want := in.String()
 		var out bytes.Buffer
 		s := newStream(&out)
-		if err := s.relayEvents(iotest.OneByteReader(&in), func(int) {}); err != nil || out.String() != want || s.eventCount != n {
+		if err := s.relayEvents(iotest.OneByteReader(&in), false, func(int) {}); err != nil || out.String() != want || s.eventCount != n {
 			t.Fatalf("relayed %d of %d events, %q for %q: %v", s.eventCount, n, out.String(), want, err)
 		}
 	})
--- a/core/relay/types.go
+++ b/core/relay/types.go
@@ -91,7 +91,11 @@
 		// InputGone is set if a stage result that the request needs no longer
 		// exists.
 		InputGone bool
-		// Body ends with io.EOF only if the response is complete.
+		// EndsWithConnection is set if the body has neither a length nor chunks, so that
+		// its end alone does not show that it is complete.
+		EndsWithConnection bool
+		// Body ends with io.EOF only if the response is complete, or ends with its
+		// connection.
 		Body io.ReadCloser
 	}
 
