relay, edge: hold back prompts that crash engine after engine

Cause: a crash was charged to the engine alone, by each instance for itself, so a prompt that ends an engine was sent to the next one, repeated, and sent again by other requests.

Each attempt now reports to the quarantine whether the engine began to answer, went on or broke off. The same record is asked before stages run, again right before each send, and before a silent engine is replaced; a request whose prompt may have ended two engines is not repeated. A trial is granted by the instance that places the service's requests, never by one that does so for lack of it. Operators: log lines, a gauge, a counter, status, and the command release.

--- a/cmd/status.go
+++ b/cmd/status.go
@@ -81,6 +81,7 @@
 	printAttainment(w, instances)
 	printStages(w, instances)
 	printUnwilling(w, instances)
+	printQuarantine(w, instances)
 	return w.Flush()
 }
 
@@ -117,6 +118,17 @@
 	}
 }
 
+// printQuarantine prints the parts of prompts that are held back.
+func printQuarantine(w io.Writer, instances []status.Instance) {
+	heading := "\nINSTANCE\tSERVICE\tPROMPT PART\tCRASHES\tSEEN BY\tHELD FOR\tTRIAL IN\tTRIALS\n"
+	for _, s := range instances {
+		for _, p := range s.QuarantinedParts {
+			_, _ = fmt.Fprintf(w, "%s%s\t%s\t%s\t%d\t%d\t%d s\t%d s\t%d\n", heading, s.Name, p.Service, p.Part, p.Crashes, p.Instances, p.HeldMs/1000, p.TrialInMs/1000, p.Trials)
+			heading = ""
+		}
+	}
+}
+
 func printAttainment(w io.Writer, instances []status.Instance) {
 	_, _ = fmt.Fprintln(w, "\nINSTANCE\tKIND\tREQUESTS IN A MINUTE\tIN TIME")
 	for _, s := range instances {
--- a/core/engine/placer.go
+++ b/core/engine/placer.go
@@ -53,6 +53,8 @@
 		// Weights are the weights of the zones, by the capacity of the stages
 		// there. Zones that are not listed have weight 1.
 		Weights map[string]float64
+		// Trial is a part of the prompt that is held back and that the request tries, or "".
+		Trial string
 		// Repeatable is set if the request may run again at another engine.
 		Repeatable bool
 		// Expires is when the placement is dropped if it has not been settled.
--- a/core/fault/fault.go
+++ b/core/fault/fault.go
@@ -57,6 +57,8 @@
 	// InputGone is work whose input, a result of an earlier stage, no longer
 	// exists.
 	InputGone
+	// Quarantined is a request with a part in its prompt that has crashed endpoints.
+	Quarantined
 	numKinds
 )
 
@@ -120,6 +122,7 @@
 		StoreUnavailable:    {"storeUnavailable", 503, twirp.Unavailable, zapcore.WarnLevel, RanUnknown, true},
 		Conflict:            {"conflict", 409, twirp.AlreadyExists, zapcore.InfoLevel, RanNo, false},
 		InputGone:           {"inputGone", 503, twirp.FailedPrecondition, zapcore.InfoLevel, RanNo, true},
+		Quarantined:         {"quarantined", 503, twirp.FailedPrecondition, zapcore.InfoLevel, RanNo, false},
 	}
 
 	ranNames = [...]string{RanUnknown: "unknown", RanNo: "no", RanYes: "yes"}
--- a/core/relay/engine.go
+++ b/core/relay/engine.go
@@ -18,7 +18,11 @@
 // serveEngine runs the stages of a request and sends it to a model engine.
 func (e *execution) serveEngine(ctx context.Context) error {
 	e.stream = &stream{w: e.w, lastEventID: e.req.LastEventID}
+	e.beginTrial()
 	for {
+		if err := e.checkQuarantine(); err != nil {
+			return err
+		}
 		p, err := e.nextPlacement(ctx)
 		if err != nil {
 			return err
@@ -47,6 +51,10 @@
 			e.settle(p, balance.Abandoned)
 			return e.shutdownError()
 		}
+		if err := e.checkQuarantine(); err != nil {
+			e.settle(p, balance.Abandoned)
+			return err
+		}
 		step, err := e.sendToEngine(ctx, p)
 		if step == stepFinish {
 			return err
@@ -151,13 +159,15 @@
 // its watch, and ctx only if the request ends.
 func (e *execution) relayAttempt(ctx, attemptCtx context.Context, p placement, attempt Attempt, watch *silenceWatch) (nextStep, error) {
 	start := e.now()
+	ev := e.newEvidence(p.server)
 	e.begun = false
 	watch.wait()
 	resp, err := e.relay.deps.Send(attemptCtx, attempt)
 	watch.pause()
 	e.begun = err == nil && !resp.NotRun
+	ev.answered(err == nil, e.begun)
 	if err != nil {
-		return e.handleEngineSendError(ctx, p, watch, err)
+		return e.handleEngineSendError(ctx, p, watch, ev, err)
 	}
 	defer func() { _ = resp.Body.Close() }()
 	resp.Body = silentReader{resp.Body, watch}
@@ -165,10 +175,10 @@
 		return e.handleEngineNotRun(ctx, p, resp)
 	}
 	if resp.Status >= 300 {
-		return e.handleEngineFailure(ctx, p, watch, resp)
+		return e.handleEngineFailure(ctx, p, watch, ev, resp)
 	}
 	if err := e.stream.begin(resp); err != nil {
-		return e.handleEngineSendError(ctx, p, watch, err)
+		return e.handleEngineSendError(ctx, p, watch, ev, err)
 	}
 	awaitingFirst := true
 	err = e.stream.relayEvents(resp.Body, resp.EventStream && resp.EndsWithConnection, func(events int) {
@@ -178,6 +188,7 @@
 			return
 		}
 		watch.progress()
+		ev.progress(events)
 		now := e.now()
 		if awaitingFirst {
 			awaitingFirst = false
@@ -190,9 +201,10 @@
 		e.lastEvent = now
 	})
 	if err != nil {
-		return e.handleEngineSendError(ctx, p, watch, err)
+		return e.handleEngineSendError(ctx, p, watch, ev, err)
 	}
 	e.sends++
+	ev.complete(resp.EndsWithConnection)
 	e.settle(p, balance.Succeeded)
 	return stepFinish, nil
 }
@@ -220,10 +232,10 @@
 
 // handleEngineFailure relays the error response of an engine, or has the
 // request retried at another one.
-func (e *execution) handleEngineFailure(ctx context.Context, p placement, watch *silenceWatch, resp *Response) (nextStep, error) {
+func (e *execution) handleEngineFailure(ctx context.Context, p placement, watch *silenceWatch, ev *evidence, resp *Response) (nextStep, error) {
 	body, err := readBody(resp)
 	if err != nil {
-		return e.handleEngineSendError(ctx, p, watch, err)
+		return e.handleEngineSendError(ctx, p, watch, ev, err)
 	}
 	e.sends++
 	e.settle(p, balance.Failed)
@@ -241,7 +253,7 @@
 
 // handleEngineSendError decides what follows a send without a complete
 // response.
-func (e *execution) handleEngineSendError(ctx context.Context, p placement, watch *silenceWatch, err error) (nextStep, error) {
+func (e *execution) handleEngineSendError(ctx context.Context, p placement, watch *silenceWatch, ev *evidence, err error) (nextStep, error) {
 	next := watch.end()
 	// A server that has not broken off must not go on with an answer that nobody reads.
 	watch.cancel()
@@ -264,6 +276,9 @@
 		outcome = balance.Unreachable
 	}
 	e.settle(p, outcome)
+	if outcome == balance.Failed {
+		ev.broke()
+	}
 	if errors.As(err, &writeErr) {
 		return stepFinish, fault.Errorf(fault.Cancelled, "%w", err)
 	}
--- a/core/relay/event_timeout_test.go
+++ b/core/relay/event_timeout_test.go
@@ -24,6 +24,7 @@
 		}
 	}
 	deps := Deps{
+		Quarantine: newTracker(),
 		Table: func() *route.Table {
 			table, err := route.New(1, []route.Route{{
 				Name: "brief", Host: "h", Prefix: "/", Kind: route.Streaming, TargetLatency: time.Second, Public: true,
--- a/core/relay/expiry_test.go
+++ b/core/relay/expiry_test.go
@@ -30,6 +30,7 @@
 	view.Replace(time.Now(), []fleet.Server{{ID: "e-1", Service: "llm", Address: "a:1"}}, 1)
 	var remaining []time.Duration
 	deps := Deps{
+		Quarantine: newTracker(),
 		AwaitReady: func(context.Context) bool { return true },
 		Table:      func() *route.Table { return table }, Random: func() float64 { return 0 }, Log: func(Decision) {},
 		Shutdown: func() Shutdown { return Shutdown{} }, ShutdownCtx: t.Context(), RecordCall: func(string) {}, Servers: view.Snapshot,
--- a/core/relay/harness_test.go
+++ b/core/relay/harness_test.go
@@ -6,6 +6,7 @@
 
 	"chervilpath/core/balance"
 	"chervilpath/core/fleet"
+	"chervilpath/core/quarantine"
 	"chervilpath/core/route"
 	"chervilpath/core/stage"
 )
@@ -16,6 +17,9 @@
 	AfterFunc: func(d time.Duration, f func()) func() bool { return time.AfterFunc(d, f).Stop },
 }
 
+// newTracker returns a tracker without evidence.
+func newTracker() *quarantine.Tracker { return quarantine.New("test") }
+
 // newDeps returns dependencies for requests by a table at the servers of a view, until ctx
 // is done. Retries are allowed, and neither stages nor sends are set.
 func newDeps(ctx context.Context, table *route.Table, view *fleet.View) Deps {
@@ -25,6 +29,7 @@
 		Shutdown: func() Shutdown { return Shutdown{} }, ShutdownCtx: ctx, RecordCall: func(string) {},
 		Servers: view.Snapshot, ResultZone: func(string) string { return "" }, FreeResults: func(string, []string) {},
 		AllowRetry: func(string) bool { return true },
-		Settle:     func(string, string, string, balance.Outcome) {}, Suspect: func(string, string, string) {},
+		Quarantine: newTracker(), QuarantineChanged: func() {},
+		Settle: func(string, string, string, balance.Outcome) {}, Suspect: func(string, string, string) {},
 	}
 }
--- a/core/relay/place.go
+++ b/core/relay/place.go
@@ -59,6 +59,9 @@
 			e.log("place", "placed", p.server.ID)
 			return p, nil
 		}
+		if e.trial != "" {
+			return placement{}, e.quarantineError(e.trial, 0)
+		}
 		if !e.pauseBeforeResuming(ctx) {
 			if ctx.Err() != nil {
 				return placement{}, e.contextError(ctx)
@@ -73,7 +76,7 @@
 func (e *execution) place(ctx context.Context, id string, exclude []string) (placement, bool) {
 	q := engine.Query{
 		RequestID: id, Affinity: e.req.Affinity, Exclude: slices.Concat(exclude, e.relay.deps.Servers().Unwilling(e.now(), e.service)),
-		Weights: e.zoneWeights(), Expires: e.deadline, Repeatable: e.route.MayRunAgain(),
+		Weights: e.zoneWeights(), Expires: e.deadline, Repeatable: e.route.MayRunAgain(), Trial: e.trial,
 	}
 	if q.Affinity == "" {
 		q.Affinity = e.req.ID
@@ -105,6 +108,10 @@
 // mayResume reports whether a stream that must go on may do so at another engine. It waits for the retry budget as long as the caller may still wait for the next
 // event. sent is set if the engine may have run the request.
 func (e *execution) mayResume(ctx context.Context, sent bool) bool {
+	if sent && e.isSuspected() {
+		e.log("noRetry", reasonSuspected, "")
+		return false
+	}
 	for e.route.MayRunAgain() && e.sends < e.route.MaxAttempts && e.remaining() > minRemaining {
 		if !sent && e.notRun < maxNotRun || sent && e.relay.deps.AllowRetry(e.service) {
 			return true
--- a/core/relay/relay.go
+++ b/core/relay/relay.go
@@ -130,6 +130,8 @@
 		attempt     int
 		// begun is set once the server of the attempt in progress has begun to answer.
 		begun bool
+		// trial is the part that is held back and that the request tries, or "".
+		trial string
 	}
 
 	// heldResults are results of one service that have to be released.
@@ -306,6 +308,7 @@
 	}
 	e.relay.deps.RecordCall(e.service)
 	if svc.Engine != nil {
+		e.relay.deps.Quarantine.Arrived(e.service, e.req.SharedParts)
 		return e.serveEngine(ctx)
 	}
 	return e.servePlain(ctx)
@@ -350,6 +353,8 @@
 		reason = "all attempts of the route are used"
 	case e.remaining() <= minRemaining:
 		reason = "too little time remains"
+	case e.isSuspected():
+		reason = reasonSuspected
 	case !e.relay.deps.AllowRetry(e.service):
 		reason = "the retry budget is used up"
 	default:
--- a/core/relay/replace.go
+++ b/core/relay/replace.go
@@ -85,6 +85,9 @@
 }
 
 func (r *replacement) prepareAttempt(ctx context.Context, resultsHeld bool, deadline time.Time) (*nextAttempt, error) {
+	if r.exec.isSuspected() {
+		return nil, errSuspected
+	}
 	p, ok := r.exec.place(ctx, r.id, r.exclude)
 	if !ok {
 		return nil, errNoEngine
@@ -122,6 +125,10 @@
 	if r.exec.relay.deps.ShutdownCtx.Err() != nil || r.exec.remaining() <= minRemaining {
 		return false
 	}
+	if r.exec.isSuspected() {
+		r.log("goes on waiting: " + errSuspected.Error())
+		return false
+	}
 	if !r.reserveRetry() {
 		r.log("goes on waiting: " + errNoRetryBudget.Error())
 		return false
--- a/core/relay/shutdown_test.go
+++ b/core/relay/shutdown_test.go
@@ -28,6 +28,7 @@
 	shutdown := Shutdown{RestrictFrom: sigterm.Add(2500 * time.Millisecond), End: sigterm.Add(7600 * time.Millisecond)}
 	now := sigterm
 	deps := Deps{
+		Quarantine: newTracker(),
 		AwaitReady: func(context.Context) bool { return true },
 		Table:      func() *route.Table { return table }, Random: func() float64 { return 0 }, Log: func(Decision) {},
 		Shutdown: func() Shutdown { return shutdown }, ShutdownCtx: t.Context(),
@@ -70,6 +71,7 @@
 	view.Replace(time.Now(), []fleet.Server{{ID: "e-1", Service: "llm", Address: "a:1"}}, 1)
 	shutdownCtx, endShutdown := context.WithCancel(t.Context())
 	deps := Deps{
+		Quarantine: newTracker(),
 		AwaitReady: func(context.Context) bool { return true },
 		Table:      func() *route.Table { return table }, Random: func() float64 { return 0 }, Log: func(Decision) {},
 		Shutdown: func() Shutdown { return Shutdown{} }, ShutdownCtx: shutdownCtx, RecordCall: func(string) {},
--- a/core/relay/silence_test.go
+++ b/core/relay/silence_test.go
@@ -19,6 +19,7 @@
 	"chervilpath/core/engine"
 	"chervilpath/core/fault"
 	"chervilpath/core/fleet"
+	"chervilpath/core/quarantine"
 	"chervilpath/core/route"
 )
 
@@ -72,6 +73,11 @@
 	full, refusedRun int
 	// After excludeAfter, all engines want no requests for excludeFor.
 	excludeAfter, excludeFor time.Duration
+	// sharedParts are those of the prompt, and tracker holds the evidence against them; it
+	// may be nil. staged, if set, is called when the stages have run.
+	sharedParts []string
+	tracker     *quarantine.Tracker
+	staged      func()
 	// endsWithConnection is set if the answers have neither a length nor chunks.
 	endsWithConnection bool
 
@@ -131,6 +137,9 @@
 			return nil, fault.Errorf(fault.Overloaded, "the stage is full")
 		}
 		st.held++
+		if st.staged != nil {
+			st.staged()
+		}
 		return []string{fmt.Sprint("result-", st.stageRuns)}, nil
 	}
 	deps.FreeResults = func(_ string, handles []string) {
@@ -184,6 +193,9 @@
 		return &Response{Status: http.StatusOK, EventStream: true, EndsWithConnection: st.endsWithConnection, Body: &timedBody{ctx: ctx, due: time.Now(), parts: st.parts[st.attempts-1]}}, nil
 	}
 
+	if st.tracker != nil {
+		deps.Quarantine = st.tracker
+	}
 	time.AfterFunc(st.excludeAfter, func() {
 		st.mu.Lock()
 		defer st.mu.Unlock()
@@ -192,7 +204,7 @@
 		}
 	})
 	start := time.Now()
-	req := &Request{ID: "r", Host: "h", Path: "/x", Timeout: 20 * time.Second, Arrived: start, Pieces: pieces}
+	req := &Request{ID: "r", Host: "h", Path: "/x", Timeout: 20 * time.Second, Arrived: start, Pieces: pieces, SharedParts: st.sharedParts}
 	st.started, st.err = New(deps).Serve(ctx, req, ResponseWriter{
 		Respond:     func(int, map[string][]string, []byte) {},
 		WriteHeader: func(int, map[string][]string) { st.headWritten = true },
--- a/core/relay/stop_test.go
+++ b/core/relay/stop_test.go
@@ -53,7 +53,8 @@
 	ctx, end := context.WithCancel(context.Background())
 	time.AfterFunc(stopEnd, end)
 	rig.deps = Deps{
-		Clock: clock, AwaitReady: func(context.Context) bool { return true },
+		Quarantine: newTracker(),
+		Clock:      clock, AwaitReady: func(context.Context) bool { return true },
 		Table: func() *route.Table { return table }, Random: func() float64 { return 0 }, Log: func(Decision) {},
 		Shutdown: func() Shutdown {
 			return Shutdown{RestrictFrom: rig.start.Add(time.Second), End: rig.start.Add(stopEnd)}
--- a/core/relay/types.go
+++ b/core/relay/types.go
@@ -17,6 +17,7 @@
 	"chervilpath/core/engine"
 	"chervilpath/core/fault"
 	"chervilpath/core/fleet"
+	"chervilpath/core/quarantine"
 	"chervilpath/core/route"
 	"chervilpath/core/stage"
 )
@@ -215,6 +216,10 @@
 		// left.
 		RecordCall func(service string)
 		AllowRetry func(service string) bool
+		// Quarantine holds back requests whose prompts crash engines.
+		Quarantine *quarantine.Tracker
+		// QuarantineChanged is called after the tracker has been told of an attempt.
+		QuarantineChanged func()
 		// Shutdown returns the planned shutdown in progress, or the zero
 		// Shutdown.
 		Shutdown func() Shutdown
--- a/core/relay/version_test.go
+++ b/core/relay/version_test.go
@@ -59,7 +59,8 @@
 	s.stage = stage.New(declare.NewStage("desk", 10, nil), "self", 1, clock, rand.New(rand.NewPCG(1, 1)), stage.Policy{})
 	s.setServers("i-1", "e-1")
 	s.deps = Deps{
-		Clock: clock, AwaitReady: func(context.Context) bool { return true }, ConfigFresh: func() bool { return true },
+		Quarantine: newTracker(),
+		Clock:      clock, AwaitReady: func(context.Context) bool { return true }, ConfigFresh: func() bool { return true },
 		Table: s.table.Load, Random: func() float64 { return 0 }, Log: func(Decision) {},
 		Shutdown: func() Shutdown { return Shutdown{} }, ShutdownCtx: t.Context(), RecordCall: func(string) {}, AllowRetry: func(string) bool { return false },
 		Servers: s.snapshot.Load, PlainStage: func(string) *stage.Stage { return s.stage },
--- a/core/status/status.go
+++ b/core/status/status.go
@@ -29,6 +29,9 @@
 		// Unwilling are the servers of the platform that told the instance that they
 		// are leaving or want no requests for a while.
 		Unwilling []Server `json:"unwilling,omitempty"`
+		// QuarantinedParts are the parts of prompts that are held back since engines have
+		// crashed on them.
+		QuarantinedParts []QuarantinedPart `json:"quarantinedParts,omitempty"`
 		// CostsWaiting is the number of cost objects that are not yet stored.
 		CostsWaiting int `json:"costsWaiting"`
 	}
@@ -55,6 +58,22 @@
 		ReturnsInMs int64 `json:"returnsInMs,omitempty"`
 	}
 
+	// QuarantinedPart is a part of prompts for a service that is held back.
+	QuarantinedPart struct {
+		Service string `json:"service"`
+		Part    string `json:"part"`
+		// Crashes is the number of engines that ended on it, Servers are their IDs as far
+		// as they are known, and Instances is the number of instances that saw it.
+		Crashes   int      `json:"crashes"`
+		Servers   []string `json:"servers"`
+		Instances int      `json:"instances"`
+		// HeldMs is the time since it is held back, and TrialInMs the time until one
+		// request may try it.
+		HeldMs    int64 `json:"heldMs"`
+		TrialInMs int64 `json:"trialInMs"`
+		Trials    int   `json:"trials"`
+	}
+
 	// Attainment is the number of a kind's requests in the last minute and the
 	// fraction of them that was answered within the deadline. Requests that
 	// failed through the caller's own fault are left out.
--- a/edge/crash_test.go
+++ b/edge/crash_test.go
@@ -9,6 +9,7 @@
 	"testing"
 	"time"
 
+	"chervilpath/io/operator"
 	"chervilpath/platform/stand"
 )
 
@@ -95,15 +96,19 @@
 	return len(s.crashes)
 }
 
-// sendPrompt sends a request with the given parts to the i-th instance and reports whether
-// it was served.
-func (s *crashSite) sendPrompt(i int, id string, parts ...string) bool {
+// prompt sends a request with the given parts to the i-th instance.
+func (s *crashSite) prompt(i int, id string, parts ...string) response {
 	prefix := ""
 	for _, p := range parts {
 		prefix += p + ":100,"
 	}
 	header := http.Header{stand.HeaderPromptPrefix: {prefix + "own" + id + ":50"}}
-	got := s.send(s.t.Context(), i, http.MethodPost, "/draft/1", id, header, "body")
+	return s.send(s.t.Context(), i, http.MethodPost, "/draft/1", id, header, "body")
+}
+
+// sendPrompt is prompt and reports whether the request was served.
+func (s *crashSite) sendPrompt(i int, id string, parts ...string) bool {
+	got := s.prompt(i, id, parts...)
 	return got.err == nil && got.status == http.StatusOK && stand.IsCompleteStream(got.body, 12)
 }
 
@@ -131,9 +136,11 @@
 // have ended on it, next to no request with it may reach another, and sound prompts, which
 // share all their other parts, have to be served.
 func TestPromptPartThatCrashesEnginesIsHeldBack(t *testing.T) {
+	t.Parallel()
 	for name, position := range map[string]int{"first": 0, "middle": 1, "last shared": 2} {
 		for crashAfter := range 2 {
 			t.Run(fmt.Sprintf("%s, after %d events", name, crashAfter), func(t *testing.T) {
+				t.Parallel()
 				s := newCrashSite(t, 4, crashAfter, badPart)
 				stop := make(chan struct{})
 				var wg sync.WaitGroup
@@ -183,3 +190,78 @@
 		}
 	}
 }
+
+// Guards against engines that crash one after the other by themselves, under prompts that
+// share their first part, and cost more than the answers that they break off.
+func TestEnginesThatCrashByThemselvesHoldNothingBack(t *testing.T) {
+	t.Parallel()
+	s := newCrashSite(t, 4, 0, "")
+	stop := make(chan struct{})
+	var wg sync.WaitGroup
+	var sent, served atomic.Int32
+	wg.Go(func() {
+		every(50*time.Millisecond, stop, func(n int) {
+			sent.Add(1)
+			if s.sendPrompt(n%4, fmt.Sprint("g-", n), soundParts(n)...) {
+				served.Add(1)
+			}
+		})
+	})
+	wg.Go(func() {
+		every(500*time.Millisecond, stop, func(int) {
+			s.mu.Lock()
+			var victim *stand.Server
+			for _, e := range s.live {
+				victim = e
+			}
+			s.mu.Unlock()
+			if victim != nil {
+				victim.Crash()
+			}
+		})
+	})
+	time.Sleep(5 * time.Second)
+	close(stop)
+	wg.Wait()
+	t.Logf("%d crashes; %d of %d requests served", s.numCrashes(), served.Load(), sent.Load())
+	if float64(served.Load()) < 0.95*float64(sent.Load()) {
+		t.Errorf("%d of %d requests served, want 95 in 100", served.Load(), sent.Load())
+	}
+	if n := s.counter("chervilpath_quarantined_parts"); n > 0 {
+		t.Errorf("%v parts held back, want none", n)
+	}
+}
+
+// Guards against an instance that starts after the crashes and lets the part through, and
+// against a part that stays held back at some instances after an operator released it.
+func TestHeldBackPartIsKnownToNewInstancesUntilReleased(t *testing.T) {
+	t.Parallel()
+	s := newCrashSite(t, 3, 0, badPart)
+	for n := 0; n < 30 && s.counter("chervilpath_quarantined_parts") < 3; n++ {
+		s.sendPrompt(n%3, fmt.Sprint("g-", n), soundParts(n)...)
+		s.sendPrompt(n%3, fmt.Sprint("b-", n), "base", badPart)
+	}
+	s.start("edge-3", freeAddress(t), freeAddress(t), freeAddress(t), s.instances[0].peerAddress)
+	s.eventually("the new instance to be ready", func() bool { return s.getStatus(s.instances[3].operatorAddress+"/ready") == http.StatusOK })
+	s.eventually("all instances to hold the part back", func() bool { return s.counter("chervilpath_quarantined_parts") == 4 })
+	for i := range 4 {
+		got := s.prompt(i, fmt.Sprint("r-", i), "base", badPart)
+		if got.status != http.StatusServiceUnavailable || got.header.Get("Retry-After") != "" || !strings.Contains(got.body, "quarantined") {
+			t.Errorf("instance %d: status %d, Retry-After %q, body %q", i, got.status, got.header.Get("Retry-After"), got.body)
+		}
+	}
+	held, err := operator.FetchStatus(t.Context(), s.instances[3].operatorAddress, "")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if p := held.QuarantinedParts; len(p) != 1 || p[0].Part != badPart || p[0].Crashes < 4 || len(p[0].Servers) < 4 || p[0].TrialInMs <= 0 {
+		t.Errorf("status has %+v, want the part", p)
+	}
+	if err := operator.Release(t.Context(), s.instances[1].operatorAddress, "", "llm", "other"); err == nil {
+		t.Error("a part that is not held back is released")
+	}
+	if err := operator.Release(t.Context(), s.instances[1].operatorAddress, "", "llm", badPart); err != nil {
+		t.Fatal(err)
+	}
+	s.eventually("all instances to release the part", func() bool { return s.counter("chervilpath_quarantined_parts") == 0 })
+}
--- a/edge/delegator.go
+++ b/edge/delegator.go
@@ -293,6 +293,10 @@
 		}
 		d.pausePeer(address, err)
 	}
+	if address, ok := d.owner(service); q.Trial != "" && (!ok || address != "") {
+		// Each instance that places requests for itself would allow a trial of its own.
+		return ""
+	}
 	// Without the loads that an owner knows, the choice is the one that it would
 	// make at equal loads.
 	return d.placeLocally(service, q)
@@ -319,6 +323,9 @@
 }
 
 func (d *delegator) placeLocally(service string, q engine.Query) string {
+	if q.Trial != "" && !d.instance.claimTrial(service, q.Trial) {
+		return ""
+	}
 	return d.placer(service).Place(time.Now(), q)
 }
 
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -21,6 +21,7 @@
 	"chervilpath/core/fault"
 	"chervilpath/core/kernel"
 	"chervilpath/core/member"
+	"chervilpath/core/quarantine"
 	"chervilpath/core/relay"
 	"chervilpath/core/settings"
 	"chervilpath/core/stage"
@@ -44,15 +45,18 @@
 		registry    *prometheus.Registry
 		metrics     *metrics
 
-		store        *platform.Store
-		upstream     *upstream.Client
-		stageClient  *platform.StageClient
-		peers        *peer.Clients
-		members      *peer.Members
-		state        *clusterState
-		delegator    *delegator
-		relay        *relay.Relay
-		callerServer *front.Server
+		store      *platform.Store
+		upstream   *upstream.Client
+		quarantine *quarantine.Tracker
+		// quarantineChanged wakes the loop that shares changes of the quarantine.
+		quarantineChanged chan struct{}
+		stageClient       *platform.StageClient
+		peers             *peer.Clients
+		members           *peer.Members
+		state             *clusterState
+		delegator         *delegator
+		relay             *relay.Relay
+		callerServer      *front.Server
 
 		// ready is closed once this instance is settled among the others and knows
 		// a configuration and at least one server.
@@ -115,6 +119,8 @@
 	in.peers = peer.NewClients("", peerTransport(), nil, time.Now)
 	self := member.Member{ID: in.incarnation, Name: cfg.Name(), Address: cfg.PeerAddress(), FailureDomain: cfg.FailureDomain(), Weight: cfg.Weight()}
 	in.members = peer.NewMembers(self, cfg.Seeds(), in.peers, time.Now, peer.NewRand(), in.onNewerVersion, in.onServingChanged)
+	in.quarantine, in.quarantineChanged = quarantine.New(in.incarnation), make(chan struct{}, 1)
+	in.members.ShareQuarantine(peer.Quarantine{Digest: in.quarantine.Digest, Whole: in.wholeQuarantine, Merge: in.mergeQuarantine})
 	in.state = newClusterState(in)
 	in.delegator = newDelegator(in)
 	in.relay = relay.New(in.relayDeps())
@@ -138,6 +144,7 @@
 		Send: in.upstream.Send, RunStage: in.delegator.runStage, FreeResults: in.delegator.freeResults, Place: in.delegator.place, Settle: in.delegator.settle, Suspect: in.delegator.suspect,
 		ResultZone: func(handle string) string { return in.state.servers().Zone(platform.ResultAddress(handle)) },
 		PlainStage: in.state.plainStage, RecordCall: in.state.recordCall, AllowRetry: in.state.allowRetry,
+		Quarantine: in.quarantine, QuarantineChanged: in.notifyQuarantine,
 		ShutdownCtx: in.shutdownCtx,
 		Shutdown:    func() relay.Shutdown { return *in.shutdown.Load() },
 		Random:      mathrand.Float64, Log: in.logDecision,
--- a/edge/services.go
+++ b/edge/services.go
@@ -14,6 +14,7 @@
 	"chervilpath/core/kernel"
 	"chervilpath/core/relay"
 	"chervilpath/io/front"
+	"chervilpath/io/operator"
 	"chervilpath/io/peer"
 	"chervilpath/platform"
 )
@@ -76,7 +77,7 @@
 func (in *Instance) addServices(k *kernel.Kernel) error {
 	for _, s := range []kernel.Service{
 		in.withHTTPServer(kernel.Service{Name: PeerService, Value: in.peers}, in.cfg.Load().PeerAddress(), in.peerHandler()),
-		{Name: MembersService, DependsOn: []string{PeerService}, Value: in.members, Start: in.startLoops(in.members.Run, in.followPeers)},
+		{Name: MembersService, DependsOn: []string{PeerService}, Value: in.members, Start: in.startLoops(in.members.Run, in.followPeers, in.shareQuarantine)},
 		{Name: StoreService, DependsOn: []string{MembersService}, Value: in.store, Start: in.startLoops(in.followConfig, in.followServers), Stop: in.shutDownLoops},
 		in.withHTTPServer(kernel.Service{Name: OperatorService, DependsOn: []string{StoreService}}, in.cfg.Load().OperatorAddress(), in.operatorHandler()),
 		in.callerService(),
@@ -104,6 +105,7 @@
 		}
 	})
 	mux.HandleFunc("GET /status", in.serveStatus)
+	mux.HandleFunc("POST "+operator.ReleasePath, in.serveRelease)
 	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, r *http.Request) {})
 	mux.Handle("GET /metrics", promhttp.HandlerFor(in.registry, promhttp.HandlerOpts{}))
 	return mux
--- a/edge/status.go
+++ b/edge/status.go
@@ -21,6 +21,12 @@
 	if t := in.state.table(); t != nil {
 		out.Revision = t.Version()
 	}
+	for _, h := range in.quarantine.Holds() {
+		out.QuarantinedParts = append(out.QuarantinedParts, status.QuarantinedPart{
+			Service: h.Service, Part: h.Part, Crashes: h.Crashes, Servers: h.Servers, Instances: h.Instances,
+			HeldMs: now.Sub(h.Since).Milliseconds(), TrialInMs: h.TrialDue.Sub(now).Milliseconds(), Trials: h.Trials,
+		})
+	}
 	servers := in.state.servers()
 	for s := range servers.Leaving() {
 		out.Unwilling = append(out.Unwilling, status.Server{ID: s.ID, Service: s.Service, Born: s.Born, Leaving: true})
--- a/io/operator/operator.go
+++ b/io/operator/operator.go
@@ -7,8 +7,10 @@
 	"crypto/subtle"
 	"encoding/json"
 	"fmt"
+	"io"
 	"net/http"
 	"net/http/pprof"
+	"net/url"
 	"strings"
 
 	"github.com/prometheus/client_golang/prometheus"
@@ -36,6 +38,13 @@
 	}
 )
 
+// maxMessageBytes is the length up to which an error message of an instance is printed.
+const maxMessageBytes = 1 << 10
+
+// ReleasePath is where an instance on the platform releases a part of prompts that is held
+// back.
+const ReleasePath = "/quarantine/release"
+
 // New returns a server for operators.
 func New(deps Deps) *Server { return &Server{deps: deps} }
 
@@ -83,18 +92,7 @@
 // operators, or the URL if it does not use plain HTTP. The token may be "".
 func FetchStatus(ctx context.Context, address, token string) (status.Instance, error) {
 	var out status.Instance
-	baseURL := address
-	if !strings.Contains(address, "://") {
-		baseURL = "http://" + address
-	}
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, baseURL+"/status", nil)
-	if err != nil {
-		return out, fmt.Errorf("requesting the status of %s: %w", address, err)
-	}
-	if token != "" {
-		req.Header.Set("Authorization", "Bearer "+token)
-	}
-	resp, err := http.DefaultClient.Do(req)
+	resp, err := call(ctx, http.MethodGet, address, "/status", token)
 	if err != nil {
 		return out, fmt.Errorf("requesting the status of %s: %w", address, err)
 	}
@@ -107,3 +105,34 @@
 	}
 	return out, nil
 }
+
+// Release has an instance release a part of a service's prompts that is held back. The
+// address and the token are those of FetchStatus.
+func Release(ctx context.Context, address, token, service, part string) error {
+	query := url.Values{"service": {service}, "part": {part}}
+	resp, err := call(ctx, http.MethodPost, address, ReleasePath+"?"+query.Encode(), token)
+	if err != nil {
+		return fmt.Errorf("releasing a part at %s: %w", address, err)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	if resp.StatusCode != http.StatusOK {
+		message, _ := io.ReadAll(io.LimitReader(resp.Body, maxMessageBytes))
+		return fmt.Errorf("releasing a part at %s: HTTP status %d: %s", address, resp.StatusCode, strings.TrimSpace(string(message)))
+	}
+	return nil
+}
+
+func call(ctx context.Context, method, address, target, token string) (*http.Response, error) {
+	baseURL := address
+	if !strings.Contains(address, "://") {
+		baseURL = "http://" + address
+	}
+	req, err := http.NewRequestWithContext(ctx, method, baseURL+target, nil)
+	if err != nil {
+		return nil, err
+	}
+	if token != "" {
+		req.Header.Set("Authorization", "Bearer "+token)
+	}
+	return http.DefaultClient.Do(req)
+}
--- a/io/peer/members.go
+++ b/io/peer/members.go
@@ -54,6 +54,9 @@
 	// changed.
 	onServingChanged func(serving int)
 
+	// quarantine is nil if pings carry no evidence against parts of prompts.
+	quarantine *Quarantine
+
 	// settled is closed once this instance knows the others well enough to work
 	// for them.
 	settled    chan struct{}
@@ -288,14 +291,22 @@
 // ping exchanges updates with the instance at an address. It fails if another
 // incarnation answers there, since the one with the given ID has been replaced.
 func (m *Members) ping(ctx context.Context, address, id string) error {
-	ctx, cancel := context.WithTimeout(ctx, pingTimeout)
+	return m.pingWith(ctx, address, id, nil)
+}
+
+// pingWith is ping with a change of the evidence against parts of prompts, or nil.
+func (m *Members) pingWith(ctx context.Context, address, id string, quarantine []byte) error {
+	callCtx, cancel := context.WithTimeout(ctx, pingTimeout)
 	defer cancel()
 	self, updates := m.pingContents()
-	resp, err := m.clients.For(address).Ping(ctx, &peerpb.PingRequest{From: self, News: updates})
+	resp, err := m.clients.For(address).Ping(callCtx, &peerpb.PingRequest{From: self, News: updates, Quarantine: quarantine, QuarantineDigest: m.quarantineDigest()})
 	if err != nil {
 		return fmt.Errorf("pinging %s: %w", address, err)
 	}
 	m.mergeUpdates(append(resp.News, resp.From))
+	if len(quarantine) == 0 {
+		m.mergeQuarantineReply(ctx, address, id, resp)
+	}
 	if got := resp.GetFrom().GetId(); got != id {
 		return fmt.Errorf("pinging %s: incarnation %s answered instead of %s", address, got, id)
 	}
--- a/io/peer/peer.go
+++ b/io/peer/peer.go
@@ -221,7 +221,9 @@
 func (s *Server) Ping(ctx context.Context, req *peerpb.PingRequest) (*peerpb.PingReply, error) {
 	s.Members.mergeUpdates(append(req.News, req.From))
 	self, updates := s.Members.pingContents()
-	return &peerpb.PingReply{From: self, News: updates}, nil
+	reply := &peerpb.PingReply{From: self, News: updates}
+	s.Members.answerQuarantine(req, reply)
+	return reply, nil
 }
 
 // Probe implements peerpb.Peer.
--- a/io/peer/platform.go
+++ b/io/peer/platform.go
@@ -150,7 +150,7 @@
 		return nil, errNoPlatform
 	}
 	q := engine.Query{
-		RequestID: req.Request, Affinity: req.Affinity, Exclude: req.Exclude, Repeatable: req.Repeatable,
+		RequestID: req.Request, Affinity: req.Affinity, Exclude: req.Exclude, Repeatable: req.Repeatable, Trial: req.Trial,
 		Expires: s.Platform.Now().Add(microseconds(req.LeftMicros)),
 	}
 	if len(req.Weights) > 0 {
@@ -236,7 +236,7 @@
 	defer cancel()
 	req := &peerpb.PlaceRequest{
 		Service: service, Request: q.RequestID, Affinity: q.Affinity, Exclude: q.Exclude, LeftMicros: remaining.Microseconds(),
-		Repeatable: q.Repeatable,
+		Repeatable: q.Repeatable, Trial: q.Trial,
 	}
 	for zone, weight := range q.Weights {
 		req.Weights = append(req.Weights, &peerpb.ZoneWeight{Zone: zone, Weight: weight})
