quarantine: engines lost together do not stop the repeats of sound prompts

Callers of sound requests would have lost answers that used to be repeated: when many engines were lost at about the same time, the most common parts were at two of them at once, which is enough to repeat nothing with them until an answer has gone on.

As before a part is held back, crashes count against a part whose answers have gone on before only if they are half a second apart.

--- a/core/quarantine/decide.go
+++ b/core/quarantine/decide.go
@@ -244,6 +244,9 @@
 	}
 	for key, p := range t.parts {
 		p.accusations = len(accused[key])
+		if p.sound {
+			p.accusations = len(spaced(accused[key]))
+		}
 		switch {
 		case p.held() && now.Sub(p.hold.TrialDue) > forgetAfter:
 			t.events = append(t.events, Event{Kind: Forgotten, Hold: p.hold})
--- a/core/quarantine/quarantine_test.go
+++ b/core/quarantine/quarantine_test.go
@@ -96,7 +96,8 @@
 	}
 }
 
-// Guards against parts that are held back because many engines are lost at once.
+// Guards against parts that are held back, and answers that are not repeated, because many
+// engines are lost at once.
 func TestEnginesLostTogetherAccuseNoPart(t *testing.T) {
 	for seed := range uint64(20) {
 		s := newSimulation(seed, 6, 24)
@@ -106,12 +107,16 @@
 		for range 3 {
 			for _, e := range s.engines[:18] {
 				s.crash(e, nil)
+				s.run(simStep, rates, arrivals)
 			}
 			s.run(4*time.Second, rates, arrivals)
 		}
 		if held := s.heldParts(); len(held) > 0 {
 			t.Errorf("seed %d: %q held back", seed, held)
 		}
+		if s.refusedSound*100 > s.served {
+			t.Errorf("seed %d: %d requests refused or not repeated, %d served", seed, s.refusedSound, s.served)
+		}
 	}
 }
 
