soak: a part of prompts on which engines crash

Two checks: no more than three of them reach engines later than 3 s after the fifth crash, from instances that were not disturbed, and no sound request is refused because of its prompt.

--- a/soak/callers.go
+++ b/soak/callers.go
@@ -61,6 +61,9 @@
 			i, fresh = stopping[rng.IntN(len(stopping))], rng.IntN(2) == 0
 		}
 		r := &request{id: fmt.Sprintf("c%d-%d", caller, n), route: routes[rng.IntN(len(routes))], key: h.drawKey(rng), instance: i, slow: slow}
+		if isStream(r.route) {
+			r.prompt = sharedParts(caller + n)
+		}
 		client := clients[i]
 		if fresh {
 			client = newClient(slow, true)
@@ -111,7 +114,7 @@
 
 // callerRequest returns what the caller of a request sends.
 func (r *request) callerRequest() stand.Request {
-	c := stand.Request{ID: r.id, APIKey: r.key, Path: "/" + r.route + "/1", Timeout: 1500 * time.Millisecond, Body: "body of " + r.id}
+	c := stand.Request{ID: r.id, APIKey: r.key, Path: "/" + r.route + "/1", Timeout: 1500 * time.Millisecond, Body: "body of " + r.id, Prompt: r.prompt}
 	switch r.route {
 	case routeDraft:
 		c.Timeout, c.Pieces = 4*time.Second, draftPieces[:]
@@ -159,6 +162,7 @@
 			return
 		}
 		r.status = resp.StatusCode
+		r.quarantined = r.status == http.StatusServiceUnavailable && strings.Contains(string(body), "quarantined")
 		serverID := stand.ServerFromStamp(resp, r.id)
 		r.valid = serverID != "" && r.isAnswer(string(body), c.Body)
 		r.service = h.serviceOf(serverID)
@@ -187,12 +191,17 @@
 
 // isAnswer reports whether an answer is the whole answer to the request.
 func (r *request) isAnswer(answer, body string) bool {
-	if r.route == routeDraft || r.route == routeChat || r.route == routeNote {
+	if isStream(r.route) {
 		return stand.IsCompleteStream(answer, 8)
 	}
 	return answer == "answer to "+r.id+body
 }
 
+// isStream reports whether the answers of a route are streams, by model engines.
+func isStream(route string) bool {
+	return route == routeDraft || route == routeChat || route == routeNote
+}
+
 // nonIdempotent reports whether a request of the route must run at most once.
 func nonIdempotent(route string) bool {
 	return route == routeBook || route == routeOrder || route == routeChat
--- a/soak/checker.go
+++ b/soak/checker.go
@@ -49,6 +49,10 @@
 		// which the connection ended, if any.
 		received int
 		err      error
+		// prompt holds the shared parts of the prompt, and crashes is set if engines crash
+		// on one of them. quarantined is set if the request was refused for that reason.
+		prompt               []string
+		crashes, quarantined bool
 		// abandoned is set if the caller gave up or its timeout had passed when the
 		// request ended.
 		abandoned bool
@@ -101,6 +105,8 @@
 		// instance and of the process.
 		stoppedAt map[[2]int]time.Time
 		silences  []silence
+		// crashes are the times at which engines crashed on a prompt.
+		crashes []time.Time
 		// retrySlack is the number of retries in retryWindow beyond those in proportion to
 		// the calls.
 		retrySlack int
@@ -188,6 +194,7 @@
 	c.checkPieces(report)
 	c.checkNotices(report)
 	c.checkRetryBudget(report)
+	c.checkCrashes(report)
 	return violations
 }
 
--- a/soak/checker_test.go
+++ b/soak/checker_test.go
@@ -143,6 +143,43 @@
 	return c, r
 }
 
+// TestCheckerFindsPromptsThatCrashEngines tests that requests which reach engines too long
+// after the fifth crash are reported, and sound ones that are held back.
+func TestCheckerFindsPromptsThatCrashEngines(t *testing.T) {
+	for name, test := range map[string]struct {
+		late, held int
+		disturbed  bool
+		want       string
+	}{
+		"few late sends":                {late: 3},
+		"too many":                      {late: 4, want: "requests that crash engines reached them"},
+		"too many, disturbed":           {late: 4, disturbed: true},
+		"a sound request that was held": {held: 1, want: "sound requests were refused"},
+	} {
+		c := newChecker(56)
+		start := time.Now()
+		for i := range 5 {
+			c.crashes = append(c.crashes, start.Add(time.Duration(i)*time.Second))
+		}
+		for i := range test.late {
+			id := fmt.Sprint("x-", i)
+			c.requests[id] = &request{id: id, route: routeDraft, status: 502, crashes: true}
+			c.arrivals = append(c.arrivals, arrival{id: id, service: serviceLLM, at: start.Add(10 * time.Second)})
+		}
+		for i := range test.held {
+			id := fmt.Sprint("c-", i)
+			c.requests[id] = &request{id: id, route: routeDraft, status: 503, quarantined: true}
+		}
+		if test.disturbed {
+			c.disturbances[0] = []*disturbance{{from: start.Add(8 * time.Second), to: start.Add(9 * time.Second)}}
+		}
+		got := strings.Join(c.violations(), "\n")
+		if (test.want == "") != (got == "") || !strings.Contains(got, test.want) {
+			t.Errorf("%s: violations %q, want %q", name, got, test.want)
+		}
+	}
+}
+
 // TestCheckerFindsEndsWithoutAnAnswer tests that the end of a request without a complete
 // answer is reported with what happened beside it, unless its server, its instance or the
 // store was disturbed, its caller gave up, or it was not read.
--- a/soak/harness.go
+++ b/soak/harness.go
@@ -228,6 +228,8 @@
 	s.WorkTime, s.AnswerGap, s.Echo = 15*time.Millisecond, 10*time.Millisecond, true
 	if service == serviceLLM || service == serviceLone {
 		s.NumEvents, s.EventGap = 8, 80*time.Millisecond
+		s.CrashParts, s.CrashAfter = []string{crashPart}, h.serverCount%2
+		s.Crashed = func() { h.engineCrashed(s) }
 	}
 	s.Server.Intercept = func(_ http.ResponseWriter, r *http.Request) bool {
 		a := arrival{id: stand.RequestID(r), server: id, service: service, at: time.Now()}
--- a/soak/main.go
+++ b/soak/main.go
@@ -84,7 +84,12 @@
 		return nil, err
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), startTimeout)
-	err = h.waitReady(ctx)
+	if hasCrashPart(o.Seed) {
+		err = h.addCrashingEngines()
+	}
+	if err == nil {
+		err = h.waitReady(ctx)
+	}
 	cancel()
 	if err == nil {
 		h.run(o, out)
@@ -102,7 +107,7 @@
 			answered++
 		}
 	}
-	_, _ = fmt.Fprintf(out, "seed %d: %d requests, %d answered, %d versions, %d broken promises\n", o.Seed, len(h.checker.requests), answered, len(h.checker.versions), len(violations))
+	_, _ = fmt.Fprintf(out, "seed %d: %d requests, %d answered, %d versions, %d crashes on prompts, %d broken promises\n", o.Seed, len(h.checker.requests), answered, len(h.checker.versions), len(h.checker.crashes), len(violations))
 	_, _ = fmt.Fprint(out, h.checker.endings())
 	for _, v := range violations {
 		_, _ = fmt.Fprintln(out, "BROKEN", v)
@@ -130,6 +135,9 @@
 	wg.Go(func() {
 		h.injectFaults(faultCtx, rand.New(rand.NewPCG(o.Seed, calmStream)), calmFaults, calmPause, logf)
 	})
+	if hasCrashPart(o.Seed) {
+		wg.Go(func() { h.runCrashCaller(callCtx, rand.New(rand.NewPCG(o.Seed, crashStream))) })
+	}
 	rng := rand.New(rand.NewPCG(o.Seed, 0))
 	h.injectFaults(faultCtx, rng, faults, meanFaultPauses[rng.IntN(len(meanFaultPauses))], logf)
 	wg.Wait()
