quarantine: log the crashes that speak against parts

Before a part is held back, the log did not say what spoke against it. Each instance now logs an engine that may have crashed, with the parts it had begun, once, and one that has answered since; both are counted. No decision changes.

--- a/core/quarantine/decide.go
+++ b/core/quarantine/decide.go
@@ -81,6 +81,8 @@
 		// Share is the fraction of the latest requests that contain a part that is too
 		// common.
 		Share float64
+		// Crash is set for the kinds CrashSeen and CrashRefuted.
+		Crash CrashState
 	}
 )
 
@@ -103,9 +105,13 @@
 	TrialStarted
 	TooCommon
 	Forgotten
+	// CrashSeen is an engine that may have crashed on one of some parts, and CrashRefuted
+	// one that has answered since.
+	CrashSeen
+	CrashRefuted
 )
 
-var eventNames = [...]string{Held: "held back", Released: "released", TrialStarted: "tried again", TooCommon: "too common to be held back", Forgotten: "forgotten"}
+var eventNames = [...]string{CrashSeen: "crash seen", CrashRefuted: "crash refuted", Held: "held back", Released: "released", TrialStarted: "tried again", TooCommon: "too common to be held back", Forgotten: "forgotten"}
 
 // String returns the name of the kind.
 func (k EventKind) String() string {
--- a/core/quarantine/quarantine.go
+++ b/core/quarantine/quarantine.go
@@ -221,6 +221,7 @@
 
 // refute records that an engine has not ended.
 func (t *Tracker) refute(inc fleet.Incarnation, c *crash) {
+	t.events = append(t.events, Event{Kind: CrashRefuted, Crash: c.state(c.known, inc)})
 	c.refuted = true
 	clear(c.suspects)
 	clear(c.reporters)
@@ -273,6 +274,9 @@
 		c = &crash{service: report.service, build: report.build, at: report.at, known: report.known, suspects: make(map[string]suspicion), reporters: make(map[uint64]bool)}
 		t.crashes[inc] = c
 		t.crashChanged(inc)
+		if !report.refuted {
+			t.events = append(t.events, Event{Kind: CrashSeen, Crash: report.state(report.known, inc)})
+		}
 	}
 	if report.refuted && !c.refuted {
 		t.refute(inc, c)
--- a/core/quarantine/quarantine_test.go
+++ b/core/quarantine/quarantine_test.go
@@ -15,6 +15,7 @@
 // Guards against a part that crashes engine after engine because each of many instances
 // sees none or one of the crashes, and against sound parts held back in its place.
 func TestPartIsHeldBackWhicheverInstancesSeeTheCrashes(t *testing.T) {
+	t.Parallel()
 	for _, instances := range []int{1, 4, 30, 300} {
 		for seed := range uint64(6) {
 			s := newSimulation(seed, instances, 12, "bad")
@@ -41,6 +42,7 @@
 // Guards against the wrong part that is held back soon after the start of all instances,
 // when no answer has gone on yet.
 func TestPartIsHeldBackAfterTheStart(t *testing.T) {
+	t.Parallel()
 	for _, instances := range []int{6, 300} {
 		for seed := range uint64(6) {
 			s := newSimulation(seed, instances, 12, "bad")
@@ -59,6 +61,7 @@
 // Guards against a second part that crashes engines at the same time and hides behind the
 // first, also in prompts that hold both.
 func TestTwoPartsAreHeldBack(t *testing.T) {
+	t.Parallel()
 	for seed := range uint64(20) {
 		s := newSimulation(seed, 6, 24, "bad1", "bad2")
 		s.run(20*time.Second, map[string]float64{"sound": 30, "bad1": 4, "bad2": 4, "both": 2}, map[string]func(){
@@ -77,6 +80,7 @@
 // Guards against parts that are held back because they are in most prompts, where engines
 // crash one after the other by themselves.
 func TestEnginesThatCrashByThemselvesAccuseNoPart(t *testing.T) {
+	t.Parallel()
 	for seed := range uint64(20) {
 		s := newSimulation(seed, 6, 12)
 		s.run(30*time.Second, map[string]float64{"sound": 30, "crash": 2}, map[string]func(){
@@ -99,6 +103,7 @@
 // Guards against parts that are held back, and answers that are not repeated, because many
 // engines are lost at once.
 func TestEnginesLostTogetherAccuseNoPart(t *testing.T) {
+	t.Parallel()
 	for seed := range uint64(20) {
 		s := newSimulation(seed, 6, 24)
 		rates := map[string]float64{"sound": 60}
@@ -122,6 +127,7 @@
 
 // Guards against parts that are held back because links break and not engines.
 func TestConnectionsThatBreakAccuseNoPart(t *testing.T) {
+	t.Parallel()
 	for seed := range uint64(6) {
 		s := newSimulation(seed, 6, 12)
 		s.run(20*time.Second, map[string]float64{"sound": 60, "reset": 1}, map[string]func(){
@@ -278,7 +284,8 @@
 	if v := tr.Check(now.Add(time.Second), simService, []string{"common"}, ""); v.Standing != Suspected {
 		t.Errorf("%+v, want a part of nine in ten requests to be suspected only", v)
 	}
-	if events := tr.TakeEvents(); len(events) != 1 || events[0].Kind != TooCommon {
+	events := slices.DeleteFunc(tr.TakeEvents(), func(e Event) bool { return e.Kind == CrashSeen })
+	if len(events) != 1 || events[0].Kind != TooCommon {
 		t.Errorf("events %+v, want one that says so", events)
 	}
 }
@@ -423,6 +430,7 @@
 
 // Guards against messages that grow with the number of instances.
 func TestMessagesPerInstanceDoNotGrow(t *testing.T) {
+	t.Parallel()
 	var perInstance []float64
 	for _, instances := range []int{30, 100, 300} {
 		s := newSimulation(1, instances, 12, "bad")
--- a/edge/quarantine.go
+++ b/edge/quarantine.go
@@ -94,10 +94,17 @@
 	return ok
 }
 
-// logQuarantine logs what is held back or released, and updates the metrics.
+// logQuarantine logs what is held back or released, and the evidence for it, and updates
+// the metrics.
 func (in *Instance) logQuarantine() {
 	for _, e := range in.quarantine.TakeEvents() {
 		in.metrics.quarantineEvents.WithLabelValues(e.Kind.String()).Inc()
+		if e.Kind == quarantine.CrashSeen || e.Kind == quarantine.CrashRefuted {
+			c := e.Crash
+			in.log.Info("engine "+e.Kind.String(), zap.String("server", c.ID), zap.String("service", c.Service), zap.Int64("born", c.Born), zap.String("build", c.Build),
+				zap.Int64("ageMs", c.AgeMs), zap.Strings("begun", c.Begun), zap.Strings("waiting", c.Waiting), zap.Int("instances", len(c.Reporters)))
+			continue
+		}
 		fields := []zap.Field{
 			zap.String("service", e.Hold.Service), zap.String("part", e.Hold.Part), zap.Int("crashes", e.Hold.Crashes),
 			zap.Strings("servers", e.Hold.Servers), zap.Int("instances", e.Hold.Instances), zap.Int("trials", e.Hold.Trials),
