quarantine: wake for changes alone, and bound the rate of what is sent

Every finished request woke the loop that shares the evidence, 20 times a second, and in a storm of broken links an instance could send some 20 changes of 20 KB a second to four others each. The loop is now woken only by a change that others need, ticks every 10 s while there is no evidence, and pauses after a change in proportion to its size (32 KB/s to each).

--- a/core/quarantine/share.go
+++ b/core/quarantine/share.go
@@ -66,6 +66,20 @@
 	}
 )
 
+// Changed reports whether TakeChanges would return a change.
+func (t *Tracker) Changed() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return len(t.changedCrashes) > 0 || len(t.changedParts) > 0
+}
+
+// Active reports whether there is any evidence.
+func (t *Tracker) Active() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return len(t.crashes) > 0 || len(t.parts) > 0
+}
+
 // Whole returns all evidence that others may need.
 func (t *Tracker) Whole(now time.Time) State {
 	t.mu.Lock()
--- a/core/relay/quarantine.go
+++ b/core/relay/quarantine.go
@@ -68,7 +68,14 @@
 	}
 	v.wentOn = true
 	v.exec.relay.deps.Quarantine.WentOn(v.exec.now(), v.attempt)
-	v.exec.relay.deps.QuarantineChanged()
+	v.notify()
+}
+
+// notify wakes what shares the evidence, if it has changed.
+func (v *evidence) notify() {
+	if v.exec.relay.deps.Quarantine.Changed() {
+		v.exec.relay.deps.QuarantineChanged()
+	}
 }
 
 // broke records that the engine broke the answer off.
@@ -77,7 +84,7 @@
 		return
 	}
 	v.exec.relay.deps.Quarantine.Broke(v.exec.now(), v.attempt)
-	v.exec.relay.deps.QuarantineChanged()
+	v.notify()
 }
 
 // checkQuarantine returns an error if the request must not be sent because of its prompt.
--- a/core/relay/types.go
+++ b/core/relay/types.go
@@ -218,7 +218,7 @@
 		AllowRetry func(service string) bool
 		// Quarantine holds back requests whose prompts crash engines.
 		Quarantine *quarantine.Tracker
-		// QuarantineChanged is called after the tracker has been told of an attempt.
+		// QuarantineChanged is called after an attempt has changed what others need to know.
 		QuarantineChanged func()
 		// Shutdown returns the planned shutdown in progress, or the zero
 		// Shutdown.
--- a/edge/quarantine.go
+++ b/edge/quarantine.go
@@ -18,8 +18,13 @@
 	// are collected before they are sent.
 	quarantineShareDelay = 50 * time.Millisecond
 
-	// quarantineTick is the longest time between two evaluations of the evidence.
-	quarantineTick = 200 * time.Millisecond
+	// quarantineTick is the longest time between two evaluations of the evidence, and
+	// quarantineIdleTick that while there is none.
+	quarantineTick     = 200 * time.Millisecond
+	quarantineIdleTick = 10 * time.Second
+
+	// quarantineBytesPerSecond limits the changes that are sent, each to several members.
+	quarantineBytesPerSecond = 32 << 10
 
 	// maxQuarantineBytes is the largest evidence that is accepted from another instance.
 	maxQuarantineBytes = 256 << 10
@@ -36,27 +41,38 @@
 }
 
 // shareQuarantine sends changes of the evidence to others, and draws the conclusions that
-// are due, until ctx is done.
+// are due, until ctx is done. Large changes are sent less often.
 func (in *Instance) shareQuarantine(ctx context.Context) {
-	ticker := time.NewTicker(quarantineTick)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-in.quarantineChanged:
-			in.sleep(ctx, quarantineShareDelay)
-		case <-ticker.C:
-		case <-ctx.Done():
-			return
-		}
+	for ctx.Err() == nil {
+		in.awaitQuarantine(ctx)
 		now := time.Now()
 		in.quarantine.Tick(now)
 		in.logQuarantine()
 		if change, ok := in.quarantine.TakeChanges(now); ok {
-			in.members.PushQuarantine(ctx, in.encodeQuarantine(change))
+			data := in.encodeQuarantine(change)
+			in.members.PushQuarantine(ctx, data)
+			in.sleep(ctx, time.Duration(float64(len(data))/quarantineBytesPerSecond*float64(time.Second)))
 		}
 	}
 }
 
+// awaitQuarantine waits for a change of the evidence and collects what else changes soon,
+// or until conclusions may be due.
+func (in *Instance) awaitQuarantine(ctx context.Context) {
+	interval := quarantineIdleTick
+	if in.quarantine.Active() {
+		interval = quarantineTick
+	}
+	timer := time.NewTimer(interval)
+	defer timer.Stop()
+	select {
+	case <-in.quarantineChanged:
+		in.sleep(ctx, quarantineShareDelay)
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
 func (in *Instance) wholeQuarantine() []byte {
 	return in.encodeQuarantine(in.quarantine.Whole(time.Now()))
 }
