--- a/core/quarantine/decide.go
+++ b/core/quarantine/decide.go
@@ -28,7 +28,7 @@
 	// evaluationInterval is the longest time between two evaluations of the evidence, and
 	// evaluationPause the shortest.
 	evaluationInterval = time.Second
-	evaluationPause    = 20 * time.Millisecond
+	evaluationPause    = 50 * time.Millisecond
 
 	// A part that is in more than maxHeldShare of the latest requests of its service is
 	// never held back if there are at least minShareRequests: more would be lost than the
@@ -231,32 +231,26 @@
 			delete(t.changedCrashes, inc)
 		}
 	}
-	accused := t.accusations()
-	for t.holdNext(now, accused) {
-		accused = t.accusations()
+	t.accuse()
+	for t.holdNext(now) {
+		t.accuse()
 	}
-	t.updateParts(now, accused)
+	t.updateParts(now)
 	t.dirty = false
 }
 
 // updateParts records how many crashes count against each part, and forgets the parts
 // against which there is no evidence any more.
-func (t *Tracker) updateParts(now time.Time, accused map[partKey][]*crash) {
-	present := make(map[partKey]bool)
-	for _, c := range t.crashes {
-		for part := range c.suspects {
-			present[partKey{c.service, part}] = true
-		}
-	}
+func (t *Tracker) updateParts(now time.Time) {
 	for key, p := range t.parts {
-		p.accusations = len(accused[key])
+		p.accusations = len(p.accused)
 		if p.sound {
-			p.accusations = len(spaced(accused[key]))
+			p.accusations = len(spaced(p.accused))
 		}
 		switch {
 		case p.held() && now.Sub(p.hold.TrialDue) > forgetAfter:
 			t.events = append(t.events, Event{Kind: Forgotten, Hold: p.hold})
-		case p.held() || present[key]:
+		case p.held() || p.involved:
 			continue
 		}
 		delete(t.parts, key)
@@ -264,29 +258,35 @@
 	}
 }
 
-// accusations returns the crashes that count against each part: those that no part which
-// is held back explains. Parts whose answers had not begun count only if none that had
-// begun is left.
-func (t *Tracker) accusations() map[partKey][]*crash {
-	out := make(map[partKey][]*crash)
+// accuse sets the crashes that count against each part: those that no part which is held
+// back explains. Parts whose answers had not begun count only if none that had begun is
+// left.
+func (t *Tracker) accuse() {
+	for _, p := range t.parts {
+		p.accused, p.involved = p.accused[:0], false
+	}
 	for _, c := range t.crashes {
-		if c.refuted || t.explained(c) {
-			continue
-		}
-		level := waiting
-		for _, s := range c.suspects {
-			if s == begun {
-				level = begun
+		t.suspects = t.suspects[:0]
+		level, explained := waiting, c.refuted
+		for part, s := range c.suspects {
+			p, ok := t.parts[partKey{c.service, part}]
+			if !ok {
+				continue
 			}
+			p.involved = true
+			if s == cleared {
+				continue
+			}
+			explained = explained || p.held()
+			level = max(level, s)
+			t.suspects = append(t.suspects, suspect{p, s})
 		}
-		for part, s := range c.suspects {
-			if s == level {
-				key := partKey{c.service, part}
-				out[key] = append(out[key], c)
+		for _, s := range t.suspects {
+			if !explained && s.level == level {
+				s.part.accused = append(s.part.accused, c)
 			}
 		}
 	}
-	return out
 }
 
 // candidate is a part that may be held back.
@@ -316,8 +316,8 @@
 
 // holdNext holds the part back against which there is most evidence, if it suffices, and
 // reports whether it did. What the part explains no longer counts against others.
-func (t *Tracker) holdNext(now time.Time, accused map[partKey][]*crash) bool {
-	candidates := t.candidates(accused)
+func (t *Tracker) holdNext(now time.Time) bool {
+	candidates := t.candidates()
 	for i, c := range candidates {
 		if len(c.crashes) < holdCrashes {
 			continue
@@ -333,14 +333,13 @@
 
 // candidates returns the parts that would be held back after one more crash, or now, the
 // likely causes first.
-func (t *Tracker) candidates(accused map[partKey][]*crash) []candidate {
+func (t *Tracker) candidates() []candidate {
 	var out []candidate
-	for key, crashes := range accused {
-		p, ok := t.parts[key]
-		if !ok || p.held() || len(crashes) < holdCrashes-1 {
+	for key, p := range t.parts {
+		if p.held() || len(p.accused) < holdCrashes-1 {
 			continue
 		}
-		c := candidate{key: key, sound: p.sound, crashes: crashes}
+		c := candidate{key: key, sound: p.sound, crashes: p.accused}
 		if c.sound {
 			c.crashes = spaced(c.crashes)
 		}
@@ -430,19 +429,6 @@
 	}
 }
 
-// explained reports whether a part that is held back was involved in a crash.
-func (t *Tracker) explained(c *crash) bool {
-	for part, s := range c.suspects {
-		if s == cleared {
-			continue
-		}
-		if p, ok := t.parts[partKey{c.service, part}]; ok && p.held() {
-			return true
-		}
-	}
-	return false
-}
-
 // spaced returns crashes that are at least crashSpacing apart.
 func spaced(crashes []*crash) []*crash {
 	slices.SortFunc(crashes, func(a, b *crash) int { return a.at.Compare(b.at) })
--- a/core/quarantine/quarantine.go
+++ b/core/quarantine/quarantine.go
@@ -73,6 +73,8 @@
 		changedCrashes map[fleet.Incarnation]bool
 		changedParts   map[partKey]bool
 		events         []Event
+		// suspects is reused while the evidence is evaluated.
+		suspects []suspect
 		// dirty is set if the evidence has changed since it was evaluated, and evaluateAt
 		// is when it may lead to another conclusion without a change.
 		dirty                   bool
@@ -108,12 +110,22 @@
 		// part is held back.
 		epoch int64
 		hold  Hold
-		// accusations is the number of crashes that count against the part.
+		// accused are the crashes that count against the part, and accusations is their
+		// number, without those that come too soon after another. involved is set if the
+		// part was at any crash.
+		accused     []*crash
 		accusations int
+		involved    bool
 		// blockedLogged is set once it was logged that the part is too common to be held.
 		blockedLogged bool
 	}
 
+	// suspect is a part that was involved in a crash.
+	suspect struct {
+		part  *partState
+		level suspicion
+	}
+
 	// recentRequests holds the hashes of the parts of the latest requests of a service.
 	recentRequests struct {
 		parts [][]uint64
--- a/core/quarantine/quarantine_test.go
+++ b/core/quarantine/quarantine_test.go
@@ -446,3 +446,32 @@
 		t.Errorf("bytes for each instance: %.0f at 30 instances and %.0f at 300", perInstance[0], perInstance[2])
 	}
 }
+
+// Guards against a part whose answers have gone on before that is held back in place of one
+// to which no answer ever went on.
+func TestPartWithoutAnyAnswerIsTheLikelierCause(t *testing.T) {
+	tr, now := New("a"), time.Unix(1000, 0)
+	tr.WentOn(now, Attempt{Server: server("sound"), Parts: []string{"base"}, SentAt: now, Begun: true})
+	for i := range holdCrashes {
+		now = now.Add(time.Second)
+		crashOn(tr, now, fmt.Sprint("e-", i), "base", "unknown")
+	}
+	tr.Tick(now.Add(time.Second))
+	if holds := tr.Holds(); len(holds) != 1 || holds[0].Part != "unknown" {
+		t.Errorf("held back: %+v, want the part to which no answer went on", holds)
+	}
+}
+
+// Guards against answers of engines of another version that clear a part on which those of
+// one version crash.
+func TestAnswersOfAnotherVersionClearNothing(t *testing.T) {
+	tr, now := New("a"), time.Unix(1000, 0)
+	for i := range holdCrashes {
+		now = now.Add(time.Second)
+		crashOn(tr, now, fmt.Sprint("e-", i), "bad")
+		tr.WentOn(now, Attempt{Server: fleet.Server{ID: "new", Service: simService, Build: "v2"}, Parts: []string{"bad"}, SentAt: now, Begun: true})
+	}
+	if v := tr.Check(now.Add(2*time.Second), simService, []string{"bad"}, ""); v.Standing != HeldBack {
+		t.Errorf("%+v, want the part held back", v)
+	}
+}
