quarantine: bound the share of requests that all held parts refuse

Callers would have been refused all but a few requests where engines crash on anything, for instance because of their weights: the most common part was left alone, but then each organisation's and each subject's part came to four crashes and was held back by itself, for two minutes at least after the engines were mended. By thinking through the rule for shares; shown by a test in virtual time.

The bound now holds for the requests that all held parts of a service refuse together: half of the latest 256.

All other tests as before.

--- a/core/quarantine/decide.go
+++ b/core/quarantine/decide.go
@@ -30,9 +30,9 @@
 	evaluationInterval = time.Second
 	evaluationPause    = 50 * time.Millisecond
 
-	// A part that is in more than maxHeldShare of the latest requests of its service is
-	// never held back if there are at least minShareRequests: more would be lost than the
-	// engines that it ends.
+	// No more than maxHeldShare of the latest requests of a service are held back, if there
+	// are at least minShareRequests: more would be lost than the engines that they end, and
+	// engines that crash on most requests crash for another reason.
 	maxHeldShare     = 0.5
 	minShareRequests = 20
 
@@ -78,8 +78,8 @@
 	Event struct {
 		Kind EventKind
 		Hold Hold
-		// Share is the fraction of the latest requests that contain a part that is too
-		// common.
+		// Share is the fraction of the latest requests that would be refused, if a part is
+		// too common.
 		Share float64
 		// Crash is set for the kinds CrashSeen and CrashRefuted.
 		Crash CrashState
@@ -294,8 +294,9 @@
 	key     partKey
 	sound   bool
 	crashes []*crash
-	// share is the fraction of the latest requests that contain the part.
-	share float64
+	// share is the fraction of the latest requests that contain the part, and refused that
+	// of the requests that would be refused if it were held back.
+	share, refused float64
 }
 
 // weight is the number of crashes that the part explains beyond those at which it was only
@@ -346,8 +347,8 @@
 		if len(c.crashes) < holdCrashes-1 {
 			continue
 		}
-		if share, n := t.share(key); n >= minShareRequests {
-			c.share = share
+		if share, refused, n := t.share(key); n >= minShareRequests {
+			c.share, c.refused = share, refused
 		}
 		out = append(out, c)
 	}
@@ -369,10 +370,10 @@
 		return false
 	}
 	p := t.parts[c.key]
-	if c.share > maxHeldShare {
+	if c.refused > maxHeldShare {
 		if !p.blockedLogged {
 			p.blockedLogged = true
-			t.events = append(t.events, Event{Kind: TooCommon, Hold: t.describe(now, c), Share: c.share})
+			t.events = append(t.events, Event{Kind: TooCommon, Hold: t.describe(now, c), Share: c.refused})
 		}
 		return false
 	}
--- a/core/quarantine/quarantine.go
+++ b/core/quarantine/quarantine.go
@@ -366,18 +366,29 @@
 	t.changedParts[key], t.dirty = true, true
 }
 
-// share returns the fraction of the latest requests of a service that contain a part, and
-// their number.
-func (t *Tracker) share(key partKey) (share float64, requests int) {
+// share returns the fraction of the latest requests of a service that contain a part, that
+// of those which contain it or one that is held back, and the number of requests.
+func (t *Tracker) share(key partKey) (share, refused float64, requests int) {
 	r, ok := t.recent[key.service]
 	if !ok {
-		return 0, 0
+		return 0, 0, 0
 	}
-	hash, n := xxhash.Sum64String(key.part), 0
+	own := xxhash.Sum64String(key.part)
+	held := []uint64{own}
+	for k, p := range t.parts {
+		if p.held() && k.service == key.service {
+			held = append(held, xxhash.Sum64String(k.part))
+		}
+	}
+	containing, stopped := 0, 0
 	for _, parts := range r.parts {
-		if slices.Contains(parts, hash) {
-			n++
+		if slices.Contains(parts, own) {
+			containing++
+		}
+		if slices.ContainsFunc(parts, func(h uint64) bool { return slices.Contains(held, h) }) {
+			stopped++
 		}
 	}
-	return float64(n) / float64(len(r.parts)), len(r.parts)
+	n := len(r.parts)
+	return float64(containing) / float64(n), float64(stopped) / float64(n), n
 }
--- a/core/quarantine/quarantine_test.go
+++ b/core/quarantine/quarantine_test.go
@@ -475,3 +475,23 @@
 		t.Errorf("%+v, want the part held back", v)
 	}
 }
+
+// Guards against part after part that is held back, until nothing is served, where engines
+// crash on any request.
+func TestEnginesThatCrashOnAnythingAreStillTried(t *testing.T) {
+	t.Parallel()
+	for seed := range uint64(6) {
+		s := newSimulation(seed, 4, 24)
+		all := 0
+		rates, arrivals := map[string]float64{"any": 30}, map[string]func(){"any": func() {
+			all++
+			s.arrive(s.sound(30)...)
+		}}
+		s.run(5*time.Second, rates, arrivals)
+		s.crashOnAnything, all, s.neverSent = true, 0, 0
+		s.run(30*time.Second, rates, arrivals)
+		if s.neverSent > all*6/10 {
+			t.Errorf("seed %d: %d of %d requests never sent, want about half at most", seed, s.neverSent, all)
+		}
+	}
+}
--- a/core/quarantine/sim_test.go
+++ b/core/quarantine/sim_test.go
@@ -33,6 +33,8 @@
 		cutOff  map[int]bool
 		engines []*simEngine
 		bad     []string
+		// crashOnAnything is set if engines crash on any prompt.
+		crashOnAnything bool
 		// downtime is that of a crashed engine.
 		downtime time.Duration
 		// delivery is the time after which a change reaches the instances to which it is
@@ -47,7 +49,9 @@
 		sends                   map[string][]time.Time
 		served, refused, failed int
 		// refusedSound counts refusals of requests without a bad part.
-		refusedSound    int
+		refusedSound int
+		// neverSent counts those that were refused before their first send.
+		neverSent       int
 		messages, bytes int
 		steps           int
 	}
@@ -108,6 +112,9 @@
 	t := s.trackers[r.instance]
 	if v := t.Check(s.now, simService, r.parts, ""); v.Standing >= TrialDue || r.sends > 0 && v.Standing != Unsuspected {
 		s.refused++
+		if r.sends == 0 {
+			s.neverSent++
+		}
 		if len(r.bad) == 0 {
 			s.refusedSound++
 		}
@@ -165,7 +172,7 @@
 	if !r.answered {
 		r.answered = true
 		t.Answered(s.now, r.server.Incarnation(), r.sentAt)
-		if len(r.bad) > 0 {
+		if len(r.bad) > 0 || s.crashOnAnything {
 			s.crash(r.engine, r.bad)
 			return
 		}
