--- a/core/quarantine/decide.go
+++ b/core/quarantine/decide.go
@@ -124,8 +124,8 @@
 // held reports whether the part is held back.
 func (p *partState) held() bool { return p.epoch%2 == 1 }
 
-// Check returns what may be done with a request for a service. Parts in exempt, which are
-// those that the request tries, count as unsuspected.
+// Check returns what may be done with a request for a service. The part exempt, which the
+// request tries, counts as unsuspected; it may be "".
 func (t *Tracker) Check(now time.Time, service string, parts []string, exempt string) Verdict {
 	t.mu.Lock()
 	defer t.mu.Unlock()
--- a/core/quarantine/quarantine.go
+++ b/core/quarantine/quarantine.go
@@ -30,7 +30,7 @@
 	evidenceRetention = 5 * time.Minute
 
 	// maxCrashes and maxCrashParts bound the evidence: the oldest crash is dropped first,
-	// and of a crash's parts those whose answers had not begun.
+	// and of the parts of a crash one whose answer had not begun.
 	maxCrashes    = 64
 	maxCrashParts = 32
 
