--- a/review/testdata/drive/main.go
+++ b/review/testdata/drive/main.go
@@ -30,8 +30,8 @@
 }
 
 var cases = map[string]func(f *fleet, o options) error{
-	"failed-run":  failedRun,
-	"stale-view":  staleView,
+	"failed-run": failedRun,
+	"stale-view": staleView,
 }
 
 // machinesOf holds the number of machines of each case, and seedsOf the indexes of the
