fleet: give a difference only where all removals are known

Cause: an instance that follows another one asks for the changes since its own revision. The giver answered with a difference whenever it had any revision, though it knows only the removals that it has carried out itself. A process that had just listed the store knew none, and gave its revision without them. The same gap is opened by any later whole list, by removals of servers that the giver does not know (they were dropped), and by an answer of a watch that is applied after newer changes came from another instance.

Fix: a view keeps the revision since which it knows all removals, and gives the whole list for any earlier one. Removals of unknown servers are recorded. View.ApplyWatch applies an answer of the store as one: nothing if the view is newer, and only the last event of each server. A response to a watch with events and no later revision is no answer. The whole list is encoded once for all. Instances log what they take from a peer ("servers taken from peer").

TestRefusedEntryIsLoggedOncePerChange calls the new function with the same steps and checks.

--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -8,15 +8,7 @@
 // instance from which the changes come.
 package fleet
 
-import (
-	"slices"
-	"time"
-)
-
-const (
-	// maxRemovals is the number of removals that are kept for other instances.
-	maxRemovals = 256
-)
+import "time"
 
 type (
 	// Server is the entry of one incarnation of a server.
@@ -56,12 +48,6 @@
 		Revision int64    `json:"revision"`
 	}
 
-	// removal records that a server was removed at about the given revision.
-	removal struct {
-		id       string
-		revision int64
-	}
-
 	// View is one instance's current view of the servers. Use New to create one.
 	View struct {
 		known map[string]Server
@@ -80,11 +66,8 @@
 		revision   int64
 		// generation increases with every change to the known servers.
 		generation int64
-		// removals are the latest removals. Earlier ones, up to
-		// compactedRevision, have been dropped.
-		removals          []removal
-		compactedRevision int64
-		notices           notices
+		history    history
+		notices    notices
 		// events are the events since the last call of TakeEvents.
 		events []Event
 	}
@@ -95,6 +78,7 @@
 func New(outageAfter time.Duration) *View {
 	return &View{
 		known: make(map[string]Server), missing: make(map[string]int64), outageAfter: outageAfter,
+		history: history{removals: make(map[string]int64)},
 		notices: notices{leaving: make(map[string]leavingNotice), excluded: make(map[string]exclusion)},
 	}
 }
@@ -109,6 +93,9 @@
 	if revision < v.revision {
 		return nil
 	}
+	if revision > v.revision {
+		v.history.restart(revision)
+	}
 	v.revision = revision
 	listed := make(map[string]bool, len(servers))
 	for _, s := range servers {
@@ -132,6 +119,7 @@
 		return
 	}
 	delete(v.missing, s.ID)
+	delete(v.history.removals, s.ID)
 	if !ok || s != existing {
 		v.generation++
 	}
@@ -146,13 +134,16 @@
 // servers. While it is unchanged, a Snapshot is up to date.
 func (v *View) Generation() int64 { return v.generation }
 
-// Advance records that the view has all changes up to a revision.
+// Advance records that the view has all changes up to a revision, of which those that Set and
+// Remove apply next are the last. It is for changes that come in order; see ApplyWatch.
 func (v *View) Advance(revision int64) { v.revision = max(v.revision, revision) }
 
 // Remove handles the removal of an entry and reports whether it removed the
 // server. During the grace period after an outage it only marks it as missing.
 func (v *View) Remove(now time.Time, id string) bool {
 	if _, ok := v.known[id]; !ok {
+		// Others may know the server.
+		v.history.record(id, v.revision)
 		return false
 	}
 	if !v.inGrace(now) {
@@ -177,25 +168,27 @@
 	}
 	delete(v.known, id)
 	delete(v.missing, id)
-	v.removals = append(v.removals, removal{id: id, revision: v.revision})
-	if n := len(v.removals) - maxRemovals; n > 0 {
-		v.compactedRevision = v.removals[n-1].revision
-		v.removals = slices.Delete(v.removals, 0, n)
-	}
+	v.history.record(id, v.revision)
 }
 
 // MissingCount returns the number of servers whose entries may still reappear.
 func (v *View) MissingCount() int { return len(v.missing) }
 
+// HasChangesSince reports whether ChangesSince gives only what has changed since a revision,
+// and not the whole list. Revision 0 is that of an instance without a list.
+func (v *View) HasChangesSince(revision int64) bool {
+	return revision > 0 && revision >= v.history.since
+}
+
 // ChangesSince returns the changes after a revision, for another instance. It
-// returns the whole list if revision is 0 or the removals since then are no
-// longer all known.
+// returns the whole list if revision is 0 or the removals since then are not
+// all known.
 func (v *View) ChangesSince(revision int64) Changes {
 	out := Changes{Revision: v.revision}
 	if revision >= v.revision {
 		return out
 	}
-	out.Whole = revision == 0 || len(v.removals) > 0 && revision < v.compactedRevision
+	out.Whole = !v.HasChangesSince(revision)
 	for _, s := range v.known {
 		if _, missing := v.missing[s.ID]; !missing && (out.Whole || s.Revision > revision) {
 			out.Servers = append(out.Servers, s)
@@ -207,11 +200,7 @@
 		}
 	}
 	if !out.Whole {
-		for _, r := range v.removals {
-			if r.revision > revision {
-				out.Removed = append(out.Removed, r.id)
-			}
-		}
+		out.Removed = v.history.after(revision)
 	}
 	return out
 }
@@ -223,11 +212,12 @@
 	if c.Revision <= v.revision {
 		return nil
 	}
-	v.revision = c.Revision
 	candidates := c.Removed
 	if c.Whole {
 		candidates = v.unlisted(c)
+		v.history.restart(c.Revision)
 	}
+	v.revision = c.Revision
 	if until := now.Add(recoveryGrace); len(c.Missing) > 0 && v.answersAreOld(now) && v.graceUntil.Before(until) {
 		// Only the other instance knows of the outage.
 		v.graceUntil = until
@@ -239,10 +229,12 @@
 	for _, id := range candidates {
 		// The other instance has ruled out that the entry may reappear, so there
 		// is no grace period.
-		if _, ok := v.known[id]; ok {
-			v.forget(id)
-			removed = append(removed, id)
+		if _, ok := v.known[id]; !ok {
+			v.history.record(id, v.revision)
+			continue
 		}
+		v.forget(id)
+		removed = append(removed, id)
 	}
 	for _, s := range c.Servers {
 		v.Set(s)
--- a/edge/refused_test.go
+++ b/edge/refused_test.go
@@ -104,7 +104,10 @@
 		return platform.Change{Object: object.Object{Kind: "servers", Name: id, Version: revision, Data: []byte(spec)}}
 	}
 	apply := func(c platform.Change) {
-		in.state.updateServers(sourceStore, func(v *fleet.View, now time.Time) { in.applyServerChange(v, now, c) })
+		update := in.serverUpdate(c)
+		in.state.updateServers(sourceStore, func(v *fleet.View, now time.Time) {
+			v.ApplyWatch(now, []fleet.Update{update}, c.Object.Version)
+		})
 	}
 	const odd, sound = `{"service":"desk","state":"ready","address":"x"}`, `{"service":"desk","state":"ready","address":"10.0.0.1:80"}`
 	for step, tt := range []struct {
--- a/edge/state.go
+++ b/edge/state.go
@@ -296,6 +296,16 @@
 	}
 }
 
+// logChanges logs what a peer gives as the changes of the servers since a revision, if there are
+// any. With the lines of single servers it shows which of them a peer left out.
+func (c *clusterState) logChanges(from string, after int64, changes fleet.Changes) {
+	if !changes.Whole && len(changes.Servers)+len(changes.Removed)+len(changes.Missing) == 0 {
+		return
+	}
+	c.instance.log.Info("servers taken from peer", zap.String("from", from), zap.Int64("after", after), zap.Int64("revision", changes.Revision), zap.Bool("whole", changes.Whole),
+		zap.Int("listed", len(changes.Servers)), zap.Int("removed", len(changes.Removed)), zap.Int("missing", len(changes.Missing)))
+}
+
 func (c *clusterState) setNumInstances(count int) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -472,6 +482,10 @@
 // compressed. They are encoded once for all peers that have the same revision. The
 // caller holds mu.
 func (c *clusterState) serverChanges(after int64) (plain, compressed []byte) {
+	if !c.view.HasChangesSince(after) {
+		// The whole list is the same for all.
+		after = 0
+	}
 	if e := c.encodedServers; e.after == after && e.generation == c.view.Generation() && e.revision == c.view.Revision() && e.plain != nil {
 		return e.plain, e.compressed
 	}
@@ -523,6 +537,7 @@
 		if changes.Revision <= v.Revision() {
 			return
 		}
+		c.logChanges(from, v.Revision(), changes)
 		v.Apply(now, changes)
 		for _, id := range refused {
 			v.Remove(now, id)
--- a/edge/storewatch.go
+++ b/edge/storewatch.go
@@ -218,31 +218,30 @@
 	if err != nil {
 		return 0, err
 	}
-	in.state.updateServers(sourceStore, func(v *fleet.View, now time.Time) {
-		v.StoreAnswered(now)
-		v.Advance(revision)
-		for _, c := range changes {
-			in.applyServerChange(v, now, c)
-		}
-	})
+	events := make([]fleet.Update, 0, len(changes))
+	for _, c := range changes {
+		events = append(events, in.serverUpdate(c))
+	}
+	in.state.updateServers(sourceStore, func(v *fleet.View, now time.Time) { v.ApplyWatch(now, events, revision) })
 	in.state.recordConfirmations(sourceStore, time.Time{}, answeredAt)
 	return max(after, revision), nil
 }
 
-func (in *Instance) applyServerChange(v *fleet.View, now time.Time, c platform.Change) {
+// serverUpdate returns what an event of the store means for the servers to use.
+func (in *Instance) serverUpdate(c platform.Change) fleet.Update {
+	out := fleet.Update{ID: c.Object.Name}
 	if c.Removed {
-		in.refused.forget(c.Object.Name)
-		v.Remove(now, c.Object.Name)
-		return
+		in.refused.forget(out.ID)
+		return out
 	}
 	s, err := platform.DecodeServer(c.Object)
 	if err != nil {
-		in.refuseEntry(sourceStore, c.Object.Name, c.Object.Version, err)
-		v.Remove(now, c.Object.Name)
-		return
+		in.refuseEntry(sourceStore, out.ID, c.Object.Version, err)
+		return out
 	}
-	in.refused.forget(s.ID)
-	v.Set(s)
+	in.refused.forget(out.ID)
+	out.Server = &s
+	return out
 }
 
 // shouldWatchStore reports whether this instance has to watch the store itself,
--- a/node/watch.go
+++ b/node/watch.go
@@ -113,15 +113,15 @@
 		if changes, next, err = in.platformStore.WatchServers(ctx, revision, listWatchTimeout); err != nil {
 			return err
 		}
-		view.StoreAnswered(time.Now())
-		view.Advance(next)
+		events := make([]fleet.Update, 0, len(changes))
 		for _, c := range changes {
+			e := fleet.Update{ID: c.Object.Name}
 			if servers := in.decodeServers([]object.Object{c.Object}); !c.Removed && len(servers) == 1 {
-				view.Set(servers[0])
-			} else {
-				view.Remove(time.Now(), c.Object.Name)
+				e.Server = &servers[0]
 			}
+			events = append(events, e)
 		}
+		view.ApplyWatch(time.Now(), events, next)
 		return nil
 	})
 	return max(revision, next), err
