relay: relay no promise that a server has not made

Cause: whether a status promises that nothing ran was checked for errors of this system's own (io/front) and not for answers of servers that are relayed (core/relay), of plain services and of engines, with 408, 429 and 503 alike.

Fix: execution.respond is the only way to relay a complete answer. Where the status promises, the server did not say that it has not run the request and the request must not run twice, the caller gets 502 of this system's own, without the server's stamp and Retry-After. What may run again keeps the server's answer. The statuses that promise are listed once, in core/fault.

The same question at the pipelines' interface: an endpoint that refuses a call after it has begun the work was reported with 503 beside "ran: unknown", now 502 (TestOutcomeThatMayHaveRunHasNoStatusThatPromisesOtherwise, failed before).

--- a/core/fault/fault.go
+++ b/core/fault/fault.go
@@ -10,6 +10,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"net/http"
 	"time"
 
 	"github.com/twitchtv/twirp"
@@ -183,6 +184,27 @@
 	return &Error{kind: kind, ran: kind.Properties().DefaultRan, err: fmt.Errorf(format, args...)}
 }
 
+// PromisesNotRun reports whether an HTTP status promises a caller that its request has not
+// run and never will, so that the caller may send it again.
+func PromisesNotRun(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	}
+	return false
+}
+
+// HTTPStatus returns the status code of an answer to the caller of a request that must not run
+// twice: that of the kind or, if it promises that the request has not run and this is not
+// known, 502.
+func (e *Error) HTTPStatus() int {
+	status := e.kind.Properties().HTTPStatus
+	if PromisesNotRun(status) && e.ran != RanNo {
+		return http.StatusBadGateway
+	}
+	return status
+}
+
 // Error returns the message without the kind.
 func (e *Error) Error() string { return e.err.Error() }
 
--- a/core/relay/engine.go
+++ b/core/relay/engine.go
@@ -247,8 +247,7 @@
 	if e.stream.started {
 		return stepFinish, fault.Errorf(fault.AnswerIncomplete, "engine %s failed with status %d after the stream had started", p.server.ID, resp.Status)
 	}
-	e.w.Respond(resp.Status, resp.Header, body)
-	return stepFinish, nil
+	return stepFinish, e.respond(p.server.ID, resp, body)
 }
 
 // handleEngineSendError decides what follows a send without a complete
--- a/core/relay/plain.go
+++ b/core/relay/plain.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"slices"
 
@@ -129,8 +130,19 @@
 	} else {
 		s.Finish(e.org, grant, 1, 1, 1)
 	}
+	return false, e.respond(server.ID, resp, body)
+}
+
+// respond relays the complete response of a server. If its status promises that the request
+// has not run, and the request must not run twice, that takes the server's word that it has
+// not run it: without that the caller gets an error that promises nothing.
+func (e *execution) respond(server string, resp *Response, body []byte) error {
+	if fault.PromisesNotRun(resp.Status) && !e.route.MayRunAgain() {
+		e.log("replaced", fmt.Sprintf("status %d promises more than the server said", resp.Status), server)
+		return fault.Errorf(fault.EndpointFailed, "server %s answered with status %d and did not say that it has not run the request", server, resp.Status)
+	}
 	e.w.Respond(resp.Status, resp.Header, body)
-	return false, nil
+	return nil
 }
 
 // mayGoElsewhere reports whether a server that could not be reached leaves others that may
--- a/edge/refusal_test.go
+++ b/edge/refusal_test.go
@@ -247,3 +247,42 @@
 		t.Error("no request reached the engine")
 	}
 }
+
+// Guards against a customer who pays twice: a server that had run a request and failed after it
+// answered with a status that promises that nothing ran, and that was relayed. The 502 in its
+// place bears neither the server's stamp nor its time to return.
+func TestServersFailureAfterRunIsNoRefusal(t *testing.T) {
+	t.Parallel()
+	for _, status := range []int{http.StatusRequestTimeout, http.StatusTooManyRequests, http.StatusServiceUnavailable} {
+		for _, kind := range []string{"non_idempotent", "idempotent"} {
+			t.Run(fmt.Sprintf("%s/%d", kind, status), func(t *testing.T) {
+				t.Parallel()
+				server := newRawServer(t, func(s *rawServer, conn net.Conn, next func() (*http.Request, string, bool)) {
+					for {
+						req, _, ok := next()
+						if !ok {
+							return
+						}
+						id := stand.RequestID(req)
+						s.run(id)
+						_, _ = fmt.Fprintf(conn, "HTTP/1.1 %d Failed\r\n%s: %s\r\n%s: i-1.%s\r\nRetry-After: 1\r\nContent-Length: 6\r\n\r\nfailed", status, stand.HeaderRequestID, id, stand.HeaderServerStamp, id)
+					}
+				})
+				s := startSiteWith(t, configSpec(1, apiKeys, routeSpec("book", kind, "desk", nil)), map[string]string{"desk": server.address})
+				got := s.post(0, "/book/1", "r-1")
+				if kind == "idempotent" {
+					if got.status != status || got.header.Get(stand.HeaderServerStamp) == "" {
+						t.Errorf("status %d, header %v, error %v, want the server's answer", got.status, got.header, got.err)
+					}
+					return
+				}
+				if got.status != http.StatusBadGateway || got.header.Get(stand.HeaderServerStamp) != "" || got.header.Get("Retry-After") != "" {
+					t.Errorf("status %d, header %v, error %v, want 502 of the instance's own", got.status, got.header, got.err)
+				}
+				if runs := server.numRuns("r-1"); runs != 1 {
+					t.Errorf("the request ran %d times", runs)
+				}
+			})
+		}
+	}
+}
--- a/io/caller/answer.go
+++ b/io/caller/answer.go
@@ -70,7 +70,8 @@
 
 func (c *call) writeOutcome(o once.Outcome) {
 	if err := outcomeError(o); err != nil {
-		c.writeError(err)
+		// An endpoint may have refused a call after it had begun the work.
+		c.writeErrorAs(err.HTTPStatus(), err)
 		return
 	}
 	var answer pipeline.Answer
@@ -136,10 +137,14 @@
 }
 
 func (c *call) writeError(err *fault.Error) {
-	if err.Kind().Properties().Retryable {
+	c.writeErrorAs(err.Kind().Properties().HTTPStatus, err)
+}
+
+func (c *call) writeErrorAs(status int, err *fault.Error) {
+	if err.Kind().Properties().Retryable && fault.PromisesNotRun(status) {
 		c.w.Header().Set("Retry-After", "1")
 	}
-	c.writeJSON(err.Kind().Properties().HTTPStatus, c.newErrorBody(err))
+	c.writeJSON(status, c.newErrorBody(err))
 }
 
 func (c *call) newErrorBody(err *fault.Error) errorBody {
--- a/io/caller/caller_test.go
+++ b/io/caller/caller_test.go
@@ -258,6 +258,21 @@
 	}
 }
 
+// Guards against callers that send a request again that must not run twice: an endpoint that
+// refused a call after it had begun the work was reported with 503.
+func TestOutcomeThatMayHaveRunHasNoStatusThatPromisesOtherwise(t *testing.T) {
+	for ran, want := range map[fault.Ran]int{fault.RanNo: 503, fault.RanUnknown: 502, fault.RanYes: 502} {
+		s := newTestServer(t, func(context.Context, pipeline.Request) (pipeline.Answer, error) {
+			return pipeline.Answer{}, fault.Errorf(fault.EndpointUnavailable, "full").WithRan(ran)
+		})
+		for range 2 {
+			if status, _, body := s.send(t, "/v1/kinds/book", `{"text":"x"}`, "Idempotency-Key", "order-1"); status != want {
+				t.Errorf("ran %v: status %d, body %s, want status %d", ran, status, body, want)
+			}
+		}
+	}
+}
+
 func TestRequestsInFlightAreLimitedPerOrganisation(t *testing.T) {
 	release := make(chan struct{})
 	entered := make(chan struct{}, 2)
--- a/io/front/front.go
+++ b/io/front/front.go
@@ -157,15 +157,12 @@
 // which makes that promise.
 func (s *Server) writeError(w http.ResponseWriter, id string, err error) {
 	e := fault.From(err)
-	status := e.Kind().Properties().HTTPStatus
+	status := e.HTTPStatus()
 	if e.Kind() == fault.Cancelled {
 		// The status of the kind is for logs: it would say that the request is invalid.
 		status = http.StatusBadGateway
 	}
-	switch {
-	case promisesNotRun(status) && e.Ran() != fault.RanNo:
-		status = http.StatusBadGateway
-	case status >= http.StatusInternalServerError && e.Ran() == fault.RanNo:
+	if status >= http.StatusInternalServerError && e.Ran() == fault.RanNo {
 		status = http.StatusServiceUnavailable
 	}
 	var refusal *relay.Refusal
@@ -178,12 +175,3 @@
 	}
 	http.Error(w, e.Kind().String(), status)
 }
-
-// promisesNotRun reports whether a status tells the caller that nothing ran.
-func promisesNotRun(status int) bool {
-	switch status {
-	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
-		return true
-	}
-	return false
-}
