io, relay: believe the bytes that came in time before a time-out

Cause: a read of package net whose deadline has passed fails although bytes are in the socket's buffer. A process that stands still across the end of an idle time therefore closes a connection whose request has come. The same order decided over the time for headers, the closing of idle connections in a planned stop, and the silence of a server's stream.

Fix: io/arrived, a listener whose connections, once the deadline has passed, return what has arrived and fail only if there is nothing. All HTTP servers of edge and node use it. A timer of silenceWatch that fires over 100 ms late shows a stall, which counts as no silence (TestStallOfTheProcessIsNoSilence).

--- a/core/relay/silence.go
+++ b/core/relay/silence.go
@@ -32,6 +32,10 @@
 	// replaceInterval is the time between two tries to find another server for a stream
 	// whose server is silent or has broken off.
 	replaceInterval = 250 * time.Millisecond
+
+	// A timer that fires later than stallTolerance shows that the process has stood still.
+	// What a server sent meanwhile gets as long to be read before its silence counts.
+	stallTolerance = 100 * time.Millisecond
 )
 
 type (
@@ -40,8 +44,9 @@
 	silenceLimits struct{ suspect, replace time.Duration }
 
 	// silenceWatch measures for how long the server of an attempt completes no event.
-	// Time in which the caller is written to does not count. Silence alone never ends
-	// an attempt: it is cancelled only once another one is sure to follow.
+	// Time in which the caller is written to, or the process stands still, does not count.
+	// Silence alone never ends an attempt: it is cancelled only once another one is sure to
+	// follow.
 	silenceWatch struct {
 		clock stage.Clock
 		// betweenEvents applies from the first event on.
@@ -70,8 +75,10 @@
 		replacing     bool
 		stopReplacing context.CancelFunc
 		stopTimer     func() bool
-		next          *nextAttempt
-		ended         bool
+		// due is when the timer was to fire.
+		due   time.Time
+		next  *nextAttempt
+		ended bool
 	}
 
 	// silentReader is the body of a watched response.
@@ -174,7 +181,12 @@
 	case silent < w.limits.replace:
 		d = w.limits.replace - silent
 	}
-	w.stopTimer = w.clock.AfterFunc(max(0, d), w.check)
+	w.armAfter(max(0, d))
+}
+
+func (w *silenceWatch) armAfter(d time.Duration) {
+	w.due = w.clock.Now().Add(d)
+	w.stopTimer = w.clock.AfterFunc(d, w.check)
 }
 
 func (w *silenceWatch) disarm() {
@@ -198,7 +210,13 @@
 	if w.ended || w.replacing || w.waitingSince.IsZero() {
 		return
 	}
-	silent := w.silentAt(w.clock.Now())
+	now := w.clock.Now()
+	if late := now.Sub(w.due); late > stallTolerance {
+		w.waitingSince = w.waitingSince.Add(late)
+		w.armAfter(stallTolerance)
+		return
+	}
+	silent := w.silentAt(now)
 	if !w.suspected && silent >= w.limits.suspect {
 		w.suspected = true
 		w.suspect(silent)
--- a/core/relay/silence_test.go
+++ b/core/relay/silence_test.go
@@ -21,6 +21,7 @@
 	"chervilpath/core/fleet"
 	"chervilpath/core/quarantine"
 	"chervilpath/core/route"
+	"chervilpath/core/stage"
 )
 
 // part is a part of a stream that comes after a pause. A part with an error ends the
@@ -553,3 +554,35 @@
 		st.check(t, 2, 2)
 	})
 }
+
+// Guards against a sound server that is taken for silent, and a stream that is moved away from
+// it: the process stood still while the server sent.
+func TestStallOfTheProcessIsNoSilence(t *testing.T) {
+	const limit, stall = time.Second, 700 * time.Millisecond
+	now, due := time.Unix(1000, 0), time.Time{}
+	var fire func()
+	suspected, replaced := 0, 0
+	w := &silenceWatch{
+		clock: stage.Clock{Now: func() time.Time { return now }, AfterFunc: func(d time.Duration, f func()) func() bool {
+			due, fire = now.Add(d), f
+			return func() bool { return true }
+		}},
+		limits: silenceLimits{suspect: limit, replace: limit}, suspect: func(time.Duration) { suspected++ },
+		prepare: func(context.Context, bool, time.Duration) (*nextAttempt, bool) { replaced++; return nil, false },
+	}
+	w.wait()
+	now = due.Add(stall)
+	fire()
+	if suspected+replaced > 0 {
+		t.Fatal("the server is suspected before what it sent could be read")
+	}
+	// Silence counts from then on.
+	now = due
+	fire()
+	if suspected != 1 || replaced != 1 {
+		t.Errorf("suspected %d times, replaced %d times, want once each", suspected, replaced)
+	}
+	if got := now.Sub(time.Unix(1000, 0)); got != limit+stall+stallTolerance {
+		t.Errorf("suspected after %v", got)
+	}
+}
--- a/edge/services.go
+++ b/edge/services.go
@@ -13,6 +13,7 @@
 
 	"chervilpath/core/kernel"
 	"chervilpath/core/relay"
+	"chervilpath/io/arrived"
 	"chervilpath/io/front"
 	"chervilpath/io/operator"
 	"chervilpath/io/peer"
@@ -190,7 +191,7 @@
 		in.listeners[s.Name] = l
 		go func() {
 			defer close(l.done)
-			if err := server.Serve(wrap(ln)); !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
+			if err := server.Serve(wrap(arrived.NewListener(ln))); !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
 				in.log.Error("HTTP server stopped unexpectedly", zap.String("service", s.Name), zap.Error(err))
 			}
 		}()
--- a/io/front/conns.go
+++ b/io/front/conns.go
@@ -50,7 +50,7 @@
 }
 
 // CloseIdle makes the server close the connections that have carried a request and wait
-// for another one, unless it has read that one already, and returns the number of
+// for another one, unless that one has begun to arrive, and returns the number of
 // connections that are still open. The server may miss it for a connection that has just
 // become idle, so CloseIdle has to be called until it returns 0.
 func (c *Conns) CloseIdle() int {
@@ -62,7 +62,7 @@
 			if cc, ok := conn.(*callerConn); ok {
 				cc.interrupted.Store(true)
 			}
-			// Reading fails from now on, whatever has arrived and was not read. An error
+			// Reading fails from now on unless bytes have arrived, see io/arrived. An error
 			// means that the connection is closed.
 			_ = conn.SetReadDeadline(time.Unix(1, 0))
 		}
--- a/node/services.go
+++ b/node/services.go
@@ -12,6 +12,7 @@
 	"golang.org/x/net/netutil"
 
 	"chervilpath/core/kernel"
+	"chervilpath/io/arrived"
 	"chervilpath/io/operator"
 	"chervilpath/io/peer"
 )
@@ -161,6 +162,7 @@
 	if err != nil {
 		return nil, err
 	}
+	ln = arrived.NewListener(ln)
 	if l.maxConnections > 0 {
 		ln = netutil.LimitListener(ln, l.maxConnections)
 	}
