peer: limit what is read of calls and replies between instances

What callers saw (reported by other operators): a server that sent bytes without end took the machine that had called it out of memory, and the requests of others with it. Readers of servers and of the store had a bound; calls between instances had none, and addresses of instances that are gone are used again.

Now each call ends after the largest message that it can have.

The pipelines' calls of endpoints now have a limit for heads, as calls of servers had.

--- a/io/endpoint/endpoint.go
+++ b/io/endpoint/endpoint.go
@@ -26,6 +26,9 @@
 const (
 	maxAnswerBytes = 16 << 20
 
+	// maxHeaderBytes is the largest head of an answer, interim answers included.
+	maxHeaderBytes = 64 << 10
+
 	// maxShortBodyBytes limits the bodies of errors, load reports and states,
 	// and how much of an unread body is discarded to reuse its connection.
 	maxShortBodyBytes = 4096
@@ -74,6 +77,8 @@
 		MaxIdleConnsPerHost: 256,
 		IdleConnTimeout:     90 * time.Second,
 		DisableCompression:  true,
+
+		MaxResponseHeaderBytes: maxHeaderBytes,
 	}
 }
 
--- a/io/peer/peer.go
+++ b/io/peer/peer.go
@@ -35,8 +35,7 @@
 	probeTimeout = 2 * pingTimeout
 	syncTimeout  = 5 * time.Second
 
-	maxRequestBytes = 16 << 20
-	bearerPrefix    = "Bearer "
+	bearerPrefix = "Bearer "
 )
 
 type (
@@ -78,7 +77,7 @@
 		transferred *atomic.Int64
 	}
 
-	// authTransport adds the shared secret to requests.
+	// authTransport adds the shared secret to requests and limits replies.
 	authTransport struct {
 		secret string
 		next   http.RoundTripper
@@ -128,7 +127,14 @@
 func (t authTransport) RoundTrip(r *http.Request) (*http.Response, error) {
 	r = r.Clone(r.Context())
 	r.Header.Set("Authorization", bearerPrefix+t.secret)
-	return t.next.RoundTrip(r)
+	resp, err := t.next.RoundTrip(r)
+	if err == nil {
+		err = limitReply(resp, r.URL.Path)
+	}
+	if err != nil {
+		return nil, err
+	}
+	return resp, nil
 }
 
 // CloseIdleConnections lets http.Client close the idle connections of the
@@ -211,7 +217,7 @@
 			_ = twirp.WriteError(w, twirp.NewError(twirp.Unauthenticated, "the peer secret is missing or wrong"))
 			return
 		}
-		r.Body = http.MaxBytesReader(w, r.Body, maxRequestBytes)
+		r.Body = http.MaxBytesReader(w, r.Body, messageLimit(r.URL.Path))
 		h.ServeHTTP(w, r)
 	})
 	return mux
