memory: bound the sum of large bodies, answers and events

What callers saw (reported by other operators): a process that ran out of memory while servers sent without end, and their requests ended with it.

Cause: each answer, event and body has a bound, their sum had none.

Fix: core/memory, a pool that large messages share. A body without room is refused after 0.5 s (429, not run), an answer waits until its request's time ends. The setting memoryMb names the memory, of which the garbage collector avoids the last quarter.

TestLargeBodyWithoutRoomIsRefused.

--- a/cmd/entry.go
+++ b/cmd/entry.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
 
 	"go.uber.org/zap"
@@ -18,6 +19,10 @@
 	"chervilpath/platform"
 )
 
+// heapFraction is the part of the machine's memory from which on the garbage collector works
+// harder rather than letting the heap grow. The rest is for sockets' buffers and the program.
+const heapFraction = 0.75
+
 type entryCommand struct {
 	*program
 	Settings string `long:"settings" value-name:"FILE" description:"Settings file of the instance, see docs/SETTINGS.md (default: the file that the platform names)"`
@@ -88,6 +93,7 @@
 	if err != nil {
 		return &exitError{exitInvalid, err}
 	}
+	debug.SetMemoryLimit(int64(heapFraction * float64(cfg.Memory())))
 	out := lines.New(c.out)
 	log, err := newLogger(out, cfg.LogLevel())
 	if err != nil {
--- a/core/relay/engine.go
+++ b/core/relay/engine.go
@@ -7,6 +7,7 @@
 	"chervilpath/core/balance"
 	"chervilpath/core/fault"
 	"chervilpath/core/gather"
+	"chervilpath/core/memory"
 )
 
 const (
@@ -161,6 +162,7 @@
 	start := e.now()
 	ev := e.newEvidence(p.server)
 	e.begun = false
+	e.stream.reserve = func(n int64) (memory.Reservation, error) { return e.relay.deps.Answers.Reserve(attemptCtx, n) }
 	watch.wait()
 	resp, err := e.relay.deps.Send(attemptCtx, attempt)
 	watch.pause()
@@ -233,7 +235,8 @@
 // handleEngineFailure relays the error response of an engine, or has the
 // request retried at another one.
 func (e *execution) handleEngineFailure(ctx context.Context, p placement, watch *silenceWatch, ev *evidence, resp *Response) (nextStep, error) {
-	body, err := readBody(resp)
+	body, reserved, err := e.readBody(ctx, resp)
+	defer reserved.Release()
 	if err != nil {
 		return e.handleEngineSendError(ctx, p, watch, ev, err)
 	}
--- a/core/relay/plain.go
+++ b/core/relay/plain.go
@@ -4,13 +4,13 @@
 	"context"
 	"errors"
 	"fmt"
-	"io"
 	"slices"
 
 	"chervilpath/core/balance"
 	"chervilpath/core/declare"
 	"chervilpath/core/fault"
 	"chervilpath/core/fleet"
+	"chervilpath/core/memory"
 	"chervilpath/core/stage"
 )
 
@@ -95,7 +95,9 @@
 	e.begun = err == nil
 	var body []byte
 	if err == nil {
-		body, err = readBody(resp)
+		var reserved memory.Reservation
+		body, reserved, err = e.readBody(ctx, resp)
+		defer reserved.Release()
 	}
 	switch {
 	case err != nil:
@@ -194,15 +196,8 @@
 	}
 }
 
-// readBody reads a response to its end.
-func readBody(resp *Response) ([]byte, error) {
+// readBody reads a response to its end and returns it with the room that it takes.
+func (e *execution) readBody(ctx context.Context, resp *Response) ([]byte, memory.Reservation, error) {
 	defer func() { _ = resp.Body.Close() }()
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxBufferedBytes+1))
-	if err != nil {
-		return nil, err
-	}
-	if len(body) > maxBufferedBytes {
-		return nil, errors.New("the response is larger than 1 MiB")
-	}
-	return body, nil
+	return e.relay.deps.Answers.ReadAll(ctx, resp.Body, -1, maxBufferedBytes)
 }
--- a/core/relay/stream.go
+++ b/core/relay/stream.go
@@ -6,6 +6,8 @@
 	"fmt"
 	"io"
 	"strconv"
+
+	"chervilpath/core/memory"
 )
 
 // maxEventBytes is the largest incomplete event that is buffered.
@@ -25,7 +27,12 @@
 	// in this or an earlier attempt, or "".
 	lastEventID string
 	eventCount  int
-	pending     []byte
+	// pending holds the beginning of an event that is not complete. If it is large, reserved
+	// is the room for it, which reserve gets.
+	pending  []byte
+	reserved memory.Reservation
+	hasRoom  bool
+	reserve  func(n int64) (memory.Reservation, error)
 }
 
 var (
@@ -62,6 +69,7 @@
 // complete. One whose end is that of its connection is not if it has no event.
 func (s *stream) relayEvents(body io.Reader, endsWithConnection bool, onRead func(events int)) error {
 	s.pending = s.pending[:0]
+	defer s.releasePending()
 	before := s.eventCount
 	buf := make([]byte, 16<<10)
 	for {
@@ -87,6 +95,33 @@
 		if len(s.pending) > maxEventBytes {
 			return io.ErrShortBuffer
 		}
+		if err := s.reservePending(); err != nil {
+			return err
+		}
+	}
+}
+
+// reservePending reserves room for an incomplete event that has become large, and gives it back
+// once there is none any more.
+func (s *stream) reservePending() error {
+	if len(s.pending) <= memory.SmallBytes {
+		s.releasePending()
+		return nil
+	}
+	if s.hasRoom || s.reserve == nil {
+		return nil
+	}
+	reserved, err := s.reserve(maxEventBytes)
+	s.reserved, s.hasRoom = reserved, err == nil
+	return err
+}
+
+// releasePending gives back the room for an incomplete event, and its buffer if that is large.
+func (s *stream) releasePending() {
+	s.reserved.Release()
+	s.hasRoom = false
+	if cap(s.pending) > memory.SmallBytes {
+		s.pending = append([]byte(nil), s.pending...)
 	}
 }
 
--- a/core/relay/types.go
+++ b/core/relay/types.go
@@ -17,6 +17,7 @@
 	"chervilpath/core/engine"
 	"chervilpath/core/fault"
 	"chervilpath/core/fleet"
+	"chervilpath/core/memory"
 	"chervilpath/core/quarantine"
 	"chervilpath/core/route"
 	"chervilpath/core/stage"
@@ -192,6 +193,9 @@
 		ConfigFresh func() bool
 		Servers     func() *fleet.Snapshot
 		Send        func(ctx context.Context, a Attempt) (*Response, error)
+		// Answers is the memory that large answers and events share while they are
+		// buffered.
+		Answers *memory.Pool
 		// RunStage has the pieces of a stage processed and returns the handles
 		// of their results.
 		RunStage func(ctx context.Context, job StageJob) ([]string, error)
--- a/core/settings/site.go
+++ b/core/settings/site.go
@@ -22,6 +22,7 @@
 		store           string
 		bounds          Bounds
 		weight          float64
+		memory          int64
 	}
 
 	// Bounds holds the times and rates that the platform's rules prescribe.
@@ -88,6 +89,7 @@
 			Doc:  "Resources of the machine on which the instance runs. Instances with more resources do more work for other instances.",
 			Options: []option.Option{
 				{Key: "cores", Kind: option.Number, Default: "1", Min: 0.001, Max: 1024, Doc: "Number of processor cores, which may be a fraction."},
+				{Key: "memoryMb", Kind: option.Number, Default: "256", Min: 16, Max: 1 << 20, Doc: "Memory in MB. It bounds how much the bodies of requests and the answers of servers take together."},
 				{Key: "linkMbps", Kind: option.Number, Default: "1000", Min: 0.1, Max: 1000000, Doc: "Bandwidth of the network link in Mbit/s."},
 			},
 		},
@@ -130,6 +132,7 @@
 		callerAddress: site.Text("callerAddress"), peerAddress: site.Text("peerAddress"), operatorAddress: site.Text("operatorAddress"),
 		seeds: site.List("seeds"), logLevel: site.Text("logLevel"), store: sections["store"].Text("address"),
 		weight: min(machine.Number("cores"), machine.Number("linkMbps")/mbpsPerCore),
+		memory: int64(machine.Number("memoryMb")) << 20,
 		bounds: Bounds{
 			Drain: bounds.Duration("drain"), ConfigPropagation: bounds.Duration("config"), HeartbeatInterval: bounds.Duration("heartbeat"),
 			Grace: bounds.Duration("grace"), RetryRatio: bounds.Number("repeatRatio"),
@@ -163,6 +166,9 @@
 // Store returns the address of the platform's store.
 func (s Site) Store() string { return s.store }
 
+// Memory returns the memory of the machine in bytes.
+func (s Site) Memory() int64 { return s.memory }
+
 // Weight returns the instance's capacity for work that it does for other
 // instances, in cores.
 func (s Site) Weight() float64 { return s.weight }
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -21,6 +21,7 @@
 	"chervilpath/core/fault"
 	"chervilpath/core/kernel"
 	"chervilpath/core/member"
+	"chervilpath/core/memory"
 	"chervilpath/core/quarantine"
 	"chervilpath/core/relay"
 	"chervilpath/core/settings"
@@ -126,6 +127,7 @@
 	in.relay = relay.New(in.relayDeps())
 	in.callerServer = front.New(front.Deps{
 		Now: time.Now, ParseRequest: platform.ReadRequest, Serve: in.relay.Serve, MaxBodyBytes: in.maxBody,
+		Bodies:        memory.New(int64(bodyFraction * float64(cfg.Memory()))),
 		SetRetryAfter: platform.SetRetryAfter, RequestFailed: in.recordFault, RequestAborted: in.recordAbort, RequestDone: in.metrics.recordRequest,
 	})
 	return in, in.addServices(k)
@@ -141,7 +143,7 @@
 func (in *Instance) relayDeps() relay.Deps {
 	return relay.Deps{
 		Clock: in.clock, AwaitReady: in.awaitReady, Table: in.state.table, ConfigFresh: in.state.configFresh, Servers: in.state.servers,
-		Send: in.upstream.Send, RunStage: in.delegator.runStage, FreeResults: in.delegator.freeResults, Place: in.delegator.place, Settle: in.delegator.settle, Suspect: in.delegator.suspect,
+		Send: in.upstream.Send, Answers: memory.New(int64(answerFraction * float64(in.cfg.Load().Memory()))), RunStage: in.delegator.runStage, FreeResults: in.delegator.freeResults, Place: in.delegator.place, Settle: in.delegator.settle, Suspect: in.delegator.suspect,
 		ResultZone: func(handle string) string { return in.state.servers().Zone(platform.ResultAddress(handle)) },
 		PlainStage: in.state.plainStage, RecordCall: in.state.recordCall, AllowRetry: in.state.allowRetry,
 		Quarantine: in.quarantine, QuarantineChanged: in.notifyQuarantine,
@@ -151,6 +153,14 @@
 	}
 }
 
+// The bodies of large requests take at most bodyFraction of the machine's memory together, and
+// large answers of servers answerFraction. The rest is for everything else, and for what the
+// garbage collector has not freed yet.
+const (
+	bodyFraction   = 0.25
+	answerFraction = 0.125
+)
+
 // maxStartTime is the time after the start for which requests wait for an instance
 // that is not ready.
 const maxStartTime = 1500 * time.Millisecond
--- a/io/front/front.go
+++ b/io/front/front.go
@@ -8,12 +8,12 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"net/http"
 	"sync/atomic"
 	"time"
 
 	"chervilpath/core/fault"
+	"chervilpath/core/memory"
 	"chervilpath/core/relay"
 )
 
@@ -28,6 +28,9 @@
 		Serve func(ctx context.Context, req *relay.Request, w relay.ResponseWriter) (started bool, err error)
 		// MaxBodyBytes returns the maximum size of a request's body.
 		MaxBodyBytes func() int64
+		// Bodies is the memory that large bodies share, from their arrival until their
+		// requests have ended.
+		Bodies *memory.Pool
 		// SetRetryAfter sets the header that says when the caller may retry.
 		SetRetryAfter func(h http.Header, after time.Duration)
 		// RequestFailed is called for each request that is answered with an
@@ -49,6 +52,14 @@
 	}
 )
 
+// maxBodyWait is how long a large body waits for room among the others. Callers that see their
+// request unread for a second give up.
+const maxBodyWait = 500 * time.Millisecond
+
+// bodyRetryAfter is the time after which the caller of a request whose body found no room is
+// advised to return.
+const bodyRetryAfter = time.Second
+
 // New returns a server for the callers of routes.
 func New(deps Deps) *Server { return &Server{deps: deps} }
 
@@ -68,7 +79,8 @@
 	if s.closing.Load() {
 		w.Header().Set("Connection", "close")
 	}
-	body, err := s.readBody(w, r)
+	body, reserved, err := s.readBody(w, r)
+	defer reserved.Release()
 	if err != nil {
 		s.writeError(w, "", err)
 		return
@@ -101,19 +113,25 @@
 	return fault.From(err).Kind().String()
 }
 
-func (s *Server) readBody(w http.ResponseWriter, r *http.Request) ([]byte, error) {
+// readBody reads the body of a request and returns it with the room that it takes.
+func (s *Server) readBody(w http.ResponseWriter, r *http.Request) ([]byte, memory.Reservation, error) {
 	if r.Body == nil || r.Body == http.NoBody {
-		return nil, nil
+		return nil, memory.Reservation{}, nil
 	}
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, s.deps.MaxBodyBytes()))
-	var tooLarge *http.MaxBytesError
+	limit := s.deps.MaxBodyBytes()
+	ctx, cancel := context.WithTimeout(r.Context(), maxBodyWait)
+	defer cancel()
+	body, reserved, err := s.deps.Bodies.ReadAll(ctx, http.MaxBytesReader(w, r.Body, limit), r.ContentLength, limit)
+	_, isTooLarge := errors.AsType[*http.MaxBytesError](err)
 	switch {
-	case errors.As(err, &tooLarge):
-		return nil, fault.Errorf(fault.TooLarge, "the body is larger than %d bytes", tooLarge.Limit)
+	case isTooLarge || errors.Is(err, memory.ErrTooLarge):
+		err = fault.Errorf(fault.TooLarge, "the body is larger than %d bytes", limit)
+	case errors.Is(err, memory.ErrNoRoom):
+		err = &relay.Refusal{Fault: fault.Errorf(fault.Overloaded, "reading the body: %w", err), RetryAfter: bodyRetryAfter}
 	case err != nil:
-		return nil, fault.Errorf(fault.BadRequest, "reading the body: %w", err)
+		err = fault.Errorf(fault.BadRequest, "reading the body: %w", err)
 	}
-	return body, nil
+	return body, reserved, err
 }
 
 func (s *Server) responseWriter(w http.ResponseWriter) relay.ResponseWriter {
--- a/io/front/front_test.go
+++ b/io/front/front_test.go
@@ -7,10 +7,12 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
 	"chervilpath/core/fault"
+	"chervilpath/core/memory"
 	"chervilpath/core/relay"
 	"chervilpath/io/front"
 )
@@ -23,7 +25,11 @@
 }
 
 func newFront(serve func(context.Context, relay.ResponseWriter) (bool, error)) *front.Server {
-	return front.New(front.Deps{
+	return front.New(newDeps(serve))
+}
+
+func newDeps(serve func(context.Context, relay.ResponseWriter) (bool, error)) front.Deps {
+	return front.Deps{
 		Now: time.Now, MaxBodyBytes: func() int64 { return 10 },
 		ParseRequest: func(r *http.Request, _ []byte, _ time.Time) (*relay.Request, error) {
 			return &relay.Request{ID: "r"}, nil
@@ -33,7 +39,7 @@
 		},
 		SetRetryAfter:  func(h http.Header, after time.Duration) { h.Set("Retry-After", after.String()) },
 		RequestAborted: func(string, error) {}, RequestFailed: func(string, *fault.Error, int) {}, RequestDone: func(string, time.Duration) {},
-	})
+	}
 }
 
 // TestNotRunStatusRequiresProof guards against callers that retry a request which
@@ -113,3 +119,56 @@
 		t.Error("the response does not say that its connection closes")
 	}
 }
+
+// Guards against a process that runs out of memory: the bodies of large requests had no bound on
+// their sum. One that finds no room in time is refused, with the time to return; small ones are
+// served beside them.
+func TestLargeBodyWithoutRoomIsRefused(t *testing.T) {
+	const size = 1 << 20
+	began, end := make(chan struct{}, 1), make(chan struct{})
+	deps := newDeps(func(context.Context, relay.ResponseWriter) (bool, error) { return false, nil })
+	deps.Bodies, deps.MaxBodyBytes = memory.New(size), func() int64 { return size }
+	deps.ParseRequest = func(_ *http.Request, body []byte, _ time.Time) (*relay.Request, error) {
+		return &relay.Request{ID: "r", Body: body}, nil
+	}
+	deps.Serve = func(_ context.Context, req *relay.Request, w relay.ResponseWriter) (bool, error) {
+		if len(req.Body) == size {
+			began <- struct{}{}
+			<-end
+		}
+		w.Respond(http.StatusOK, nil, nil)
+		return true, nil
+	}
+	server := httptest.NewServer(front.New(deps))
+	defer server.Close()
+	post := func(n int) *http.Response {
+		resp, err := http.Post(server.URL, "text/plain", strings.NewReader(strings.Repeat("x", n)))
+		if err != nil {
+			t.Error(err)
+			return &http.Response{}
+		}
+		_ = resp.Body.Close()
+		return resp
+	}
+	var first sync.WaitGroup
+	first.Go(func() {
+		if resp := post(size); resp.StatusCode != http.StatusOK {
+			t.Errorf("the first body: status %d", resp.StatusCode)
+		}
+	})
+	<-began
+	if resp := post(size); resp.StatusCode != http.StatusTooManyRequests || resp.Header.Get("Retry-After") == "" {
+		t.Errorf("a body without room: status %d, header %v, want 429 and when to return", resp.StatusCode, resp.Header)
+	}
+	if resp := post(100); resp.StatusCode != http.StatusOK {
+		t.Errorf("a small body: status %d", resp.StatusCode)
+	}
+	close(end)
+	first.Wait()
+	first.Go(func() {
+		if resp := post(size); resp.StatusCode != http.StatusOK {
+			t.Errorf("a body after the first request has ended: status %d", resp.StatusCode)
+		}
+	})
+	first.Wait()
+}
--- a/scenario/stall_test.go
+++ b/scenario/stall_test.go
@@ -39,15 +39,9 @@
 func TestRequestThatCameInTimeIsAnsweredAfterAStall(t *testing.T) {
 	t.Parallel()
 	s := startStopSite(t)
-	s.store.Put("config", "main", map[string]any{
-		"version": 2, "tenants": []any{}, "services": []any{map[string]any{"name": "desk", "healthPath": "/healthz", "maxConns": 200}},
-		"limits": map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 4096, "headerTimeoutMs": 500, "idleTimeoutMs": 500},
-		"routes": []any{map[string]any{
-			"name": "look", "host": stand.Host, "pathPrefix": "/look/", "kind": "idempotent", "service": "desk", "timeoutMs": 5000, "targetLatencyMs": 300, "maxAttempts": 2,
-		}},
-	})
+	s.putSpec(map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 4096, "headerTimeoutMs": 500, "idleTimeoutMs": 500})
 	// The limits hold for connections that become idle from now on.
-	time.Sleep(2500 * time.Millisecond)
+	time.Sleep(versionTime)
 	var ready, done sync.WaitGroup
 	var inTime atomic.Int64
 	var idleSince time.Time
@@ -96,6 +90,25 @@
 	}
 }
 
+// putSpec writes the second version of the configuration, with the given limits: the route look
+// at plain servers and the route draft, which may be resumed, at engines.
+func (s *stopSite) putSpec(limits map[string]any) {
+	spec := func(name, kind, service string) map[string]any {
+		return map[string]any{
+			"name": name, "host": stand.Host, "pathPrefix": "/" + name + "/", "kind": kind, "service": service, "timeoutMs": 5000, "targetLatencyMs": 300,
+			"gapAimMs": 300, "maxAttempts": 2, "resumable": kind == "streaming",
+		}
+	}
+	s.store.Put("config", "main", map[string]any{
+		"version": 2, "tenants": []any{}, "limits": limits,
+		"services": []any{
+			map[string]any{"name": "desk", "healthPath": "/healthz", "maxConns": 200},
+			map[string]any{"name": "llm", "healthPath": "/healthz", "maxConns": 200, "engine": map[string]any{"slots": 32, "kvCapacity": 100000}},
+		},
+		"routes": []any{spec("look", "idempotent", "desk"), spec("draft", "streaming", "llm")},
+	})
+}
+
 // exchange sends a request on a connection and reads a successful response.
 func exchange(conn net.Conn, r *bufio.Reader, id string) error {
 	text := fmt.Sprintf("POST /look/x HTTP/1.1\r\nHost: %s\r\n%s: %s\r\n%s: 4000\r\nContent-Length: 4\r\n\r\nbody", stand.Host, stand.HeaderRequestID, id, stand.HeaderDeadline)
