--- a/soak/checker.go
+++ b/soak/checker.go
@@ -105,6 +105,11 @@
 		// instance and of the process.
 		stoppedAt map[[2]int]time.Time
 		silences  []silence
+		// failedAfterRun holds the IDs of the requests that a server failed, after a run, with a
+		// status that promises that they have not run.
+		failedAfterRun map[string]bool
+		// peaks holds the most memory in MiB that a process of an instance took.
+		peaks map[int]int
 		// crashes are the times at which engines crashed on a prompt.
 		crashes []time.Time
 		// retrySlack is the number of retries in retryWindow beyond those in proportion to
@@ -120,6 +125,7 @@
 	return &checker{
 		retrySlack: retrySlack,
 		requests:   make(map[string]*request), runs: make(map[string]int), withdrawnAt: make(map[string]time.Time),
+		failedAfterRun: make(map[string]bool), peaks: make(map[int]int),
 		disturbances: make(map[int][]*disturbance), stoppedAt: make(map[[2]int]time.Time),
 	}
 }
@@ -195,6 +201,7 @@
 	c.checkNotices(report)
 	c.checkRetryBudget(report)
 	c.checkCrashes(report)
+	c.checkMemory(report)
 	return violations
 }
 
@@ -205,7 +212,8 @@
 	switch {
 	case r.status >= 200 && r.status < 300 && !r.valid:
 		report("%s: success response is incomplete or belongs to another request", r.id)
-	case (r.status == 429 || r.status == 503) && runs > 0:
+	case promisesNotRun(r.status) && runs > 0 && (nonIdempotent(r.route) || !c.failedAfterRun[r.id]):
+		// A server's own answer to what may run again is relayed as it is.
 		report("%s: refused with %d and ran %d times", r.id, r.status, runs)
 	}
 	if nonIdempotent(r.route) && runs > 1 {
--- a/soak/checker_test.go
+++ b/soak/checker_test.go
@@ -43,6 +43,16 @@
 	}
 }
 
+// TestServersOwnFailureMayBeRelayed tests that a server's own answer after a run may reach the
+// caller of what may run again.
+func TestServersOwnFailureMayBeRelayed(t *testing.T) {
+	c, r := undisturbedRequest(routeStatus)
+	r.status, c.failedAfterRun[r.id] = 503, true
+	if got := c.violations(); len(got) != 0 {
+		t.Errorf("violations: %v", got)
+	}
+}
+
 // twoVersions returns two versions of the configuration with the given keys. The second
 // has to be in force since 3 s before the request.
 func twoVersions(r *request, first, second []string) []version {
@@ -81,7 +91,12 @@
 			c.withdrawnAt["s"] = r.sent.Add(-3 * time.Second)
 			c.arrivals = append(c.arrivals, arrival{id: r.id, server: "s", service: serviceDesk, at: r.sent})
 		}},
-		"refused after a run at an engine": {routeDraft, "refused with 503", func(_ *checker, r *request) { r.status = 503 }},
+		"failure after a run that is taken for a refusal": {routeBook, "refused with 408", func(c *checker, r *request) {
+			r.status, c.failedAfterRun[r.id] = 408, true
+		}},
+		"promise of this system's own after a run": {routeStatus, "refused with 421", func(_ *checker, r *request) { r.status = 421 }},
+		"too much memory":                          {routeStatus, "took 300 MiB", func(c *checker, _ *request) { c.peaks[0] = 300 }},
+		"refused after a run at an engine":         {routeDraft, "refused with 503", func(_ *checker, r *request) { r.status = 503 }},
 		"piece of an unknown request": {routeDraft, "no caller sent", func(c *checker, r *request) {
 			c.pieceRuns = append(c.pieceRuns, stand.PieceRun{RequestID: "other", PieceKey: stand.PieceKey("other")})
 		}},
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -62,11 +62,15 @@
 	}},
 	{"server crash", 2, crashServer},
 	{"odd entry", 3, putOddEntry},
+	{"herd kill beside a withdrawal", 2, killBesideWithdrawal},
+	{"server without end", 2, sendWithoutEnd},
+	{"address in use again", 1, reuseAddress},
 }
 
 // calmFaults are what disturbs nothing. They are drawn beside the others.
 var calmFaults = []fault{
 	{"server silence", 3, silenceServer},
+	{"server failure after runs", 2, failAfterRuns},
 	{"configuration", 1, func(h *harness, rng *rand.Rand) string {
 		service := []string{serviceDesk, serviceAlternate}[rng.IntN(2)]
 		h.putConfig(service)
@@ -129,6 +133,9 @@
 	for _, f := range faults {
 		total += f.weight
 	}
+	if total == 0 {
+		return
+	}
 	for {
 		select {
 		case <-time.After(time.Duration(rng.Int64N(int64(2 * pause)))):
@@ -307,3 +314,24 @@
 	})
 	return s.ID
 }
+
+// promises are the statuses with which a server that fails after a run may promise that the
+// request has not run.
+var promises = []int{http.StatusRequestTimeout, http.StatusTooManyRequests, http.StatusServiceUnavailable}
+
+// promisesNotRun reports whether a status promises that a request has not run.
+func promisesNotRun(status int) bool {
+	return status == http.StatusMisdirectedRequest || slices.Contains(promises, status)
+}
+
+// failAfterRuns makes a random plain server or engine fail the requests that it has run, with a
+// status that promises that they have not. It disturbs nothing.
+func failAfterRuns(h *harness, rng *rand.Rand) string {
+	servers := h.activeServers()
+	s, status := servers[rng.IntN(len(servers))], promises[rng.IntN(len(promises))]
+	if s.Service == servicePhotos {
+		return s.ID + " runs no requests"
+	}
+	s.FailAfterRuns(status, drawFaultDuration(rng)/2)
+	return fmt.Sprintf("%s with status %d", s.ID, status)
+}
--- a/soak/harness.go
+++ b/soak/harness.go
@@ -42,6 +42,9 @@
 	// or a recently revoked one.
 	keysPerVersion = 3
 	otherKeyRatio  = 0.2
+
+	// maxSeeds is how many instances the settings of each name as seeds.
+	maxSeeds = 3
 )
 
 type (
@@ -111,7 +114,9 @@
 		}
 		address := func(k int) string { return fmt.Sprintf("127.0.0.1:%d", o.Port+3*i+k) }
 		in := &instance{number: i, callerAddress: address(0), peerAddress: address(1), operatorAddress: address(2), storeLink: link}
-		seeds = append(seeds, in.peerAddress)
+		if len(seeds) < maxSeeds {
+			seeds = append(seeds, in.peerAddress)
+		}
 		h.instances = append(h.instances, in)
 	}
 	for _, in := range h.instances {
@@ -331,6 +336,9 @@
 		for _, s := range h.servers {
 			for id := range h.checker.requests {
 				h.checker.runs[id] += s.Runs(id)
+				if s.FailedAfterRun(id) {
+					h.checker.failedAfterRun[id] = true
+				}
 			}
 			h.checker.pieceRuns = append(h.checker.pieceRuns, s.PieceRuns()...)
 			for _, a := range s.Arrivals() {
--- a/soak/main.go
+++ b/soak/main.go
@@ -18,6 +18,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"sync"
 	"time"
 
@@ -31,6 +32,7 @@
 	Callers     int           `long:"callers" default:"24" description:"Number of concurrent callers"`
 	Port        int           `long:"port" default:"18000" description:"First port to use; each instance takes three"`
 	RepeatSlack int           `long:"repeat-slack" default:"56" description:"Retries of all instances in 10 s beyond a fifth of the calls"`
+	Faults      []string      `long:"fault" description:"Name of a fault to inject, all if none is given; may be repeated"`
 	Keep        bool          `long:"keep" description:"Keep the directory with settings and logs"`
 	Quiet       bool          `long:"quiet" description:"Do not print the injected faults"`
 }
@@ -115,6 +117,14 @@
 	return violations, nil
 }
 
+// chosen returns the faults of a list that are to be injected.
+func (o options) chosen(all []fault) []fault {
+	if len(o.Faults) == 0 {
+		return all
+	}
+	return slices.DeleteFunc(slices.Clone(all), func(f fault) bool { return !slices.Contains(o.Faults, f.name) })
+}
+
 // run sends requests while faults are injected, and for settleTime afterwards.
 func (h *harness) run(o options, out io.Writer) {
 	var wg sync.WaitGroup
@@ -133,12 +143,15 @@
 		}
 	}
 	wg.Go(func() {
-		h.injectFaults(faultCtx, rand.New(rand.NewPCG(o.Seed, calmStream)), calmFaults, calmPause, logf)
+		h.injectFaults(faultCtx, rand.New(rand.NewPCG(o.Seed, calmStream)), o.chosen(calmFaults), calmPause, logf)
 	})
+	done := make(chan struct{})
+	go h.watchMemory(done)
+	defer close(done)
 	if hasCrashPart(o.Seed) {
 		wg.Go(func() { h.runCrashCaller(callCtx, rand.New(rand.NewPCG(o.Seed, crashStream))) })
 	}
 	rng := rand.New(rand.NewPCG(o.Seed, 0))
-	h.injectFaults(faultCtx, rng, faults, meanFaultPauses[rng.IntN(len(meanFaultPauses))], logf)
+	h.injectFaults(faultCtx, rng, o.chosen(faults), meanFaultPauses[rng.IntN(len(meanFaultPauses))], logf)
 	wg.Wait()
 }
--- a/soak/proxy.go
+++ b/soak/proxy.go
@@ -35,6 +35,8 @@
 	mode    mode
 	changed chan struct{}
 	conns   map[net.Conn]bool
+	// usedAt is when data last passed from a client to the target.
+	usedAt time.Time
 }
 
 // newProxy returns a proxy that listens on loopback and forwards to a target address.
@@ -48,6 +50,13 @@
 	return p, nil
 }
 
+// usedWithin reports whether data has passed to the target within d.
+func (p *proxy) usedWithin(d time.Duration) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return time.Since(p.usedAt) < d
+}
+
 func (p *proxy) address() string { return p.listener.Addr().String() }
 
 // set changes the mode. To end silent or oneWay as the loss of a network path would, set
@@ -134,6 +143,11 @@
 			}
 			<-changed
 		}
+		if n > 0 && !response {
+			p.mu.Lock()
+			p.usedAt = time.Now()
+			p.mu.Unlock()
+		}
 		if n > 0 {
 			if _, werr := to.Write(buf[:n]); werr != nil {
 				return
