front, memory: the time in which a body arrives is no wait for room

Found by reading the diff: the half second for which a large body may wait for room began before its first bytes, so that one whose first 64 KiB take longer to arrive was refused with 429 though there was room. The wait now begins with the reservation (TestSlowMessageIsNotRefused). A body that is refused is logged with the ID that its request names, so that it can be found by it.

--- a/core/memory/memory.go
+++ b/core/memory/memory.go
@@ -9,6 +9,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"time"
 
 	"golang.org/x/sync/semaphore"
 )
@@ -17,25 +18,30 @@
 // messages never delay small ones.
 const SmallBytes = 64 << 10
 
-// ErrTooLarge is wrapped by the errors of messages that are larger than accepted.
-var ErrTooLarge = errors.New("the message is too large")
+var (
+	// ErrTooLarge is wrapped by the errors of messages that are larger than accepted.
+	ErrTooLarge = errors.New("the message is too large")
 
-// ErrNoRoom is wrapped by the errors of reservations for which there was no room in time.
-var ErrNoRoom = errors.New("there is no room for the message")
+	// ErrNoRoom is wrapped by the errors of reservations for which there was no room in time.
+	ErrNoRoom = errors.New("there is no room for the message")
+)
 
-// Pool is memory that large messages share. Use New to create one; a nil Pool has no bound. It
-// is safe for concurrent use; reservations are granted in the order in which they were asked
-// for.
-type Pool struct {
-	size int64
-	free *semaphore.Weighted
-}
+type (
+	// Pool is memory that large messages share. Use New to create one; a nil Pool has no
+	// bound. It is safe for concurrent use; reservations are granted in the order in which
+	// they were asked for.
+	Pool struct {
+		size int64
+		free *semaphore.Weighted
+	}
 
-// Reservation is a part of a Pool. The zero value is none. It is not safe for concurrent use.
-type Reservation struct {
-	pool  *Pool
-	bytes int64
-}
+	// Reservation is a part of a Pool. The zero value is none. It is not safe for concurrent
+	// use.
+	Reservation struct {
+		pool  *Pool
+		bytes int64
+	}
+)
 
 // New returns a pool of the given number of bytes.
 func New(size int64) *Pool { return &Pool{size: size, free: semaphore.NewWeighted(size)} }
@@ -66,8 +72,9 @@
 
 // ReadAll reads a message of the given length, or -1 if it is not known, to its end. It
 // reserves room for one that is larger than SmallBytes, which the caller has to release, and
-// returns an error that wraps ErrTooLarge if it has more than limit bytes, or ErrNoRoom.
-func (p *Pool) ReadAll(ctx context.Context, r io.Reader, length, limit int64) ([]byte, Reservation, error) {
+// waits for that no longer than maxWait, or as long as ctx allows if maxWait is 0. It returns an
+// error that wraps ErrTooLarge if the message has more than limit bytes, or ErrNoRoom.
+func (p *Pool) ReadAll(ctx context.Context, r io.Reader, length, limit int64, maxWait time.Duration) ([]byte, Reservation, error) {
 	if length >= 0 && length <= SmallBytes {
 		return readAtMost(r, make([]byte, 0, length+1), limit)
 	}
@@ -86,6 +93,12 @@
 		expected = min(length, limit)
 		size = expected + 1
 	}
+	if maxWait > 0 {
+		// The time that the message takes to arrive does not count.
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, maxWait)
+		defer cancel()
+	}
 	reserved, err := p.Reserve(ctx, expected)
 	if err != nil {
 		return nil, Reservation{}, err
--- a/core/memory/memory_test.go
+++ b/core/memory/memory_test.go
@@ -26,7 +26,7 @@
 		}
 		want := bytes.Repeat([]byte("abcdefg"), size/7+1)[:size]
 		pool := memory.New(rapid.Int64Range(1, 400_000).Draw(t, "pool"))
-		got, reserved, err := pool.ReadAll(context.Background(), io.MultiReader(bytes.NewReader(want[:size/3]), bytes.NewReader(want[size/3:])), length, int64(limit))
+		got, reserved, err := pool.ReadAll(context.Background(), io.MultiReader(bytes.NewReader(want[:size/3]), bytes.NewReader(want[size/3:])), length, int64(limit), 0)
 		if size > limit {
 			if !errors.Is(err, memory.ErrTooLarge) {
 				t.Fatalf("error %v, want ErrTooLarge", err)
@@ -50,7 +50,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		pool := memory.New(1 << 20)
 		large := func(ctx context.Context) (memory.Reservation, error) {
-			_, reserved, err := pool.ReadAll(ctx, strings.NewReader(strings.Repeat("x", 1<<20)), -1, 1<<20)
+			_, reserved, err := pool.ReadAll(ctx, strings.NewReader(strings.Repeat("x", 1<<20)), -1, 1<<20, 0)
 			return reserved, err
 		}
 		first, err := large(t.Context())
@@ -62,7 +62,7 @@
 		if _, err := large(ctx); !errors.Is(err, memory.ErrNoRoom) {
 			t.Errorf("error %v, want ErrNoRoom", err)
 		}
-		if data, _, err := pool.ReadAll(t.Context(), strings.NewReader("small"), -1, 1<<20); string(data) != "small" || err != nil {
+		if data, _, err := pool.ReadAll(t.Context(), strings.NewReader("small"), -1, 1<<20, 0); string(data) != "small" || err != nil {
 			t.Errorf("a small message: %q, error %v", data, err)
 		}
 		time.AfterFunc(time.Second, first.Release)
@@ -77,7 +77,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		const size = 100_000
 		pool := memory.New(1 << 20)
-		if _, _, err := pool.ReadAll(t.Context(), strings.NewReader(strings.Repeat("x", size)), -1, 1<<19); err != nil {
+		if _, _, err := pool.ReadAll(t.Context(), strings.NewReader(strings.Repeat("x", size)), -1, 1<<19, 0); err != nil {
 			t.Fatal(err)
 		}
 		for n, want := range map[int64]error{1<<20 - size: nil, 1 << 20: memory.ErrNoRoom} {
@@ -91,3 +91,38 @@
 		}
 	})
 }
+
+// slowReader yields a message in two parts, the second after a pause.
+type slowReader struct {
+	parts []string
+	pause time.Duration
+}
+
+func (r *slowReader) Read(p []byte) (int, error) {
+	if len(r.parts) == 0 {
+		return 0, io.EOF
+	}
+	time.Sleep(r.pause)
+	n := copy(p, r.parts[0])
+	if r.parts[0] = r.parts[0][n:]; r.parts[0] == "" {
+		r.parts = r.parts[1:]
+	}
+	return n, nil
+}
+
+// Guards against the refusal of a large message that arrives slowly: its time to arrive counted
+// as time in which it waited for room.
+func TestSlowMessageIsNotRefused(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		pool := memory.New(1 << 20)
+		part := strings.Repeat("x", memory.SmallBytes)
+		data, reserved, err := pool.ReadAll(t.Context(), &slowReader{[]string{part, part}, 2 * time.Second}, -1, 1<<20, time.Second)
+		if err != nil || len(data) != 2*memory.SmallBytes {
+			t.Fatalf("%d bytes, error %v", len(data), err)
+		}
+		if _, _, err := pool.ReadAll(t.Context(), strings.NewReader(strings.Repeat("x", 1<<20)), -1, 1<<20, time.Second); !errors.Is(err, memory.ErrNoRoom) {
+			t.Errorf("error %v without room, want ErrNoRoom", err)
+		}
+		reserved.Release()
+	})
+}
--- a/core/relay/plain.go
+++ b/core/relay/plain.go
@@ -199,5 +199,5 @@
 // readBody reads a response to its end and returns it with the room that it takes.
 func (e *execution) readBody(ctx context.Context, resp *Response) ([]byte, memory.Reservation, error) {
 	defer func() { _ = resp.Body.Close() }()
-	return e.relay.deps.Answers.ReadAll(ctx, resp.Body, -1, maxBufferedBytes)
+	return e.relay.deps.Answers.ReadAll(ctx, resp.Body, -1, maxBufferedBytes, 0)
 }
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -126,7 +126,7 @@
 	in.delegator = newDelegator(in)
 	in.relay = relay.New(in.relayDeps())
 	in.callerServer = front.New(front.Deps{
-		Now: time.Now, ParseRequest: platform.ReadRequest, Serve: in.relay.Serve, MaxBodyBytes: in.maxBody,
+		Now: time.Now, RequestID: platform.RequestID, ParseRequest: platform.ReadRequest, Serve: in.relay.Serve, MaxBodyBytes: in.maxBody,
 		Bodies:        memory.New(int64(bodyFraction * float64(cfg.Memory()))),
 		SetRetryAfter: platform.SetRetryAfter, RequestFailed: in.recordFault, RequestAborted: in.recordAbort, RequestDone: in.metrics.recordRequest,
 	})
--- a/io/front/front.go
+++ b/io/front/front.go
@@ -17,10 +17,22 @@
 	"chervilpath/core/relay"
 )
 
+const (
+	// maxBodyWait is how long a large body waits for room among the others. Callers that see
+	// their request unread for a second give up.
+	maxBodyWait = 500 * time.Millisecond
+
+	// bodyRetryAfter is the time after which the caller of a request whose body found no room
+	// is advised to return.
+	bodyRetryAfter = time.Second
+)
+
 type (
 	// Deps holds the dependencies of a Server.
 	Deps struct {
 		Now func() time.Time
+		// RequestID returns the ID that a request names, or "".
+		RequestID func(r *http.Request) string
 		// ParseRequest decodes a request whose body has been read.
 		ParseRequest func(r *http.Request, body []byte, arrived time.Time) (*relay.Request, error)
 		// Serve serves a request. started reports whether the response had
@@ -34,7 +46,7 @@
 		// SetRetryAfter sets the header that says when the caller may retry.
 		SetRetryAfter func(h http.Header, after time.Duration)
 		// RequestFailed is called for each request that is answered with an
-		// error. The ID is "" if the request could not be parsed.
+		// error. The ID is "" if the request names none or could not be parsed.
 		RequestFailed func(id string, err *fault.Error, status int)
 		// RequestAborted is called for each request whose connection is closed without
 		// a complete response.
@@ -52,14 +64,6 @@
 	}
 )
 
-// maxBodyWait is how long a large body waits for room among the others. Callers that see their
-// request unread for a second give up.
-const maxBodyWait = 500 * time.Millisecond
-
-// bodyRetryAfter is the time after which the caller of a request whose body found no room is
-// advised to return.
-const bodyRetryAfter = time.Second
-
 // New returns a server for the callers of routes.
 func New(deps Deps) *Server { return &Server{deps: deps} }
 
@@ -82,7 +86,7 @@
 	body, reserved, err := s.readBody(w, r)
 	defer reserved.Release()
 	if err != nil {
-		s.writeError(w, "", err)
+		s.writeError(w, s.deps.RequestID(r), err)
 		return
 	}
 	req, err := s.deps.ParseRequest(r, body, arrived)
@@ -119,9 +123,7 @@
 		return nil, memory.Reservation{}, nil
 	}
 	limit := s.deps.MaxBodyBytes()
-	ctx, cancel := context.WithTimeout(r.Context(), maxBodyWait)
-	defer cancel()
-	body, reserved, err := s.deps.Bodies.ReadAll(ctx, http.MaxBytesReader(w, r.Body, limit), r.ContentLength, limit)
+	body, reserved, err := s.deps.Bodies.ReadAll(r.Context(), http.MaxBytesReader(w, r.Body, limit), r.ContentLength, limit, maxBodyWait)
 	_, isTooLarge := errors.AsType[*http.MaxBytesError](err)
 	switch {
 	case isTooLarge || errors.Is(err, memory.ErrTooLarge):
--- a/io/front/front_test.go
+++ b/io/front/front_test.go
@@ -30,7 +30,7 @@
 
 func newDeps(serve func(context.Context, relay.ResponseWriter) (bool, error)) front.Deps {
 	return front.Deps{
-		Now: time.Now, MaxBodyBytes: func() int64 { return 10 },
+		Now: time.Now, RequestID: func(*http.Request) string { return "r" }, MaxBodyBytes: func() int64 { return 10 },
 		ParseRequest: func(r *http.Request, _ []byte, _ time.Time) (*relay.Request, error) {
 			return &relay.Request{ID: "r"}, nil
 		},
