docs: errors whose status keeps its promise at the pipelines' interface

ERRORS.md and the OpenAPI text said that 429 and 503 never stand beside a request that may have run. An attempt that the pipelines refuse before it runs, such as one without room or store, keeps its status, as CALLERS.md says: an earlier attempt with the same key may have run, and the same key never runs twice.

--- a/docs/docs_test.go
+++ b/docs/docs_test.go
@@ -42,7 +42,7 @@
 func errorsPage() string {
 	var b strings.Builder
 	b.WriteString("# Errors\n\n<!-- Made from the table of error kinds by `go test ./docs -update`; do not edit. -->\n\n")
-	b.WriteString("Every error that a caller, a peer or an operator gets is of one of these kinds. \"Ran\" is what is said if nothing\nmore is known of the request; \"retry\" says whether the same request may be sent again. A request of a kind that is\nnot idempotent needs a new key then, since a refusal is final for its key.\n\nThe statuses 408, 421, 429 and 503 promise that a request has not run and never will. Where a request must not run twice\nand that is not known, the status is 502 in their place.\n\n")
+	b.WriteString("Every error that a caller, a peer or an operator gets is of one of these kinds. \"Ran\" is what is said if nothing\nmore is known of the request; \"retry\" says whether the same request may be sent again. A request of a kind that is\nnot idempotent needs a new key then, since a refusal is final for its key.\n\nThe statuses 408, 421, 429 and 503 promise that a request has not run and never will. Where a request that must not\nrun twice may have run at an endpoint, the status is 502 in their place. At the pipelines' interface, an attempt that is refused\nbefore it runs keeps its status, also where an earlier attempt with its key may have run and \"ran\" is unknown.\n\n")
 	b.WriteString("| kind | HTTP | twirp | log level | ran | retry |\n| --- | --- | --- | --- | --- | --- |\n")
 	for _, k := range fault.Kinds() {
 		a := k.Properties()
