peer, settings: calls and bounds for evacuations, cold servers, demand and places

The protocol between instances gains Observe, Admit, Acquire and Release, and Place and Follow carry the demand of a request and the evacuations. The settings and the configuration carry the bounds of evacuations and cold servers. Nothing uses them yet; a refusal by whoever places requests reaches the caller.

--- a/core/engine/placer.go
+++ b/core/engine/placer.go
@@ -19,6 +19,7 @@
 
 	"chervilpath/core/balance"
 	"chervilpath/core/fleet"
+	"chervilpath/core/overload"
 )
 
 const (
@@ -48,6 +49,12 @@
 		// Affinity identifies the shared part of the prompt. Requests with the
 		// same affinity are placed on the same engine if possible.
 		Affinity string
+		// Parts are the parts of the prompt in order. PromptTokens is their sum, and
+		// OutputTokens the expected number of tokens to come.
+		Parts                      []Part
+		PromptTokens, OutputTokens int
+		// Demand says what the answer is worth and when it is due.
+		Demand overload.Demand
 		// Exclude lists the IDs of engines that must not be chosen.
 		Exclude []string
 		// Weights are the weights of the zones, by the capacity of the stages
@@ -61,6 +68,12 @@
 		Expires time.Time
 	}
 
+	// Part is one part of a prompt. Other requests may share it if it is not the last.
+	Part struct {
+		ID     string
+		Tokens int
+	}
+
 	// Placer assigns requests to the engines of one service. Use New to create
 	// one.
 	Placer struct {
--- a/core/relay/expiry_test.go
+++ b/core/relay/expiry_test.go
@@ -35,7 +35,7 @@
 		Table:      func() *route.Table { return table }, Random: func() float64 { return 0 }, Log: func(Decision) {},
 		Shutdown: func() Shutdown { return Shutdown{} }, ShutdownCtx: t.Context(), RecordCall: func(string) {}, Servers: view.Snapshot,
 		ResultZone: func(string) string { return "" }, AllowRetry: func(string) bool { return false },
-		Place:  func(context.Context, string, engine.Query) string { return "e-1" },
+		Place:  func(context.Context, string, engine.Query) (string, error) { return "e-1", nil },
 		Settle: func(string, string, string, balance.Outcome) {}, FreeResults: func(string, []string) {},
 		RunStage: func(_ context.Context, job StageJob) ([]string, error) {
 			remaining = append(remaining, job.Remaining)
--- a/core/relay/place.go
+++ b/core/relay/place.go
@@ -44,10 +44,10 @@
 		return placement{}, err
 	}
 	for {
-		p, ok := e.place(ctx, e.newPlacementID(), e.triedServers)
+		p, ok, refused := e.place(ctx, e.newPlacementID(), e.triedServers)
 		if !ok && e.mustGoOn() {
 			// Any other one is better than none.
-			p, ok = e.place(ctx, e.newPlacementID(), e.triedServers[len(e.triedServers)-1:])
+			p, ok, refused = e.place(ctx, e.newPlacementID(), e.triedServers[len(e.triedServers)-1:])
 		}
 		if ctx.Err() != nil {
 			if ok {
@@ -66,14 +66,18 @@
 			if ctx.Err() != nil {
 				return placement{}, e.contextError(ctx)
 			}
+			if refused != nil {
+				return placement{}, e.refusal(fault.From(refused))
+			}
 			return placement{}, e.refusal(fault.Errorf(fault.EndpointUnavailable, "service %q: %w", e.service, errNoEngine))
 		}
 	}
 }
 
-// place chooses an engine that is not excluded and reports whether there is one. It may
-// be called while an attempt is in progress.
-func (e *execution) place(ctx context.Context, id string, exclude []string) (placement, bool) {
+// place chooses an engine that is not excluded and reports whether there is one. An error is
+// the reason why whoever places requests refused this one. It may be called while an attempt
+// is in progress.
+func (e *execution) place(ctx context.Context, id string, exclude []string) (placement, bool, error) {
 	q := engine.Query{
 		RequestID: id, Affinity: e.req.Affinity, Exclude: slices.Concat(exclude, e.relay.deps.Servers().Unwilling(e.now(), e.service)),
 		Weights: e.zoneWeights(), Expires: e.deadline, Repeatable: e.route.MayRunAgain(), Trial: e.trial,
@@ -82,19 +86,19 @@
 		q.Affinity = e.req.ID
 	}
 	for range 2 {
-		server := e.relay.deps.Place(ctx, e.service, q)
-		if server == "" {
-			return placement{}, false
+		server, err := e.relay.deps.Place(ctx, e.service, q)
+		if err != nil || server == "" {
+			return placement{}, false, err
 		}
 		if s, ok := e.relay.deps.Servers().Callable(e.now(), server); ok {
-			return placement{id: id, server: s}, true
+			return placement{id: id, server: s}, true, nil
 		}
 		// The instance that places requests does not know yet that the engine
 		// was removed.
 		e.relay.deps.Settle(e.service, id, server, balance.Abandoned)
 		q.Exclude = append(slices.Clone(q.Exclude), server)
 	}
-	return placement{}, false
+	return placement{}, false, nil
 }
 
 func (e *execution) settle(p placement, outcome balance.Outcome) {
--- a/core/relay/promise_test.go
+++ b/core/relay/promise_test.go
@@ -95,7 +95,7 @@
 	view := fleet.New(time.Second)
 	view.Replace(time.Now(), []fleet.Server{{ID: "e-1", Service: "llm", Address: "a:1", Slots: 8}}, 1)
 	deps := newDeps(t.Context(), table, view)
-	deps.Place = func(context.Context, string, engine.Query) string { return "e-1" }
+	deps.Place = func(context.Context, string, engine.Query) (string, error) { return "e-1", nil }
 	deps.Settle = func(string, string, string, balance.Outcome) {}
 	return &promiseRig{t, deps}
 }
--- a/core/relay/shutdown_test.go
+++ b/core/relay/shutdown_test.go
@@ -76,7 +76,7 @@
 		Table:      func() *route.Table { return table }, Random: func() float64 { return 0 }, Log: func(Decision) {},
 		Shutdown: func() Shutdown { return Shutdown{} }, ShutdownCtx: shutdownCtx, RecordCall: func(string) {},
 		Servers: view.Snapshot, ResultZone: func(string) string { return "" },
-		Place:  func(context.Context, string, engine.Query) string { return "e-1" },
+		Place:  func(context.Context, string, engine.Query) (string, error) { return "e-1", nil },
 		Settle: func(string, string, string, balance.Outcome) {},
 		RunStage: func(ctx context.Context, _ StageJob) ([]string, error) {
 			endShutdown()
--- a/core/relay/silence_test.go
+++ b/core/relay/silence_test.go
@@ -157,19 +157,19 @@
 		st.retries++
 		return true
 	}
-	deps.Place = func(_ context.Context, _ string, q engine.Query) string {
+	deps.Place = func(_ context.Context, _ string, q engine.Query) (string, error) {
 		if len(q.Exclude) > 0 && st.placeable != nil && !st.placeable() {
-			return ""
+			return "", nil
 		}
 		st.mu.Lock()
 		defer st.mu.Unlock()
 		for _, s := range servers {
 			if !slices.Contains(q.Exclude, s.ID) {
 				st.placed[q.RequestID] = s.ID
-				return s.ID
+				return s.ID, nil
 			}
 		}
-		return ""
+		return "", nil
 	}
 	deps.Settle = func(_, request, server string, _ balance.Outcome) {
 		st.mu.Lock()
--- a/core/relay/slowcaller_test.go
+++ b/core/relay/slowcaller_test.go
@@ -45,11 +45,11 @@
 	var out bytes.Buffer
 	deps := newDeps(t.Context(), table, view)
 	deps.AllowRetry = func(string) bool { return budget }
-	deps.Place = func(_ context.Context, _ string, q engine.Query) string {
+	deps.Place = func(_ context.Context, _ string, q engine.Query) (string, error) {
 		if len(q.Exclude) > 0 {
-			return "e-2"
+			return "e-2", nil
 		}
-		return "e-1"
+		return "e-1", nil
 	}
 	deps.Settle = func(_, _, server string, outcome balance.Outcome) {
 		if outcome != balance.Succeeded {
--- a/core/relay/stall_test.go
+++ b/core/relay/stall_test.go
@@ -53,11 +53,11 @@
 	view.Replace(time.Now(), []fleet.Server{{ID: "e-1", Service: "llm", Address: "a:1"}, {ID: "e-2", Service: "llm", Address: "b:1"}}, 1)
 	var out bytes.Buffer
 	deps := newDeps(t.Context(), table, view)
-	deps.Place = func(_ context.Context, _ string, q engine.Query) string {
+	deps.Place = func(_ context.Context, _ string, q engine.Query) (string, error) {
 		if len(q.Exclude) > 0 {
-			return "e-2"
+			return "e-2", nil
 		}
-		return "e-1"
+		return "e-1", nil
 	}
 	deps.Send = func(ctx context.Context, _ Attempt) (*Response, error) {
 		attempts++
--- a/core/relay/stop_test.go
+++ b/core/relay/stop_test.go
@@ -61,7 +61,7 @@
 		},
 		ShutdownCtx: ctx, RecordCall: func(string) {}, AllowRetry: func(string) bool { return true },
 		Servers: func() *fleet.Snapshot { return rig.view.Snapshot() }, ResultZone: func(string) string { return "" }, FreeResults: func(string, []string) {},
-		Place:      func(context.Context, string, engine.Query) string { return "e-1" },
+		Place:      func(context.Context, string, engine.Query) (string, error) { return "e-1", nil },
 		Settle:     func(string, string, string, balance.Outcome) {},
 		PlainStage: func(string) *stage.Stage { return desk },
 		Send: func(ctx context.Context, a Attempt) (*Response, error) {
@@ -107,9 +107,9 @@
 			synctest.Wait()
 		}},
 		"place": {"/draft/x", func(rig *stopRig) {
-			rig.deps.Place = func(ctx context.Context, _ string, _ engine.Query) string {
+			rig.deps.Place = func(ctx context.Context, _ string, _ engine.Query) (string, error) {
 				<-ctx.Done()
-				return ""
+				return "", nil
 			}
 		}},
 		"return of a plain server": {"/book/x", func(rig *stopRig) {
--- a/core/relay/types.go
+++ b/core/relay/types.go
@@ -204,8 +204,8 @@
 		// ResultZone returns the zone of the server that holds a result, or "".
 		ResultZone func(handle string) string
 		// Place chooses an engine for a request and returns its ID, or "" if
-		// none is free.
-		Place func(ctx context.Context, service string, q engine.Query) string
+		// none is free. An error is a refusal of the request.
+		Place func(ctx context.Context, service string, q engine.Query) (string, error)
 		// Settle ends a placement and reports how it went.
 		Settle func(service, request, server string, outcome balance.Outcome)
 		// Suspect reports that the engine of a placement has been silent for long, while
--- a/core/relay/version_test.go
+++ b/core/relay/version_test.go
@@ -69,11 +69,11 @@
 			time.Sleep(time.Second)
 			return make([]string, job.Pieces), nil
 		},
-		Place: func(_ context.Context, service string, q engine.Query) string {
+		Place: func(_ context.Context, service string, q engine.Query) (string, error) {
 			for _, server := range s.snapshot.Load().Service(service) {
-				return server.ID
+				return server.ID, nil
 			}
-			return ""
+			return "", nil
 		},
 		Settle: func(string, string, string, balance.Outcome) {},
 		Send: func(ctx context.Context, a Attempt) (*Response, error) {
--- a/core/route/route.go
+++ b/core/route/route.go
@@ -96,8 +96,12 @@
 		Name       string
 		HealthPath string
 		MaxConns   int
-		Engine     *EngineConfig
-		Pieces     *PieceConfig
+		// ColdTime is how long a server is slow after its start. ColdRate is the number of
+		// requests per second that it tolerates while it is cold, or 0 if that is not limited.
+		ColdTime time.Duration
+		ColdRate float64
+		Engine   *EngineConfig
+		Pieces   *PieceConfig
 	}
 
 	// Limits bounds what a caller may send.
--- a/core/settings/site.go
+++ b/core/settings/site.go
@@ -43,6 +43,13 @@
 		// RetryRatio times its requests, plus RetrySlack, as retries.
 		RetryRatio, RetrySlack float64
 		RetryWindow            time.Duration
+		// Evacuation is the time after which an evacuated failure domain must receive no
+		// more requests. It is 0 if evacuations are not followed.
+		Evacuation time.Duration
+		// ColdOver and ColdSlack bound the requests of all instances together to a cold
+		// server: in any second, at most ColdOver times the rate that its service tolerates,
+		// plus ColdSlack. ColdOver is 0 if cold servers are not limited.
+		ColdOver, ColdSlack float64
 	}
 )
 
@@ -82,6 +89,9 @@
 				{Key: "repeatRatio", Kind: option.Number, Default: "0.1", Min: 0, Max: 10, Doc: "Retries that all instances together may send to a service, as a fraction of its requests."},
 				{Key: "repeatWindow", Kind: option.Duration, Default: "10s", Min: 0.1, Max: 600, Doc: "Time window over which retries are counted."},
 				{Key: "repeatSlack", Kind: option.Number, Default: "10", Min: 0, Max: 100000, Doc: "Retries that are allowed in a window in addition to that fraction."},
+				{Key: "evacuation", Kind: option.Duration, Default: "0s", Min: 0, Max: 600, Doc: "Time after which an evacuated failure domain must receive no more requests. With 0, evacuations are not followed."},
+				{Key: "coldOver", Kind: option.Number, Default: "0", Min: 0, Max: 1000, Doc: "Requests that all instances together may send to a cold server within a second, as a multiple of the rate that its service tolerates. With 0, cold servers are not limited."},
+				{Key: "coldSlack", Kind: option.Number, Default: "0", Min: 0, Max: 100000, Doc: "Requests to a cold server that are allowed within a second in addition to that multiple."},
 			},
 		},
 		{
@@ -137,6 +147,7 @@
 			Drain: bounds.Duration("drain"), ConfigPropagation: bounds.Duration("config"), HeartbeatInterval: bounds.Duration("heartbeat"),
 			Grace: bounds.Duration("grace"), RetryRatio: bounds.Number("repeatRatio"),
 			RetrySlack: bounds.Number("repeatSlack"), RetryWindow: bounds.Duration("repeatWindow"),
+			Evacuation: bounds.Duration("evacuation"), ColdOver: bounds.Number("coldOver"), ColdSlack: bounds.Number("coldSlack"),
 		},
 	}, nil
 }
--- a/edge/delegator.go
+++ b/edge/delegator.go
@@ -273,8 +273,8 @@
 }
 
 // place has the owner of a service choose an engine for a request. It returns the
-// engine's ID, or "" if there is none.
-func (d *delegator) place(ctx context.Context, service string, q engine.Query) string {
+// engine's ID, or "" if there is none. An error is a refusal of the request.
+func (d *delegator) place(ctx context.Context, service string, q engine.Query) (string, error) {
 	for range maxOwnerAttempts {
 		address, ok := d.owner(service)
 		if !ok || address == "" {
@@ -285,21 +285,24 @@
 			if id != "" {
 				d.placedBy.record(time.Now(), []string{q.RequestID}, address)
 			}
-			return id
+			return id, nil
+		}
+		if refusal, ok := errors.AsType[*fault.Error](err); ok {
+			return "", refusal
 		}
 		go d.withdrawPlacement(address, service, q)
 		if ctx.Err() != nil {
-			return ""
+			return "", nil
 		}
 		d.pausePeer(address, err)
 	}
 	if address, ok := d.owner(service); q.Trial != "" && (!ok || address != "") {
 		// Each instance that places requests for itself would allow a trial of its own.
-		return ""
+		return "", nil
 	}
 	// Without the loads that an owner knows, the choice is the one that it would
 	// make at equal loads.
-	return d.placeLocally(service, q)
+	return d.placeLocally(service, q), nil
 }
 
 // withdrawPlacement ends the placement of a request at a peer that did not answer. The
--- a/edge/silence_test.go
+++ b/edge/silence_test.go
@@ -188,7 +188,7 @@
 					})
 					wg.Go(func() {
 						start := time.Now()
-						server := in.delegator.place(t.Context(), silentService, engine.Query{RequestID: id, Affinity: id, Expires: time.Now().Add(6 * time.Second)})
+						server, _ := in.delegator.place(t.Context(), silentService, engine.Query{RequestID: id, Affinity: id, Expires: time.Now().Add(6 * time.Second)})
 						if took := time.Since(start); server != "e-1" || took > time.Second {
 							t.Errorf("%s is placed at %q after %v", id, server, took)
 						}
@@ -215,7 +215,7 @@
 	for i := range 2 * slots {
 		wg.Go(func() {
 			id := fmt.Sprint("r-", i)
-			server := in.delegator.place(t.Context(), silentService, engine.Query{RequestID: id, Affinity: id, Expires: time.Now().Add(10 * time.Second)})
+			server, _ := in.delegator.place(t.Context(), silentService, engine.Query{RequestID: id, Affinity: id, Expires: time.Now().Add(10 * time.Second)})
 			in.delegator.settle(silentService, id, server, balance.Succeeded)
 		})
 	}
--- a/io/peer/platform.go
+++ b/io/peer/platform.go
@@ -46,6 +46,9 @@
 		// end of the latest period in which the store is known to have answered some
 		// instance, without an outage. Both are 0 if there is none.
 		AnswersFromAge, AnswersToAge time.Duration
+		// Evacuations is the JSON of the evacuated failure domains, or empty if they are not
+		// newer than what the requesting instance has.
+		Evacuations []byte
 		// Directory holds the members that work for others, or is empty if it has
 		// the digest of the request.
 		Directory []member.Member
@@ -57,6 +60,8 @@
 		// store's revision of the servers.
 		Version         int64
 		ServersRevision int64
+		// EvacuationsRevision is the store's revision of the evacuations.
+		EvacuationsRevision int64
 		// Confirmed is set if the store has ever confirmed the configuration,
 		// and Age is the time since it last did.
 		Confirmed bool
@@ -80,11 +85,21 @@
 		Follow      func(context.Context, FollowRequest) FollowReply
 		RunStage    func(context.Context, relay.StageJob) ([]string, error)
 		FreeResults func(service string, handles []string)
-		// Place returns "" if no engine is free, and an error if this instance cannot
-		// place requests of the service.
+		// Place returns "" if no engine is free, an error of kind Draining if this instance
+		// cannot place requests of the service, and any other one if it refuses the request.
 		Place  func(ctx context.Context, service string, q engine.Query) (string, error)
 		Settle func(service, request, server string, outcome balance.Outcome)
-		Now    func() time.Time
+		// Observe records how fast an engine serves a request.
+		Observe func(service string, o Observation)
+		// Admit decides whether a request may be sent to a cold server. It returns an error
+		// if this instance cannot decide.
+		Admit func(service, request, server string, born int64) (Admission, error)
+		// Acquire waits for a place at a server of a plain service. It returns an error of kind
+		// Draining if this instance cannot decide, and any other one if it refuses the request.
+		Acquire func(ctx context.Context, service string, q PlaceQuery) (server string, err error)
+		// Release ends the use of a place.
+		Release func(service, request, server string, outcome balance.Outcome, took time.Duration)
+		Now     func() time.Time
 	}
 )
 
@@ -105,9 +120,9 @@
 	reply := s.Platform.Follow(ctx, FollowRequest{
 		Version: req.Version, ServersRevision: req.ServersRevision, Wait: wait,
 		Confirmed: req.AgeMicros >= 0, Age: microseconds(req.AgeMicros),
-		ConfigurationDigest: req.Configuration, CompressedServers: req.CompressedServers,
+		ConfigurationDigest: req.Configuration, CompressedServers: req.CompressedServers, EvacuationsRevision: req.EvacuationsRevision,
 	})
-	out := &peerpb.FollowReply{Configuration: reply.Configuration, Servers: reply.Servers, CompressedServers: reply.CompressedServers, AgeMicros: -1, Directory: s.Members.directoryIfChanged(req.Directory), ConfigurationDelta: reply.ConfigurationDelta}
+	out := &peerpb.FollowReply{Configuration: reply.Configuration, Servers: reply.Servers, CompressedServers: reply.CompressedServers, AgeMicros: -1, Directory: s.Members.directoryIfChanged(req.Directory), ConfigurationDelta: reply.ConfigurationDelta, Evacuations: reply.Evacuations}
 	if reply.Confirmed {
 		out.AgeMicros = reply.Age.Microseconds()
 	}
@@ -149,9 +164,11 @@
 	if s.Platform == nil {
 		return nil, errNoPlatform
 	}
+	now := s.Platform.Now()
 	q := engine.Query{
 		RequestID: req.Request, Affinity: req.Affinity, Exclude: req.Exclude, Repeatable: req.Repeatable, Trial: req.Trial,
-		Expires: s.Platform.Now().Add(microseconds(req.LeftMicros)),
+		Expires: now.Add(microseconds(req.LeftMicros)),
+		Parts:   partsFromProto(req.Parts), PromptTokens: int(req.PromptTokens), OutputTokens: int(req.OutputTokens), Demand: demandFromProto(now, req.Demand),
 	}
 	if len(req.Weights) > 0 {
 		q.Weights = make(map[string]float64, len(req.Weights))
@@ -161,7 +178,8 @@
 	}
 	server, err := s.Platform.Place(ctx, req.Service, q)
 	if err != nil {
-		return nil, twirp.NewError(twirp.Unavailable, err.Error())
+		kind, message, retryAfter, err := refusalToProto(err)
+		return &peerpb.PlaceReply{Refused: kind, Message: message, RetryAfterMicros: retryAfter}, err
 	}
 	return &peerpb.PlaceReply{Server: server}, nil
 }
@@ -186,7 +204,7 @@
 	resp, err := c.For(address).Follow(ctx, &peerpb.FollowRequest{
 		Version: req.Version, ServersRevision: req.ServersRevision, WaitMicros: req.Wait.Microseconds(), AgeMicros: age,
 		Directory: req.DirectoryDigest, Configuration: req.ConfigurationDigest,
-		CompressedServers: req.CompressedServers,
+		CompressedServers: req.CompressedServers, EvacuationsRevision: req.EvacuationsRevision,
 	})
 	if err != nil {
 		return FollowReply{}, fmt.Errorf("asking %s for changes: %w", address, err)
@@ -195,7 +213,7 @@
 		Configuration: resp.Configuration, ConfigurationDelta: resp.ConfigurationDelta, Servers: resp.Servers, CompressedServers: resp.CompressedServers,
 		Confirmed: resp.AgeMicros >= 0, Age: microseconds(resp.AgeMicros),
 		AnswersFromAge: microseconds(resp.AnswersFromMicros), AnswersToAge: microseconds(resp.AnswersToMicros),
-		Directory: membersFromProto(resp.Directory),
+		Directory: membersFromProto(resp.Directory), Evacuations: resp.Evacuations,
 	}, nil
 }
 
@@ -230,13 +248,15 @@
 }
 
 // Place asks an instance to choose an engine for a request. It returns the
-// engine's ID, or "" if none is free.
+// engine's ID, or "" if none is free. It returns a *fault.Error if the request was refused,
+// and an error that wraps ErrNoAnswer if the instance did not answer.
 func (c *Clients) Place(ctx context.Context, address, service string, q engine.Query, remaining time.Duration) (string, error) {
-	ctx, cancel := context.WithTimeout(ctx, placementTimeout)
+	ctx, cancel := context.WithTimeout(ctx, q.Demand.Wait+placeMargin)
 	defer cancel()
 	req := &peerpb.PlaceRequest{
 		Service: service, Request: q.RequestID, Affinity: q.Affinity, Exclude: q.Exclude, LeftMicros: remaining.Microseconds(),
 		Repeatable: q.Repeatable, Trial: q.Trial,
+		Parts: partsToProto(q.Parts), PromptTokens: int64(q.PromptTokens), OutputTokens: int64(q.OutputTokens), Demand: demandToProto(c.now(), q.Demand),
 	}
 	for zone, weight := range q.Weights {
 		req.Weights = append(req.Weights, &peerpb.ZoneWeight{Zone: zone, Weight: weight})
@@ -245,6 +265,9 @@
 	if err != nil {
 		return "", fmt.Errorf("asking %s for an engine: %w: %w", address, ErrNoAnswer, err)
 	}
+	if resp.Refused != "" {
+		return "", refusalFromProto(resp.Refused, resp.Message, resp.RetryAfterMicros)
+	}
 	return resp.Server, nil
 }
 
