fleet, edge: evacuated zones get nothing within the bound

Operators ask through the store that a zone's servers get nothing; nothing read these objects, so requests went on for as long as the evacuation lasted. The set of zones travels as the configuration does, with the store's revision at which it was last seen to hold, and only a later one replaces it. Not followed unless the settings have a bound for it.

--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -68,6 +68,8 @@
 		generation int64
 		history    history
 		notices    notices
+		// evacuations are the zones whose servers must get nothing.
+		evacuations Evacuations
 		// events are the events since the last call of TakeEvents.
 		events []Event
 	}
--- a/core/fleet/snapshot.go
+++ b/core/fleet/snapshot.go
@@ -17,6 +17,11 @@
 	// leaving holds by service the servers that said that they are leaving, as
 	// others may not know yet.
 	leaving map[string][]Server
+	// evacuated holds by service the servers in evacuated zones, and numEvacuated their
+	// number by zone.
+	evacuated    map[string][]Server
+	numEvacuated map[string]int
+	evacuations  Evacuations
 }
 
 // Snapshot returns the servers that may get work. Of several entries with the
@@ -28,7 +33,7 @@
 			newest[s.Address] = s
 		}
 	}
-	out := &Snapshot{services: make(map[string][]Server), byID: make(map[string]Server), byAddress: newest, leaving: make(map[string][]Server)}
+	out := &Snapshot{services: make(map[string][]Server), byID: make(map[string]Server), byAddress: newest, leaving: make(map[string][]Server), evacuations: v.evacuations, evacuated: make(map[string][]Server), numEvacuated: make(map[string]int)}
 	for _, s := range newest {
 		if s.Draining {
 			continue
@@ -37,6 +42,11 @@
 			out.leaving[s.Service] = append(out.leaving[s.Service], s)
 			continue
 		}
+		if v.evacuations.Contains(s.Zone) {
+			out.evacuated[s.Service] = append(out.evacuated[s.Service], s)
+			out.numEvacuated[s.Zone]++
+			continue
+		}
 		s.ExcludedUntil = v.notices.excludedUntil(s.Incarnation())
 		out.services[s.Service] = append(out.services[s.Service], s)
 		out.byID[s.ID] = s
@@ -70,12 +80,16 @@
 }
 
 // Unwilling returns the IDs of the servers of a service that said that they are leaving
-// or want no requests from this instance now, which other instances may not know.
+// or want no requests from this instance now, or whose zone is evacuated, which other
+// instances may not know.
 func (s *Snapshot) Unwilling(now time.Time, service string) []string {
 	var out []string
 	for _, server := range s.leaving[service] {
 		out = append(out, server.ID)
 	}
+	for _, server := range s.evacuated[service] {
+		out = append(out, server.ID)
+	}
 	for _, server := range s.services[service] {
 		if now.Before(server.ExcludedUntil) {
 			out = append(out, server.ID)
--- a/core/status/status.go
+++ b/core/status/status.go
@@ -32,6 +32,9 @@
 		// QuarantinedParts are the parts of prompts that are held back since engines have
 		// crashed on them.
 		QuarantinedParts []QuarantinedPart `json:"quarantinedParts,omitempty"`
+		// EvacuatedZones are the failure domains whose servers get nothing because the
+		// operator evacuates them.
+		EvacuatedZones []string `json:"evacuatedZones,omitempty"`
 		// CostsWaiting is the number of cost objects that are not yet stored.
 		CostsWaiting int `json:"costsWaiting"`
 	}
--- a/edge/confirmation.go
+++ b/edge/confirmation.go
@@ -16,7 +16,7 @@
 func (c *clusterState) configFresh() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return !c.configConfirmedAt.IsZero() && time.Since(c.configConfirmedAt) < c.propagationTime(freshFraction)
+	return !c.confirmed.config.IsZero() && time.Since(c.confirmed.config) < c.propagationTime(freshFraction)
 }
 
 // watchTime returns how long the store may hold a watch: well below the propagation
@@ -27,17 +27,22 @@
 	return min(c.propagationTime(watchFraction), time.Duration(watchOutageFraction*float64(outageAfter)))
 }
 
-// recordConfirmations records that the store confirmed the configuration and the
-// servers at the given times, of which either may be zero. from is the source, for
-// the log.
-func (c *clusterState) recordConfirmations(from string, configAt, serversAt time.Time) {
+// confirmations are when the store confirmed what is known of each kind of object. Zero stands
+// for never, or for no news.
+type confirmations struct {
+	config, servers, evacuations time.Time
+}
+
+// recordConfirmations records when the store confirmed what is known. from is the source,
+// for the log.
+func (c *clusterState) recordConfirmations(from string, at confirmations) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	old := c.confirmedAt()
 	for _, confirmation := range []struct {
 		at     time.Time
 		latest *time.Time
-	}{{configAt, &c.configConfirmedAt}, {serversAt, &c.serversConfirmedAt}} {
+	}{{at.config, &c.confirmed.config}, {at.servers, &c.confirmed.servers}, {at.evacuations, &c.confirmed.evacuations}} {
 		if !confirmation.at.IsZero() {
 			c.view.StoreAnswered(confirmation.at)
 		}
@@ -60,17 +65,22 @@
 	c.logServerEvents(from)
 }
 
-// confirmedAt returns when the store last confirmed both the configuration and the
-// servers, or the zero time if it never did. The caller holds mu.
+// confirmedAt returns when the store last confirmed all of the configuration, the servers
+// and, where they are followed, the evacuations, or the zero time if it never did. The caller
+// holds mu.
 func (c *clusterState) confirmedAt() time.Time {
-	if c.serversConfirmedAt.Before(c.configConfirmedAt) {
-		return c.serversConfirmedAt
+	at := c.confirmed.config
+	if c.confirmed.servers.Before(at) {
+		at = c.confirmed.servers
+	}
+	if c.followsEvacuations && c.confirmed.evacuations.Before(at) {
+		at = c.confirmed.evacuations
 	}
-	return c.configConfirmedAt
+	return at
 }
 
-// confirmationAge returns the time since the store last confirmed both the
-// configuration and the servers, or math.MaxInt64 if it never did.
+// confirmationAge returns the time since confirmedAt, or math.MaxInt64 if the store never
+// confirmed everything.
 func (c *clusterState) confirmationAge() time.Duration {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/edge/delegator.go
+++ b/edge/delegator.go
@@ -245,11 +245,11 @@
 	}
 }
 
-// errUnwilling means that a server wants no requests from this instance for a while.
-var errUnwilling = errors.New("the server wants no requests")
+// errUnwilling means that a server is to get no requests from this instance for a while.
+var errUnwilling = errors.New("the server is to get no requests")
 
 // freeAtServers frees results at the servers that hold them, except those that want no
-// requests now: their results are held until they expire.
+// requests now or are in an evacuated zone: their results are held until they expire.
 func (d *delegator) freeAtServers(ctx context.Context, handles []string) error {
 	byServer := make(map[string][]string)
 	for _, h := range handles {
@@ -264,6 +264,10 @@
 			errs = append(errs, errUnwilling)
 			continue
 		}
+		if servers.Evacuated(address) {
+			errs = append(errs, errUnwilling)
+			continue
+		}
 		if !known {
 			s.Address = address
 		}
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -80,6 +80,8 @@
 		// noticeLog limits the log lines about headers of servers.
 		noticeLog rate.Sometimes
 		refused   *refusedEntries
+		// refusedZones are the objects that name no zone to evacuate.
+		refusedZones *refusedEntries
 		// lastReplyAt is when a peer last answered a request for changes, or nil.
 		lastReplyAt atomic.Pointer[time.Time]
 		httpServers []*http.Server
@@ -102,7 +104,7 @@
 	in := &Instance{
 		name: cfg.Name(), incarnation: cfg.Name() + "-" + rand.Text()[:10], peerAddress: cfg.PeerAddress(),
 		log:      log.With(zap.String("instance", cfg.Name()), zap.String("failureDomain", cfg.FailureDomain())),
-		registry: prometheus.NewRegistry(), refused: newRefusedEntries(), ready: make(chan struct{}), listeners: make(map[string]*listener), startedAt: time.Now(),
+		registry: prometheus.NewRegistry(), refused: newRefusedEntries(), refusedZones: newRefusedEntries(), ready: make(chan struct{}), listeners: make(map[string]*listener), startedAt: time.Now(),
 		clock: stage.Clock{
 			Now:       time.Now,
 			AfterFunc: func(d time.Duration, f func()) func() bool { return time.AfterFunc(d, f).Stop },
--- a/edge/follow.go
+++ b/edge/follow.go
@@ -148,6 +148,7 @@
 	if t := in.state.table(); t != nil {
 		req.Version = t.Version()
 	}
+	req.EvacuationsRevision = in.state.evacuationsRevision()
 	req.DirectoryDigest, req.ConfigurationDigest = in.directoryDigests.get(address), in.state.deltaBase()
 	in.metrics.followRequests.Inc()
 	reply, err := in.peers.Follow(ctx, address, req)
--- a/edge/state.go
+++ b/edge/state.go
@@ -94,9 +94,10 @@
 		// after a difference from a peer could not be applied.
 		history   configHistory
 		needWhole bool
-		// configConfirmedAt and serversConfirmedAt are when the store last confirmed
-		// the configuration and the servers, through any instance.
-		configConfirmedAt, serversConfirmedAt time.Time
+		// confirmed is when the store last confirmed what is known, through any instance.
+		confirmed confirmations
+		// followsEvacuations is set if the settings ask for evacuations to be followed.
+		followsEvacuations bool
 		// encodedServers are the changes of the servers that were last encoded for a
 		// peer.
 		encodedServers encodedChanges
@@ -130,7 +131,8 @@
 func newClusterState(in *Instance) *clusterState {
 	c := &clusterState{
 		instance: in, view: fleet.New(outageHeartbeats * in.cfg.Load().Bounds().HeartbeatInterval), numInstances: 1, changed: make(chan struct{}),
-		uses: make(map[string]serviceUse), plainStages: make(map[string]*stage.Stage), retryShares: make(map[string]*retry.Share),
+		followsEvacuations: in.cfg.Load().Bounds().Evacuation > 0,
+		uses:               make(map[string]serviceUse), plainStages: make(map[string]*stage.Stage), retryShares: make(map[string]*retry.Share),
 	}
 	c.snapshot.Store(c.view.Snapshot())
 	return c
@@ -150,11 +152,15 @@
 func (c *clusterState) servers() *fleet.Snapshot { return c.snapshot.Load() }
 
 // propagationTime returns a fraction of the propagation time, within which changes
-// must be in force: the shorter of the bounds for a new configuration and for a
-// leaving server.
+// must be in force: the shortest of the bounds for a new configuration, for a leaving
+// server and for an evacuation, if evacuations are followed.
 func (c *clusterState) propagationTime(fraction float64) time.Duration {
 	bounds := c.instance.cfg.Load().Bounds()
-	return time.Duration(fraction * float64(min(bounds.ConfigPropagation, bounds.Drain)))
+	shortest := min(bounds.ConfigPropagation, bounds.Drain)
+	if c.followsEvacuations {
+		shortest = min(shortest, bounds.Evacuation)
+	}
+	return time.Duration(fraction * float64(shortest))
 }
 
 // offerCompressedConfig decompresses a configuration from a peer and passes it to
@@ -231,9 +237,13 @@
 }
 
 // updateReady marks the instance as ready as soon as it is settled and knows a
-// configuration and at least one server.
+// configuration, at least one server and, where they are followed, the evacuations.
 func (c *clusterState) updateReady() {
-	if c.instance.settledAt.Load() != nil && c.currentTable.Load() != nil && c.snapshot.Load().Len() > 0 {
+	snapshot := c.snapshot.Load()
+	if c.followsEvacuations && snapshot.Evacuations().Revision == 0 {
+		return
+	}
+	if c.instance.settledAt.Load() != nil && c.currentTable.Load() != nil && snapshot.Len() > 0 {
 		c.instance.readyOnce.Do(func() {
 			close(c.instance.ready)
 			c.instance.log.Info("instance ready", zap.Duration("afterStart", time.Since(c.instance.startedAt)))
@@ -475,6 +485,11 @@
 		}
 		ok = ok || len(plain) > 0
 	}
+	if e := c.view.Evacuations(); e.Revision > req.EvacuationsRevision {
+		out.Evacuations = c.encodeEvacuations(e)
+		// A set that is only seen to hold for longer is no reason for a reply by itself.
+		ok = ok || e.ChangedAt > req.EvacuationsRevision
+	}
 	return out, ok, c.changed
 }
 
@@ -508,13 +523,18 @@
 	if len(reply.ConfigurationDelta) > 0 {
 		c.offerConfigDelta(reply.ConfigurationDelta, from)
 	}
+	if len(reply.Evacuations) > 0 && c.followsEvacuations && !c.offerEncodedEvacuations(reply.Evacuations, from) {
+		// Its confirmation would hold for what was not taken over.
+		return
+	}
 	now := time.Now()
 	if reply.AnswersFromAge > 0 {
 		// Before the confirmation, which by itself may look like the end of an outage.
 		c.recordAnswers(from, fleet.Period{From: now.Add(-reply.AnswersFromAge), To: now.Add(-reply.AnswersToAge)})
 	}
 	if reply.Confirmed {
-		c.recordConfirmations(from, now.Add(-reply.Age), now.Add(-reply.Age))
+		at := now.Add(-reply.Age)
+		c.recordConfirmations(from, confirmations{config: at, servers: at, evacuations: at})
 	}
 	servers, err := reply.Servers, error(nil)
 	if len(reply.CompressedServers) > 0 {
--- a/edge/status.go
+++ b/edge/status.go
@@ -28,6 +28,7 @@
 		})
 	}
 	servers := in.state.servers()
+	out.EvacuatedZones = servers.Evacuations().Zones
 	for s := range servers.Leaving() {
 		out.Unwilling = append(out.Unwilling, status.Server{ID: s.ID, Service: s.Service, Born: s.Born, Leaving: true})
 	}
--- a/edge/storewatch.go
+++ b/edge/storewatch.go
@@ -154,7 +154,7 @@
 	for _, o := range objects {
 		in.applyConfig(o)
 	}
-	in.state.recordConfirmations(sourceStore, requestedAt, time.Time{})
+	in.state.recordConfirmations(sourceStore, confirmations{config: requestedAt})
 	return revision, nil
 }
 
@@ -169,7 +169,7 @@
 			in.applyConfig(c.Object)
 		}
 	}
-	in.state.recordConfirmations(sourceStore, answeredAt, time.Time{})
+	in.state.recordConfirmations(sourceStore, confirmations{config: answeredAt})
 	return max(after, revision), nil
 }
 
@@ -208,7 +208,7 @@
 	}
 	in.refused.retain(refused)
 	in.state.updateServers(sourceStore, func(v *fleet.View, now time.Time) { v.Replace(now, servers, revision) })
-	in.state.recordConfirmations(sourceStore, time.Time{}, requestedAt)
+	in.state.recordConfirmations(sourceStore, confirmations{servers: requestedAt})
 	return revision, nil
 }
 
@@ -223,7 +223,7 @@
 		events = append(events, in.serverUpdate(c))
 	}
 	in.state.updateServers(sourceStore, func(v *fleet.View, now time.Time) { v.ApplyWatch(now, events, revision) })
-	in.state.recordConfirmations(sourceStore, time.Time{}, answeredAt)
+	in.state.recordConfirmations(sourceStore, confirmations{servers: answeredAt})
 	return max(after, revision), nil
 }
 
