lint: a configuration of routes is checked before it is sent

A configuration that the platform's store accepts may hold routes that no request can match, limits that contradict each other and keys that two organisations hold; nothing showed them before callers met them.

--- a/cmd/cmd.go
+++ b/cmd/cmd.go
@@ -99,7 +99,7 @@
 
 func (p *program) subcommands() []subcommand {
 	return []subcommand{
-		p.newEntry(), p.newCheck(), p.newPublish(), p.newHistory(), p.newRollback(), p.newStatus(), p.newRelease(),
+		p.newEntry(), p.newCheck(), p.newLint(), p.newPublish(), p.newHistory(), p.newRollback(), p.newStatus(), p.newRelease(),
 		p.newCost(), p.newSweep(), p.newReplay(), p.newTrace(), p.newExplain(), p.newLogs(), p.newDemo(), p.newStandin(), p.newHashKey(), p.newVersion(),
 	}
 }
