coldstart, fleet: until when servers are cold, and permissions for requests to them

Nothing limited the requests that reach a server while it is slow after its start, so a server that returns in a burst crashes. The cold time of an entry counts from when its incarnation and sequence were first seen. The owner of a service grants permissions from a third of the bound for each 1.25 s, once it has been entitled for as long without a break: it is the owner by its view, among the first three of its directory by rank, and reaches more than half of it.

--- /dev/null
+++ b/core/coldstart/coldstart.go
@@ -0,0 +1,138 @@
+// Package coldstart limits the requests that servers receive while they are slow after a
+// start.
+//
+// The owner of a service grants permissions, one for each request, from a third of the
+// bound that holds for all instances together. Three instances that believe they are the
+// owner therefore stay within the bound. Tenure decides whether this instance may grant,
+// and Limiter whether a server may receive a request now. The package sends nothing and
+// reads no clock.
+package coldstart
+
+import (
+	"math"
+	"time"
+
+	"chervilpath/core/member"
+)
+
+const (
+	// Window is the time over which the requests to a cold server are bounded.
+	Window = time.Second
+
+	// Validity is how long a permission may be used, counted from the moment at which it
+	// was asked for.
+	Validity = 250 * time.Millisecond
+
+	// Settling is the time after which no permission of an earlier owner, and no request
+	// that was sent before a server was known to be cold, counts any more.
+	Settling = Window + Validity
+
+	// MaxContactAge is the age up to which the last answer of a member shows that this
+	// instance reaches it.
+	MaxContactAge = time.Second
+
+	// maxOwners is the number of instances that may grant permissions for a service at the
+	// same time, each of them from its share of the bound.
+	maxOwners = 3
+
+	// maxTenureGap is the longest time between two confirmations of a tenure. A process
+	// that was stopped for longer may have been replaced as the owner.
+	maxTenureGap = 700 * time.Millisecond
+)
+
+// Allowance returns how many permissions one owner may grant for a server in each
+// Settling, if a server that tolerates rate requests per second while it is cold may
+// receive rate times over, plus slack, in any Window. It returns 0 if the rate or over is
+// not positive or is no number: cold servers of the service are then not limited, and
+// nothing has to be granted.
+func Allowance(rate, over, slack float64) int {
+	if !Limited(rate, over) {
+		return 0
+	}
+	share := (rate*over + max(0, slack)) / maxOwners
+	return int(math.Floor(min(share, math.MaxInt32)))
+}
+
+// Limited reports whether cold servers that tolerate rate requests per second are limited.
+func Limited(rate, over float64) bool { return rate > 0 && over > 0 }
+
+// Entitled reports whether an instance may grant permissions for a service: it is the
+// service's owner among the live members of its directory, among the first three of all
+// members, and reaches more than half of them, itself included. reached reports whether a
+// member answered recently, and unknown is the number of instances that are known to exist
+// but are in no directory, such as the seeds of one that was cut off when it started.
+//
+// The rank among all members, also those that do not answer, limits the number of
+// instances that grant at the same time to three even if their views of who is live
+// differ. The incarnations of an instance are one member.
+func Entitled(self member.Member, directory []member.Member, service string, unknown int, reached func(member.Member) bool) bool {
+	if owner, ok := member.Owner(directory, service, func(member.Member) bool { return true }); !ok || owner.ID != self.ID {
+		return false
+	}
+	// A directory is small, so that a scan for each member is cheap.
+	total, numReached, before := unknown, 0, 0
+	for i, m := range directory {
+		if isListed(directory[:i], m.Name) {
+			continue
+		}
+		total++
+		if m.Name == self.Name {
+			numReached++
+			continue
+		}
+		if anyIncarnation(directory[i:], m.Name, reached) {
+			numReached++
+		}
+		// Owner compares only live members.
+		pair := [...]member.Member{{ID: self.ID, Name: self.Name}, {ID: m.ID, Name: m.Name}}
+		if first, _ := member.Owner(pair[:], service, func(member.Member) bool { return true }); first.ID != self.ID {
+			before++
+		}
+	}
+	return 2*numReached > total && before < maxOwners
+}
+
+func isListed(members []member.Member, name string) bool {
+	for _, m := range members {
+		if m.Name == name {
+			return true
+		}
+	}
+	return false
+}
+
+func anyIncarnation(members []member.Member, name string, reached func(member.Member) bool) bool {
+	for _, m := range members {
+		if m.Name == name && m.State != member.Gone && reached(m) {
+			return true
+		}
+	}
+	return false
+}
+
+// Tenure is the time for which this instance has been entitled to grant permissions for a
+// service without a break. The zero value has no tenure. It is not safe for concurrent use.
+type Tenure struct {
+	// since is the start of the tenure, or zero, and last its latest confirmation.
+	since, last time.Time
+}
+
+// Confirm records whether the instance is entitled now. It has to be called more often
+// than every maxTenureGap.
+func (t *Tenure) Confirm(now time.Time, entitled bool) {
+	if !entitled {
+		*t = Tenure{}
+		return
+	}
+	if t.since.IsZero() || now.Sub(t.last) > maxTenureGap {
+		t.since = now
+	}
+	t.last = now
+}
+
+// Holds reports whether permissions may be granted now. A tenure holds once it has lasted
+// so long that no permission of an earlier owner is in use any more, which may also be an
+// earlier process of the same instance.
+func (t *Tenure) Holds(now time.Time) bool {
+	return !t.since.IsZero() && now.Sub(t.last) <= maxTenureGap && now.Sub(t.since) >= Settling
+}
--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -32,6 +32,11 @@
 		// ExcludedUntil is until when the server wants no requests from this instance,
 		// or zero. It is set in a Snapshot and not part of the entry.
 		ExcludedUntil time.Time `json:"-"`
+		// ColdUntil is until when the server counts as slow after its start, which may be
+		// in the past. TurnedColdAt is when this instance learned that it became cold again
+		// after it had been warm, or zero. Both are set in a Snapshot and not part of the
+		// entry.
+		ColdUntil, TurnedColdAt time.Time `json:"-"`
 	}
 
 	// Changes are the changes after a revision, as one instance sends them to
@@ -68,6 +73,7 @@
 		generation int64
 		history    history
 		notices    notices
+		cold       coldStates
 		// events are the events since the last call of TakeEvents.
 		events []Event
 	}
@@ -80,6 +86,7 @@
 		known: make(map[string]Server), missing: make(map[string]int64), outageAfter: outageAfter,
 		history: history{removals: make(map[string]int64)},
 		notices: notices{leaving: make(map[string]leavingNotice), excluded: make(map[string]exclusion)},
+		cold:    coldStates{servers: make(map[string]coldState), zones: make(map[string]time.Time)},
 	}
 }
 
@@ -100,7 +107,7 @@
 	listed := make(map[string]bool, len(servers))
 	for _, s := range servers {
 		listed[s.ID] = true
-		v.Set(s)
+		v.setAt(now, s)
 	}
 	var removed []string
 	for id := range v.known {
@@ -111,9 +118,12 @@
 	return removed
 }
 
-// Set adds or updates one entry. It ignores an entry that is older than the known
-// one.
-func (v *View) Set(s Server) {
+// Set adds or updates one entry, as of the latest time that the view was given. It
+// ignores an entry that is older than the known one.
+func (v *View) Set(s Server) { v.setAt(v.cold.latest, s) }
+
+func (v *View) setAt(now time.Time, s Server) {
+	v.cold.latest = latest(v.cold.latest, now)
 	existing, ok := v.known[s.ID]
 	if ok && s.Revision < existing.Revision {
 		return
@@ -124,6 +134,7 @@
 		v.generation++
 	}
 	v.started(existing, s)
+	v.cold.observe(now, s)
 	if s.Draining && !existing.Draining && !v.notices.leaves(s.Incarnation()) {
 		v.events = append(v.events, Event{Kind: Leaving, Server: s})
 	}
@@ -237,7 +248,7 @@
 		removed = append(removed, id)
 	}
 	for _, s := range c.Servers {
-		v.Set(s)
+		v.setAt(now, s)
 	}
 	return removed
 }
--- a/core/fleet/history.go
+++ b/core/fleet/history.go
@@ -80,7 +80,7 @@
 	var removed []string
 	for id, s := range last {
 		if s != nil {
-			v.Set(*s)
+			v.setAt(now, *s)
 		} else if v.Remove(now, id) {
 			removed = append(removed, id)
 		}
--- a/core/fleet/notice.go
+++ b/core/fleet/notice.go
@@ -115,9 +115,10 @@
 // ExcludedCount returns the number of servers that are excluded for a while.
 func (v *View) ExcludedCount() int { return len(v.notices.excluded) }
 
-// ExpireNotices drops exclusions that have ended, and what servers said whose entries
-// are long gone.
+// ExpireNotices drops exclusions and cold times that have ended, and what is known of
+// servers whose entries are long gone.
 func (v *View) ExpireNotices(now time.Time) {
+	v.cold.expire(now, v.known)
 	for id, x := range v.notices.excluded {
 		if now.Before(x.until) {
 			continue
--- a/core/fleet/outage.go
+++ b/core/fleet/outage.go
@@ -21,6 +21,7 @@
 // failure that only some instances see, so what another instance knows may show later
 // that there was no outage.
 func (v *View) StoreAnsweredIn(p Period) {
+	v.cold.latest = latest(v.cold.latest, p.To)
 	switch {
 	case v.answers.To.IsZero():
 		v.answers = p
--- a/core/fleet/snapshot.go
+++ b/core/fleet/snapshot.go
@@ -37,6 +37,7 @@
 			out.leaving[s.Service] = append(out.leaving[s.Service], s)
 			continue
 		}
+		v.cold.addTo(&s)
 		s.ExcludedUntil = v.notices.excludedUntil(s.Incarnation())
 		out.services[s.Service] = append(out.services[s.Service], s)
 		out.byID[s.ID] = s
