relay, gather, edge: requests to cold servers are asked for right before they are sent

Senders ask the owner of a service before each attempt and each batch of pieces at a cold server. What is not admitted goes elsewhere or is refused; nothing has run by then.

--- a/core/coldstart/coldstart.go
+++ b/core/coldstart/coldstart.go
@@ -56,40 +56,49 @@
 // Limited reports whether cold servers that tolerate rate requests per second are limited.
 func Limited(rate, over float64) bool { return rate > 0 && over > 0 }
 
-// Entitled reports whether an instance may grant permissions for a service: it is the
-// service's owner among the live members of its directory, among the first three of all
-// members, and reaches more than half of them, itself included. reached reports whether a
-// member answered recently, and unknown is the number of instances that are known to exist
-// but are in no directory, such as the seeds of one that was cut off when it started.
+// IsOwner reports whether an instance may own the permissions of a service: it is the
+// service's owner among the live members of its directory, and among the first three of
+// all members.
 //
-// The rank among all members, also those that do not answer, limits the number of
+// The rank among all members, also those that are not live, limits the number of
 // instances that grant at the same time to three even if their views of who is live
 // differ. The incarnations of an instance are one member.
-func Entitled(self member.Member, directory []member.Member, service string, unknown int, reached func(member.Member) bool) bool {
-	if owner, ok := member.Owner(directory, service, func(member.Member) bool { return true }); !ok || owner.ID != self.ID {
+func IsOwner(self member.Member, directory []member.Member, service string) bool {
+	if owner, ok := member.Owner(directory, service, anyMember); !ok || owner.ID != self.ID {
 		return false
 	}
+	before := 0
+	for i, m := range directory {
+		if m.Name == self.Name || isListed(directory[:i], m.Name) {
+			continue
+		}
+		pair := [...]member.Member{{ID: self.ID, Name: self.Name}, {ID: m.ID, Name: m.Name}}
+		if first, _ := member.Owner(pair[:], service, anyMember); first.ID != self.ID {
+			before++
+		}
+	}
+	return before < maxOwners
+}
+
+func anyMember(member.Member) bool { return true }
+
+// ReachesMajority reports whether an instance reaches more than half of its directory,
+// itself included. reached reports whether a member answered within MaxContactAge, and
+// unknown is the number of instances that are known to exist but are not known as members,
+// such as the seeds of an instance that was cut off when it started.
+func ReachesMajority(self member.Member, directory []member.Member, unknown int, reached func(member.Member) bool) bool {
 	// A directory is small, so that a scan for each member is cheap.
-	total, numReached, before := unknown, 0, 0
+	total, numReached := unknown, 0
 	for i, m := range directory {
 		if isListed(directory[:i], m.Name) {
 			continue
 		}
 		total++
-		if m.Name == self.Name {
-			numReached++
-			continue
-		}
-		if anyIncarnation(directory[i:], m.Name, reached) {
+		if m.Name == self.Name || anyIncarnation(directory[i:], m.Name, reached) {
 			numReached++
 		}
-		// Owner compares only live members.
-		pair := [...]member.Member{{ID: self.ID, Name: self.Name}, {ID: m.ID, Name: m.Name}}
-		if first, _ := member.Owner(pair[:], service, func(member.Member) bool { return true }); first.ID != self.ID {
-			before++
-		}
 	}
-	return 2*numReached > total && before < maxOwners
+	return 2*numReached > total
 }
 
 func isListed(members []member.Member, name string) bool {
@@ -110,17 +119,17 @@
 	return false
 }
 
-// Tenure is the time for which this instance has been entitled to grant permissions for a
-// service without a break. The zero value has no tenure. It is not safe for concurrent use.
+// Tenure is the time for which this instance has owned the permissions of a service
+// without a break. The zero value has no tenure. It is not safe for concurrent use.
 type Tenure struct {
 	// since is the start of the tenure, or zero, and last its latest confirmation.
 	since, last time.Time
 }
 
-// Confirm records whether the instance is entitled now. It has to be called more often
-// than every maxTenureGap.
-func (t *Tenure) Confirm(now time.Time, entitled bool) {
-	if !entitled {
+// Confirm records whether the instance is the owner now, see IsOwner. It has to be called
+// more often than every maxTenureGap.
+func (t *Tenure) Confirm(now time.Time, owner bool) {
+	if !owner {
 		*t = Tenure{}
 		return
 	}
--- a/core/coldstart/coldstart_test.go
+++ b/core/coldstart/coldstart_test.go
@@ -106,7 +106,7 @@
 
 // Guards against grants by an instance that is cut off, is not the owner or is far behind
 // the owner in rank, and against old incarnations that count as members.
-func TestEntitled(t *testing.T) {
+func TestOwnerAndMajority(t *testing.T) {
 	names := []string{"a", "b", "c", "d", "e"}
 	directory := func(state func(name string) member.State) []member.Member {
 		var out []member.Member
@@ -153,20 +153,27 @@
 			return member.Live
 		})
 	}
-	for what, got := range map[string]bool{
-		"owner that reaches 3 of 5":                 coldstart.Entitled(self(0), allLive, "llm", 0, reach(2)),
-		"third in rank, the first two gone":         coldstart.Entitled(self(2), goneBefore(2), "llm", 0, reach(2)),
-		"alone":                                     coldstart.Entitled(self(0), []member.Member{self(0)}, "llm", 0, reach(0)),
-		"not owner that reaches 2 of 5":             !coldstart.Entitled(self(0), allLive, "llm", 0, reach(1)),
-		"not second while the first is live":        !coldstart.Entitled(self(1), allLive, "llm", 0, reach(4)),
-		"not fourth in rank, the first three gone":  !coldstart.Entitled(self(3), goneBefore(3), "llm", 0, reach(2)),
-		"not alone after a start without its seeds": !coldstart.Entitled(self(0), []member.Member{self(0)}, "llm", 1, reach(0)),
-		"not an instance without a directory":       !coldstart.Entitled(self(0), nil, "llm", 0, reach(0)),
-		"not if only old incarnations were reachable": !coldstart.Entitled(self(0), directory(func(n string) member.State {
-			return map[bool]member.State{true: member.Live, false: member.Gone}[n == byRank[0]]
-		}), "llm", 0, reach(4)),
+	onlySelfLive := directory(func(n string) member.State {
+		if n == byRank[0] {
+			return member.Live
+		}
+		return member.Gone
+	})
+	alone := []member.Member{self(0)}
+	for what, right := range map[string]bool{
+		"the first owns":                             coldstart.IsOwner(self(0), allLive, "llm"),
+		"the third, the first two gone, owns":        coldstart.IsOwner(self(2), goneBefore(2), "llm"),
+		"the only one owns":                          coldstart.IsOwner(self(0), alone, "llm"),
+		"the second, the first live, does not own":   !coldstart.IsOwner(self(1), allLive, "llm"),
+		"the fourth, the first gone, does not own":   !coldstart.IsOwner(self(3), goneBefore(3), "llm"),
+		"one without a directory does not own":       !coldstart.IsOwner(self(0), nil, "llm"),
+		"3 of 5 are a majority":                      coldstart.ReachesMajority(self(0), allLive, 0, reach(2)),
+		"2 of 5 are none":                            !coldstart.ReachesMajority(self(0), allLive, 0, reach(1)),
+		"the only one is a majority":                 coldstart.ReachesMajority(self(0), alone, 0, reach(0)),
+		"one that never reached its seed is none":    !coldstart.ReachesMajority(self(0), alone, 1, reach(0)),
+		"incarnations that are gone are not reached": !coldstart.ReachesMajority(self(0), onlySelfLive, 0, reach(4)),
 	} {
-		if !got {
+		if !right {
 			t.Errorf("wrong decision: %s", what)
 		}
 	}
@@ -199,6 +206,6 @@
 	}
 	run(confirm)
 	if tenure.Confirm(now, false); tenure.Holds(now) {
-		t.Error("holds though the instance is not entitled")
+		t.Error("holds though the instance is not the owner")
 	}
 }
--- a/core/coldstart/sim_test.go
+++ b/core/coldstart/sim_test.go
@@ -183,14 +183,18 @@
 			in.live[other.id] = reachable
 		}
 	}
-	if s.believers > 0 {
-		in.tenure.Confirm(now, in.id < s.believers)
-		return
-	}
-	in.tenure.Confirm(now, coldstart.Entitled(member.Member{ID: in.name, Name: in.name}, s.directory(in), simService, 0, func(m member.Member) bool {
+	self := member.Member{ID: in.name, Name: in.name}
+	in.tenure.Confirm(now, s.believers > 0 && in.id < s.believers || s.believers == 0 && coldstart.IsOwner(self, s.directory(in), simService))
+}
+
+// reachesMajority reports whether an instance reaches more than half of the others, or
+// believes so.
+func (s *simulation) reachesMajority(now time.Time, in *simInstance) bool {
+	self := member.Member{ID: in.name, Name: in.name}
+	return s.believers > 0 || coldstart.ReachesMajority(self, s.directory(in), 0, func(m member.Member) bool {
 		i := slices.IndexFunc(s.instances, func(o *simInstance) bool { return o.name == m.Name })
 		return now.Sub(in.reachedAt[i]) <= coldstart.MaxContactAge
-	}))
+	})
 }
 
 func (s *simulation) directory(in *simInstance) []member.Member {
@@ -206,7 +210,7 @@
 
 // admit is the owner's decision.
 func (s *simulation) admit(now time.Time, in *simInstance, server *simServer) bool {
-	if !in.tenure.Holds(now) {
+	if !in.tenure.Holds(now) || !s.reachesMajority(now, in) {
 		return false
 	}
 	known := server.Server
--- a/core/gather/complete.go
+++ b/core/gather/complete.go
@@ -45,6 +45,25 @@
 	return completed, orphaned
 }
 
+// Withhold puts the items of a call that was not made back into the queue. The server gets
+// no calls for the given time.
+func (q *Queue) Withhold(now time.Time, b *Batch, pause time.Duration) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	s := b.server
+	s.calls = slices.DeleteFunc(s.calls, func(c *Batch) bool { return c == b })
+	if at := now.Add(max(minFullBackoff, pause)); at.After(s.pausedUntil) {
+		s.pausedUntil = at
+	}
+	for _, it := range b.Items {
+		s.usedBytes -= it.ResultBytes
+		it.attempts--
+		if !it.cancelled {
+			q.enqueue(now, []*Item{it})
+		}
+	}
+}
+
 // Completion is the final outcome of an item: a handle or an error.
 type Completion struct {
 	Item   *Item
--- a/core/gather/dispatcher.go
+++ b/core/gather/dispatcher.go
@@ -33,6 +33,10 @@
 		Free func(ctx context.Context, handles []string) error
 		// BatchEnded is called when a call has ended.
 		BatchEnded func(service string, b *Batch, took time.Duration, err error)
+		// Admit decides whether a batch may be sent to its server, which is cold, and sets
+		// the batch's SendBefore. If not, it returns the time after which it may decide
+		// otherwise. It may be nil.
+		Admit func(ctx context.Context, service string, b *Batch) (ok bool, retryAfter time.Duration)
 	}
 
 	// Dispatcher distributes the items of one service to its servers for
@@ -151,6 +155,13 @@
 func (d *Dispatcher) runBatch(b *Batch) {
 	ctx, cancel := context.WithTimeout(context.Background(), callTimeoutFactor*b.expected+callTimeoutMargin)
 	defer cancel()
+	if d.deps.Admit != nil && d.clock.Now().Before(b.Server.ColdUntil) {
+		if ok, retryAfter := d.deps.Admit(ctx, d.service, b); !ok {
+			d.queue.Withhold(d.clock.Now(), b, retryAfter)
+			d.dispatch()
+			return
+		}
+	}
 	status, outcomes, err := d.deps.RunBatch(ctx, b, func(it *Item) time.Duration { return it.Deadline.Sub(d.clock.Now()) }, d.queue.IsCopy)
 	if status == CallAnswered && d.queue.IsCopy(outcomes) {
 		status, outcomes, err = CallFailed, nil, fmt.Errorf("server %s: %w", b.Server.ID, ErrCopiedAnswer)
--- a/core/gather/gather.go
+++ b/core/gather/gather.go
@@ -108,11 +108,14 @@
 
 	// Batch is the content of one call to a server.
 	Batch struct {
-		Server   fleet.Server
-		Items    []*Item
-		server   *server
-		started  time.Time
-		expected time.Duration
+		Server fleet.Server
+		Items  []*Item
+		// SendBefore is the time after which nothing of the call may be sent any more, or
+		// zero.
+		SendBefore time.Time
+		server     *server
+		started    time.Time
+		expected   time.Duration
 	}
 
 	// Queue holds the waiting items and the servers of one service. Use New to
--- a/core/relay/engine.go
+++ b/core/relay/engine.go
@@ -43,7 +43,8 @@
 		}
 		// While the stages ran, the engine may have been removed, or have said that it
 		// wants no requests.
-		if _, callable := e.relay.deps.Servers().Callable(e.now(), p.server.ID); !callable {
+		current, callable := e.relay.deps.Servers().Callable(e.now(), p.server.ID)
+		if !callable {
 			e.settle(p, balance.Abandoned)
 			e.log("skip", "the engine takes no more requests", p.server.ID)
 			continue
@@ -56,6 +57,12 @@
 			e.settle(p, balance.Abandoned)
 			return err
 		}
+		if !e.admit(ctx, current) {
+			if ok, err := e.goToAnotherEngine(ctx, p); !ok {
+				return err
+			}
+			continue
+		}
 		step, err := e.sendToEngine(ctx, p)
 		if step == stepFinish {
 			return err
--- a/core/relay/plain.go
+++ b/core/relay/plain.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"slices"
+	"time"
 
 	"chervilpath/core/balance"
 	"chervilpath/core/declare"
@@ -50,6 +51,12 @@
 			}
 			return e.refusal(fault.Errorf(fault.EndpointUnavailable, "server %s takes no more requests", grant.Endpoint.Name()))
 		}
+		if !e.admit(ctx, server) {
+			if ok, err := e.goElsewhere(ctx, s, grant); !ok {
+				return err
+			}
+			continue
+		}
 		retry, err := e.sendToPlain(ctx, s, grant, server)
 		if !retry {
 			return err
@@ -188,11 +195,12 @@
 
 // newAttempt returns the attempt to be sent to a server now.
 func (e *execution) newAttempt(server fleet.Server, inputs []string) Attempt {
-	again := slices.Contains(e.sentTo, server.ID)
+	again, sendBefore := slices.Contains(e.sentTo, server.ID), e.sendBefore
+	e.sendBefore = time.Time{}
 	e.sentTo = append(e.sentTo, server.ID)
 	return Attempt{
 		Request: e.req, Server: server, Remaining: e.remaining(), Organisation: e.orgName,
-		Inputs: inputs, LastEventID: e.req.LastEventID, Priority: -1, NewConnection: again,
+		Inputs: inputs, LastEventID: e.req.LastEventID, Priority: -1, NewConnection: again, SendBefore: sendBefore,
 	}
 }
 
--- a/core/relay/relay.go
+++ b/core/relay/relay.go
@@ -132,6 +132,12 @@
 		begun bool
 		// trial is the part that is held back and that the request tries, or "".
 		trial string
+		// sendBefore is the time after which the next attempt may not be sent any more, or
+		// zero. numNotAdmitted counts the cold servers to which the request was not
+		// admitted, and coldRetryAfter is when the last of them may get one.
+		sendBefore     time.Time
+		numNotAdmitted int
+		coldRetryAfter time.Duration
 	}
 
 	// heldResults are results of one service that have to be released.
@@ -326,7 +332,7 @@
 		fraction := minOverloadRetryFraction + (maxOverloadRetryFraction-minOverloadRetryFraction)*e.relay.deps.Random()
 		retryAfter = time.Duration(fraction * float64(remaining))
 	}
-	retryAfter = max(retryAfter, err.RetryAfter(), e.retryAfterReturn())
+	retryAfter = max(retryAfter, err.RetryAfter(), e.retryAfterReturn(), e.coldRetryAfter)
 	return &Refusal{Fault: err.WithRan(fault.RanNo), RetryAfter: retryAfter}
 }
 
--- a/core/relay/replace.go
+++ b/core/relay/replace.go
@@ -88,7 +88,7 @@
 	if r.exec.isSuspected() {
 		return nil, errSuspected
 	}
-	p, ok, _ := r.exec.place(ctx, r.id, r.exclude)
+	p, ok, _ := r.exec.place(ctx, r.id, slices.Concat(r.exclude, r.exec.coldServers()))
 	if !ok {
 		return nil, errNoEngine
 	}
--- a/core/relay/types.go
+++ b/core/relay/types.go
@@ -75,6 +75,19 @@
 		// NewConnection is set if the request was sent to the server before, so that
 		// a late answer to that attempt cannot be taken for the answer to this one.
 		NewConnection bool
+		// SendBefore is the time after which nothing of the attempt may be sent any more,
+		// or zero.
+		SendBefore time.Time
+	}
+
+	// Permission is the answer to the question whether a request may be sent to a cold
+	// server.
+	Permission struct {
+		Granted bool
+		// SendBefore is until when it may be sent, or zero if that is not limited.
+		SendBefore time.Time
+		// RetryAfter is the time after which a permission may be granted, if it was not.
+		RetryAfter time.Duration
 	}
 
 	// Response is the beginning of a server's response. It has been checked to
@@ -215,6 +228,11 @@
 		// service, one without engines, and balances them over its servers. It
 		// returns nil if the service has no servers.
 		PlainStage func(service string) *stage.Stage
+		// ColdLimited reports whether the requests to cold servers of a service are limited,
+		// or is nil if they never are. Admit then decides right before each send to a server
+		// that is cold.
+		ColdLimited func(service string) bool
+		Admit       func(ctx context.Context, service string, server fleet.Server, requestID string) Permission
 		// RecordCall counts the first send of a request to a service, and
 		// AllowRetry takes a retry from the budget of the service if one is
 		// left.
--- a/edge/delegator.go
+++ b/edge/delegator.go
@@ -18,6 +18,7 @@
 	"chervilpath/core/relay"
 	"chervilpath/core/route"
 	"chervilpath/io/peer"
+	"chervilpath/io/upstream"
 	"chervilpath/platform"
 )
 
@@ -79,7 +80,7 @@
 	dispatcher, ok := d.dispatchers[service]
 	if !ok {
 		dispatcher = gather.NewDispatcher(service, pieces, d.instance.clock, gather.Deps{
-			RunBatch: d.runBatch, Free: d.freeAtServers, BatchEnded: d.batchEnded,
+			RunBatch: d.runBatch, Free: d.freeAtServers, BatchEnded: d.batchEnded, Admit: d.instance.cold.admitBatch,
 		})
 		d.dispatchers[service] = dispatcher
 	}
@@ -204,7 +205,7 @@
 }
 
 func (d *delegator) runBatch(ctx context.Context, b *gather.Batch, remaining func(*gather.Item) time.Duration, isCopy func([]gather.ItemOutcome) bool) (gather.CallStatus, []gather.ItemOutcome, error) {
-	return d.instance.stageClient.RunPieces(ctx, b, remaining, isCopy)
+	return d.instance.stageClient.RunPieces(upstream.SendBefore(ctx, b.SendBefore), b, remaining, isCopy)
 }
 
 func (d *delegator) batchEnded(service string, b *gather.Batch, elapsed time.Duration, err error) {
@@ -248,8 +249,12 @@
 // errUnwilling means that a server wants no requests from this instance for a while.
 var errUnwilling = errors.New("the server wants no requests")
 
+// errCold means that a server is cold and gets no more requests than those that are admitted.
+var errCold = errors.New("the server is cold")
+
 // freeAtServers frees results at the servers that hold them, except those that want no
-// requests now: their results are held until they expire.
+// requests now or are cold: their results are held until they expire. A cold server bears
+// few requests, which are for work.
 func (d *delegator) freeAtServers(ctx context.Context, handles []string) error {
 	byServer := make(map[string][]string)
 	for _, h := range handles {
@@ -264,6 +269,10 @@
 			errs = append(errs, errUnwilling)
 			continue
 		}
+		if listed, ok := servers.Server(s.ID); ok && now.Before(listed.ColdUntil) && d.instance.cold.limited(listed.Service) {
+			errs = append(errs, errCold)
+			continue
+		}
 		if !known {
 			s.Address = address
 		}
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -56,6 +56,7 @@
 		members           *peer.Members
 		state             *clusterState
 		delegator         *delegator
+		cold              *coldAdmission
 		relay             *relay.Relay
 		callerServer      *front.Server
 
@@ -124,6 +125,7 @@
 	in.members.ShareQuarantine(peer.Quarantine{Digest: in.quarantine.Digest, Whole: in.wholeQuarantine, Merge: in.mergeQuarantine})
 	in.state = newClusterState(in)
 	in.delegator = newDelegator(in)
+	in.cold = newColdAdmission(in)
 	in.relay = relay.New(in.relayDeps())
 	in.callerServer = front.New(front.Deps{
 		Now: time.Now, RequestID: platform.RequestID, ParseRequest: platform.ReadRequest, Serve: in.relay.Serve, MaxBodyBytes: in.maxBody,
@@ -146,6 +148,7 @@
 		Send: in.upstream.Send, Answers: memory.New(int64(answerFraction * float64(in.cfg.Load().Memory()))), RunStage: in.delegator.runStage, FreeResults: in.delegator.freeResults, Place: in.delegator.place, Settle: in.delegator.settle, Suspect: in.delegator.suspect,
 		ResultZone: func(handle string) string { return in.state.servers().Zone(platform.ResultAddress(handle)) },
 		PlainStage: in.state.plainStage, RecordCall: in.state.recordCall, AllowRetry: in.state.allowRetry,
+		ColdLimited: in.cold.limited, Admit: in.cold.admit,
 		Quarantine: in.quarantine, QuarantineChanged: in.notifyQuarantine,
 		ShutdownCtx: in.shutdownCtx,
 		Shutdown:    func() relay.Shutdown { return *in.shutdown.Load() },
@@ -253,7 +256,7 @@
 func (in *Instance) platformHandler() *peer.PlatformHandler {
 	return &peer.PlatformHandler{
 		Now: time.Now, Follow: in.state.serveFollow, RunStage: in.delegator.runStageForPeer, FreeResults: in.delegator.freeLocally,
-		Place: in.delegator.placeForPeer, Settle: in.delegator.settleLocally,
+		Place: in.delegator.placeForPeer, Settle: in.delegator.settleLocally, Admit: in.cold.decide,
 	}
 }
 
--- a/edge/metrics.go
+++ b/edge/metrics.go
@@ -19,13 +19,15 @@
 	// quarantinedParts and quarantineEvents concern parts of prompts that crash engines.
 	quarantinedParts prometheus.Gauge
 	quarantineEvents *prometheus.CounterVec
-	requests         *prometheus.CounterVec
-	faults           *prometheus.CounterVec
-	aborts           *prometheus.CounterVec
-	requestDuration  prometheus.Histogram
-	batches          *prometheus.CounterVec
-	batchPieces      prometheus.Histogram
-	batchDuration    prometheus.Histogram
+	// coldAdmissions concerns requests to cold servers.
+	coldAdmissions  *prometheus.CounterVec
+	requests        *prometheus.CounterVec
+	faults          *prometheus.CounterVec
+	aborts          *prometheus.CounterVec
+	requestDuration prometheus.Histogram
+	batches         *prometheus.CounterVec
+	batchPieces     prometheus.Histogram
+	batchDuration   prometheus.Histogram
 }
 
 var durationBuckets = []float64{.01, .025, .05, .1, .25, .5, 1, 2.5, 5, 10, 20}
@@ -44,6 +46,7 @@
 		refusedEntries:   prometheus.NewCounter(prometheus.CounterOpts{Name: "chervilpath_server_entries_refused_total", Help: "Entries in the list of servers that name no server to use, once for each revision of an entry."}),
 		quarantinedParts: prometheus.NewGauge(prometheus.GaugeOpts{Name: "chervilpath_quarantined_parts", Help: "Parts of prompts that are held back because engines crashed on them."}),
 		quarantineEvents: prometheus.NewCounterVec(prometheus.CounterOpts{Name: "chervilpath_quarantine_events_total", Help: "Parts of prompts held back, released, tried again, forgotten, or too common to be held back, and crashes of engines that speak against parts, seen or refuted."}, []string{"event"}),
+		coldAdmissions:   prometheus.NewCounterVec(prometheus.CounterOpts{Name: "chervilpath_cold_admissions_total", Help: "Requests to cold servers: granted or denied by this instance as the owner, undecided because no owner decided, or held since an earlier denial still counts."}, []string{"result"}),
 		requests:         prometheus.NewCounterVec(prometheus.CounterOpts{Name: "chervilpath_site_requests_total", Help: "Requests by result."}, []string{"result"}),
 		faults:           prometheus.NewCounterVec(prometheus.CounterOpts{Name: "chervilpath_site_faults_total", Help: "Requests answered with a fault, by kind."}, []string{"kind"}),
 		aborts:           prometheus.NewCounterVec(prometheus.CounterOpts{Name: "chervilpath_site_aborts_total", Help: "Connections of callers closed without a complete response, by cause: caller, deadline, server, noServer, shutdown or other."}, []string{"cause"}),
@@ -56,7 +59,7 @@
 		prometheus.CounterOpts{Name: "chervilpath_log_lines_dropped_total", Help: "Log lines that did not fit into the queue before standard output."},
 		func() float64 { return float64(dropped()) },
 	))
-	r.MustRegister(m.configVersion, m.storeCalls, m.storeFailures, m.followRequests, m.staleSources, m.serverEvents, m.quarantinedParts, m.quarantineEvents, m.refusedNotices, m.refusedEntries, m.requests, m.faults, m.aborts, m.requestDuration, m.batches, m.batchPieces, m.batchDuration)
+	r.MustRegister(m.configVersion, m.storeCalls, m.storeFailures, m.followRequests, m.staleSources, m.serverEvents, m.quarantinedParts, m.quarantineEvents, m.coldAdmissions, m.refusedNotices, m.refusedEntries, m.requests, m.faults, m.aborts, m.requestDuration, m.batches, m.batchPieces, m.batchDuration)
 	return m
 }
 
--- a/edge/state.go
+++ b/edge/state.go
@@ -118,6 +118,9 @@
 	engine *route.EngineConfig
 	pieces *route.PieceConfig
 	plain  bool
+	// coldRate is the number of requests per second that a cold server tolerates, or 0 if
+	// that is not limited.
+	coldRate float64
 }
 
 // encodedChanges are the changes of the servers from the revision after to revision,
@@ -332,10 +335,32 @@
 		if svc.Pieces != nil {
 			use.pieces = svc.Pieces
 		}
+		use.coldRate = svc.ColdRate
 		c.uses[svc.Name] = use
 	}
 }
 
+// coldRate returns the number of requests per second that a cold server of a service
+// tolerates, or 0 if that is not limited.
+func (c *clusterState) coldRate(service string) float64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.uses[service].coldRate
+}
+
+// coldLimitedServices returns the services whose cold servers tolerate only some requests.
+func (c *clusterState) coldLimitedServices() []string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var out []string
+	for name, use := range c.uses {
+		if use.coldRate > 0 {
+			out = append(out, name)
+		}
+	}
+	return out
+}
+
 // awaitUse waits until the configuration in force has a service in a use that fits, up to
 // maxUseWait, and reports whether it has: another instance may have a version earlier than
 // this one.
--- a/io/peer/members.go
+++ b/io/peer/members.go
@@ -265,6 +265,36 @@
 	m.onServingChanged(serving)
 }
 
+// Reach pings members, all at the same time, and calls answered with each that answers.
+func (m *Members) Reach(ctx context.Context, members []member.Member, answered func(member.Member)) {
+	var wg sync.WaitGroup
+	for _, other := range members {
+		wg.Go(func() {
+			if m.ping(ctx, other.Address, other.ID) == nil {
+				answered(other)
+			}
+		})
+	}
+	wg.Wait()
+}
+
+// UnknownSeeds returns the number of seeds at whose addresses no member is known.
+func (m *Members) UnknownSeeds() int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	known := make(map[string]bool)
+	for _, other := range m.table.Members() {
+		known[other.Address] = true
+	}
+	n := 0
+	for _, seed := range m.seeds {
+		if !known[seed] {
+			n++
+		}
+	}
+	return n
+}
+
 // probeIndirectly asks some other members to probe the target and reports whether
 // it answered one of them.
 func (m *Members) probeIndirectly(ctx context.Context, target member.Member) bool {
--- a/io/upstream/conn.go
+++ b/io/upstream/conn.go
@@ -1,8 +1,10 @@
 package upstream
 
 import (
+	"context"
 	"errors"
 	"net"
+	"net/http/httptrace"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -35,6 +37,8 @@
 		written atomic.Int64
 		// checking is set while a check of the window is due.
 		checking atomic.Bool
+		// sendBefore is the time after which the next write fails, or nil.
+		sendBefore atomic.Pointer[time.Time]
 	}
 
 	// sendState says what becomes of the data written to a connection.
@@ -50,10 +54,30 @@
 	windowClosed
 )
 
+// errTooLateToSend means that nothing was written because the time for it was over.
+var errTooLateToSend = errors.New("the permission to send has expired")
+
+// SendBefore returns a context for a request of which nothing is sent after a time, on a
+// connection of NewTransport: a process may be stopped, or wait for a connection, after it
+// was permitted to send. It returns ctx itself for the zero time.
+func SendBefore(ctx context.Context, at time.Time) context.Context {
+	if at.IsZero() {
+		return ctx
+	}
+	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
+		if c, ok := info.Conn.(*countingConn); ok {
+			c.sendBefore.Store(&at)
+		}
+	}})
+}
+
 var errNoTCPInfo = errors.New("the state of the connection is not available")
 
 // Write implements net.Conn.
 func (c *countingConn) Write(b []byte) (int, error) {
+	if at := c.sendBefore.Swap(nil); at != nil && time.Now().After(*at) {
+		return 0, errTooLateToSend
+	}
 	if len(b) > largeWriteBytes {
 		c.scheduleWindowCheck()
 	}
--- a/io/upstream/upstream.go
+++ b/io/upstream/upstream.go
@@ -107,7 +107,7 @@
 // Send makes one attempt. An error is a *relay.SendError.
 func (c *Client) Send(ctx context.Context, a relay.Attempt) (*relay.Response, error) {
 	trace := &sendTrace{}
-	req, err := c.request(httptrace.WithClientTrace(ctx, trace.clientTrace()), a)
+	req, err := c.request(httptrace.WithClientTrace(SendBefore(ctx, a.SendBefore), trace.clientTrace()), a)
 	if err != nil {
 		return nil, &relay.SendError{Err: err, NotSent: true}
 	}
