--- a/core/route/route.go
+++ b/core/route/route.go
@@ -97,7 +97,8 @@
 		HealthPath string
 		MaxConns   int
 		// ColdTime is how long a server is slow after its start. ColdRate is the number of
-		// requests per second that it tolerates while it is cold, or 0 if that is not limited.
+		// requests per second that it tolerates while it is cold; 0 or less means that it is
+		// not limited.
 		ColdTime time.Duration
 		ColdRate float64
 		Engine   *EngineConfig
--- a/edge/coldstart.go
+++ b/edge/coldstart.go
@@ -16,6 +16,7 @@
 	"chervilpath/core/gather"
 	"chervilpath/core/member"
 	"chervilpath/core/relay"
+	"chervilpath/core/route"
 	"chervilpath/io/peer"
 )
 
@@ -34,6 +35,10 @@
 
 	// maxDenials is the number of denials that are remembered.
 	maxDenials = 4096
+
+	// maxColdRate is the largest number of requests per second that a service may name for
+	// a cold server without a line in the log. No server can do as many.
+	maxColdRate = 1e6
 )
 
 type (
@@ -53,16 +58,36 @@
 		// undecidedUntil until when the owner of a service is not asked.
 		deniedUntil    map[fleet.Incarnation]time.Time
 		undecidedUntil map[string]time.Time
+		// oddRates are those that were last logged, by service.
+		oddRates map[string]float64
 	}
 )
 
 func newColdAdmission(in *Instance) *coldAdmission {
 	return &coldAdmission{
 		instance: in, limiter: coldstart.NewLimiter(time.Now()), tenures: make(map[string]*coldstart.Tenure), reachedAt: make(map[string]time.Time),
-		deniedUntil: make(map[fleet.Incarnation]time.Time), undecidedUntil: make(map[string]time.Time),
+		deniedUntil: make(map[fleet.Incarnation]time.Time), undecidedUntil: make(map[string]time.Time), oddRates: make(map[string]float64),
 	}
 }
 
+// logOddRates logs each rate of a configuration that no server can mean, once. A negative
+// one limits nothing, and a huge one nothing that matters.
+func (a *coldAdmission) logOddRates(table *route.Table) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	odd := make(map[string]float64)
+	for _, s := range table.Services() {
+		if s.ColdRate >= 0 && s.ColdRate <= maxColdRate {
+			continue
+		}
+		odd[s.Name] = s.ColdRate
+		if logged, ok := a.oddRates[s.Name]; !ok || logged != s.ColdRate {
+			a.instance.log.Warn("odd rate for cold servers", zap.String("service", s.Name), zap.Float64("coldPerS", s.ColdRate), zap.Int64("version", table.Version()))
+		}
+	}
+	a.oddRates = odd
+}
+
 // limited reports whether the requests to cold servers of a service are limited.
 func (a *coldAdmission) limited(service string) bool {
 	over := a.instance.cfg.Load().Bounds().ColdOver
@@ -128,6 +153,10 @@
 		return peer.Admission{}, fault.Errorf(fault.Draining, "cold servers of service %q are not limited at their owner", service)
 	}
 	if !a.holds(now, service) {
+		// Placement must not choose cold servers meanwhile.
+		a.mu.Lock()
+		a.undecidedUntil[service] = now.Add(undecidedPause)
+		a.mu.Unlock()
 		return peer.Admission{}, fault.Errorf(fault.Draining, "this instance has not owned service %q for long enough, or reaches too few others", service)
 	}
 	known, _ := a.instance.state.servers().Server(server)
@@ -147,7 +176,10 @@
 // service is not limited, or a permission could be granted.
 func (a *coldAdmission) mayPlace(now time.Time, serverID string) bool {
 	s, ok := a.instance.state.servers().Server(serverID)
-	return !ok || !now.Before(s.ColdUntil) || !a.limited(s.Service) || a.limiter.MayAdmit(now, serverID)
+	if !ok || !now.Before(s.ColdUntil) || !a.limited(s.Service) {
+		return true
+	}
+	return !now.Before(a.heldUntil(s.Service, s.Incarnation())) && a.limiter.MayAdmit(now, serverID)
 }
 
 // admitBatch decides whether a batch of pieces may be sent to its server, which is cold.
--- a/edge/delegator.go
+++ b/edge/delegator.go
@@ -241,8 +241,17 @@
 	d.mu.Lock()
 	dispatcher, ok := d.dispatchers[service]
 	d.mu.Unlock()
-	if ok {
-		dispatcher.Free(handles)
+	if !ok {
+		return
+	}
+	// What one server does not free must not keep the capacity at others.
+	byServer := make(map[string][]string)
+	for _, h := range handles {
+		address := platform.ResultAddress(h)
+		byServer[address] = append(byServer[address], h)
+	}
+	for _, list := range byServer {
+		dispatcher.Free(list)
 	}
 }
 
--- a/edge/state.go
+++ b/edge/state.go
@@ -227,6 +227,7 @@
 	c.needWhole = false
 	c.notifyWaiters()
 	c.mu.Unlock()
+	c.instance.cold.logOddRates(table)
 	c.instance.log.Info("configuration in force", zap.Int64("version", table.Version()), zap.String("from", from))
 	c.instance.metrics.configVersion.Set(float64(table.Version()))
 	c.updateReady()
