--- a/core/gather/dispatcher_test.go
+++ b/core/gather/dispatcher_test.go
@@ -9,6 +9,7 @@
 	"testing/synctest"
 	"time"
 
+	"chervilpath/core/fleet"
 	"chervilpath/core/gather"
 	"chervilpath/core/stage"
 )
@@ -67,3 +68,53 @@
 		synctest.Wait()
 	})
 }
+
+// Guards against pieces that are sent to a cold server that may not get them, that use up an
+// attempt there, or that wait although another server is free.
+func TestBatchesThatAreNotAdmittedGoElsewhere(t *testing.T) {
+	for name, tt := range map[string]struct {
+		cold int
+		// released is when the cold servers may get a batch.
+		released time.Duration
+		served   bool
+	}{
+		"another server":       {1, time.Hour, true},
+		"permission in time":   {2, 1500 * time.Millisecond, true},
+		"no permission at all": {2, time.Hour, false},
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			var mu sync.Mutex
+			start, asked, sent := time.Now(), 0, make(map[string]int)
+			d := gather.NewDispatcher("photos", cfg, stage.Clock{
+				Now: time.Now, AfterFunc: func(d time.Duration, f func()) func() bool { return time.AfterFunc(d, f).Stop },
+			}, gather.Deps{
+				RunBatch: func(_ context.Context, b *gather.Batch, _ func(*gather.Item) time.Duration, _ func([]gather.ItemOutcome) bool) (gather.CallStatus, []gather.ItemOutcome, error) {
+					mu.Lock()
+					defer mu.Unlock()
+					sent[b.Server.ID]++
+					return gather.CallAnswered, []gather.ItemOutcome{{Handle: fmt.Sprint(b.Server.Address, "/", b.Items[0].RequestID)}}, nil
+				},
+				Free: func(context.Context, []string) error { return nil }, BatchEnded: func(string, *gather.Batch, time.Duration, error) {},
+				Admit: func(context.Context, string, *gather.Batch) (bool, time.Duration) {
+					mu.Lock()
+					defer mu.Unlock()
+					asked++
+					return time.Since(start) >= tt.released, 200 * time.Millisecond
+				},
+			})
+			list := []fleet.Server{servers("a")[0], servers("a", "a")[1]}
+			for i := range tt.cold {
+				list[i].ColdUntil = start.Add(time.Hour)
+			}
+			d.SetServers(list, cfg)
+			_, err := d.Process(t.Context(), []*gather.Item{{RequestID: "r", ResultBytes: 10, Worth: 1, Due: start.Add(time.Second), Deadline: start.Add(5 * time.Second)}})
+			if (err == nil) != tt.served || asked == 0 && tt.cold > 1 || asked > 60 {
+				t.Errorf("%s: error %v, %d questions", name, err, asked)
+			}
+			if n := sent["s-0"] + sent["s-1"]; n > 1 || tt.released == time.Hour && sent["s-0"] > 0 {
+				t.Errorf("%s: sent to %v", name, sent)
+			}
+			synctest.Wait()
+		})
+	}
+}
--- a/core/relay/silence_test.go
+++ b/core/relay/silence_test.go
@@ -81,6 +81,11 @@
 	staged      func()
 	// endsWithConnection is set if the answers have neither a length nor chunks.
 	endsWithConnection bool
+	// cold holds the IDs of the engines that are cold, and admit says whether a request may
+	// be sent to one of them. sentTo holds the engines of the attempts.
+	cold   []string
+	admit  func(server string) Permission
+	sentTo []string
 
 	// mu guards what the functions of Deps count.
 	mu                sync.Mutex
@@ -115,7 +120,11 @@
 	view := fleet.New(time.Second)
 	var servers []fleet.Server
 	for i := range st.engines {
-		servers = append(servers, fleet.Server{ID: fmt.Sprint("e-", i), Service: "llm", Address: fmt.Sprint("a:", i+1)})
+		s := fleet.Server{ID: fmt.Sprint("e-", i), Service: "llm", Address: fmt.Sprint("a:", i+1)}
+		if slices.Contains(st.cold, s.ID) {
+			s.Cold = time.Hour
+		}
+		servers = append(servers, s)
 	}
 	view.Replace(time.Now(), servers, 1)
 	st.placed = make(map[string]string)
@@ -183,8 +192,11 @@
 		defer st.mu.Unlock()
 		st.suspected++
 	}
-	deps.Send = func(ctx context.Context, _ Attempt) (*Response, error) {
+	deps.ColdLimited = func(string) bool { return st.admit != nil }
+	deps.Admit = func(_ context.Context, _ string, s fleet.Server, _ string) Permission { return st.admit(s.ID) }
+	deps.Send = func(ctx context.Context, a Attempt) (*Response, error) {
 		st.attempts++
+		st.sentTo = append(st.sentTo, a.Server.ID)
 		if st.attempts == st.full {
 			return &Response{Status: http.StatusServiceUnavailable, NotRun: true, Full: true, Body: http.NoBody}, nil
 		}
--- a/io/upstream/upstream.go
+++ b/io/upstream/upstream.go
@@ -188,6 +188,7 @@
 			t.conn, t.reused = info.Conn, info.Reused
 			if c, ok := info.Conn.(*countingConn); ok {
 				t.writtenBefore = c.written.Load()
+				c.sendBefore.Store(nil)
 			}
 		},
 	}
--- a/io/upstream/upstream_test.go
+++ b/io/upstream/upstream_test.go
@@ -153,3 +153,34 @@
 		}
 	}
 }
+
+// Guards against a request that is sent though the permission to send it has expired, while
+// the process was stopped or waited for a connection, and against one that spoils the
+// connection for others.
+func TestNothingIsSentAfterThePermissionHasExpired(t *testing.T) {
+	address, received := newServer(t)
+	client := newClient()
+	send := func(at time.Time) error {
+		resp, err := client.Send(t.Context(), relay.Attempt{
+			Server: fleet.Server{Address: address}, SendBefore: at, Request: &relay.Request{Method: "POST", Target: "/x", Host: "h", Body: []byte("b")},
+		})
+		if err == nil {
+			_, _ = io.Copy(io.Discard, resp.Body)
+			_ = resp.Body.Close()
+		}
+		return err
+	}
+	for i, expired := range []bool{true, false, true, true} {
+		at := time.Now().Add(time.Minute)
+		if expired {
+			at = time.Now().Add(-time.Nanosecond)
+		}
+		err := send(at)
+		if sendErr, ok := errors.AsType[*relay.SendError](err); expired != (ok && sendErr.NotSent) || !expired && err != nil {
+			t.Errorf("send %d: error %v", i, err)
+		}
+	}
+	if n := received.Load(); n != 1 {
+		t.Errorf("%d requests received, want the one that was sent in time", n)
+	}
+}
