--- a/soak/checker.go
+++ b/soak/checker.go
@@ -105,6 +105,8 @@
 		// instance and of the process.
 		stoppedAt map[[2]int]time.Time
 		silences  []silence
+		// coldPeriods are the times for which servers are cold.
+		coldPeriods []coldPeriod
 		// failedAfterRun holds the IDs of the requests that a server failed, after a run, with a
 		// status that promises that they have not run.
 		failedAfterRun map[string]bool
@@ -202,6 +204,7 @@
 	c.checkRetryBudget(report)
 	c.checkCrashes(report)
 	c.checkMemory(report)
+	c.checkCold(report)
 	return violations
 }
 
--- a/soak/checker_test.go
+++ b/soak/checker_test.go
@@ -149,6 +149,52 @@
 	}
 }
 
+// TestCheckerFindsTooManyRequestsToAColdServer tests that more requests in a second than a
+// cold server bears are reported, unless they were held back before, or came from an instance
+// that may not have known that the server had turned cold again.
+func TestCheckerFindsTooManyRequestsToAColdServer(t *testing.T) {
+	const many = coldRate*coldOver + coldSlack + 1
+	for name, test := range map[string]struct {
+		again bool
+		after time.Duration
+		n     int
+		space time.Duration
+		plant func(c *checker, at time.Time)
+		want  bool
+	}{
+		"as many as it bears":            {n: many - 1, space: time.Millisecond},
+		"one more":                       {n: many, space: time.Millisecond, want: true},
+		"one more in more than a second": {n: many, space: 150 * time.Millisecond},
+		"one more, an instance disturbed": {n: many, space: time.Millisecond, want: true, plant: func(c *checker, at time.Time) {
+			c.disturbances[0] = []*disturbance{{from: at.Add(-time.Second)}}
+		}},
+		"one more, its link disturbed": {n: many, space: time.Millisecond, plant: func(c *checker, at time.Time) {
+			c.disturbances[0] = []*disturbance{{from: at.Add(-time.Second), server: "s"}}
+		}},
+		"one more, silent before": {n: many, space: time.Millisecond, plant: func(c *checker, at time.Time) {
+			c.silences = []silence{{"s", at.Add(-time.Second), at.Add(-100 * time.Millisecond)}}
+		}},
+		"cold again, not yet known": {again: true, after: configPropagation - 100*time.Millisecond, n: many, space: time.Millisecond},
+		"cold again, known":         {again: true, after: configPropagation + 100*time.Millisecond, n: many, space: time.Millisecond, want: true},
+		"cold again, an instance disturbed": {again: true, after: configPropagation + 100*time.Millisecond, n: many, space: time.Millisecond, plant: func(c *checker, at time.Time) {
+			c.disturbances[0] = []*disturbance{{from: at.Add(-time.Second)}}
+		}},
+		"warm by then": {after: 6 * time.Second, n: many, space: time.Millisecond},
+	} {
+		c, start := newChecker(56), time.Now()
+		c.addColdPeriod(coldPeriod{server: "s", from: start, until: start.Add(5 * time.Second), started: !test.again})
+		for i := range test.n {
+			c.notices = append(c.notices, notice{"s", stand.Arrival{At: start.Add(test.after + time.Duration(i)*test.space)}})
+		}
+		if test.plant != nil {
+			test.plant(c, start.Add(test.after))
+		}
+		if got := c.violations(); (len(got) > 0) != test.want {
+			t.Errorf("%s: violations %v, want one: %v", name, got, test.want)
+		}
+	}
+}
+
 // cutOff returns a checker with a request that reached server s and was cut off after 1 s.
 func cutOff() (*checker, *request) {
 	c, r := undisturbedRequest(routeChat)
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -65,6 +65,7 @@
 	{"herd kill beside a withdrawal", 2, killBesideWithdrawal},
 	{"server without end", 2, sendWithoutEnd},
 	{"address in use again", 1, reuseAddress},
+	{"cold return", 3, returnCold},
 }
 
 // calmFaults are what disturbs nothing. They are drawn beside the others.
--- a/soak/harness.go
+++ b/soak/harness.go
@@ -151,8 +151,10 @@
 repeatRatio = %v
 repeatSlack = %v
 repeatWindow = %v
+coldOver = %v
+coldSlack = %v
 `, in.number, in.number%2, in.callerAddress, in.peerAddress, in.operatorAddress, strings.Join(seeds, ", "), in.storeLink.address(),
-		drainTimeout, configPropagation, gracePeriod, retryRatio, h.checker.retrySlack, retryWindow)
+		drainTimeout, configPropagation, gracePeriod, retryRatio, h.checker.retrySlack, retryWindow, coldOver, coldSlack)
 	return os.WriteFile(h.settingsFile(in), []byte(text), 0o600)
 }
 
@@ -224,7 +226,10 @@
 }
 
 // addServer starts a server behind a proxy and adds it to the store's list.
-func (h *harness) addServer(service string) (*server, error) {
+func (h *harness) addServer(service string) (*server, error) { return h.addColdServer(service, 0) }
+
+// addColdServer is addServer for a server that is cold for some time from its start on.
+func (h *harness) addColdServer(service string, cold time.Duration) (*server, error) {
 	h.mu.Lock()
 	h.serverCount++
 	id := fmt.Sprintf("s-%d", h.serverCount)
@@ -249,6 +254,11 @@
 	h.mu.Lock()
 	h.servers = append(h.servers, s)
 	h.mu.Unlock()
+	if cold > 0 {
+		from := time.Now()
+		s.TurnCold(cold)
+		h.checker.addColdPeriod(coldPeriod{server: id, from: from, until: from.Add(cold), started: true})
+	}
 	h.store.PutEntry(s.Server, stand.Ready)
 	return s, nil
 }
@@ -297,7 +307,10 @@
 		{Name: routeNote, Service: serviceLone, Kind: stand.Streaming, Resumable: true, Timeout: 4 * time.Second, TargetLatency: time.Second},
 		{Name: routeReassigned, Service: reassignedTo, Kind: stand.Idempotent, Timeout: 1500 * time.Millisecond, TargetLatency: 300 * time.Millisecond},
 	}
-	services := []stand.Service{{Name: serviceDesk}, {Name: serviceAlternate}, {Name: serviceLLM, Engine: true}, {Name: serviceLone, Engine: true}, {Name: servicePhotos, Pieces: true}}
+	services := []stand.Service{
+		{Name: serviceDesk, ColdRate: coldRate}, {Name: serviceAlternate, ColdRate: coldRate}, {Name: serviceLLM, Engine: true, ColdRate: coldRate},
+		{Name: serviceLone, Engine: true, ColdRate: coldRate}, {Name: servicePhotos, Pieces: true, ColdRate: coldRate},
+	}
 	h.store.PutConfig(number, map[string][]string{"roofs": v.keys}, services, routes)
 	v.acked = time.Now()
 	h.checker.locked(func() { h.checker.versions = append(h.checker.versions, v) })
