--- a/core/coldstart/coldstart.go
+++ b/core/coldstart/coldstart.go
@@ -10,6 +10,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 
 	"chervilpath/core/member"
@@ -82,23 +83,34 @@
 
 func anyMember(member.Member) bool { return true }
 
-// ReachesMajority reports whether an instance reaches more than half of its directory,
-// itself included. reached reports whether a member answered within MaxContactAge, and
-// unknown is the number of instances that are known to exist but are not known as members,
-// such as the seeds of an instance that was cut off when it started.
-func ReachesMajority(self member.Member, directory []member.Member, unknown int, reached func(member.Member) bool) bool {
+// MajorityUntil returns until when an instance counts as reaching more than half of its
+// directory, itself included, or a time that is not after now if it does not. reachedAt
+// returns when a call was last made that a member answered, or the zero time. unknown is
+// the number of instances that are known to exist but are not known as members, such as the
+// seeds of an instance that was cut off when it started.
+func MajorityUntil(now time.Time, self member.Member, directory []member.Member, unknown int, reachedAt func(member.Member) time.Time) time.Time {
+	total := unknown
+	var contacts []time.Time
 	// A directory is small, so that a scan for each member is cheap.
-	total, numReached := unknown, 0
 	for i, m := range directory {
 		if isListed(directory[:i], m.Name) {
 			continue
 		}
 		total++
-		if m.Name == self.Name || anyIncarnation(directory[i:], m.Name, reached) {
-			numReached++
+		if m.Name != self.Name {
+			contacts = append(contacts, lastContact(directory[i:], m.Name, reachedAt))
 		}
 	}
-	return 2*numReached > total
+	// With itself, total/2 others are more than half.
+	needed := total / 2
+	switch {
+	case needed == 0:
+		return now.Add(MaxContactAge)
+	case needed > len(contacts):
+		return time.Time{}
+	}
+	slices.SortFunc(contacts, func(a, b time.Time) int { return b.Compare(a) })
+	return contacts[needed-1].Add(MaxContactAge)
 }
 
 func isListed(members []member.Member, name string) bool {
@@ -110,13 +122,17 @@
 	return false
 }
 
-func anyIncarnation(members []member.Member, name string, reached func(member.Member) bool) bool {
+// lastContact returns when an incarnation of a member that is not gone was last reached.
+func lastContact(members []member.Member, name string, reachedAt func(member.Member) time.Time) time.Time {
+	var last time.Time
 	for _, m := range members {
-		if m.Name == name && m.State != member.Gone && reached(m) {
-			return true
+		if m.Name == name && m.State != member.Gone {
+			if at := reachedAt(m); at.After(last) {
+				last = at
+			}
 		}
 	}
-	return false
+	return last
 }
 
 // Tenure is the time for which this instance has owned the permissions of a service
--- a/core/coldstart/coldstart_test.go
+++ b/core/coldstart/coldstart_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math"
+	"slices"
 	"testing"
 	"time"
 
@@ -66,6 +67,18 @@
 	}
 }
 
+// Guards against a permission that counts for less than a second and its validity, depending
+// on when it was granted.
+func TestPermissionCountsForAllOfSettling(t *testing.T) {
+	for offset := time.Duration(0); offset < 60*time.Millisecond; offset += time.Millisecond {
+		l, now := coldstart.NewLimiter(start), start.Add(offset)
+		l.Admit(now, inc(1), coldSince(inc(1), now), 1)
+		if at := now.Add(coldstart.Settling - 1); l.Admit(at, inc(1), coldSince(inc(1), at), 1).Granted {
+			t.Errorf("granted %v after the start, a permission does not count %v later", offset, coldstart.Settling-1)
+		}
+	}
+}
+
 // Guards against permissions beside the requests that are still sent without one, because
 // not all instances know yet that the server is cold again.
 func TestNoPermissionWhileASenderMayTakeTheServerForWarm(t *testing.T) {
@@ -131,17 +144,18 @@
 	self := func(rank int) member.Member {
 		return member.Member{ID: byRank[rank] + "-2", Name: byRank[rank]}
 	}
-	reach := func(n int) func(member.Member) bool {
+	// majority reports whether the first one reaches a majority if it last reached n others
+	// at the start.
+	majority := func(now time.Time, directory []member.Member, unknown, n int) bool {
 		reached := byRank[len(byRank)-n:]
-		return func(m member.Member) bool {
-			for _, r := range reached {
-				if r == m.Name {
-					return true
-				}
+		return now.Before(coldstart.MajorityUntil(now, self(0), directory, unknown, func(m member.Member) time.Time {
+			if slices.Contains(reached, m.Name) {
+				return start
 			}
-			return false
-		}
+			return time.Time{}
+		}))
 	}
+	late := start.Add(coldstart.MaxContactAge)
 	// goneBefore has the members before a rank gone.
 	goneBefore := func(rank int) []member.Member {
 		return directory(func(name string) member.State {
@@ -167,11 +181,12 @@
 		"the second, the first live, does not own":   !coldstart.IsOwner(self(1), allLive, "llm"),
 		"the fourth, the first gone, does not own":   !coldstart.IsOwner(self(3), goneBefore(3), "llm"),
 		"one without a directory does not own":       !coldstart.IsOwner(self(0), nil, "llm"),
-		"3 of 5 are a majority":                      coldstart.ReachesMajority(self(0), allLive, 0, reach(2)),
-		"2 of 5 are none":                            !coldstart.ReachesMajority(self(0), allLive, 0, reach(1)),
-		"the only one is a majority":                 coldstart.ReachesMajority(self(0), alone, 0, reach(0)),
-		"one that never reached its seed is none":    !coldstart.ReachesMajority(self(0), alone, 1, reach(0)),
-		"incarnations that are gone are not reached": !coldstart.ReachesMajority(self(0), onlySelfLive, 0, reach(4)),
+		"3 of 5 are a majority":                      majority(start, allLive, 0, 2),
+		"2 of 5 are none":                            !majority(start, allLive, 0, 1),
+		"4 of 5 that were reached long ago are none": !majority(late, allLive, 0, 4),
+		"the only one is a majority":                 majority(start, alone, 0, 0),
+		"one that never reached its seed is none":    !majority(start, alone, 1, 0),
+		"incarnations that are gone are not reached": !majority(start, onlySelfLive, 0, 4),
 	} {
 		if !right {
 			t.Errorf("wrong decision: %s", what)
--- a/core/coldstart/sim_test.go
+++ b/core/coldstart/sim_test.go
@@ -179,7 +179,7 @@
 		})
 		// The view of who is live is older or newer than what this instance sees itself.
 		reachable := other.group == in.group && !other.down
-		if in.live[other.id] != reachable && s.rng.IntN(8) == 0 {
+		if in.live[other.id] != reachable && s.rng.IntN(4) == 0 {
 			in.live[other.id] = reachable
 		}
 	}
@@ -191,10 +191,9 @@
 // believes so.
 func (s *simulation) reachesMajority(now time.Time, in *simInstance) bool {
 	self := member.Member{ID: in.name, Name: in.name}
-	return s.believers > 0 || coldstart.ReachesMajority(self, s.directory(in), 0, func(m member.Member) bool {
-		i := slices.IndexFunc(s.instances, func(o *simInstance) bool { return o.name == m.Name })
-		return now.Sub(in.reachedAt[i]) <= coldstart.MaxContactAge
-	})
+	return s.believers > 0 || now.Before(coldstart.MajorityUntil(now, self, s.directory(in), 0, func(m member.Member) time.Time {
+		return in.reachedAt[slices.IndexFunc(s.instances, func(o *simInstance) bool { return o.name == m.Name })]
+	}))
 }
 
 func (s *simulation) directory(in *simInstance) []member.Member {
@@ -278,10 +277,10 @@
 	in := s.instances[s.rng.IntN(len(s.instances))]
 	switch s.rng.IntN(6) {
 	case 0:
-		in.group = s.rng.IntN(3)
+		in.group = s.rng.IntN(6)
 	case 1:
 		for _, o := range s.instances {
-			o.group = s.rng.IntN(1 + s.rng.IntN(3))
+			o.group = s.rng.IntN(1 + s.rng.IntN(8))
 		}
 	case 2:
 		for _, o := range s.instances {
--- a/edge/coldstart.go
+++ b/edge/coldstart.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -48,12 +49,18 @@
 	coldAdmission struct {
 		instance *Instance
 		limiter  *coldstart.Limiter
+		// needsContact is set while there are cold servers of a service that this instance
+		// owns.
+		needsContact atomic.Bool
 
 		mu sync.Mutex
 		// tenures are keyed by service.
 		tenures map[string]*coldstart.Tenure
 		// reachedAt holds when a call was made that a member answered, by the member's ID.
 		reachedAt map[string]time.Time
+		// majorityUntil is until when this instance counts as reaching more than half of
+		// its directory.
+		majorityUntil time.Time
 		// deniedUntil holds until when a server gets no request from this instance, and
 		// undecidedUntil until when the owner of a service is not asked.
 		deniedUntil    map[fleet.Incarnation]time.Time
@@ -197,25 +204,30 @@
 
 // holds reports whether this instance may grant permissions of a service now.
 func (a *coldAdmission) holds(now time.Time, service string) bool {
-	directory, _ := a.instance.members.Directory()
-	unknown := a.instance.members.UnknownSeeds()
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	t, ok := a.tenures[service]
-	return ok && t.Holds(now) && coldstart.ReachesMajority(a.instance.members.Self(), directory, unknown, func(m member.Member) bool {
-		return now.Sub(a.reachedAt[m.ID]) <= coldstart.MaxContactAge
-	})
+	return ok && t.Holds(now) && now.Before(a.majorityUntil)
 }
 
-// run confirms the tenures of this instance until ctx is done, and keeps in contact with
-// more than half of its directory while there are cold servers of a service that it owns.
-func (a *coldAdmission) run(ctx context.Context) {
+// confirmTenures confirms the tenures of this instance until ctx is done.
+func (a *coldAdmission) confirmTenures(ctx context.Context) {
 	for ctx.Err() == nil {
 		if a.instance.cfg.Load().Bounds().ColdOver > 0 {
-			if now := time.Now(); a.confirm(now) {
-				go a.contact(ctx, now)
-			}
-			a.limiter.Expire(time.Now())
+			now := time.Now()
+			a.needsContact.Store(a.confirm(now))
+			a.limiter.Expire(now)
+		}
+		a.instance.sleep(ctx, tenureInterval)
+	}
+}
+
+// keepContact keeps this instance in contact with more than half of its directory until ctx
+// is done, while there are cold servers of a service that it owns.
+func (a *coldAdmission) keepContact(ctx context.Context) {
+	for ctx.Err() == nil {
+		if a.needsContact.Load() {
+			a.contact(ctx, time.Now())
 		}
 		a.instance.sleep(ctx, tenureInterval)
 	}
@@ -248,7 +260,8 @@
 // reaches more than half of it.
 func (a *coldAdmission) contact(ctx context.Context, now time.Time) {
 	directory, _ := a.instance.members.Directory()
-	needed := (len(directory) + a.instance.members.UnknownSeeds()) / 2
+	unknown := a.instance.members.UnknownSeeds()
+	needed := (len(directory) + unknown) / 2
 	var stale []member.Member
 	a.mu.Lock()
 	maps.DeleteFunc(a.reachedAt, func(_ string, at time.Time) bool { return now.Sub(at) > coldstart.MaxContactAge })
@@ -262,14 +275,23 @@
 		}
 	}
 	a.mu.Unlock()
-	if needed <= 0 || len(stale) == 0 {
-		return
+	if needed > 0 && len(stale) > 0 {
+		// A few more, since some may not answer in time.
+		rand.Shuffle(len(stale), func(i, j int) { stale[i], stale[j] = stale[j], stale[i] })
+		a.instance.members.Reach(ctx, stale[:min(len(stale), needed+needed/4+1)], func(m member.Member) {
+			a.mu.Lock()
+			defer a.mu.Unlock()
+			a.reachedAt[m.ID] = now
+			a.updateMajority(directory, unknown)
+		})
 	}
-	// A few more, since some may not answer in time.
-	rand.Shuffle(len(stale), func(i, j int) { stale[i], stale[j] = stale[j], stale[i] })
-	a.instance.members.Reach(ctx, stale[:min(len(stale), needed+needed/4+1)], func(m member.Member) {
-		a.mu.Lock()
-		defer a.mu.Unlock()
-		a.reachedAt[m.ID] = now
-	})
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.updateMajority(directory, unknown)
+}
+
+// updateMajority updates until when this instance reaches more than half of a directory.
+// The caller holds mu.
+func (a *coldAdmission) updateMajority(directory []member.Member, unknown int) {
+	a.majorityUntil = coldstart.MajorityUntil(time.Now(), a.instance.members.Self(), directory, unknown, func(m member.Member) time.Time { return a.reachedAt[m.ID] })
 }
--- a/edge/services.go
+++ b/edge/services.go
@@ -78,7 +78,7 @@
 func (in *Instance) addServices(k *kernel.Kernel) error {
 	for _, s := range []kernel.Service{
 		in.withHTTPServer(kernel.Service{Name: PeerService, Value: in.peers}, in.cfg.Load().PeerAddress(), in.peerHandler()),
-		{Name: MembersService, DependsOn: []string{PeerService}, Value: in.members, Start: in.startLoops(in.members.Run, in.followPeers, in.shareQuarantine, in.cold.run)},
+		{Name: MembersService, DependsOn: []string{PeerService}, Value: in.members, Start: in.startLoops(in.members.Run, in.followPeers, in.shareQuarantine, in.cold.confirmTenures, in.cold.keepContact)},
 		{Name: StoreService, DependsOn: []string{MembersService}, Value: in.store, Start: in.startLoops(in.followConfig, in.followServers), Stop: in.shutDownLoops},
 		in.withHTTPServer(kernel.Service{Name: OperatorService, DependsOn: []string{StoreService}}, in.cfg.Load().OperatorAddress(), in.operatorHandler()),
 		in.callerService(),
