Merge cold servers

Servers of a zone whose evacuation ended count as cold for 5 s. Test processes of edge that run at the same time begin at different ports: one run beside three others failed as another process had bound a port first.

--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -32,6 +32,11 @@
 		// ExcludedUntil is until when the server wants no requests from this instance,
 		// or zero. It is set in a Snapshot and not part of the entry.
 		ExcludedUntil time.Time `json:"-"`
+		// ColdUntil is until when the server counts as slow after its start, which may be
+		// in the past. TurnedColdAt is when this instance learned that it became cold again
+		// after it had been warm, or zero. Both are set in a Snapshot and not part of the
+		// entry.
+		ColdUntil, TurnedColdAt time.Time `json:"-"`
 	}
 
 	// Changes are the changes after a revision, as one instance sends them to
@@ -70,6 +75,7 @@
 		notices    notices
 		// evacuations are the zones whose servers must get nothing.
 		evacuations Evacuations
+		cold        coldStates
 		// events are the events since the last call of TakeEvents.
 		events []Event
 	}
@@ -82,6 +88,7 @@
 		known: make(map[string]Server), missing: make(map[string]int64), outageAfter: outageAfter,
 		history: history{removals: make(map[string]int64)},
 		notices: notices{leaving: make(map[string]leavingNotice), excluded: make(map[string]exclusion)},
+		cold:    coldStates{servers: make(map[string]coldState), zones: make(map[string]time.Time)},
 	}
 }
 
@@ -102,7 +109,7 @@
 	listed := make(map[string]bool, len(servers))
 	for _, s := range servers {
 		listed[s.ID] = true
-		v.Set(s)
+		v.setAt(now, s)
 	}
 	var removed []string
 	for id := range v.known {
@@ -113,9 +120,12 @@
 	return removed
 }
 
-// Set adds or updates one entry. It ignores an entry that is older than the known
-// one.
-func (v *View) Set(s Server) {
+// Set adds or updates one entry, as of the latest time that the view was given. It
+// ignores an entry that is older than the known one.
+func (v *View) Set(s Server) { v.setAt(v.cold.latest, s) }
+
+func (v *View) setAt(now time.Time, s Server) {
+	v.cold.latest = latest(v.cold.latest, now)
 	existing, ok := v.known[s.ID]
 	if ok && s.Revision < existing.Revision {
 		return
@@ -126,6 +136,7 @@
 		v.generation++
 	}
 	v.started(existing, s)
+	v.cold.observe(now, s)
 	if s.Draining && !existing.Draining && !v.notices.leaves(s.Incarnation()) {
 		v.events = append(v.events, Event{Kind: Leaving, Server: s})
 	}
@@ -239,7 +250,7 @@
 		removed = append(removed, id)
 	}
 	for _, s := range c.Servers {
-		v.Set(s)
+		v.setAt(now, s)
 	}
 	return removed
 }
--- a/core/fleet/snapshot.go
+++ b/core/fleet/snapshot.go
@@ -47,6 +47,7 @@
 			out.numEvacuated[s.Zone]++
 			continue
 		}
+		v.cold.addTo(&s)
 		s.ExcludedUntil = v.notices.excludedUntil(s.Incarnation())
 		out.services[s.Service] = append(out.services[s.Service], s)
 		out.byID[s.ID] = s
--- a/edge/evacuation.go
+++ b/edge/evacuation.go
@@ -10,6 +10,10 @@
 	"chervilpath/core/fleet"
 )
 
+// evacuationColdTime is how long after the end of an evacuation the servers of the zone count
+// as cold: they may have become cold before it ended, and their entries may tell so later.
+const evacuationColdTime = 5 * time.Second
+
 // evacuationWatch is what one sequence of calls of the store, a list and the watches from its
 // revision on, says about the evacuated zones. What other instances say is not mixed in, since
 // events hold only for the set that they follow.
@@ -90,11 +94,14 @@
 // force. from is its source, for the log.
 func (c *clusterState) offerEvacuations(e fleet.Evacuations, from string) {
 	var begun, ended []string
-	c.updateServers(from, func(v *fleet.View, _ time.Time) {
+	c.updateServers(from, func(v *fleet.View, now time.Time) {
 		known := v.Evacuations().Revision > 0
 		if begun, ended = v.SetEvacuations(e); !known || len(begun)+len(ended) > 0 {
 			c.notifyWaiters()
 		}
+		for _, zone := range ended {
+			v.MarkZoneCold(zone, now.Add(evacuationColdTime))
+		}
 	})
 	for _, zone := range begun {
 		c.logEvacuation("evacuation in force", zone, e, from)
--- a/edge/harness_test.go
+++ b/edge/harness_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strconv"
 	"strings"
 	"sync"
@@ -157,8 +158,12 @@
 // portCount counts the ports that tests have used. They are below the range for
 // outgoing connections: such a connection once took a port after freeAddress had
 // chosen it and before the instance listened on it.
+// portCount counts the ports that were handed out. Processes of the same test that run at the
+// same time mostly begin at different ones.
 var portCount atomic.Int32
 
+func init() { portCount.Store(int32(os.Getpid()%5) * 2300) }
+
 // freeAddress returns a loopback address with a free port.
 func freeAddress(t *testing.T) string {
 	t.Helper()
--- a/io/upstream/upstream.go
+++ b/io/upstream/upstream.go
@@ -107,7 +107,7 @@
 // Send makes one attempt. An error is a *relay.SendError.
 func (c *Client) Send(ctx context.Context, a relay.Attempt) (*relay.Response, error) {
 	trace := &sendTrace{}
-	req, err := c.request(httptrace.WithClientTrace(ctx, trace.clientTrace()), a)
+	req, err := c.request(httptrace.WithClientTrace(SendBefore(ctx, a.SendBefore), trace.clientTrace()), a)
 	if err != nil {
 		return nil, &relay.SendError{Err: err, NotSent: true}
 	}
@@ -188,6 +188,7 @@
 			t.conn, t.reused = info.Conn, info.Reused
 			if c, ok := info.Conn.(*countingConn); ok {
 				t.writtenBefore = c.written.Load()
+				c.sendBefore.Store(nil)
 			}
 		},
 	}
