engine: placement by expected time with learned paces

The placer chose by the number of requests, so that the slow third of uneven engines got as many as the others, which then waited there. It now chooses by the expected time: prompt tokens that an engine has still to read, tokens to generate, and a pace that is learned from the time to first events and the mean interval between events. Callers' instances report these to the instance that placed the request. Beginnings of prompts that an engine keeps are estimated from the placements made there.

--- /dev/null
+++ b/core/engine/place.go
@@ -0,0 +1,262 @@
+package engine
+
+import (
+	"math"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"chervilpath/core/balance"
+)
+
+const (
+	// readingWeight weighs the time for which a request occupies an engine with reading its
+	// prompt against the time for which the request itself waits: what the engine reads
+	// delays the requests that come later and the streams that run there.
+	readingWeight = 1.5
+
+	// Among the engines that have not read the shared part of the prompt, those whose cost
+	// is within spreadFactor of the least and spreadExtra ms are equal, and the affinity
+	// chooses one of them, so that instances that know nothing of each other choose the
+	// same one (Mirrokni, Thorup and Zadimoghaddam, "Consistent Hashing with Bounded
+	// Loads", 2016, with expected time as the load).
+	spreadFactor = 1.25
+	spreadExtra  = 15.0
+
+	// refreshInterval is the time after which the estimates of engines of which nothing was
+	// heard are computed again. It is short against the 600 ms for which engines are slow.
+	refreshInterval = 25 * time.Millisecond
+)
+
+// Place assigns a request to an engine and returns the engine's ID, or "" if none
+// can take the request.
+func (p *Placer) Place(now time.Time, q Query) string { return p.Choose(now, q).Server }
+
+// Choose assigns a request to an engine, and says why.
+func (p *Placer) Choose(now time.Time, q Query) Choice {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.sweep(now)
+	p.beginChoice(now, q.Exclude)
+	r := p.size(&q)
+	p.typical.prompt.add(tokens(q.PromptTokens))
+	p.typical.output.add(tokens(q.OutputTokens))
+	for {
+		c := p.choose(&q, &r)
+		if c.engine < 0 {
+			break
+		}
+		if p.accepts(now, c.engine, &q) {
+			return p.assign(now, c, &q, &r)
+		}
+		p.hot[c.engine].skipped = p.choices
+	}
+	if q.MaxWait > 0 {
+		return Choice{Reason: ReasonNone}
+	}
+	return p.placeFallback(now, &q, &r)
+}
+
+// Estimate returns the time to the first event that the best engine would give the request
+// now, or NoEngine if none can take it. It places nothing.
+func (p *Placer) Estimate(now time.Time, q Query) time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.beginChoice(now, q.Exclude)
+	r := p.size(&q)
+	for {
+		c := p.choose(&q, &r)
+		if c.engine < 0 {
+			return NoEngine
+		}
+		if p.accepts(now, c.engine, &q) {
+			h := &p.hot[c.engine]
+			return milliseconds(h.wait + h.perToken/readingWeight*(r.prompt-c.kept))
+		}
+		p.hot[c.engine].skipped = p.choices
+	}
+}
+
+// beginChoice refreshes the estimates, and leaves out the engines with the given IDs.
+func (p *Placer) beginChoice(now time.Time, exclude []string) {
+	if now.Sub(p.refreshedAt) >= refreshInterval || now.Before(p.refreshedAt) {
+		p.refreshAll(now)
+	}
+	p.choices++
+	for _, id := range exclude {
+		if e, ok := p.byID[id]; ok {
+			p.hot[e.index].skipped = p.choices
+		}
+	}
+}
+
+// accepts reports what a choice does not know from the estimates: whether the engine's
+// health and its other limits allow to place the request on it.
+func (p *Placer) accepts(now time.Time, index int32, q *Query) bool {
+	e := p.engines[index]
+	return e.takes(q) && !now.Before(e.pausedUntil) && (p.Usable == nil || p.Usable(now, e.id))
+}
+
+// candidate is an engine that is chosen, or -1, and the tokens of the prompt that it keeps.
+type candidate struct {
+	engine int32
+	kept   float64
+	reason Reason
+}
+
+// choose returns the best engine that is not skipped: the one of least cost, where an engine
+// that keeps a shared part has less to read.
+func (p *Placer) choose(q *Query, r *request) candidate {
+	least := math.Inf(1)
+	maxWait := math.MaxFloat64
+	if q.MaxWait > 0 {
+		maxWait = float64(q.MaxWait) / float64(time.Millisecond)
+	}
+	for i := range p.hot {
+		h := &p.hot[i]
+		if cost := h.wait + h.perToken*r.prompt; cost < least && h.wait <= maxWait && h.skipped != p.choices {
+			least = cost
+		}
+	}
+	best, bestCost := candidate{engine: -1}, least
+	for k := r.parts - 1; k >= 0; k-- {
+		unread := r.prompt - r.upTo[k]
+		for _, i := range p.kept.engines(r.keys[k]) {
+			h := &p.hot[i]
+			if cost := h.wait + h.perToken*unread; cost <= bestCost && h.wait <= maxWait && h.skipped != p.choices {
+				best, bestCost = candidate{i, r.upTo[k], ReasonKept}, cost
+			}
+		}
+	}
+	if best.engine >= 0 || math.IsInf(least, 1) {
+		return best
+	}
+	return candidate{p.rendezvous(q, r, least*spreadFactor+spreadExtra, maxWait), 0, ReasonSoonest}
+}
+
+// rendezvous returns the engine with the highest rank by weighted rendezvous hashing among
+// those of at most the given cost.
+func (p *Placer) rendezvous(q *Query, r *request, bound, maxWait float64) int32 {
+	// Engines of the same weight are ranked by their hash alone, so the logarithm is needed
+	// only once for each zone.
+	const maxZones = 16
+	var highest [maxZones]uint64
+	var byZone [maxZones]int32
+	for i := range byZone {
+		byZone[i] = -1
+	}
+	affinity := xxhash.Sum64String(q.Affinity)
+	for i := range p.hot {
+		h := &p.hot[i]
+		if h.wait+h.perToken*r.prompt > bound || h.wait > maxWait || h.skipped == p.choices {
+			continue
+		}
+		z := 0
+		if q.Weights != nil {
+			z = int(h.zone) % maxZones
+		}
+		if mixed := balance.Mix(affinity, h.hash); byZone[z] < 0 || mixed > highest[z] {
+			highest[z], byZone[z] = mixed, int32(i)
+		}
+	}
+	best, bestRank := int32(-1), 0.0
+	for z, i := range byZone {
+		if i < 0 {
+			continue
+		}
+		// uniform is the hash as a number between 0 and 1, excluding both.
+		uniform := (float64(highest[z]>>11) + 0.5) / (1 << 53)
+		weight, ok := q.Weights[p.engines[i].zone]
+		if !ok {
+			weight = 1
+		}
+		if rank := -max(weight, 0.01) / math.Log(uniform); best < 0 || rank > bestRank {
+			best, bestRank = i, rank
+		}
+	}
+	return best
+}
+
+// placeFallback assigns a request to the least loaded engine that is not excluded
+// and has fewer than twice its slots in requests. It chooses a paused engine if
+// there is no other.
+func (p *Placer) placeFallback(now time.Time, q *Query, r *request) Choice {
+	var best *engineState
+	for _, e := range p.engines {
+		if e == nil || e.load >= 2*p.slots || slices.Contains(q.Exclude, e.id) || p.Usable != nil && !p.Usable(now, e.id) {
+			continue
+		}
+		if best == nil || p.preferred(now, e, best) {
+			best = e
+		}
+	}
+	if best == nil {
+		return Choice{Reason: ReasonNone}
+	}
+	return p.assign(now, candidate{best.index, p.kept.tokens(best.index, r), ReasonFallback}, q, r)
+}
+
+// preferred reports whether a comes before b in placeFallback.
+func (p *Placer) preferred(now time.Time, a, b *engineState) bool {
+	if pausedA, pausedB := now.Before(a.pausedUntil), now.Before(b.pausedUntil); pausedA != pausedB {
+		return pausedB
+	}
+	return p.waitAt(now, a) < p.waitAt(now, b)
+}
+
+// assign records the placement of a request and replaces its previous one.
+func (p *Placer) assign(now time.Time, c candidate, q *Query, r *request) Choice {
+	p.drop(now, q.RequestID)
+	e := p.engines[c.engine]
+	unread, wait, pace := r.prompt-c.kept, p.waitAt(now, e), e.pace.at(now, p.usual.value())
+	e.load++
+	e.reading += unread
+	e.generating += r.output
+	if e.onTrial() {
+		e.trial = q.RequestID
+	}
+	p.placements[q.RequestID] = placement{engine: e, placedAt: now, expires: q.Expires, unread: unread, generates: r.output}
+	p.kept.read(e.index, r)
+	p.refresh(now, e)
+	return Choice{
+		Server: e.id, Reason: c.reason, Wait: milliseconds(wait), FirstEvent: milliseconds(wait + pace*unread/tokensPerMs),
+		Pace: pace, UsualPace: p.usual.value(), KeptTokens: int(c.kept), PromptTokens: int(r.prompt), Requests: e.load,
+	}
+}
+
+// refreshAll computes the estimates of all engines.
+func (p *Placer) refreshAll(now time.Time) {
+	p.refreshedAt = now
+	for i, e := range p.engines {
+		if e == nil {
+			p.hot[i].wait = math.Inf(1)
+			continue
+		}
+		p.refresh(now, e)
+	}
+}
+
+// refresh computes the estimates of an engine.
+func (p *Placer) refresh(now time.Time, e *engineState) {
+	if p.engines[e.index] != e {
+		// A request of a previous incarnation ended.
+		return
+	}
+	h := &p.hot[e.index]
+	if e.load >= p.slots || now.Before(e.pausedUntil) || e.onTrial() && e.trial != "" {
+		h.wait = math.Inf(1)
+		return
+	}
+	h.wait = p.waitAt(now, e)
+	h.perToken = readingWeight * e.pace.at(now, p.usual.value()) / tokensPerMs
+}
+
+// waitAt returns the expected time in milliseconds until an engine begins to read a new
+// prompt.
+func (p *Placer) waitAt(now time.Time, e *engineState) float64 {
+	work := max(0, e.reading)/tokensPerMs + stepMs + generatingMs*max(0, e.generating)
+	return e.pace.at(now, p.usual.value()) * work
+}
+
+func milliseconds(ms float64) time.Duration { return time.Duration(ms * float64(time.Millisecond)) }
--- a/core/relay/engine.go
+++ b/core/relay/engine.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"errors"
+	"time"
 
 	"chervilpath/core/balance"
+	"chervilpath/core/engine"
 	"chervilpath/core/fault"
 	"chervilpath/core/gather"
 	"chervilpath/core/memory"
@@ -183,6 +185,7 @@
 		return e.handleEngineSendError(ctx, p, watch, ev, err)
 	}
 	awaitingFirst := true
+	var pace attemptPace
 	err = e.stream.relayEvents(resp.Body, resp.EventStream && resp.EndsWithConnection, func(events int) {
 		// Bytes alone are no progress: a server may send some now and then and never
 		// complete an event.
@@ -192,9 +195,11 @@
 		watch.progress()
 		ev.progress(events)
 		now := e.now()
+		pace.add(now, events)
 		if awaitingFirst {
 			awaitingFirst = false
 			e.relay.stats.ObserveFirstEvent(now, e.route.Name, now.Sub(start))
+			e.observe(engine.Observation{RequestID: p.id, Server: p.server.ID, FirstEvent: now.Sub(start)})
 			e.log("first event", "relayed", p.server.ID)
 			e.freeHeld()
 		} else {
@@ -202,6 +207,9 @@
 		}
 		e.lastEvent = now
 	})
+	if interval, events := pace.interval(); events > 0 {
+		e.observe(engine.Observation{RequestID: p.id, Server: p.server.ID, Interval: interval, Events: events})
+	}
 	if err != nil {
 		return e.handleEngineSendError(ctx, p, watch, ev, err)
 	}
@@ -211,6 +219,31 @@
 	return stepFinish, nil
 }
 
+// attemptPace is how fast the events of an attempt come.
+type attemptPace struct {
+	first, last time.Time
+	// later is the number of events that came after those of the first read.
+	later int
+}
+
+func (a *attemptPace) add(now time.Time, events int) {
+	if a.first.IsZero() {
+		a.first = now
+	} else {
+		a.later += events
+	}
+	a.last = now
+}
+
+// interval returns the mean time between two events, and the number of times that it is the
+// mean of.
+func (a *attemptPace) interval() (time.Duration, int) {
+	if a.later == 0 {
+		return 0, 0
+	}
+	return a.last.Sub(a.first) / time.Duration(a.later), a.later
+}
+
 // handleEngineNotRun decides what follows an attempt that the engine did not
 // run.
 func (e *execution) handleEngineNotRun(ctx context.Context, p placement, resp *Response) (nextStep, error) {
--- a/core/relay/place.go
+++ b/core/relay/place.go
@@ -10,6 +10,7 @@
 	"chervilpath/core/engine"
 	"chervilpath/core/fault"
 	"chervilpath/core/fleet"
+	"chervilpath/core/overload"
 )
 
 // placement is an engine that was chosen for an attempt. Its ID names it to the instance
@@ -81,6 +82,7 @@
 	q := engine.Query{
 		RequestID: id, Affinity: e.req.Affinity, Exclude: slices.Concat(exclude, e.relay.deps.Servers().Unwilling(e.now(), e.service)),
 		Weights: e.zoneWeights(), Expires: e.deadline, Repeatable: e.route.MayRunAgain(), Trial: e.trial,
+		Parts: e.req.Parts, PromptTokens: e.req.PromptTokens, OutputTokens: e.req.ExpectedTokens, Demand: e.demand(),
 	}
 	if q.Affinity == "" {
 		q.Affinity = e.req.ID
@@ -101,6 +103,19 @@
 	return placement{}, false, nil
 }
 
+// demand describes the request to the instance that places it.
+func (e *execution) demand() overload.Demand {
+	return overload.Demand{
+		Class: e.route.Name, Organisation: e.orgName, Priority: e.effectivePriority(), Worth: e.worth, Due: e.due, RelativeSize: e.relativeSize,
+	}
+}
+
+func (e *execution) observe(o engine.Observation) {
+	if e.relay.deps.Observe != nil {
+		e.relay.deps.Observe(e.service, o)
+	}
+}
+
 func (e *execution) settle(p placement, outcome balance.Outcome) {
 	e.relay.deps.Settle(e.service, p.id, p.server.ID, outcome)
 }
--- a/core/relay/relay.go
+++ b/core/relay/relay.go
@@ -87,7 +87,9 @@
 		priority int
 		// worth weighs the request against others.
 		worth float64
-		w     ResponseWriter
+		// relativeSize is the size of the request as a ratio to the mean of its route.
+		relativeSize float64
+		w            ResponseWriter
 		// callerCtx is cancelled when the caller disconnects, and when a planned shutdown
 		// ends the request.
 		callerCtx context.Context
@@ -269,13 +271,17 @@
 // and its size: the configuration gives nothing else to compare. It adds the size to
 // the statistics of the route.
 func (e *execution) computeWorth() float64 {
-	priority := e.route.Priority
+	size := float64(e.req.PromptTokens + outputTokenWeight*e.req.OutputTokens)
+	e.relativeSize = e.relay.stats.RelativeSize(e.route.Name, size)
+	return (baseWorth + (1-baseWorth)*min(e.relativeSize, maxRelativeSize)) * math.Exp2(-float64(e.effectivePriority()))
+}
+
+// effectivePriority returns the priority of the organisation, or that of the route.
+func (e *execution) effectivePriority() int {
 	if e.priority >= 0 {
-		priority = e.priority
+		return e.priority
 	}
-	size := float64(e.req.PromptTokens + outputTokenWeight*e.req.OutputTokens)
-	relativeSize := e.relay.stats.RelativeSize(e.route.Name, size)
-	return (baseWorth + (1-baseWorth)*min(relativeSize, maxRelativeSize)) * math.Exp2(-float64(priority))
+	return e.route.Priority
 }
 
 func (e *execution) now() time.Time { return e.relay.deps.Clock.Now() }
--- a/core/relay/types.go
+++ b/core/relay/types.go
@@ -47,9 +47,14 @@
 		Affinity string
 		// SharedParts holds the IDs of the parts of the prompt that other requests may
 		// share, in order.
-		SharedParts  []string
-		PromptTokens int
-		OutputTokens int
+		SharedParts []string
+		// Parts holds all parts of the prompt in order.
+		Parts []engine.Part
+		// PromptTokens is the size of the prompt, and OutputTokens the largest one of the
+		// answer. ExpectedTokens is the size of the answer that the caller expects, or 0.
+		PromptTokens   int
+		OutputTokens   int
+		ExpectedTokens int
 		// Pieces holds the number of pieces of each stage.
 		Pieces []int
 		// PieceKey identifies the input of the stages that depend on no other.
@@ -208,6 +213,9 @@
 		Place func(ctx context.Context, service string, q engine.Query) (string, error)
 		// Settle ends a placement and reports how it went.
 		Settle func(service, request, server string, outcome balance.Outcome)
+		// Observe, unless it is nil, reports how fast an engine serves a placement. It must
+		// not block.
+		Observe func(service string, o engine.Observation)
 		// Suspect reports that the engine of a placement has been silent for long, while
 		// the attempt goes on.
 		Suspect func(service, request, server string)
--- a/edge/delegator.go
+++ b/edge/delegator.go
@@ -50,12 +50,15 @@
 	// computedBy holds the peer that had a result computed, by handle, and placedBy
 	// the peer that placed a request, by request ID.
 	computedBy, placedBy *peerIndex
+	// reports has an entry for each report of an observation to another instance.
+	reports chan struct{}
 }
 
 func newDelegator(in *Instance) *delegator {
 	return &delegator{
 		instance: in, placers: make(map[string]*engine.Placer), dispatchers: make(map[string]*gather.Dispatcher),
 		pausedUntil: make(map[string]time.Time), computedBy: newPeerIndex(time.Now()), placedBy: newPeerIndex(time.Now()),
+		reports: make(chan struct{}, maxReports),
 	}
 }
 
@@ -329,7 +332,9 @@
 	if q.Trial != "" && !d.instance.claimTrial(service, q.Trial) {
 		return ""
 	}
-	return d.placer(service).Place(time.Now(), q)
+	choice := d.placer(service).Choose(time.Now(), q)
+	d.recordChoice(service, q.RequestID, choice)
+	return choice.Server
 }
 
 // settle ends a placement at the instance that made it.
--- a/edge/metrics.go
+++ b/edge/metrics.go
@@ -26,6 +26,11 @@
 	batches          *prometheus.CounterVec
 	batchPieces      prometheus.Histogram
 	batchDuration    prometheus.Histogram
+	// choices and expectedWait concern the engines that this instance chose, and observations
+	// the reports of how fast they are.
+	choices      *prometheus.CounterVec
+	expectedWait prometheus.Histogram
+	observations *prometheus.CounterVec
 }
 
 var durationBuckets = []float64{.01, .025, .05, .1, .25, .5, 1, 2.5, 5, 10, 20}
@@ -52,6 +57,10 @@
 		batchPieces:      prometheus.NewHistogram(prometheus.HistogramOpts{Name: "chervilpath_batch_pieces", Help: "Pieces in a call of a stage server.", Buckets: prometheus.ExponentialBuckets(1, 2, 8)}),
 		batchDuration:    prometheus.NewHistogram(prometheus.HistogramOpts{Name: "chervilpath_batch_seconds", Help: "Time of a call of a stage server.", Buckets: durationBuckets}),
 	}
+	m.choices = prometheus.NewCounterVec(prometheus.CounterOpts{Name: "chervilpath_engine_choices_total", Help: "Engines chosen by this instance, by reason: kept, soonest, fallback or none."}, []string{"reason"})
+	m.expectedWait = prometheus.NewHistogram(prometheus.HistogramOpts{Name: "chervilpath_engine_expected_wait_seconds", Help: "Expected time until a chosen engine begins to read the prompt.", Buckets: durationBuckets})
+	m.observations = prometheus.NewCounterVec(prometheus.CounterOpts{Name: "chervilpath_engine_observations_total", Help: "Reports of how fast engines serve requests, by result: used or unused here, sent to another instance, lost on the way, or dropped because too many were on the way."}, []string{"result"})
+	r.MustRegister(m.choices, m.expectedWait, m.observations)
 	r.MustRegister(prometheus.NewCounterFunc(
 		prometheus.CounterOpts{Name: "chervilpath_log_lines_dropped_total", Help: "Log lines that did not fit into the queue before standard output."},
 		func() float64 { return float64(dropped()) },
--- a/edge/state.go
+++ b/edge/state.go
@@ -367,6 +367,7 @@
 		servers := snapshot.Service(name)
 		if use.engine != nil {
 			c.instance.delegator.placer(name).SetServers(servers, use.engine.Slots)
+			c.instance.delegator.placer(name).SetKVTokens(use.engine.KVTokens)
 		}
 		if use.pieces != nil {
 			c.instance.delegator.dispatcher(name, *use.pieces).SetServers(servers, *use.pieces)
