engine, edge: fewer reports of short answers

A report of the interval between events is sent only if it is the mean of three or more, and at most 16 reports are on their way at a time.

--- a/core/engine/pace.go
+++ b/core/engine/pace.go
@@ -31,10 +31,11 @@
 	minPace = 0.25
 	maxPace = 8.0
 
-	// maxObserved is the longest observed time that is believed, and minEvents the number
-	// of events from which the mean interval between them is used.
+	// maxObserved is the longest observed time that is believed.
 	maxObserved = 5 * time.Minute
-	minEvents   = 3
+
+	// MinEvents is the number of intervals between events from which their mean is used.
+	MinEvents = 3
 )
 
 type (
@@ -110,7 +111,7 @@
 // observeInterval learns from the mean interval between events. It says nothing of the
 // moment, since it is the mean over the whole answer.
 func (p *Placer) observeInterval(now time.Time, e *engineState, o Observation) bool {
-	if o.Events < minEvents || o.Interval <= 0 || o.Interval > maxObserved/time.Duration(min(o.Events, 1<<20)) {
+	if o.Events < MinEvents || o.Interval <= 0 || o.Interval > maxObserved/time.Duration(min(o.Events, 1<<20)) {
 		return false
 	}
 	interval := inMilliseconds(o.Interval)
--- a/core/relay/engine.go
+++ b/core/relay/engine.go
@@ -207,7 +207,7 @@
 		}
 		e.lastEvent = now
 	})
-	if interval, events := pace.interval(); events > 0 {
+	if interval, events := pace.interval(); events >= engine.MinEvents {
 		e.observe(engine.Observation{RequestID: p.id, Server: p.server.ID, Interval: interval, Events: events})
 	}
 	if err != nil {
--- a/edge/placement.go
+++ b/edge/placement.go
@@ -11,7 +11,7 @@
 
 // maxReports is how many reports of observations may be on their way to other instances at
 // a time. Further ones are dropped: the next ones tell the same.
-const maxReports = 64
+const maxReports = 16
 
 // recordChoice logs why this instance chose an engine for a request.
 func (d *delegator) recordChoice(service, requestID string, c engine.Choice) {
