--- a/core/engine/engine.go
+++ b/core/engine/engine.go
@@ -104,6 +104,11 @@
 		// usualInterval is the mean time between two events at pace 1.
 		usualInterval meanPace
 		typical       typicalRequest
+		// readingWeight is the weight of the time for which an engine reads a prompt.
+		readingWeight float64
+		// sendDelay is the mean time in milliseconds between the choice of an engine and the
+		// send.
+		sendDelay mean
 	}
 
 	engineState struct {
@@ -165,7 +170,7 @@
 
 // New returns a placer without engines.
 func New() *Placer {
-	return &Placer{byID: make(map[string]*engineState), placements: make(map[string]placement), kept: newKeptParts()}
+	return &Placer{readingWeight: minReadingWeight, byID: make(map[string]*engineState), placements: make(map[string]placement), kept: newKeptParts()}
 }
 
 // SetServers sets the engines that may get requests, and the number of requests
--- a/core/engine/kept.go
+++ b/core/engine/kept.go
@@ -95,11 +95,18 @@
 
 func tokens(n int) float64 { return float64(min(max(n, 0), maxTokens)) }
 
-// add adds a value, unless it is 0.
-func (m *mean) add(value float64) {
-	if value == 0 {
-		return
+// add adds a request, as far as it says its size.
+func (t *typicalRequest) add(q *Query) {
+	if q.PromptTokens > 0 {
+		t.prompt.add(tokens(q.PromptTokens))
+	}
+	if q.OutputTokens > 0 {
+		t.output.add(tokens(q.OutputTokens))
 	}
+}
+
+// add adds a value.
+func (m *mean) add(value float64) {
 	m.count = min(m.count+1, 100)
 	m.value += (value - m.value) / float64(m.count)
 }
--- a/core/engine/pace.go
+++ b/core/engine/pace.go
@@ -12,7 +12,7 @@
 	// ratios of these matter: the learned paces contain how fast the engines are.
 	tokensPerMs  = 50.0
 	stepMs       = 6.0
-	generatingMs = 0.05
+	generatingMs = 0.01
 
 	// An engine's pace is the sum of the times of its work divided by the sum of the
 	// work, each decaying with shortDecay and longDecay. The first follows an engine that
@@ -23,7 +23,7 @@
 
 	// Before any observation the pace is the usual one, and the short-term pace is the
 	// long-term one. They count as that much work, in milliseconds at pace 1.
-	shortPrior = 60.0
+	shortPrior = 200.0
 	longPrior  = 150.0
 
 	// minPace and maxPace bound the pace relative to the usual one, so that absurd
@@ -96,6 +96,7 @@
 	if began.Before(placed.placedAt) {
 		began = placed.placedAt
 	}
+	p.sendDelay.add(inMilliseconds(began.Sub(placed.placedAt)))
 	if began.Before(e.lastFirstEvent) {
 		began = e.lastFirstEvent
 	}
--- a/core/engine/place.go
+++ b/core/engine/place.go
@@ -2,19 +2,23 @@
 
 import (
 	"math"
+	"math/bits"
 	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
-
-	"chervilpath/core/balance"
 )
 
 const (
-	// readingWeight weighs the time for which a request occupies an engine with reading its
-	// prompt against the time for which the request itself waits: what the engine reads
-	// delays the requests that come later and the streams that run there.
-	readingWeight = 1.5
+	// The time for which a request occupies an engine with reading its prompt weighs
+	// minReadingWeight times as much as the time for which the request itself waits, since it
+	// delays the streams that run there. While engines are busy it also delays the requests
+	// that come later, so it weighs one more for each busyWait ms of mean wait, up to
+	// maxReadingWeight. Otherwise a busy service would spread each shared part over ever more
+	// engines and be busy with reading it.
+	minReadingWeight = 1.5
+	maxReadingWeight = 10.0
+	busyWait         = 50.0
 
 	// Among the engines that have not read the shared part of the prompt, those whose cost
 	// is within spreadFactor of the least and spreadExtra ms are equal, and the affinity
@@ -27,6 +31,13 @@
 	// refreshInterval is the time after which the estimates of engines of which nothing was
 	// heard are computed again. It is short against the 600 ms for which engines are slow.
 	refreshInterval = 25 * time.Millisecond
+
+	// maxZones is the number of zones whose weights are told apart, a power of two.
+	maxZones = 16
+
+	// hashFactor mixes the hashes of affinity and engine: one multiplication is enough, as
+	// both are well distributed.
+	hashFactor = 0x9e3779b97f4a7c15
 )
 
 // Place assigns a request to an engine and returns the engine's ID, or "" if none
@@ -40,8 +51,7 @@
 	p.sweep(now)
 	p.beginChoice(now, q.Exclude)
 	r := p.size(&q)
-	p.typical.prompt.add(tokens(q.PromptTokens))
-	p.typical.output.add(tokens(q.OutputTokens))
+	p.typical.add(&q)
 	for {
 		c := p.choose(&q, &r)
 		if c.engine < 0 {
@@ -66,13 +76,13 @@
 	p.beginChoice(now, q.Exclude)
 	r := p.size(&q)
 	for {
-		c := p.choose(&q, &r)
+		c, _ := p.cheapest(&r, maxWait(&q))
 		if c.engine < 0 {
 			return NoEngine
 		}
 		if p.accepts(now, c.engine, &q) {
 			h := &p.hot[c.engine]
-			return milliseconds(h.wait + h.perToken/readingWeight*(r.prompt-c.kept))
+			return milliseconds(h.wait + h.perToken/p.readingWeight*(r.prompt-c.kept))
 		}
 		p.hot[c.engine].skipped = p.choices
 	}
@@ -105,18 +115,33 @@
 	reason Reason
 }
 
-// choose returns the best engine that is not skipped: the one of least cost, where an engine
-// that keeps a shared part has less to read.
+// choose returns the engine for a request among those that are not skipped: the one of least
+// cost or, if that keeps nothing of the prompt, one that the affinity chooses.
 func (p *Placer) choose(q *Query, r *request) candidate {
-	least := math.Inf(1)
-	maxWait := math.MaxFloat64
+	maxWait := maxWait(q)
+	c, cost := p.cheapest(r, maxWait)
+	if c.engine >= 0 && c.reason == ReasonSoonest {
+		c.engine = p.rendezvous(q, r, cost*spreadFactor+spreadExtra, maxWait)
+	}
+	return c
+}
+
+// maxWait returns the longest wait that the query allows, in milliseconds.
+func maxWait(q *Query) float64 {
 	if q.MaxWait > 0 {
-		maxWait = float64(q.MaxWait) / float64(time.Millisecond)
+		return inMilliseconds(q.MaxWait)
 	}
+	return math.MaxFloat64
+}
+
+// cheapest returns the engine of least cost that is not skipped, and the cost. An engine that
+// keeps a beginning of the prompt has less to read.
+func (p *Placer) cheapest(r *request, maxWait float64) (candidate, float64) {
+	soonest, least := int32(-1), math.Inf(1)
 	for i := range p.hot {
 		h := &p.hot[i]
 		if cost := h.wait + h.perToken*r.prompt; cost < least && h.wait <= maxWait && h.skipped != p.choices {
-			least = cost
+			soonest, least = int32(i), cost
 		}
 	}
 	best, bestCost := candidate{engine: -1}, least
@@ -129,35 +154,35 @@
 			}
 		}
 	}
-	if best.engine >= 0 || math.IsInf(least, 1) {
-		return best
+	if best.engine < 0 && soonest >= 0 {
+		best = candidate{soonest, 0, ReasonSoonest}
 	}
-	return candidate{p.rendezvous(q, r, least*spreadFactor+spreadExtra, maxWait), 0, ReasonSoonest}
+	return best, bestCost
 }
 
 // rendezvous returns the engine with the highest rank by weighted rendezvous hashing among
 // those of at most the given cost.
 func (p *Placer) rendezvous(q *Query, r *request, bound, maxWait float64) int32 {
 	// Engines of the same weight are ranked by their hash alone, so the logarithm is needed
-	// only once for each zone.
-	const maxZones = 16
+	// only once for each zone. Zones above maxZones are few enough to share a weight.
 	var highest [maxZones]uint64
 	var byZone [maxZones]int32
 	for i := range byZone {
 		byZone[i] = -1
 	}
+	zoneMask := int32(0)
+	if len(q.Weights) > 0 {
+		zoneMask = maxZones - 1
+	}
 	affinity := xxhash.Sum64String(q.Affinity)
 	for i := range p.hot {
 		h := &p.hot[i]
 		if h.wait+h.perToken*r.prompt > bound || h.wait > maxWait || h.skipped == p.choices {
 			continue
 		}
-		z := 0
-		if q.Weights != nil {
-			z = int(h.zone) % maxZones
-		}
-		if mixed := balance.Mix(affinity, h.hash); byZone[z] < 0 || mixed > highest[z] {
-			highest[z], byZone[z] = mixed, int32(i)
+		z := h.zone & zoneMask
+		if high, low := bits.Mul64(affinity^h.hash, hashFactor); byZone[z] < 0 || high^low > highest[z] {
+			highest[z], byZone[z] = high^low, int32(i)
 		}
 	}
 	best, bestRank := int32(-1), 0.0
@@ -202,14 +227,17 @@
 	if pausedA, pausedB := now.Before(a.pausedUntil), now.Before(b.pausedUntil); pausedA != pausedB {
 		return pausedB
 	}
-	return p.waitAt(now, a) < p.waitAt(now, b)
+	usual := p.usual.value()
+	return p.waitAt(a, a.pace.at(now, usual)) < p.waitAt(b, b.pace.at(now, usual))
 }
 
 // assign records the placement of a request and replaces its previous one.
 func (p *Placer) assign(now time.Time, c candidate, q *Query, r *request) Choice {
 	p.drop(now, q.RequestID)
 	e := p.engines[c.engine]
-	unread, wait, pace := r.prompt-c.kept, p.waitAt(now, e), e.pace.at(now, p.usual.value())
+	unread, usual := r.prompt-c.kept, p.usual.value()
+	pace := e.pace.at(now, usual)
+	wait := p.waitAt(e, pace)
 	e.load++
 	e.reading += unread
 	e.generating += r.output
@@ -218,45 +246,62 @@
 	}
 	p.placements[q.RequestID] = placement{engine: e, placedAt: now, expires: q.Expires, unread: unread, generates: r.output}
 	p.kept.read(e.index, r)
-	p.refresh(now, e)
+	p.refreshAt(e, now, pace)
 	return Choice{
 		Server: e.id, Reason: c.reason, Wait: milliseconds(wait), FirstEvent: milliseconds(wait + pace*unread/tokensPerMs),
-		Pace: pace, UsualPace: p.usual.value(), KeptTokens: int(c.kept), PromptTokens: int(r.prompt), Requests: e.load,
+		Pace: pace, UsualPace: usual, KeptTokens: int(c.kept), PromptTokens: int(r.prompt), Requests: e.load,
 	}
 }
 
 // refreshAll computes the estimates of all engines.
 func (p *Placer) refreshAll(now time.Time) {
 	p.refreshedAt = now
+	sum, count := 0.0, 0.0
 	for i, e := range p.engines {
 		if e == nil {
 			p.hot[i].wait = math.Inf(1)
 			continue
 		}
 		p.refresh(now, e)
+		if h := &p.hot[i]; !math.IsInf(h.wait, 1) {
+			sum, count = sum+h.wait, count+1
+		}
+	}
+	p.readingWeight = maxReadingWeight
+	if count > 0 {
+		p.readingWeight = min(minReadingWeight+sum/count/busyWait, maxReadingWeight)
 	}
 }
 
 // refresh computes the estimates of an engine.
 func (p *Placer) refresh(now time.Time, e *engineState) {
+	p.refreshAt(e, now, e.pace.at(now, p.usual.value()))
+}
+
+// refreshAt computes the estimates of an engine that has the given pace.
+func (p *Placer) refreshAt(e *engineState, now time.Time, pace float64) {
 	if p.engines[e.index] != e {
 		// A request of a previous incarnation ended.
 		return
 	}
 	h := &p.hot[e.index]
-	if e.load >= p.slots || now.Before(e.pausedUntil) || e.onTrial() && e.trial != "" {
+	h.wait, h.perToken = p.waitAt(e, pace), p.readingWeight*pace/tokensPerMs
+	if e.load >= p.slots || e.onTrial() && e.trial != "" || now.Before(e.pausedUntil) {
 		h.wait = math.Inf(1)
-		return
 	}
-	h.wait = p.waitAt(now, e)
-	h.perToken = readingWeight * e.pace.at(now, p.usual.value()) / tokensPerMs
 }
 
-// waitAt returns the expected time in milliseconds until an engine begins to read a new
-// prompt.
-func (p *Placer) waitAt(now time.Time, e *engineState) float64 {
-	work := max(0, e.reading)/tokensPerMs + stepMs + generatingMs*max(0, e.generating)
-	return e.pace.at(now, p.usual.value()) * work
+// waitAt returns the expected time in milliseconds until an engine of the given pace begins to
+// read a prompt that is placed now. Requests are sent only after their stages, so the engine
+// has that time to read what was placed before: W ms of reading that arrives over D ms leaves
+// a wait of about W-D if W is much larger than D, and little if it is smaller.
+func (p *Placer) waitAt(e *engineState, pace float64) float64 {
+	reading := pace * max(0, e.reading) / tokensPerMs
+	wait := pace * (stepMs + generatingMs*max(0, e.generating))
+	if reading > 0 {
+		wait += reading * reading / (reading + p.sendDelay.value)
+	}
+	return wait
 }
 
 func milliseconds(ms float64) time.Duration { return time.Duration(ms * float64(time.Millisecond)) }
