--- a/core/engine/engine.go
+++ b/core/engine/engine.go
@@ -104,7 +104,7 @@
 		// usualInterval is the mean time between two events at pace 1.
 		usualInterval meanPace
 		typical       typicalRequest
-		// readingWeight is the weight of the time for which an engine reads a prompt.
+		// readingWeight is the weight of reading what another engine keeps.
 		readingWeight float64
 		// sendDelay is the mean time in milliseconds between the choice of an engine and the
 		// send.
@@ -133,8 +133,8 @@
 	// hotState is what a choice reads of an engine.
 	hotState struct {
 		// wait is the expected time until the engine begins to read a new prompt, or
-		// infinite if it can't take a request, and perToken the cost of a prompt token
-		// that it has to read. Both are in milliseconds.
+		// infinite if it can't take a request, and perToken the cost of reading a token
+		// of it. Both are in milliseconds.
 		wait, perToken float64
 		hash           uint64
 		// skipped is the number of the choice for which the engine is left out.
--- a/core/engine/model_test.go
+++ b/core/engine/model_test.go
@@ -58,8 +58,11 @@
 		duration time.Duration
 		// placers choose the engines; a request asks one of them at random.
 		placers []placerModel
-		// at, if set, is called at the given times.
-		restartAt map[time.Duration]int
+		// classes are the classes of requests, or nil for modelClasses.
+		classes []modelClass
+		// isSlow, if set, replaces slowShare: it reports whether an engine is slow in a
+		// period.
+		isSlow func(engine, period int) bool
 	}
 
 	modelResult struct {
@@ -67,6 +70,7 @@
 		// smooth counts the requests whose pauses between events met the target.
 		smooth     int
 		byEngine   []int
+		placed     []modelPlacement
 		firstEvent []float64
 	}
 
@@ -96,6 +100,11 @@
 		cacheTokens int
 	}
 
+	modelPlacement struct {
+		at     time.Duration
+		engine int
+	}
+
 	modelPart struct {
 		key    string
 		tokens int
@@ -147,9 +156,13 @@
 // shared parts and run as many requests as they have slots.
 func modelCapacity(c modelConfig) float64 {
 	perRequest := 0.0
-	for _, class := range modelClasses {
+	classes := c.classes
+	if classes == nil {
+		classes = modelClasses
+	}
+	for _, class := range classes {
 		decode := float64(class.events*modelEventSize) * (modelStepMs + modelPerRequest*modelSlots) / modelSlots
-		perRequest += (float64(class.own)/modelTokensMs + decode) / float64(len(modelClasses))
+		perRequest += (float64(class.own)/modelTokensMs + decode) / float64(len(classes))
 	}
 	speed := 0.0
 	for i := range c.engines {
@@ -160,20 +173,24 @@
 
 // runModel serves requests that arrive at random, and returns how they fared.
 func runModel(c modelConfig) modelResult {
+	if c.classes == nil {
+		c.classes = modelClasses
+	}
 	m := &modelRun{modelConfig: c, now: start, rng: rand.New(rand.NewPCG(c.seed, 1))}
 	periods := int(c.duration/modelPeriod) + 20
 	for i := range c.engines {
 		e := &modelEngine{pace: c.paces[i%len(c.paces)]}
 		for range periods {
-			e.slow = append(e.slow, m.rng.Float64() < c.slowShare)
+			slow := m.rng.Float64() < c.slowShare
+			if c.isSlow != nil {
+				slow = c.isSlow(i, len(e.slow))
+			}
+			e.slow = append(e.slow, slow)
 		}
 		m.nodes = append(m.nodes, e)
 	}
 	m.result.byEngine = make([]int, c.engines)
 	rate := c.load * modelCapacity(c)
-	for at, i := range c.restartAt {
-		m.after(at, func() { m.nodes[i].cache, m.nodes[i].cacheTokens = nil, 0 })
-	}
 	var arrive func()
 	n := 0
 	arrive = func() {
@@ -194,7 +211,7 @@
 }
 
 func (m *modelRun) arrive(n int) {
-	class := &modelClasses[m.rng.IntN(len(modelClasses))]
+	class := &m.classes[m.rng.IntN(len(m.classes))]
 	// The popularity of the parts of a class falls with their number.
 	part := int(math.Pow(float64(class.parts), m.rng.Float64())) - 1
 	r := &modelRequest{
@@ -216,6 +233,7 @@
 		panic(err)
 	}
 	m.result.byEngine[r.engine]++
+	m.result.placed = append(m.result.placed, modelPlacement{m.now.Sub(start), r.engine})
 	delay := time.Duration(0)
 	if m.sendDelay > 0 {
 		delay = time.Duration(m.rng.Int64N(int64(m.sendDelay)))
@@ -394,12 +412,16 @@
 // share returns a count as a share of all requests.
 func (r modelResult) share(n int) float64 { return float64(n) / float64(r.requests) }
 
+// quantile returns a quantile of the times to the first event in milliseconds.
+func (r modelResult) quantile(q float64) float64 {
+	return r.firstEvent[int(q*float64(len(r.firstEvent)-1))]
+}
+
 func (r modelResult) String() string {
-	quantile := func(q float64) float64 { return r.firstEvent[int(q*float64(len(r.firstEvent)-1))] }
 	third := [3]int{}
 	for i, n := range r.byEngine {
 		third[i%3] += n
 	}
 	return fmt.Sprintf("%d requests, %.4f on time, %.4f without long pauses, %d refused; first event after %.0f ms (median), %.0f (0.95), %.0f (0.99); by third %v",
-		r.requests, r.share(r.onTime), r.share(r.smooth), r.refused, quantile(0.5), quantile(0.95), quantile(0.99), third)
+		r.requests, r.share(r.onTime), r.share(r.smooth), r.refused, r.quantile(0.5), r.quantile(0.95), r.quantile(0.99), third)
 }
--- a/core/engine/place.go
+++ b/core/engine/place.go
@@ -10,16 +10,18 @@
 )
 
 const (
-	// The time for which a request occupies an engine with reading its prompt weighs
-	// minReadingWeight times as much as the time for which the request itself waits, since it
-	// delays the streams that run there. While engines are busy it also delays the requests
-	// that come later, so it weighs one more for each busyWait ms of mean wait, up to
-	// maxReadingWeight. Otherwise a busy service would spread each shared part over ever more
-	// engines and be busy with reading it.
+	// Reading tokens that another engine keeps takes capacity from all requests, so their time
+	// weighs minReadingWeight times as much as that for which the request itself waits, and
+	// one more for each busyWait ms of mean wait, up to maxReadingWeight. Otherwise a busy
+	// service would spread each shared part over ever more engines and be busy with reading it.
 	minReadingWeight = 1.5
 	maxReadingWeight = 10.0
 	busyWait         = 50.0
 
+	// Reading a prompt pauses the streams that run on the engine, so its time weighs
+	// pauseWeight more for each request there.
+	pauseWeight = 0.05
+
 	// Among the engines that have not read the shared part of the prompt, those whose cost
 	// is within spreadFactor of the least and spreadExtra ms are equal, and the affinity
 	// chooses one of them, so that instances that know nothing of each other choose the
@@ -81,8 +83,8 @@
 			return NoEngine
 		}
 		if p.accepts(now, c.engine, &q) {
-			h := &p.hot[c.engine]
-			return milliseconds(h.wait + h.perToken/p.readingWeight*(r.prompt-c.kept))
+			pace := p.engines[c.engine].pace.at(now, p.usual.value())
+			return milliseconds(p.hot[c.engine].wait + pace*(r.prompt-c.kept)/tokensPerMs)
 		}
 		p.hot[c.engine].skipped = p.choices
 	}
@@ -121,7 +123,7 @@
 	maxWait := maxWait(q)
 	c, cost := p.cheapest(r, maxWait)
 	if c.engine >= 0 && c.reason == ReasonSoonest {
-		c.engine = p.rendezvous(q, r, cost*spreadFactor+spreadExtra, maxWait)
+		c.engine = p.rendezvous(q, p.readAnew(r), cost*spreadFactor+spreadExtra, maxWait)
 	}
 	return c
 }
@@ -134,19 +136,32 @@
 	return math.MaxFloat64
 }
 
-// cheapest returns the engine of least cost that is not skipped, and the cost. An engine that
-// keeps a beginning of the prompt has less to read.
+// readAnew returns the tokens of a prompt that an engine reads which keeps nothing of it,
+// where those that another engine keeps are weighted.
+func (p *Placer) readAnew(r *request) float64 {
+	for k := r.parts - 1; k >= 0; k-- {
+		if len(p.kept.engines(r.keys[k])) > 0 {
+			return r.prompt + (p.readingWeight-1)*r.upTo[k]
+		}
+	}
+	return r.prompt
+}
+
+// cheapest returns the engine of least cost that is not skipped, and the cost: the expected
+// time to the first event in milliseconds, with readAnew. An engine that keeps a beginning of
+// the prompt has less to read.
 func (p *Placer) cheapest(r *request, maxWait float64) (candidate, float64) {
 	soonest, least := int32(-1), math.Inf(1)
+	anew := p.readAnew(r)
 	for i := range p.hot {
 		h := &p.hot[i]
-		if cost := h.wait + h.perToken*r.prompt; cost < least && h.wait <= maxWait && h.skipped != p.choices {
+		if cost := h.wait + h.perToken*anew; cost < least && h.wait <= maxWait && h.skipped != p.choices {
 			soonest, least = int32(i), cost
 		}
 	}
 	best, bestCost := candidate{engine: -1}, least
 	for k := r.parts - 1; k >= 0; k-- {
-		unread := r.prompt - r.upTo[k]
+		unread := anew - p.readingWeight*r.upTo[k]
 		for _, i := range p.kept.engines(r.keys[k]) {
 			h := &p.hot[i]
 			if cost := h.wait + h.perToken*unread; cost <= bestCost && h.wait <= maxWait && h.skipped != p.choices {
@@ -161,8 +176,8 @@
 }
 
 // rendezvous returns the engine with the highest rank by weighted rendezvous hashing among
-// those of at most the given cost.
-func (p *Placer) rendezvous(q *Query, r *request, bound, maxWait float64) int32 {
+// those of at most the given cost with the given tokens to read.
+func (p *Placer) rendezvous(q *Query, tokens, bound, maxWait float64) int32 {
 	// Engines of the same weight are ranked by their hash alone, so the logarithm is needed
 	// only once for each zone. Zones above maxZones are few enough to share a weight.
 	var highest [maxZones]uint64
@@ -177,7 +192,7 @@
 	affinity := xxhash.Sum64String(q.Affinity)
 	for i := range p.hot {
 		h := &p.hot[i]
-		if h.wait+h.perToken*r.prompt > bound || h.wait > maxWait || h.skipped == p.choices {
+		if h.wait+h.perToken*tokens > bound || h.wait > maxWait || h.skipped == p.choices {
 			continue
 		}
 		z := h.zone & zoneMask
@@ -285,7 +300,7 @@
 		return
 	}
 	h := &p.hot[e.index]
-	h.wait, h.perToken = p.waitAt(e, pace), p.readingWeight*pace/tokensPerMs
+	h.wait, h.perToken = p.waitAt(e, pace), pace/tokensPerMs*(1+pauseWeight*float64(e.load))
 	if e.load >= p.slots || e.onTrial() && e.trial != "" || now.Before(e.pausedUntil) {
 		h.wait = math.Inf(1)
 	}
