--- a/core/engine/model_test.go
+++ b/core/engine/model_test.go
@@ -367,13 +367,16 @@
 // rendezvous.
 func byCount(c modelConfig) placerModel {
 	servers, loads, total := modelServers(c), make([]int, c.engines), 0
-	engines := make(map[string]int)
+	engines, hashes := make(map[string]int), make([]uint64, c.engines)
+	for i := range servers {
+		hashes[i] = hash(servers[i].ID)
+	}
 	return placerModel{
 		place: func(_ time.Time, q engine.Query) string {
 			bound := 1.5*float64(total)/float64(c.engines) + 1.5
-			best, bestRank := -1, uint64(0)
+			best, bestRank, affinity := -1, uint64(0), hash(q.Affinity)
 			for i := range servers {
-				if rank := balance.Mix(hash(q.Affinity), hash(servers[i].ID)); float64(loads[i]) < bound && loads[i] < modelSlots && rank >= bestRank {
+				if rank := balance.Mix(affinity, hashes[i]); float64(loads[i]) < bound && loads[i] < modelSlots && rank >= bestRank {
 					best, bestRank = i, rank
 				}
 			}
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -71,6 +71,7 @@
 var calmFaults = []fault{
 	{"server silence", 3, silenceServer},
 	{"server failure after runs", 2, failAfterRuns},
+	{"noisy engines", 3, slowEngines},
 	{"configuration", 1, func(h *harness, rng *rand.Rand) string {
 		service := []string{serviceDesk, serviceAlternate}[rng.IntN(2)]
 		h.putConfig(service)
@@ -78,6 +79,30 @@
 	}},
 }
 
+// enginePaces are the paces of the engines by index, as in docs/design/load.md. A slow engine
+// takes slowFactor times as long for slowTime.
+var enginePaces = []float64{0.7, 0.7, 1.7}
+
+const (
+	slowFactor = 2.5
+	slowTime   = 600 * time.Millisecond
+)
+
+// slowEngines makes one in seven of the engines slow for a moment, and one at least. They stay
+// sound: it disturbs nothing.
+func slowEngines(h *harness, rng *rand.Rand) string {
+	engines := slices.DeleteFunc(h.activeServers(), func(s *server) bool { return s.NumEvents == 0 })
+	if len(engines) == 0 {
+		return "no engine is active"
+	}
+	rng.Shuffle(len(engines), func(i, j int) { engines[i], engines[j] = engines[j], engines[i] })
+	slow := engines[:1+len(engines)/7]
+	for _, s := range slow {
+		s.SlowFor(slowFactor, slowTime)
+	}
+	return fmt.Sprintf("%d of %d for %v", len(slow), len(engines), slowTime)
+}
+
 // silenceServer makes a random server of a random service, or in one of three cases all its
 // servers, read and send nothing for 0.3 s to 1.8 s. They stay sound: it disturbs nothing.
 func silenceServer(h *harness, rng *rand.Rand) string {
--- a/soak/harness.go
+++ b/soak/harness.go
@@ -233,6 +233,7 @@
 	s.WorkTime, s.AnswerGap, s.Echo = 15*time.Millisecond, 10*time.Millisecond, true
 	if service == serviceLLM || service == serviceLone {
 		s.NumEvents, s.EventGap = 8, 80*time.Millisecond
+		s.Pace, s.Noise = enginePaces[h.serverCount%len(enginePaces)], 0.2
 		s.CrashParts, s.CrashAfter = []string{crashPart}, h.serverCount%2
 		s.Crashed = func() { h.engineCrashed(s) }
 	}
