--- /dev/null
+++ b/core/engine/place.go
@@ -0,0 +1,322 @@
+package engine
+
+import (
+	"math"
+	"math/bits"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+const (
+	// Reading tokens that another engine keeps takes capacity from all requests, so their time
+	// weighs minReadingWeight times as much as that for which the request itself waits, and
+	// one more for each busyWait ms of mean wait, up to maxReadingWeight. Otherwise a busy
+	// service would spread each shared part over ever more engines and be busy with reading it.
+	minReadingWeight = 1.5
+	maxReadingWeight = 10.0
+	busyWait         = 50.0
+
+	// Reading a prompt pauses the streams that run on the engine, so its time weighs
+	// pauseWeight more for each request there.
+	pauseWeight = 0.05
+
+	// Among the engines that have not read the shared part of the prompt, those whose cost
+	// is within spreadFactor of the least and spreadExtra ms are equal, and the affinity
+	// chooses one of them, so that instances that know nothing of each other choose the
+	// same one (Mirrokni, Thorup and Zadimoghaddam, "Consistent Hashing with Bounded
+	// Loads", 2016, with expected time as the load).
+	spreadFactor = 1.25
+	spreadExtra  = 15.0
+
+	// refreshInterval is the time after which the estimates of engines of which nothing was
+	// heard are computed again. It is short against the 600 ms for which engines are slow.
+	refreshInterval = 25 * time.Millisecond
+
+	// maxZones is the number of zones whose weights are told apart, a power of two.
+	maxZones = 16
+
+	// hashFactor mixes the hashes of affinity and engine: one multiplication is enough, as
+	// both are well distributed.
+	hashFactor = 0x9e3779b97f4a7c15
+)
+
+// Place assigns a request to an engine and returns the engine's ID, or "" if none
+// can take the request.
+func (p *Placer) Place(now time.Time, q Query) string { return p.Choose(now, q).Server }
+
+// Choose assigns a request to an engine, and says why.
+func (p *Placer) Choose(now time.Time, q Query) Choice {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.sweep(now)
+	p.beginChoice(now, q.Exclude)
+	r := p.size(&q)
+	p.typical.add(&q)
+	for {
+		c := p.choose(&q, &r)
+		if c.engine < 0 {
+			break
+		}
+		if p.accepts(now, c.engine, &q) {
+			return p.assign(now, c, &q, &r)
+		}
+		p.hot[c.engine].skipped = p.choices
+	}
+	if q.MaxWait > 0 {
+		return Choice{Reason: ReasonNone}
+	}
+	return p.placeFallback(now, &q, &r)
+}
+
+// Estimate returns the time to the first event that the best engine would give the request
+// now, or NoEngine if none can take it. It places nothing.
+func (p *Placer) Estimate(now time.Time, q Query) time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.beginChoice(now, q.Exclude)
+	r := p.size(&q)
+	for {
+		c, _ := p.cheapest(&r, maxWait(&q))
+		if c.engine < 0 {
+			return NoEngine
+		}
+		if p.accepts(now, c.engine, &q) {
+			pace := p.engines[c.engine].pace.at(now, p.usual.value())
+			return milliseconds(p.hot[c.engine].wait + pace*(r.prompt-c.kept)/tokensPerMs)
+		}
+		p.hot[c.engine].skipped = p.choices
+	}
+}
+
+// beginChoice refreshes the estimates, and leaves out the engines with the given IDs.
+func (p *Placer) beginChoice(now time.Time, exclude []string) {
+	if now.Sub(p.refreshedAt) >= refreshInterval || now.Before(p.refreshedAt) {
+		p.refreshAll(now)
+	}
+	p.choices++
+	for _, id := range exclude {
+		if e, ok := p.byID[id]; ok {
+			p.hot[e.index].skipped = p.choices
+		}
+	}
+}
+
+// accepts reports what a choice does not know from the estimates: whether the engine's
+// health and its other limits allow to place the request on it.
+func (p *Placer) accepts(now time.Time, index int32, q *Query) bool {
+	e := p.engines[index]
+	return e.takes(q) && !now.Before(e.pausedUntil) && (p.Usable == nil || p.Usable(now, e.id))
+}
+
+// candidate is an engine that is chosen, or -1, and the tokens of the prompt that it keeps.
+type candidate struct {
+	engine int32
+	kept   float64
+	reason Reason
+}
+
+// choose returns the engine for a request among those that are not skipped: the one of least
+// cost or, if that keeps nothing of the prompt, one that the affinity chooses.
+func (p *Placer) choose(q *Query, r *request) candidate {
+	maxWait := maxWait(q)
+	c, cost := p.cheapest(r, maxWait)
+	if c.engine >= 0 && c.reason == ReasonSoonest {
+		c.engine = p.rendezvous(q, p.readAnew(r), cost*spreadFactor+spreadExtra, maxWait)
+	}
+	return c
+}
+
+// maxWait returns the longest wait that the query allows, in milliseconds.
+func maxWait(q *Query) float64 {
+	if q.MaxWait > 0 {
+		return inMilliseconds(q.MaxWait)
+	}
+	return math.MaxFloat64
+}
+
+// readAnew returns the tokens of a prompt that an engine reads which keeps nothing of it,
+// where those that another engine keeps are weighted.
+func (p *Placer) readAnew(r *request) float64 {
+	for k := r.parts - 1; k >= 0; k-- {
+		if len(p.kept.engines(r.keys[k])) > 0 {
+			return r.prompt + (p.readingWeight-1)*r.upTo[k]
+		}
+	}
+	return r.prompt
+}
+
+// cheapest returns the engine of least cost that is not skipped, and the cost: the expected
+// time to the first event in milliseconds, with readAnew. An engine that keeps a beginning of
+// the prompt has less to read.
+func (p *Placer) cheapest(r *request, maxWait float64) (candidate, float64) {
+	soonest, least := int32(-1), math.Inf(1)
+	anew := p.readAnew(r)
+	for i := range p.hot {
+		h := &p.hot[i]
+		if cost := h.wait + h.perToken*anew; cost < least && h.wait <= maxWait && h.skipped != p.choices {
+			soonest, least = int32(i), cost
+		}
+	}
+	best, bestCost := candidate{engine: -1}, least
+	for k := r.parts - 1; k >= 0; k-- {
+		unread := anew - p.readingWeight*r.upTo[k]
+		for _, i := range p.kept.engines(r.keys[k]) {
+			h := &p.hot[i]
+			if cost := h.wait + h.perToken*unread; cost <= bestCost && h.wait <= maxWait && h.skipped != p.choices {
+				best, bestCost = candidate{i, r.upTo[k], ReasonKept}, cost
+			}
+		}
+	}
+	if best.engine < 0 && soonest >= 0 {
+		best = candidate{soonest, 0, ReasonSoonest}
+	}
+	return best, bestCost
+}
+
+// rendezvous returns the engine with the highest rank by weighted rendezvous hashing among
+// those of at most the given cost with the given tokens to read.
+func (p *Placer) rendezvous(q *Query, tokens, bound, maxWait float64) int32 {
+	// Engines of the same weight are ranked by their hash alone, so the logarithm is needed
+	// only once for each zone. Zones above maxZones are few enough to share a weight.
+	var highest [maxZones]uint64
+	var byZone [maxZones]int32
+	for i := range byZone {
+		byZone[i] = -1
+	}
+	zoneMask := int32(0)
+	if len(q.Weights) > 0 {
+		zoneMask = maxZones - 1
+	}
+	affinity := xxhash.Sum64String(q.Affinity)
+	for i := range p.hot {
+		h := &p.hot[i]
+		if h.wait+h.perToken*tokens > bound || h.wait > maxWait || h.skipped == p.choices {
+			continue
+		}
+		z := h.zone & zoneMask
+		if high, low := bits.Mul64(affinity^h.hash, hashFactor); byZone[z] < 0 || high^low > highest[z] {
+			highest[z], byZone[z] = high^low, int32(i)
+		}
+	}
+	best, bestRank := int32(-1), 0.0
+	for z, i := range byZone {
+		if i < 0 {
+			continue
+		}
+		// uniform is the hash as a number between 0 and 1, excluding both.
+		uniform := (float64(highest[z]>>11) + 0.5) / (1 << 53)
+		weight, ok := q.Weights[p.engines[i].zone]
+		if !ok {
+			weight = 1
+		}
+		if rank := -max(weight, 0.01) / math.Log(uniform); best < 0 || rank > bestRank {
+			best, bestRank = i, rank
+		}
+	}
+	return best
+}
+
+// placeFallback assigns a request to the least loaded engine that is not excluded
+// and has fewer than twice its slots in requests. It chooses a paused engine if
+// there is no other.
+func (p *Placer) placeFallback(now time.Time, q *Query, r *request) Choice {
+	var best *engineState
+	for _, e := range p.engines {
+		if e == nil || e.load >= 2*p.slots || slices.Contains(q.Exclude, e.id) || p.Usable != nil && !p.Usable(now, e.id) {
+			continue
+		}
+		if best == nil || p.preferred(now, e, best) {
+			best = e
+		}
+	}
+	if best == nil {
+		return Choice{Reason: ReasonNone}
+	}
+	return p.assign(now, candidate{best.index, p.kept.tokens(best.index, r), ReasonFallback}, q, r)
+}
+
+// preferred reports whether a comes before b in placeFallback.
+func (p *Placer) preferred(now time.Time, a, b *engineState) bool {
+	if pausedA, pausedB := now.Before(a.pausedUntil), now.Before(b.pausedUntil); pausedA != pausedB {
+		return pausedB
+	}
+	usual := p.usual.value()
+	return p.waitAt(a, a.pace.at(now, usual)) < p.waitAt(b, b.pace.at(now, usual))
+}
+
+// assign records the placement of a request and replaces its previous one.
+func (p *Placer) assign(now time.Time, c candidate, q *Query, r *request) Choice {
+	p.drop(now, q.RequestID)
+	e := p.engines[c.engine]
+	unread, usual := r.prompt-c.kept, p.usual.value()
+	pace := e.pace.at(now, usual)
+	wait := p.waitAt(e, pace)
+	e.load++
+	e.reading += unread
+	e.generating += r.output
+	if e.onTrial() {
+		e.trial = q.RequestID
+	}
+	p.placements[q.RequestID] = placement{engine: e, placedAt: now, expires: q.Expires, unread: unread, generates: r.output}
+	p.kept.read(e.index, r)
+	p.refreshAt(e, now, pace)
+	return Choice{
+		Server: e.id, Reason: c.reason, Wait: milliseconds(wait), FirstEvent: milliseconds(wait + pace*unread/tokensPerMs),
+		Pace: pace, UsualPace: usual, KeptTokens: int(c.kept), PromptTokens: int(r.prompt), Requests: e.load,
+	}
+}
+
+// refreshAll computes the estimates of all engines.
+func (p *Placer) refreshAll(now time.Time) {
+	p.refreshedAt = now
+	sum, count := 0.0, 0.0
+	for i, e := range p.engines {
+		if e == nil {
+			p.hot[i].wait = math.Inf(1)
+			continue
+		}
+		p.refresh(now, e)
+		if h := &p.hot[i]; !math.IsInf(h.wait, 1) {
+			sum, count = sum+h.wait, count+1
+		}
+	}
+	p.readingWeight = maxReadingWeight
+	if count > 0 {
+		p.readingWeight = min(minReadingWeight+sum/count/busyWait, maxReadingWeight)
+	}
+}
+
+// refresh computes the estimates of an engine.
+func (p *Placer) refresh(now time.Time, e *engineState) {
+	p.refreshAt(e, now, e.pace.at(now, p.usual.value()))
+}
+
+// refreshAt computes the estimates of an engine that has the given pace.
+func (p *Placer) refreshAt(e *engineState, now time.Time, pace float64) {
+	if p.engines[e.index] != e {
+		// A request of a previous incarnation ended.
+		return
+	}
+	h := &p.hot[e.index]
+	h.wait, h.perToken = p.waitAt(e, pace), pace/tokensPerMs*(1+pauseWeight*float64(e.load))
+	if e.load >= p.slots || e.onTrial() && e.trial != "" || now.Before(e.pausedUntil) {
+		h.wait = math.Inf(1)
+	}
+}
+
+// waitAt returns the expected time in milliseconds until an engine of the given pace begins to
+// read a prompt that is placed now. Requests are sent only after their stages, so the engine
+// has that time to read what was placed before: W ms of reading that arrives over D ms leaves
+// a wait of about W-D if W is much larger than D, and little if it is smaller.
+func (p *Placer) waitAt(e *engineState, pace float64) float64 {
+	reading := pace * max(0, e.reading) / tokensPerMs
+	wait := pace * (stepMs + generatingMs*max(0, e.generating))
+	if reading > 0 {
+		wait += reading * reading / (reading + p.sendDelay.value)
+	}
+	return wait
+}
+
+func milliseconds(ms float64) time.Duration { return time.Duration(ms * float64(time.Millisecond)) }
--- a/edge/state.go
+++ b/edge/state.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"encoding/json"
+	"maps"
 	mathrand "math/rand/v2"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -107,7 +109,10 @@
 		numInstances int
 		// uses holds how each service has been used, by name. Requests that began
 		// under an earlier configuration go on using it as they did.
-		uses        map[string]serviceUse
+		uses map[string]serviceUse
+		// coldRates holds the rates that cold servers tolerate, by service, where that is
+		// limited.
+		coldRates   atomic.Pointer[map[string]float64]
 		plainStages map[string]*stage.Stage
 		retryShares map[string]*retry.Share
 	}
@@ -119,9 +124,6 @@
 	engine *route.EngineConfig
 	pieces *route.PieceConfig
 	plain  bool
-	// coldRate is the number of requests per second that a cold server tolerates, or 0 if
-	// that is not limited.
-	coldRate float64
 }
 
 // encodedChanges are the changes of the servers from the revision after to revision,
@@ -335,6 +337,10 @@
 
 // recordUses records how a configuration uses its services. The caller holds mu.
 func (c *clusterState) recordUses(table *route.Table) {
+	rates := make(map[string]float64)
+	if old := c.coldRates.Load(); old != nil {
+		maps.Copy(rates, *old)
+	}
 	for _, svc := range table.Services() {
 		use := c.uses[svc.Name]
 		if svc.Engine != nil {
@@ -346,30 +352,33 @@
 		if svc.Pieces != nil {
 			use.pieces = svc.Pieces
 		}
-		use.coldRate = svc.ColdRate
 		c.uses[svc.Name] = use
+		if svc.ColdRate > 0 {
+			rates[svc.Name] = svc.ColdRate
+		} else {
+			delete(rates, svc.Name)
+		}
 	}
+	c.coldRates.Store(&rates)
 }
 
 // coldRate returns the number of requests per second that a cold server of a service
-// tolerates, or 0 if that is not limited.
+// tolerates, or 0 if that is not limited. It takes no lock: placers ask while they hold theirs,
+// and get their servers from one who holds mu.
 func (c *clusterState) coldRate(service string) float64 {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.uses[service].coldRate
+	if rates := c.coldRates.Load(); rates != nil {
+		return (*rates)[service]
+	}
+	return 0
 }
 
 // coldLimitedServices returns the services whose cold servers tolerate only some requests.
 func (c *clusterState) coldLimitedServices() []string {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	var out []string
-	for name, use := range c.uses {
-		if use.coldRate > 0 {
-			out = append(out, name)
-		}
+	rates := c.coldRates.Load()
+	if rates == nil {
+		return nil
 	}
-	return out
+	return slices.Collect(maps.Keys(*rates))
 }
 
 // awaitUse waits until the configuration in force has a service in a use that fits, up to
@@ -403,6 +412,7 @@
 		servers := snapshot.Service(name)
 		if use.engine != nil {
 			c.instance.delegator.placer(name).SetServers(servers, use.engine.Slots)
+			c.instance.delegator.placer(name).SetKVTokens(use.engine.KVTokens)
 		}
 		if use.pieces != nil {
 			c.instance.delegator.dispatcher(name, *use.pieces).SetServers(servers, *use.pieces)
