--- a/scenario/stop_test.go
+++ b/scenario/stop_test.go
@@ -147,7 +147,10 @@
 	}
 }
 
-func startStopSite(t *testing.T) *stopSite {
+func startStopSite(t *testing.T) *stopSite { return startStopSiteWith(t, "") }
+
+// startStopSiteWith starts an instance with further settings.
+func startStopSiteWith(t *testing.T, settings string) *stopSite {
 	s := &stopSite{t: t, store: stand.NewStore(), reached: make(map[string]time.Time), log: new(bytes.Buffer), exited: make(chan struct{})}
 	t.Cleanup(s.store.Close)
 	s.addServers("desk", 12, nil)
@@ -173,7 +176,7 @@
 	s.callerAddress, s.operatorAddress = address("8080"), address("8082")
 	s.settingsFile = filepath.Join(t.TempDir(), "entry.ini")
 	s.settings = fmt.Sprintf("[site]\nname = edge-0\nfailureDomain = a\ncallerAddress = %s\npeerAddress = %s\noperatorAddress = %s\nseeds = %s\n[store]\naddress = %s\n[bounds]\ngrace = %v\n",
-		s.callerAddress, address(sitePeerPort), s.operatorAddress, address(sitePeerPort), s.store.Address(), stopGrace)
+		s.callerAddress, address(sitePeerPort), s.operatorAddress, address(sitePeerPort), s.store.Address(), stopGrace) + settings
 	s.writeSettings(s.settings)
 	s.process = exec.Command(os.Args[0], "entry", "--settings", s.settingsFile)
 	s.process.Env = append(os.Environ(), processVariable+"=1")
