front, memory: bound what waits for callers that read slowly

What the kernel does not accept at once waits in the process as far as an eighth of the machine's memory has room; then the slowest caller is ended. The buffers of sockets are limited.

--- a/core/relay/abort.go
+++ b/core/relay/abort.go
@@ -5,6 +5,7 @@
 	"errors"
 
 	"chervilpath/core/fault"
+	"chervilpath/core/memory"
 )
 
 // AbortCause is why the connection of a caller is closed without a complete response.
@@ -14,6 +15,8 @@
 const (
 	// CallerLeft means that the caller disconnected first.
 	CallerLeft AbortCause = "caller"
+	// SlowCaller means that the caller was ended because it read too slowly.
+	SlowCaller AbortCause = "slowCaller"
 	// DeadlinePassed means that the request's time was over.
 	DeadlinePassed AbortCause = "deadline"
 	// ServerFailed means that the server broke off, or answered with an error after a
@@ -32,6 +35,8 @@
 func CauseOfAbort(err error, shutDown bool) AbortCause {
 	kind := fault.From(err).Kind()
 	switch {
+	case errors.Is(err, memory.ErrTooSlow) || errors.Is(err, memory.ErrIdle):
+		return SlowCaller
 	case errors.Is(err, errShuttingDown) || shutDown && (kind == fault.Cancelled || errors.Is(err, context.Canceled)):
 		// At its end, a shutdown closes the connections of streams that have begun.
 		return ShutDown
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -58,6 +58,8 @@
 		delegator         *delegator
 		relay             *relay.Relay
 		callerServer      *front.Server
+		// waiting bounds what waits for callers that read slowly.
+		waiting *memory.Waiting
 
 		// ready is closed once this instance is settled among the others and knows
 		// a configuration and at least one server.
@@ -113,7 +115,8 @@
 	in.shutdown.Store(&relay.Shutdown{})
 	in.shutdownCtx, in.cancelShutdownCtx = context.WithCancel(context.Background())
 	in.loopCtx, in.cancelLoops = context.WithCancel(context.Background())
-	in.metrics = newMetrics(in.registry, dropped)
+	in.waiting = memory.NewWaiting(int64(waitingFraction * float64(cfg.Memory())))
+	in.metrics = newMetrics(in.registry, dropped, in.waiting)
 	in.store = platform.NewStore("http://"+cfg.Store(), &http.Client{Transport: upstream.NewTransport()})
 	in.upstream = upstream.New(upstream.NewTransport(), platform.OutgoingHeader, platform.ReadResponse, in.observeResponse)
 	in.stageClient = platform.NewStageClient(&http.Client{Transport: upstream.NewTransport()}, in.observeResponse)
@@ -154,11 +157,14 @@
 }
 
 // The bodies of large requests take at most bodyFraction of the machine's memory together, and
-// large answers of servers answerFraction. The rest is for everything else, and for what the
+// large answers of servers answerFraction. What waits for callers that read slowly takes
+// waitingFraction, the buffers of their sockets included. The rest is for everything else, and for what the
 // garbage collector has not freed yet.
 const (
 	bodyFraction   = 0.25
 	answerFraction = 0.125
+
+	waitingFraction = 0.125
 )
 
 // maxStartTime is the time after the start for which requests wait for an instance
--- a/edge/metrics.go
+++ b/edge/metrics.go
@@ -4,6 +4,8 @@
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
+
+	"chervilpath/core/memory"
 )
 
 // metrics holds the metrics of an instance.
@@ -32,7 +34,7 @@
 
 // newMetrics registers the metrics of an instance. dropped returns the number of
 // log lines that were dropped.
-func newMetrics(r *prometheus.Registry, dropped func() int64) *metrics {
+func newMetrics(r *prometheus.Registry, dropped func() int64, waiting *memory.Waiting) *metrics {
 	m := &metrics{
 		configVersion:    prometheus.NewGauge(prometheus.GaugeOpts{Name: "chervilpath_configuration_version", Help: "Version of the configuration in force."}),
 		storeCalls:       prometheus.NewCounter(prometheus.CounterOpts{Name: "chervilpath_store_calls_total", Help: "Calls of the platform's store."}),
@@ -46,7 +48,7 @@
 		quarantineEvents: prometheus.NewCounterVec(prometheus.CounterOpts{Name: "chervilpath_quarantine_events_total", Help: "Parts of prompts held back, released, tried again, forgotten, or too common to be held back, and crashes of engines that speak against parts, seen or refuted."}, []string{"event"}),
 		requests:         prometheus.NewCounterVec(prometheus.CounterOpts{Name: "chervilpath_site_requests_total", Help: "Requests by result."}, []string{"result"}),
 		faults:           prometheus.NewCounterVec(prometheus.CounterOpts{Name: "chervilpath_site_faults_total", Help: "Requests answered with a fault, by kind."}, []string{"kind"}),
-		aborts:           prometheus.NewCounterVec(prometheus.CounterOpts{Name: "chervilpath_site_aborts_total", Help: "Connections of callers closed without a complete response, by cause: caller, deadline, server, noServer, shutdown or other."}, []string{"cause"}),
+		aborts:           prometheus.NewCounterVec(prometheus.CounterOpts{Name: "chervilpath_site_aborts_total", Help: "Connections of callers closed without a complete response, by cause: caller, slowCaller, deadline, server, noServer, shutdown or other."}, []string{"cause"}),
 		requestDuration:  prometheus.NewHistogram(prometheus.HistogramOpts{Name: "chervilpath_site_request_seconds", Help: "Time from a request to its end.", Buckets: durationBuckets}),
 		batches:          prometheus.NewCounterVec(prometheus.CounterOpts{Name: "chervilpath_batches_total", Help: "Calls of stage servers by result."}, []string{"result"}),
 		batchPieces:      prometheus.NewHistogram(prometheus.HistogramOpts{Name: "chervilpath_batch_pieces", Help: "Pieces in a call of a stage server.", Buckets: prometheus.ExponentialBuckets(1, 2, 8)}),
@@ -56,6 +58,20 @@
 		prometheus.CounterOpts{Name: "chervilpath_log_lines_dropped_total", Help: "Log lines that did not fit into the queue before standard output."},
 		func() float64 { return float64(dropped()) },
 	))
+	r.MustRegister(
+		prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: "chervilpath_slow_caller_bytes", Help: "Memory taken by what waits for callers that read slowly, in bytes."}, func() float64 {
+			bytes, _, _ := waiting.Used()
+			return float64(bytes)
+		}),
+		prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: "chervilpath_slow_callers", Help: "Callers for which bytes wait."}, func() float64 {
+			_, readers, _ := waiting.Used()
+			return float64(readers)
+		}),
+		prometheus.NewCounterFunc(prometheus.CounterOpts{Name: "chervilpath_slow_callers_ended_total", Help: "Callers whose connections were ended because they were the slowest and there was no more room."}, func() float64 {
+			_, _, ended := waiting.Used()
+			return float64(ended)
+		}),
+	)
 	r.MustRegister(m.configVersion, m.storeCalls, m.storeFailures, m.followRequests, m.staleSources, m.serverEvents, m.quarantinedParts, m.quarantineEvents, m.refusedNotices, m.refusedEntries, m.requests, m.faults, m.aborts, m.requestDuration, m.batches, m.batchPieces, m.batchDuration)
 	return m
 }
--- a/edge/services.go
+++ b/edge/services.go
@@ -117,9 +117,9 @@
 // connections, the requests in flight end, and idle connections are closed.
 func (in *Instance) callerService() kernel.Service {
 	var conns front.Conns
-	server := &http.Server{Handler: in.callerServer, MaxHeaderBytes: front.MaxHeaderBytes, ConnState: conns.Track}
+	server := &http.Server{Handler: in.callerServer, MaxHeaderBytes: front.MaxHeaderBytes, ConnState: conns.Track, ConnContext: front.ConnContext}
 	s := in.withServer(kernel.Service{Name: CallerService, DependsOn: []string{OperatorService}, Value: in.callerServer}, in.cfg.Load().CallerAddress(), server,
-		func(ln net.Listener) net.Listener { return front.NewListener(ln, in.callerLimits) })
+		func(ln net.Listener) net.Listener { return front.NewListener(ln, in.callerLimits, in.waiting) })
 	s.Drain = func(ctx context.Context) error {
 		in.draining.Store(true)
 		now := time.Now()
--- a/io/front/conns_test.go
+++ b/io/front/conns_test.go
@@ -53,7 +53,7 @@
 		limits := func() front.Limits {
 			return front.Limits{HeaderBytes: 1 << 16, HeaderTimeout: 3 * time.Second, IdleTimeout: 15 * time.Second}
 		}
-		closeIdleBesideRequests(t, func(ln net.Listener) net.Listener { return front.NewListener(ln, limits) })
+		closeIdleBesideRequests(t, func(ln net.Listener) net.Listener { return front.NewListener(ln, limits, nil) })
 	})
 }
 
--- a/io/front/front.go
+++ b/io/front/front.go
@@ -94,7 +94,19 @@
 		s.writeError(w, "", fault.Errorf(fault.BadRequest, "%w", err))
 		return
 	}
-	started, err := s.deps.Serve(r.Context(), req, s.responseWriter(w))
+	id, caller := req.ID, writerOf(r)
+	var answer *answer
+	started, err := s.deps.Serve(r.Context(), req, s.responseWriter(w, caller, &answer))
+	// Nothing of the request is kept while a slow caller takes its answer.
+	req, body = nil, nil
+	reserved.Release()
+	if answer != nil && err == nil {
+		s.writeHeader(w, answer.status, answer.header)
+		_, _ = w.Write(answer.body)
+	}
+	if slow := caller.finish(); slow != nil {
+		started, err = true, fault.Errorf(fault.Cancelled, "%w", slow)
+	}
 	s.deps.RequestDone(resultLabel(err), s.deps.Now().Sub(arrived))
 	if err == nil {
 		return
@@ -102,12 +114,12 @@
 	if started {
 		// Aborting the connection keeps the caller from taking the response
 		// for complete.
-		s.deps.RequestAborted(req.ID, err)
+		s.deps.RequestAborted(id, err)
 		panic(http.ErrAbortHandler)
 	}
 	// A caller that seems to have disconnected may have ended its sending direction
 	// alone, and still reads.
-	s.writeError(w, req.ID, err)
+	s.writeError(w, id, err)
 }
 
 func resultLabel(err error) string {
@@ -136,14 +148,23 @@
 	return body, reserved, err
 }
 
-func (s *Server) responseWriter(w http.ResponseWriter) relay.ResponseWriter {
+// answer is a complete answer.
+type answer struct {
+	status int
+	header map[string][]string
+	body   []byte
+}
+
+// responseWriter returns a writer that keeps a complete answer in out, and writes a stream to the
+// caller, whose connection may be nil.
+func (s *Server) responseWriter(w http.ResponseWriter, caller *callerWriter, out **answer) relay.ResponseWriter {
 	rc := http.NewResponseController(w)
 	return relay.ResponseWriter{
 		Respond: func(status int, header map[string][]string, body []byte) {
-			s.writeHeader(w, status, header)
-			_, _ = w.Write(body)
+			*out = &answer{status, header, body}
 		},
 		WriteHeader: func(status int, header map[string][]string) {
+			caller.stream(true)
 			s.writeHeader(w, status, header)
 			_ = rc.Flush()
 		},
--- a/io/front/listener.go
+++ b/io/front/listener.go
@@ -8,6 +8,8 @@
 	"os"
 	"sync/atomic"
 	"time"
+
+	"chervilpath/core/memory"
 )
 
 const (
@@ -43,7 +45,8 @@
 	// uses it must have no timeouts of its own, and TrackState as its ConnState.
 	Listener struct {
 		net.Listener
-		limits func() Limits
+		limits  func() Limits
+		waiting *memory.Waiting
 	}
 
 	// callerConn is a connection of a caller. Its fields change only between two reads
@@ -51,6 +54,7 @@
 	callerConn struct {
 		net.Conn
 		limits func() Limits
+		writer *callerWriter
 		phase  phase
 		// since is when the phase began.
 		since       time.Time
@@ -72,9 +76,10 @@
 	idle
 )
 
-// NewListener returns a listener whose connections are bounded by what limits returns.
-func NewListener(ln net.Listener, limits func() Limits) *Listener {
-	return &Listener{Listener: ln, limits: limits}
+// NewListener returns a listener whose connections are bounded by what limits returns, and by
+// waiting in what they keep for callers that read slowly. If waiting is nil, writes wait for them.
+func NewListener(ln net.Listener, limits func() Limits, waiting *memory.Waiting) *Listener {
+	return &Listener{Listener: ln, limits: limits, waiting: waiting}
 }
 
 // Accept implements net.Listener.
@@ -83,9 +88,12 @@
 	if err != nil {
 		return nil, err
 	}
-	return &callerConn{Conn: c, limits: l.limits, since: time.Now()}, nil
+	return &callerConn{Conn: c, limits: l.limits, writer: newCallerWriter(c, l.waiting), since: time.Now()}, nil
 }
 
+// Write implements net.Conn.
+func (c *callerConn) Write(p []byte) (int, error) { return c.writer.write(p) }
+
 // TrackState is an http.Server.ConnState.
 func TrackState(nc net.Conn, state http.ConnState) {
 	c, ok := nc.(*callerConn)
--- a/io/front/listener_test.go
+++ b/io/front/listener_test.go
@@ -60,7 +60,7 @@
 		}
 		_, _ = fmt.Fprint(w, len(body))
 	})}
-	go func() { _ = server.Serve(front.NewListener(s.listener, s.current)) }()
+	go func() { _ = server.Serve(front.NewListener(s.listener, s.current, nil)) }()
 	t.Cleanup(func() { _ = server.Close() })
 	return s
 }
--- a/io/upstream/conn.go
+++ b/io/upstream/conn.go
@@ -24,6 +24,12 @@
 	// unackedTimeout, until all of it is acknowledged.
 	largeWriteBytes     = 8 << 10
 	windowCheckInterval = 300 * time.Millisecond
+
+	// The kernel keeps up to twice unreadBytes that were received and not read, in place of up
+	// to 32 MiB. Over 5 ms that allows 13 MB/s. It keeps unsentBytes that were not sent,
+	// besides what is on its way, in place of up to 4 MiB.
+	unreadBytes = 64 << 10
+	unsentBytes = 64 << 10
 )
 
 type (
@@ -129,6 +135,13 @@
 	return errors.Join(err, optErr)
 }
 
+// limitBuffers limits what the kernel keeps for a connection: bytes that were received and not read,
+// and bytes that were written and not sent. They count as memory of the machine.
+func limitBuffers(fd int) error {
+	return errors.Join(unix.SetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_RCVBUF, unreadBytes),
+		unix.SetsockoptInt(fd, unix.IPPROTO_TCP, unix.TCP_NOTSENT_LOWAT, unsentBytes))
+}
+
 // setUserTimeout sets how long sent data may stay unacknowledged; see tcp(7).
 func setUserTimeout(fd int, timeout time.Duration) error {
 	return unix.SetsockoptInt(fd, unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(timeout.Milliseconds()))
--- a/io/upstream/upstream.go
+++ b/io/upstream/upstream.go
@@ -75,7 +75,9 @@
 		Timeout:         dialTimeout,
 		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: time.Second, Interval: time.Second, Count: 2},
 		Control: func(_, _ string, c syscall.RawConn) error {
-			return controlFD(c, func(fd int) error { return setUserTimeout(fd, unackedTimeout) })
+			return controlFD(c, func(fd int) error {
+				return errors.Join(setUserTimeout(fd, unackedTimeout), limitBuffers(fd))
+			})
 		},
 	}
 	return &http.Transport{
