memory, scenario: the slowest reader is ended first, also in a burst of slow ones

A quick caller waited for room for up to a second while all slow callers were less than a second old: with half of the callers slow, answers to quick ones took up to 2.76 s.

--- a/core/memory/waiting.go
+++ b/core/memory/waiting.go
@@ -14,8 +14,8 @@
 	// Readers that will have taken what waits for them within minBehind are not slow: a burst
 	// is no reason to end one. Who finds no room then waits for at most maxRoomWait, which is
 	// well below the seconds after which servers cut off an answer that is not read.
-	minBehind   = time.Second
-	maxRoomWait = time.Second
+	minBehind   = 250 * time.Millisecond
+	maxRoomWait = 500 * time.Millisecond
 )
 
 var (
--- a/io/upstream/conn.go
+++ b/io/upstream/conn.go
@@ -26,9 +26,9 @@
 	windowCheckInterval = 300 * time.Millisecond
 
 	// The kernel keeps up to twice unreadBytes that were received and not read, in place of up
-	// to 32 MiB. Over 5 ms that allows 13 MB/s. It keeps unsentBytes that were not sent,
+	// to 32 MiB. Over 5 ms that allows 6 MB/s. It keeps unsentBytes that were not sent,
 	// besides what is on its way, in place of up to 4 MiB.
-	unreadBytes = 64 << 10
+	unreadBytes = 32 << 10
 	unsentBytes = 64 << 10
 )
 
