--- a/soak/callers.go
+++ b/soak/callers.go
@@ -33,6 +33,9 @@
 	slowReadBytes = 8 << 10
 	slowReadPause = 10 * time.Millisecond
 
+	// Of a large answer such a caller reads nothing for slowReadStart.
+	slowReadStart = 500 * time.Millisecond
+
 	// orderBytes is the size of a request for routeOrder.
 	orderBytes = 300_000
 )
@@ -151,6 +154,9 @@
 	resp, err := client.Do(req)
 	var body []byte
 	if err == nil {
+		if r.slow && r.route == routeOrder {
+			time.Sleep(slowReadStart)
+		}
 		body, err = readAnswer(resp.Body, r.slow)
 		_ = resp.Body.Close()
 	}
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -71,6 +71,7 @@
 var calmFaults = []fault{
 	{"server silence", 3, silenceServer},
 	{"server failure after runs", 2, failAfterRuns},
+	{"server reading", 2, readSlowly},
 	{"configuration", 1, func(h *harness, rng *rand.Rand) string {
 		service := []string{serviceDesk, serviceAlternate}[rng.IntN(2)]
 		h.putConfig(service)
@@ -102,6 +103,14 @@
 	return fmt.Sprintf("%d of %s for %v", len(silent), service, d.Round(time.Millisecond))
 }
 
+// readSlowly makes a random server read slowly for some time. It disturbs nothing.
+func readSlowly(h *harness, rng *rand.Rand) string {
+	servers := h.activeServers()
+	s, d := servers[rng.IntN(len(servers))], drawFaultDuration(rng)
+	s.ReadSlowly(d)
+	return fmt.Sprintf("%s for %v", s.ID, d.Round(time.Millisecond))
+}
+
 // putOddEntry puts an entry of another writer, which names no server, among those of the
 // servers for some time. One in three is deeply nested.
 func putOddEntry(h *harness, rng *rand.Rand) string {
