--- a/core/settings/site.go
+++ b/core/settings/site.go
@@ -99,7 +99,7 @@
 			Doc:  "Resources of the machine on which the instance runs. Instances with more resources do more work for other instances.",
 			Options: []option.Option{
 				{Key: "cores", Kind: option.Number, Default: "1", Min: 0.001, Max: 1024, Doc: "Number of processor cores, which may be a fraction."},
-				{Key: "memoryMb", Kind: option.Number, Default: "256", Min: 16, Max: 1 << 20, Doc: "Memory in MB. It bounds how much the bodies of requests and the answers of servers take together."},
+				{Key: "memoryMb", Kind: option.Number, Default: "256", Min: 16, Max: 1 << 20, Doc: "Memory in MB. It bounds how much the bodies of requests, the answers of servers and what waits for slow callers take."},
 				{Key: "linkMbps", Kind: option.Number, Default: "1000", Min: 0.1, Max: 1000000, Doc: "Bandwidth of the network link in Mbit/s."},
 			},
 		},
--- a/io/front/slow.go
+++ b/io/front/slow.go
@@ -45,6 +45,8 @@
 	conn    net.Conn
 	waiting *memory.Waiting
 	reader  *memory.Reader
+	// maxIdle is how long the caller may take nothing at all.
+	maxIdle time.Duration
 	// raw is nil if the connection has no descriptor.
 	raw syscall.RawConn
 
@@ -70,7 +72,7 @@
 }
 
 func newCallerWriter(conn net.Conn, waiting *memory.Waiting) *callerWriter {
-	w := &callerWriter{conn: conn, waiting: waiting}
+	w := &callerWriter{conn: conn, waiting: waiting, maxIdle: maxIdleWrite}
 	if waiting == nil {
 		return w
 	}
@@ -279,7 +281,7 @@
 func (w *callerWriter) writeSlowly(p []byte) error {
 	for len(p) > 0 {
 		// An error means that the connection is closed, which the write shows.
-		_ = w.conn.SetWriteDeadline(time.Now().Add(maxIdleWrite))
+		_ = w.conn.SetWriteDeadline(time.Now().Add(w.maxIdle))
 		n, err := w.conn.Write(p[:min(len(p), writeBytes)])
 		p = p[n:]
 		w.waiting.Take(time.Now(), w.reader, int64(n))
