edge: queues of plain services leave out cold servers that were denied

A cold server that gets little is idle, so the queue chose it first and counted its slots as capacity, and requests waited for what they could not use.

--- a/edge/coldstart.go
+++ b/edge/coldstart.go
@@ -110,27 +110,49 @@
 		return relay.Permission{RetryAfter: until.Sub(now)}
 	}
 	reply, err := a.ask(ctx, service, requestID, inc)
-	a.mu.Lock()
-	defer a.mu.Unlock()
 	switch {
 	case err != nil:
-		a.undecidedUntil[service] = now.Add(undecidedPause)
 		a.instance.metrics.coldAdmissions.WithLabelValues("undecided").Inc()
 		a.instance.log.Info("no decision on a request to a cold server", zap.String("requestId", requestID), zap.String("service", service), zap.String("server", server.ID), zap.Error(err))
+		a.mu.Lock()
+		a.undecidedUntil[service] = now.Add(undecidedPause)
+		a.mu.Unlock()
+		a.instance.state.excludeDenied(service)
 		return relay.Permission{RetryAfter: coldstart.Settling}
 	case !reply.Granted:
-		if len(a.deniedUntil) >= maxDenials {
-			maps.DeleteFunc(a.deniedUntil, func(_ fleet.Incarnation, until time.Time) bool { return !now.Before(until) })
-		}
-		if len(a.deniedUntil) < maxDenials {
-			a.deniedUntil[inc] = now.Add(reply.RetryAfter)
-		}
+		a.deny(now, inc, now.Add(reply.RetryAfter))
+		a.instance.state.excludeDenied(service)
 		return relay.Permission{RetryAfter: reply.RetryAfter}
 	}
 	// The owner counts the permission from a later moment, when it decides.
 	return relay.Permission{Granted: true, SendBefore: now.Add(min(reply.Valid, coldstart.Validity))}
 }
 
+// deny remembers that a server gets no request from this instance until a time.
+func (a *coldAdmission) deny(now time.Time, inc fleet.Incarnation, until time.Time) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if len(a.deniedUntil) >= maxDenials {
+		maps.DeleteFunc(a.deniedUntil, func(_ fleet.Incarnation, until time.Time) bool { return !now.Before(until) })
+	}
+	if len(a.deniedUntil) < maxDenials {
+		a.deniedUntil[inc] = until
+	}
+}
+
+// deniedUntilOf returns until when a server gets no request from this instance because it
+// is cold and was denied, or the zero time.
+func (a *coldAdmission) deniedUntilOf(s fleet.Server) time.Time {
+	now := time.Now()
+	if !now.Before(s.ColdUntil) {
+		return time.Time{}
+	}
+	if until := a.heldUntil(s.Service, s.Incarnation()); until.After(now) {
+		return until
+	}
+	return time.Time{}
+}
+
 func (a *coldAdmission) heldUntil(service string, inc fleet.Incarnation) time.Time {
 	a.mu.Lock()
 	defer a.mu.Unlock()
--- a/edge/state.go
+++ b/edge/state.go
@@ -419,13 +419,36 @@
 		s.SetDeclaration(decl)
 	}
 	s.UpdateMembership(nil, c.numInstances)
+	s.SetExcluded(c.exclusions(servers))
+}
+
+// exclusions returns until when servers of a plain service get nothing from this instance,
+// because they want nothing or because they are cold and were denied. The caller holds mu.
+func (c *clusterState) exclusions(servers []fleet.Server) map[string]time.Time {
 	excluded := make(map[string]time.Time)
 	for _, server := range servers {
-		if !server.ExcludedUntil.IsZero() {
-			excluded[server.ID] = server.ExcludedUntil
+		if until := latest(server.ExcludedUntil, c.instance.cold.deniedUntilOf(server)); !until.IsZero() {
+			excluded[server.ID] = until
 		}
 	}
-	s.SetExcluded(excluded)
+	return excluded
+}
+
+// excludeDenied keeps the stage of a plain service from choosing servers that are cold and
+// were denied. It would count them as free, so that requests wait for nothing.
+func (c *clusterState) excludeDenied(service string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if s, ok := c.plainStages[service]; ok {
+		s.SetExcluded(c.exclusions(c.snapshot.Load().Service(service)))
+	}
+}
+
+func latest(a, b time.Time) time.Time {
+	if b.After(a) {
+		return b
+	}
+	return a
 }
 
 func (c *clusterState) plainStage(name string) *stage.Stage {
