--- a/edge/coldstart.go
+++ b/edge/coldstart.go
@@ -211,6 +211,21 @@
 	return !now.Before(a.heldUntil(s.Service, s.Incarnation())) && a.limiter.MayAdmit(now, serverID)
 }
 
+// withheld returns the IDs of the cold servers of a service on which no request may be
+// placed now.
+func (a *coldAdmission) withheld(now time.Time, service string) []string {
+	if !a.limited(service) {
+		return nil
+	}
+	var out []string
+	for _, s := range a.instance.state.servers().Service(service) {
+		if now.Before(s.ColdUntil) && !a.mayPlace(now, s.ID) {
+			out = append(out, s.ID)
+		}
+	}
+	return out
+}
+
 // admitBatch decides whether a batch of pieces may be sent to its server, which is cold.
 func (a *coldAdmission) admitBatch(ctx context.Context, service string, b *gather.Batch) (ok bool, retryAfter time.Duration) {
 	if !a.limited(service) {
--- a/edge/delegator.go
+++ b/edge/delegator.go
@@ -347,7 +347,9 @@
 	if q.Trial != "" && !d.instance.claimTrial(service, q.Trial) {
 		return ""
 	}
-	return d.placer(service).Place(time.Now(), q)
+	now := time.Now()
+	q.Exclude = slices.Concat(q.Exclude, d.instance.cold.withheld(now, service))
+	return d.placer(service).Place(now, q)
 }
 
 // settle ends a placement at the instance that made it.
