edge: an instance that is asked in error does not hold back its own questions

A question that reached an instance which may not decide paused that instance's own questions to the true owner for 0.3 s. Placement asks for the tenure instead.

--- a/edge/coldstart.go
+++ b/edge/coldstart.go
@@ -182,10 +182,6 @@
 		return peer.Admission{}, fault.Errorf(fault.Draining, "cold servers of service %q are not limited at their owner", service)
 	}
 	if !a.holds(now, service) {
-		// Placement must not choose cold servers meanwhile.
-		a.mu.Lock()
-		a.undecidedUntil[service] = now.Add(undecidedPause)
-		a.mu.Unlock()
 		return peer.Admission{}, fault.Errorf(fault.Draining, "this instance has not owned service %q for long enough, or reaches too few others", service)
 	}
 	known, _ := a.instance.state.servers().Server(server)
@@ -202,13 +198,13 @@
 
 // mayPlace reports whether a request may be placed on a server now, for those who choose
 // among the servers of a service that this instance owns: the server is not cold, its
-// service is not limited, or a permission could be granted.
+// service is not limited, or this instance could grant a permission.
 func (a *coldAdmission) mayPlace(now time.Time, serverID string) bool {
 	s, ok := a.instance.state.servers().Server(serverID)
 	if !ok || !now.Before(s.ColdUntil) || !a.limited(s.Service) {
 		return true
 	}
-	return !now.Before(a.heldUntil(s.Service, s.Incarnation())) && a.limiter.MayAdmit(now, serverID)
+	return a.holds(now, s.Service) && !now.Before(a.heldUntil(s.Service, s.Incarnation())) && a.limiter.MayAdmit(now, serverID)
 }
 
 // withheld returns the IDs of the cold servers of a service on which no request may be
