overload, slot: owner's queue for the slots of plain services

Cause: 82 instances share 3 servers with 6 slots, and each has a queue of its own in which all requests have the same priority. Change: core/overload orders, delays and refuses requests that wait for places by due time, worth, class and organisation (Moore-Hodgson over core/backlog, first by due time, then by deadline). core/slot joins it with core/stage at the service's owner, and core/relay asks the owner where a service has fewer slots than there are instances. Tests of relay, stage, backlog, edge and peer pass.

--- a/core/backlog/backlog.go
+++ b/core/backlog/backlog.go
@@ -52,6 +52,8 @@
 		// Lane, from 0 to MaxLanes-1, groups jobs that the same servers can
 		// process.
 		Lane int
+		// Data is for the user of the backlog.
+		Data any
 
 		node node
 		// place is the list in which the job waits, or nil.
@@ -150,6 +152,17 @@
 	}
 }
 
+// RemoveLate removes the late jobs and returns them by deadline, so that the user of the
+// backlog decides about them.
+func (b *Backlog) RemoveLate() []*Job {
+	var out []*Job
+	for j := b.late.first(0); j != nil; j = b.late.first(0) {
+		b.Remove(j)
+		out = append(out, j)
+	}
+	return out
+}
+
 // SetUnits sets the number of a job's units that wait. A job without units is
 // removed.
 func (b *Backlog) SetUnits(j *Job, units int) {
--- a/core/relay/place.go
+++ b/core/relay/place.go
@@ -80,7 +80,7 @@
 func (e *execution) place(ctx context.Context, id string, exclude []string) (placement, bool, error) {
 	q := engine.Query{
 		RequestID: id, Affinity: e.req.Affinity, Exclude: slices.Concat(exclude, e.relay.deps.Servers().Unwilling(e.now(), e.service)),
-		Weights: e.zoneWeights(), Expires: e.deadline, Repeatable: e.route.MayRunAgain(), Trial: e.trial,
+		Weights: e.zoneWeights(), Expires: e.deadline, Repeatable: e.route.MayRunAgain(), Trial: e.trial, Demand: e.demand(),
 	}
 	if q.Affinity == "" {
 		q.Affinity = e.req.ID
--- a/core/relay/plain.go
+++ b/core/relay/plain.go
@@ -5,12 +5,14 @@
 	"errors"
 	"fmt"
 	"slices"
+	"time"
 
 	"chervilpath/core/balance"
 	"chervilpath/core/declare"
 	"chervilpath/core/fault"
 	"chervilpath/core/fleet"
 	"chervilpath/core/memory"
+	"chervilpath/core/slot"
 	"chervilpath/core/stage"
 )
 
@@ -28,7 +30,7 @@
 		if err := e.awaitReturn(ctx, minRemaining); err != nil {
 			return err
 		}
-		grant, err := e.acquire(ctx, s)
+		granted, err := e.acquireSlot(ctx, s)
 		if err != nil {
 			if ctx.Err() != nil {
 				return e.contextError(ctx)
@@ -36,27 +38,59 @@
 			return e.refusal(fault.From(err))
 		}
 		if e.mustNotSend() {
-			s.Release(grant, balance.Abandoned)
+			granted.End(balance.Abandoned, 0)
 			return e.shutdownError()
 		}
-		server, ok := e.relay.deps.Servers().Callable(e.now(), grant.Endpoint.Name())
+		server, ok := e.relay.deps.Servers().Callable(e.now(), granted.Server)
 		if !ok {
-			s.Release(grant, balance.Abandoned)
-			e.log("skip", "the server takes no more requests", grant.Endpoint.Name())
+			granted.End(balance.Abandoned, 0)
+			e.log("skip", "the server takes no more requests", granted.Server)
 			// The stage may learn of this a moment later.
-			e.unreachable = append(e.unreachable, grant.Endpoint.Name())
+			e.unreachable = append(e.unreachable, granted.Server)
 			if e.mayResend(false) {
 				continue
 			}
-			return e.refusal(fault.Errorf(fault.EndpointUnavailable, "server %s takes no more requests", grant.Endpoint.Name()))
+			return e.refusal(fault.Errorf(fault.EndpointUnavailable, "server %s takes no more requests", granted.Server))
 		}
-		retry, err := e.sendToPlain(ctx, s, grant, server)
+		retry, err := e.sendToPlain(ctx, s, granted, server)
 		if !retry {
 			return err
 		}
 	}
 }
 
+// plainSlot is a slot for one attempt, with the reason for the choice of its server.
+type plainSlot struct {
+	Slot
+	reason string
+}
+
+// acquireSlot waits for a slot that the owner of the service gives or, without an owner that
+// answers, the instance's own stage.
+func (e *execution) acquireSlot(ctx context.Context, s *stage.Stage) (plainSlot, error) {
+	if e.relay.deps.AcquireSlot != nil {
+		granted, ok, err := e.relay.deps.AcquireSlot(ctx, slot.Query{
+			Service: e.service, RequestID: e.newPlacementID(), Exclude: slices.Concat(e.triedServers, e.unreachable), Repeatable: e.route.MayRunAgain(),
+			Deadline: e.deadline.Add(-minRemaining), Demand: e.demand(),
+		})
+		if ok || err != nil {
+			return plainSlot{Slot: granted, reason: "owner"}, err
+		}
+	}
+	grant, err := e.acquire(ctx, s)
+	if err != nil {
+		return plainSlot{}, err
+	}
+	end := func(outcome balance.Outcome, _ time.Duration) {
+		if outcome == balance.Succeeded {
+			s.Finish(e.org, grant, 1, 1, 1)
+			return
+		}
+		s.Release(grant, outcome)
+	}
+	return plainSlot{Slot: Slot{Server: grant.Endpoint.Name(), End: end}, reason: grant.Reason.String()}, nil
+}
+
 // acquire waits until the stage grants a server. The first attempt fails at once
 // if the expected wait is too long for the deadline. A retry goes to a server
 // that was not tried before if one is free at once, and to one that could not be reached
@@ -87,10 +121,11 @@
 }
 
 // sendToPlain makes one attempt and reports whether to make another one.
-func (e *execution) sendToPlain(ctx context.Context, s *stage.Stage, grant stage.Grant, server fleet.Server) (retry bool, err error) {
+func (e *execution) sendToPlain(ctx context.Context, s *stage.Stage, granted plainSlot, server fleet.Server) (retry bool, err error) {
 	e.attempt++
 	e.triedServers = append(e.triedServers, server.ID)
-	e.log("send", grant.Reason.String(), server.ID)
+	start := e.now()
+	e.log("send", granted.reason, server.ID)
 	resp, err := e.relay.deps.Send(ctx, e.newAttempt(server, nil))
 	e.begun = err == nil
 	var body []byte
@@ -105,7 +140,7 @@
 		if ctx.Err() != nil {
 			outcome = balance.Abandoned
 		}
-		s.Release(grant, outcome)
+		granted.End(outcome, 0)
 		if e.mayGoElsewhere(ctx, s, server, err) {
 			return true, nil
 		}
@@ -115,7 +150,7 @@
 		if resp.Full {
 			outcome = balance.Full
 		}
-		s.Release(grant, outcome)
+		granted.End(outcome, 0)
 		e.log("notRun", "the server did not run the request", server.ID)
 		if e.mayResend(true) {
 			return true, nil
@@ -124,13 +159,13 @@
 	}
 	e.sends++
 	if resp.Status >= 500 {
-		s.Release(grant, balance.Failed)
+		granted.End(balance.Failed, 0)
 		if e.mayRetry() {
 			e.log("repeat", "the server answered with an error", server.ID)
 			return true, nil
 		}
 	} else {
-		s.Finish(e.org, grant, 1, 1, 1)
+		granted.End(balance.Succeeded, e.now().Sub(start))
 	}
 	return false, e.respond(server.ID, resp, body)
 }
--- a/core/relay/relay.go
+++ b/core/relay/relay.go
@@ -9,6 +9,7 @@
 	"chervilpath/core/declare"
 	"chervilpath/core/expect"
 	"chervilpath/core/fault"
+	"chervilpath/core/overload"
 	"chervilpath/core/route"
 )
 
@@ -48,6 +49,15 @@
 	maxRelativeSize   = 4
 	outputTokenWeight = 10
 
+	// lateWorthFraction is the worth of an answer after its due time as a fraction of that of
+	// one in time. The configuration says nothing of it.
+	lateWorthFraction = 0.5
+
+	// A caller whose timeout is shorter than that of first attempts by minReturnedFraction
+	// came back after a refusal: it was told to wait for at least minOverloadRetryFraction
+	// of its time if the service was overloaded, and timeouts of first attempts vary less.
+	minReturnedFraction = 0.1
+
 	// responseMargin is reserved at the end of a request's time, so that its
 	// response reaches the caller before the deadline.
 	responseMargin = 15 * time.Millisecond
@@ -85,9 +95,12 @@
 		// priority is that of the organisation, or -1 if that of the route
 		// applies.
 		priority int
-		// worth weighs the request against others.
-		worth float64
-		w     ResponseWriter
+		// worth weighs the request against others, and relativeSize is its size as a ratio
+		// to the mean of its route.
+		worth, relativeSize float64
+		// returned is set if the caller came back after a refusal.
+		returned bool
+		w        ResponseWriter
 		// callerCtx is cancelled when the caller disconnects, and when a planned shutdown
 		// ends the request.
 		callerCtx context.Context
@@ -229,7 +242,9 @@
 	if err := e.checkShutdown(); err != nil {
 		return nil, err
 	}
-	e.due = req.Arrived.Add(e.route.TargetLatency - r.stats.TimeSpent(e.route.Name, req.Timeout))
+	spent := r.stats.TimeSpent(e.route.Name, req.Timeout)
+	e.returned = float64(spent) > minReturnedFraction*float64(spent+req.Timeout)
+	e.due = req.Arrived.Add(e.route.TargetLatency - spent)
 	e.worth = e.computeWorth()
 	e.relay.deps.Log(e.decision("route", "matched", "", e.due.Sub(req.Arrived)))
 	return e, nil
@@ -269,13 +284,25 @@
 // and its size: the configuration gives nothing else to compare. It adds the size to
 // the statistics of the route.
 func (e *execution) computeWorth() float64 {
-	priority := e.route.Priority
+	size := float64(e.req.PromptTokens + outputTokenWeight*e.req.OutputTokens)
+	e.relativeSize = e.relay.stats.RelativeSize(e.route.Name, size)
+	return (baseWorth + (1-baseWorth)*min(e.relativeSize, maxRelativeSize)) * math.Exp2(-float64(e.effectivePriority()))
+}
+
+// effectivePriority returns the priority of the organisation, or else that of the route.
+func (e *execution) effectivePriority() int {
 	if e.priority >= 0 {
-		priority = e.priority
+		return e.priority
+	}
+	return e.route.Priority
+}
+
+// demand returns what the request asks of its service.
+func (e *execution) demand() overload.Demand {
+	return overload.Demand{
+		Class: e.route.Name, Organisation: e.orgName, Priority: e.effectivePriority(), Worth: e.worth, LateWorth: lateWorthFraction * e.worth,
+		Due: e.due, RelativeSize: e.relativeSize, Returned: e.returned || e.attempt > 0,
 	}
-	size := float64(e.req.PromptTokens + outputTokenWeight*e.req.OutputTokens)
-	relativeSize := e.relay.stats.RelativeSize(e.route.Name, size)
-	return (baseWorth + (1-baseWorth)*min(relativeSize, maxRelativeSize)) * math.Exp2(-float64(priority))
 }
 
 func (e *execution) now() time.Time { return e.relay.deps.Clock.Now() }
--- a/core/relay/types.go
+++ b/core/relay/types.go
@@ -20,6 +20,7 @@
 	"chervilpath/core/memory"
 	"chervilpath/core/quarantine"
 	"chervilpath/core/route"
+	"chervilpath/core/slot"
 	"chervilpath/core/stage"
 )
 
@@ -135,6 +136,13 @@
 		Worth float64
 	}
 
+	// Slot is a slot at a server. End has to be called once; took is the time of a complete
+	// answer, or 0.
+	Slot struct {
+		Server string
+		End    func(outcome balance.Outcome, took time.Duration)
+	}
+
 	// ResponseWriter holds the functions that write a response to the caller.
 	ResponseWriter struct {
 		// Respond writes a complete response.
@@ -215,6 +223,11 @@
 		// service, one without engines, and balances them over its servers. It
 		// returns nil if the service has no servers.
 		PlainStage func(service string) *stage.Stage
+		// AcquireSlot waits until the owner of a plain service gives a request a slot at one
+		// of its servers. It reports false if the service has no owner that answers, so that
+		// PlainStage is used, and returns an error if the request is refused. If it is nil, no
+		// service has an owner.
+		AcquireSlot func(ctx context.Context, q slot.Query) (s Slot, ok bool, err error)
 		// RecordCall counts the first send of a request to a service, and
 		// AllowRetry takes a retry from the budget of the service if one is
 		// left.
--- a/core/stage/stage.go
+++ b/core/stage/stage.go
@@ -134,6 +134,15 @@
 	return capacity / max(1e-9, s.estimator.SecondsPerCost(typicalCost))
 }
 
+// Capacity returns how many calls the stage may have in flight at sound endpoints, whether
+// any endpoint may be called now, if only as a probe, and when one that takes no calls now
+// may be called again, or the zero time.
+func (s *Stage) Capacity(now time.Time) (calls int, usable bool, next time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return int(s.group.Capacity(now)), s.group.Usable(now), s.group.NextProbe(now)
+}
+
 // ExpectedTime returns the expected duration of a call of the given cost.
 func (s *Stage) ExpectedTime(cost float64) time.Duration {
 	s.mu.Lock()
--- a/edge/delegator.go
+++ b/edge/delegator.go
@@ -50,12 +50,15 @@
 	// computedBy holds the peer that had a result computed, by handle, and placedBy
 	// the peer that placed a request, by request ID.
 	computedBy, placedBy *peerIndex
+	// slotPauses holds, by address, the pauses of owners that did not answer a request for a
+	// slot.
+	slotPauses map[string]*slotPause
 }
 
 func newDelegator(in *Instance) *delegator {
 	return &delegator{
 		instance: in, placers: make(map[string]*engine.Placer), dispatchers: make(map[string]*gather.Dispatcher),
-		pausedUntil: make(map[string]time.Time), computedBy: newPeerIndex(time.Now()), placedBy: newPeerIndex(time.Now()),
+		pausedUntil: make(map[string]time.Time), computedBy: newPeerIndex(time.Now()), placedBy: newPeerIndex(time.Now()), slotPauses: make(map[string]*slotPause),
 	}
 }
 
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -145,7 +145,7 @@
 		Clock: in.clock, AwaitReady: in.awaitReady, Table: in.state.table, ConfigFresh: in.state.configFresh, Servers: in.state.servers,
 		Send: in.upstream.Send, Answers: memory.New(int64(answerFraction * float64(in.cfg.Load().Memory()))), RunStage: in.delegator.runStage, FreeResults: in.delegator.freeResults, Place: in.delegator.place, Settle: in.delegator.settle, Suspect: in.delegator.suspect,
 		ResultZone: func(handle string) string { return in.state.servers().Zone(platform.ResultAddress(handle)) },
-		PlainStage: in.state.plainStage, RecordCall: in.state.recordCall, AllowRetry: in.state.allowRetry,
+		PlainStage: in.state.plainStage, AcquireSlot: in.delegator.acquireSlot, RecordCall: in.state.recordCall, AllowRetry: in.state.allowRetry,
 		Quarantine: in.quarantine, QuarantineChanged: in.notifyQuarantine,
 		ShutdownCtx: in.shutdownCtx,
 		Shutdown:    func() relay.Shutdown { return *in.shutdown.Load() },
@@ -253,7 +253,7 @@
 func (in *Instance) platformHandler() *peer.PlatformHandler {
 	return &peer.PlatformHandler{
 		Now: time.Now, Follow: in.state.serveFollow, RunStage: in.delegator.runStageForPeer, FreeResults: in.delegator.freeLocally,
-		Place: in.delegator.placeForPeer, Settle: in.delegator.settleLocally,
+		Place: in.delegator.placeForPeer, Settle: in.delegator.settleLocally, Acquire: in.delegator.acquireForPeer, Release: in.delegator.releaseLocally,
 	}
 }
 
--- a/edge/metrics.go
+++ b/edge/metrics.go
@@ -4,6 +4,8 @@
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
+
+	"chervilpath/core/slot"
 )
 
 // metrics holds the metrics of an instance.
@@ -26,6 +28,8 @@
 	batches          *prometheus.CounterVec
 	batchPieces      prometheus.Histogram
 	batchDuration    prometheus.Histogram
+	// slots counts the decisions about requests that need a slot at this instance as an owner.
+	slots *prometheus.CounterVec
 }
 
 var durationBuckets = []float64{.01, .025, .05, .1, .25, .5, 1, 2.5, 5, 10, 20}
@@ -51,12 +55,13 @@
 		batches:          prometheus.NewCounterVec(prometheus.CounterOpts{Name: "chervilpath_batches_total", Help: "Calls of stage servers by result."}, []string{"result"}),
 		batchPieces:      prometheus.NewHistogram(prometheus.HistogramOpts{Name: "chervilpath_batch_pieces", Help: "Pieces in a call of a stage server.", Buckets: prometheus.ExponentialBuckets(1, 2, 8)}),
 		batchDuration:    prometheus.NewHistogram(prometheus.HistogramOpts{Name: "chervilpath_batch_seconds", Help: "Time of a call of a stage server.", Buckets: durationBuckets}),
+		slots:            prometheus.NewCounterVec(prometheus.CounterOpts{Name: "chervilpath_slot_decisions_total", Help: "Decisions of this instance as the owner of the slots of a plain service, by service, class and step."}, []string{"service", "class", "step"}),
 	}
 	r.MustRegister(prometheus.NewCounterFunc(
 		prometheus.CounterOpts{Name: "chervilpath_log_lines_dropped_total", Help: "Log lines that did not fit into the queue before standard output."},
 		func() float64 { return float64(dropped()) },
 	))
-	r.MustRegister(m.configVersion, m.storeCalls, m.storeFailures, m.followRequests, m.staleSources, m.serverEvents, m.quarantinedParts, m.quarantineEvents, m.refusedNotices, m.refusedEntries, m.requests, m.faults, m.aborts, m.requestDuration, m.batches, m.batchPieces, m.batchDuration)
+	r.MustRegister(m.configVersion, m.storeCalls, m.storeFailures, m.followRequests, m.staleSources, m.serverEvents, m.quarantinedParts, m.quarantineEvents, m.refusedNotices, m.refusedEntries, m.requests, m.faults, m.aborts, m.requestDuration, m.batches, m.batchPieces, m.batchDuration, m.slots)
 	return m
 }
 
@@ -82,3 +87,8 @@
 	m.batchPieces.Observe(float64(pieces))
 	m.batchDuration.Observe(elapsed.Seconds())
 }
+
+// recordSlot records a decision about a request that needs a slot.
+func (m *metrics) recordSlot(e slot.Event) {
+	m.slots.WithLabelValues(e.Service, e.Job.Demand.Class, string(e.Step)).Inc()
+}
--- a/edge/state.go
+++ b/edge/state.go
@@ -15,6 +15,7 @@
 	"chervilpath/core/fleet"
 	"chervilpath/core/retry"
 	"chervilpath/core/route"
+	"chervilpath/core/slot"
 	"chervilpath/core/stage"
 	"chervilpath/io/peer"
 	"chervilpath/platform"
@@ -108,6 +109,9 @@
 		// under an earlier configuration go on using it as they did.
 		uses        map[string]serviceUse
 		plainStages map[string]*stage.Stage
+		// slotOwners holds the owners of the slots of plain services for which this instance
+		// was asked.
+		slotOwners  map[string]*slot.Owner
 		retryShares map[string]*retry.Share
 	}
 )
@@ -130,7 +134,7 @@
 func newClusterState(in *Instance) *clusterState {
 	c := &clusterState{
 		instance: in, view: fleet.New(outageHeartbeats * in.cfg.Load().Bounds().HeartbeatInterval), numInstances: 1, changed: make(chan struct{}),
-		uses: make(map[string]serviceUse), plainStages: make(map[string]*stage.Stage), retryShares: make(map[string]*retry.Share),
+		uses: make(map[string]serviceUse), plainStages: make(map[string]*stage.Stage), slotOwners: make(map[string]*slot.Owner), retryShares: make(map[string]*retry.Share),
 	}
 	c.snapshot.Store(c.view.Snapshot())
 	return c
@@ -400,6 +404,11 @@
 		}
 	}
 	s.SetExcluded(excluded)
+	if o, ok := c.slotOwners[name]; ok {
+		o.Stage().SetDeclaration(decl)
+		o.Stage().SetExcluded(excluded)
+		o.Update()
+	}
 }
 
 func (c *clusterState) plainStage(name string) *stage.Stage {
--- a/io/peer/load.go
+++ b/io/peer/load.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"time"
 
@@ -128,7 +129,9 @@
 
 // Acquire waits until an instance gives a request a place at a server of a plain service, and
 // returns the server's ID. It returns a *fault.Error if the request was refused, and an error
-// that wraps ErrNoAnswer if the instance did not answer.
+// that wraps ErrNoAnswer if the instance did not answer. The former is of kind Draining if the
+// instance cannot decide. The server is empty if the request still waits when the time in its
+// demand is over; it keeps its turn if it is sent again soon.
 func (c *Clients) Acquire(ctx context.Context, address, service string, q PlaceQuery) (string, error) {
 	now := c.now()
 	ctx, cancel := context.WithTimeout(ctx, q.Demand.Wait+placeMargin)
@@ -137,6 +140,9 @@
 		Service: service, Request: q.RequestID, Exclude: q.Exclude, LeftMicros: q.Deadline.Sub(now).Microseconds(), Repeatable: q.Repeatable,
 		Demand: demandToProto(now, q.Demand),
 	})
+	if twerr, ok := errors.AsType[twirp.Error](err); ok && twerr.Code() == twirp.Unavailable {
+		return "", fault.Errorf(fault.Draining, "%s gives no places: %w", address, err).WithRan(fault.RanNo)
+	}
 	if err != nil {
 		return "", fmt.Errorf("asking %s for a place: %w: %w", address, ErrNoAnswer, err)
 	}
