--- a/core/overload/queue.go
+++ b/core/overload/queue.go
@@ -60,6 +60,9 @@
 		Demand Demand
 		// Deadline is when the answer is of no more use.
 		Deadline time.Time
+		// Response is the time from the start of the work to the answer, or 0 if the request
+		// is answered at the end of its work. A stream begins long before that.
+		Response time.Duration
 
 		plan backlog.Job
 		// work is the time for which the request is expected to hold a place.
@@ -218,7 +221,11 @@
 // margin times as long as expected. The plan counts the work of a request itself at the pace
 // of all places together.
 func (q *Queue) latestStart(j *Job, by time.Time, margin float64) time.Time {
-	return by.Add(-time.Duration(margin*float64(j.work)) + j.work/time.Duration(max(1, q.places)))
+	response := j.work
+	if j.Response > 0 {
+		response = j.Response
+	}
+	return by.Add(-time.Duration(margin*float64(response)) + j.work/time.Duration(max(1, q.places)))
 }
 
 // planFor adds a request to the plan with its due time or its deadline as its aim.
--- a/core/slot/slot.go
+++ b/core/slot/slot.go
@@ -1,10 +1,10 @@
-// Package slot gives slots at the servers of a plain service to the requests of all
-// instances. It runs at the service's owner.
+// Package slot gives slots at the servers of a service to the requests of all instances. It
+// runs at the service's owner.
 //
-// It joins core/stage, which knows the health and the load of the servers, and
-// core/overload, which decides whose turn it is. All of its state may be lost: a new owner
-// does not know which slots are in use, and learns it from the answers of full servers. It
-// must not call servers or other instances.
+// It joins what knows the health and the load of the servers, core/stage for plain services,
+// and core/overload, which decides whose turn it is. All of its state may be lost: a new
+// owner does not know which slots are in use, and learns it from the answers of full servers.
+// It must not call servers or other instances.
 package slot
 
 import (
@@ -13,7 +13,6 @@
 	"time"
 
 	"chervilpath/core/balance"
-	"chervilpath/core/declare"
 	"chervilpath/core/fault"
 	"chervilpath/core/overload"
 	"chervilpath/core/stage"
@@ -45,8 +44,30 @@
 		// Repeatable is set if the request may run again at another server.
 		Repeatable bool
 		Deadline   time.Time
+		// Response is the time from the grant to the answer, or 0 if that is the time for
+		// which the request holds its slot.
+		Response time.Duration
 		// Demand.Wait is how long a call of Acquire may wait.
 		Demand overload.Demand
+		// Data is for Servers.Grant.
+		Data any
+	}
+
+	// Servers are the servers of a service.
+	Servers struct {
+		// Check returns an error if no server takes requests.
+		Check func(now time.Time) error
+		// Capacity returns the number of slots, including those in use, and when that may
+		// change with time, or the zero time.
+		Capacity func(now time.Time) (slots int, next time.Time)
+		// Grant gives a request that was added at the given time a slot if one is free.
+		Grant func(now time.Time, q Query, added time.Time) (Grant, bool)
+	}
+
+	// Grant is a slot at a server. End ends its use and must be called once.
+	Grant struct {
+		Server string
+		End    func(now time.Time, outcome balance.Outcome)
 	}
 
 	// Step says what happened to a request.
@@ -68,7 +89,7 @@
 	Owner struct {
 		service string
 		clock   stage.Clock
-		stage   *stage.Stage
+		servers Servers
 		report  func(Event)
 
 		mu    sync.Mutex
@@ -78,8 +99,6 @@
 		held    map[string]*hold
 		// wakeAt is when the next scheduled dispatch comes, or zero.
 		wakeAt time.Time
-		// onlyProbes is set if all servers that may be called are ejected.
-		onlyProbes bool
 	}
 
 	// waiter is a request that waits.
@@ -99,8 +118,8 @@
 	// hold is a slot in use.
 	hold struct {
 		job     *overload.Job
-		grant   stage.Grant
-		server  string
+		grant   Grant
+		granted time.Time
 		expires time.Time
 	}
 )
@@ -119,22 +138,15 @@
 	Expired Step = "expired"
 )
 
-// organisation stands for all organisations at the stage, whose queue is not used.
-var organisation = declare.NewOrganisation("", 1)
-
-// New returns the owner of the slots of a service. s balances requests over the servers, and
-// must be used by this owner alone. random returns a random number in [0, 1), and report is
-// called with each decision and must not block.
-func New(service string, s *stage.Stage, clock stage.Clock, random func() float64, report func(Event)) *Owner {
+// New returns the owner of the slots of a service. random returns a random number in [0, 1),
+// and report is called with each decision and must not block.
+func New(service string, servers Servers, clock stage.Clock, random func() float64, report func(Event)) *Owner {
 	return &Owner{
-		service: service, clock: clock, stage: s, report: report, queue: overload.New(initialWork, random),
+		service: service, clock: clock, servers: servers, report: report, queue: overload.New(initialWork, random),
 		waiting: make(map[string]*waiter), held: make(map[string]*hold),
 	}
 }
 
-// Stage returns the stage. Update has to be called after a change of its servers.
-func (o *Owner) Stage() *stage.Stage { return o.stage }
-
 // Update gives slots that became free by a change of the servers.
 func (o *Owner) Update() {
 	o.mu.Lock()
@@ -168,15 +180,15 @@
 	o.dispatch(now)
 	if h := o.held[q.RequestID]; h != nil {
 		o.claim(h)
-		return nil, h.server, nil
+		return nil, h.grant.Server, nil
 	}
 	w := o.waiting[q.RequestID]
 	if w == nil {
-		if _, _, _, err := o.stage.Forecast(now, organisation, 1, 0); err != nil {
-			return nil, "", fault.From(err)
+		if err := o.servers.Check(now); err != nil {
+			return nil, "", err
 		}
 		w = &waiter{query: q, added: now, decided: make(chan struct{})}
-		w.job = &overload.Job{ID: q.RequestID, Demand: q.Demand, Deadline: q.Deadline}
+		w.job = &overload.Job{ID: q.RequestID, Demand: q.Demand, Deadline: q.Deadline, Response: q.Response}
 		if err := o.queue.Add(now, w.job); err != nil {
 			o.report(Event{Step: Refused, Service: o.service, Job: w.job, Err: fault.From(err)})
 			o.dispatch(now)
@@ -186,7 +198,7 @@
 		o.dispatch(now)
 		if h := o.held[q.RequestID]; h != nil {
 			o.claim(h)
-			return nil, h.server, nil
+			return nil, h.grant.Server, nil
 		}
 		if w.err != nil {
 			return nil, "", w.err
@@ -214,7 +226,7 @@
 		return "", fault.From(ctx.Err()).WithRan(fault.RanNo)
 	case h != nil:
 		o.claim(h)
-		return h.server, nil
+		return h.grant.Server, nil
 	}
 	if w.calls == 0 {
 		w.detachedAt = now
@@ -223,43 +235,43 @@
 	return "", nil
 }
 
-// Release ends the use of a slot, or the wait of a request that has none yet. took is how
-// long the request took if it succeeded.
-func (o *Owner) Release(id string, outcome balance.Outcome, took time.Duration) {
+// Release ends the use of a slot, or the wait of a request that has none yet, and reports
+// whether there is one. took is how long the request took, or 0 if that is the time since the
+// grant.
+func (o *Owner) Release(id string, outcome balance.Outcome, took time.Duration) bool {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	o.end(o.clock.Now(), id, outcome, took)
+	return o.end(o.clock.Now(), id, outcome, took)
 }
 
 // end implements Release. The caller holds mu.
-func (o *Owner) end(now time.Time, id string, outcome balance.Outcome, took time.Duration) {
-	if w := o.waiting[id]; w != nil {
+func (o *Owner) end(now time.Time, id string, outcome balance.Outcome, took time.Duration) bool {
+	w, h := o.waiting[id], o.held[id]
+	if w != nil {
 		o.queue.Remove(now, w.job)
 		delete(o.waiting, id)
 		w.err = fault.Errorf(fault.Cancelled, "the request gave up").WithRan(fault.RanNo)
 		close(w.decided)
 		o.report(Event{Step: GaveUp, Service: o.service, Job: w.job, Waited: now.Sub(w.added)})
 	}
-	if h := o.held[id]; h != nil {
+	if h != nil {
 		delete(o.held, id)
-		if outcome == balance.Succeeded {
-			o.stage.Finish(organisation, h.grant, 1, 1, 1)
-			o.queue.End(h.job, took)
-		} else {
-			o.stage.Release(h.grant, outcome)
-			o.queue.End(h.job, 0)
+		h.grant.End(now, outcome)
+		switch {
+		case outcome != balance.Succeeded:
+			took = 0
+		case took <= 0:
+			took = now.Sub(h.granted)
 		}
+		o.queue.End(h.job, took)
 	}
 	o.dispatch(now)
+	return w != nil || h != nil
 }
 
 // dispatch gives free slots to waiting requests in their order. The caller holds mu.
 func (o *Owner) dispatch(now time.Time) {
-	places, usable, next := o.stage.Capacity(now)
-	o.onlyProbes = places == 0 && usable
-	if o.onlyProbes {
-		places = 1
-	}
+	places, next := o.servers.Capacity(now)
 	o.queue.SetCapacity(now, places)
 	for {
 		for _, r := range o.queue.Advance(now) {
@@ -283,28 +295,20 @@
 	}
 }
 
-// grant gives a request a slot and reports whether one is free. Servers that the request
-// excludes are used only if no other may serve it in time. The caller holds mu.
+// grant gives a request a slot and reports whether one is free. The caller holds mu.
 func (o *Owner) grant(now time.Time, j *overload.Job) bool {
 	w := o.waiting[j.ID]
-	req := stage.CallRequest{Organisation: organisation, Cost: 1, Deadline: j.Deadline, Arrived: w.added}
-	req.Query.NoProbe = !w.query.Repeatable && !o.onlyProbes
-	req.Query.Exclude = o.stage.EndpointIndexes(w.query.Exclude)
-	g, ok := o.stage.TryAcquire(req)
-	if !ok && !o.stage.MayServe(j.Deadline, w.query.Exclude) {
-		req.Query.Exclude = nil
-		g, ok = o.stage.TryAcquire(req)
-	}
+	g, ok := o.servers.Grant(now, w.query, w.added)
 	if !ok {
 		return false
 	}
 	o.queue.Start(now, j)
 	delete(o.waiting, j.ID)
-	h := &hold{job: j, grant: g, server: g.Endpoint.Name(), expires: now.Add(detachedTime)}
+	h := &hold{job: j, grant: g, granted: now, expires: now.Add(detachedTime)}
 	o.held[j.ID] = h
 	o.wake(now, h.expires)
 	close(w.decided)
-	o.report(Event{Step: Granted, Service: o.service, Job: j, Server: h.server, Waited: now.Sub(w.added)})
+	o.report(Event{Step: Granted, Service: o.service, Job: j, Server: g.Server, Waited: now.Sub(w.added)})
 	return true
 }
 
@@ -347,7 +351,7 @@
 		if h.expires.After(now) {
 			earliest(h.expires)
 		} else {
-			o.report(Event{Step: Expired, Service: o.service, Job: h.job, Server: h.server})
+			o.report(Event{Step: Expired, Service: o.service, Job: h.job, Server: h.grant.Server})
 			o.end(now, id, balance.Abandoned, 0)
 		}
 	}
--- a/edge/slots.go
+++ b/edge/slots.go
@@ -41,6 +41,12 @@
 	asking bool
 }
 
+// slotOwner gives the slots of a plain service as its owner.
+type slotOwner struct {
+	*slot.Owner
+	stage *stage.Stage
+}
+
 // sharesSlots reports whether the slots of a plain service are given by its owner: there
 // are fewer than instances, so that an instance's own share would be less than one.
 func (c *clusterState) sharesSlots(service string) bool {
@@ -58,7 +64,7 @@
 
 // slotOwner returns the owner of the slots of a plain service at this instance, or nil if
 // the service is unknown.
-func (c *clusterState) slotOwner(service string) *slot.Owner {
+func (c *clusterState) slotOwner(service string) *slotOwner {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if o, ok := c.slotOwners[service]; ok {
@@ -69,7 +75,7 @@
 	}
 	rng := mathrand.New(mathrand.NewPCG(mathrand.Uint64(), 1))
 	s := stage.New(declare.NewStage(service, plainQueue, nil), c.instance.name, 1, c.instance.clock, rng, stage.Policy{})
-	o := slot.New(service, s, c.instance.clock, mathrand.Float64, c.instance.logSlot)
+	o := &slotOwner{slot.New(service, slot.PlainServers(s), c.instance.clock, mathrand.Float64, c.instance.logSlot), s}
 	c.slotOwners[service] = o
 	c.updatePlainStage(service, c.snapshot.Load().Service(service))
 	return o
--- a/edge/state.go
+++ b/edge/state.go
@@ -15,7 +15,6 @@
 	"chervilpath/core/fleet"
 	"chervilpath/core/retry"
 	"chervilpath/core/route"
-	"chervilpath/core/slot"
 	"chervilpath/core/stage"
 	"chervilpath/io/peer"
 	"chervilpath/platform"
@@ -111,7 +110,7 @@
 		plainStages map[string]*stage.Stage
 		// slotOwners holds the owners of the slots of plain services for which this instance
 		// was asked.
-		slotOwners  map[string]*slot.Owner
+		slotOwners  map[string]*slotOwner
 		retryShares map[string]*retry.Share
 	}
 )
@@ -134,7 +133,7 @@
 func newClusterState(in *Instance) *clusterState {
 	c := &clusterState{
 		instance: in, view: fleet.New(outageHeartbeats * in.cfg.Load().Bounds().HeartbeatInterval), numInstances: 1, changed: make(chan struct{}),
-		uses: make(map[string]serviceUse), plainStages: make(map[string]*stage.Stage), slotOwners: make(map[string]*slot.Owner), retryShares: make(map[string]*retry.Share),
+		uses: make(map[string]serviceUse), plainStages: make(map[string]*stage.Stage), slotOwners: make(map[string]*slotOwner), retryShares: make(map[string]*retry.Share),
 	}
 	c.snapshot.Store(c.view.Snapshot())
 	return c
@@ -405,8 +404,8 @@
 	}
 	s.SetExcluded(excluded)
 	if o, ok := c.slotOwners[name]; ok {
-		o.Stage().SetDeclaration(decl)
-		o.Stage().SetExcluded(excluded)
+		o.stage.SetDeclaration(decl)
+		o.stage.SetExcluded(excluded)
 		o.Update()
 	}
 }
