edge: requests wait for engines at the owner of their service

Cause: a request for which no engine has room is refused at once, also if one has room again long before the answer is due. Requests that exclude servers wait in a lane of their own, so that they do not keep others from these servers.

--- a/core/overload/queue.go
+++ b/core/overload/queue.go
@@ -63,6 +63,8 @@
 		// Response is the time from the start of the work to the answer, or 0 if the request
 		// is answered at the end of its work. A stream begins long before that.
 		Response time.Duration
+		// Lane groups requests that the same servers can serve; see Next.
+		Lane int
 
 		plan backlog.Job
 		// work is the time for which the request is expected to hold a place.
@@ -188,7 +190,7 @@
 	q.shares.arrive(now, j)
 	j.work = q.shares.workOf(j, q.initialWork)
 	j.level = q.shares.level(j)
-	j.plan.Data, j.plan.Units, j.plan.UnitTime = j, 1, max(time.Microsecond, j.work)
+	j.plan.Data, j.plan.Lane, j.plan.Units, j.plan.UnitTime = j, j.Lane, 1, max(time.Microsecond, j.work)
 	if now.Sub(q.epoch) > maxEpoch {
 		q.epoch = now
 	}
@@ -376,10 +378,10 @@
 	return out
 }
 
-// Next returns the request whose turn it is when a place is free, or nil. It goes on
-// waiting until Start or Remove is called.
-func (q *Queue) Next() *Job {
-	if p := q.plan.First(0); p != nil {
+// Next returns the request whose turn it is when a place is free, of those whose lane is not
+// blocked, or nil. It goes on waiting until Start or Remove is called.
+func (q *Queue) Next(blocked backlog.Lanes) *Job {
+	if p := q.plan.First(blocked); p != nil {
 		return p.Data.(*Job)
 	}
 	return nil
--- a/core/overload/queue_test.go
+++ b/core/overload/queue_test.go
@@ -124,7 +124,7 @@
 		for _, d := range s.queue.Advance(s.now) {
 			s.refuse(d.Job, d.Err.RetryAfter())
 		}
-		j := s.queue.Next()
+		j := s.queue.Next(0)
 		if j == nil || s.queue.Busy() >= s.places {
 			return
 		}
@@ -296,7 +296,7 @@
 		now = now.Add(300 * time.Microsecond)
 		_ = q.Add(now, benchJob(now, i))
 		q.Advance(now)
-		j := q.Next()
+		j := q.Next(0)
 		q.Start(now, j)
 		q.End(j, simWork)
 	}
@@ -310,7 +310,7 @@
 	// The names of organisations are the configuration's, so they exist already.
 	for i := range 30000 {
 		_ = q.Add(now, benchJob(now, i))
-		q.Remove(now, q.Next())
+		q.Remove(now, q.Next(0))
 	}
 	jobs := make([]*Job, 10000)
 	runtime.GC()
--- a/core/relay/place.go
+++ b/core/relay/place.go
@@ -85,6 +85,10 @@
 	if q.Affinity == "" {
 		q.Affinity = e.req.ID
 	}
+	if !e.mustGoOn() && e.trial == "" {
+		// A stream that must go on asks again and again itself.
+		q.Demand.Wait = max(0, e.nextEventDeadline().Add(-e.relay.stats.FirstEventTime(e.now(), e.route.Name)).Sub(e.now()))
+	}
 	for range 2 {
 		server, err := e.relay.deps.Place(ctx, e.service, q)
 		if err != nil || server == "" {
--- a/core/relay/relay.go
+++ b/core/relay/relay.go
@@ -53,6 +53,10 @@
 	// one in time. The configuration says nothing of it.
 	lateWorthFraction = 0.5
 
+	// stagesRunFactor multiplies the worth of a request whose stages have run: it needs only
+	// the rest of its work, so its worth for that is higher.
+	stagesRunFactor = 2
+
 	// A caller whose timeout is shorter than that of first attempts by minReturnedFraction
 	// came back after a refusal: it was told to wait for at least minOverloadRetryFraction
 	// of its time if the service was overloaded, and timeouts of first attempts vary less.
@@ -299,8 +303,12 @@
 
 // demand returns what the request asks of its service.
 func (e *execution) demand() overload.Demand {
+	worth := e.worth
+	if len(e.held) > 0 {
+		worth *= stagesRunFactor
+	}
 	return overload.Demand{
-		Class: e.route.Name, Organisation: e.orgName, Priority: e.effectivePriority(), Worth: e.worth, LateWorth: lateWorthFraction * e.worth,
+		Class: e.route.Name, Organisation: e.orgName, Priority: e.effectivePriority(), Worth: worth, LateWorth: lateWorthFraction * worth,
 		Due: e.due, RelativeSize: e.relativeSize, Returned: e.returned || e.attempt > 0,
 	}
 }
--- a/core/slot/slot.go
+++ b/core/slot/slot.go
@@ -12,6 +12,7 @@
 	"sync"
 	"time"
 
+	"chervilpath/core/backlog"
 	"chervilpath/core/balance"
 	"chervilpath/core/fault"
 	"chervilpath/core/overload"
@@ -33,6 +34,13 @@
 	releaseMargin = 100 * time.Millisecond
 )
 
+// The lanes of requests that any server may serve, and of those that exclude some. The
+// latter must not keep others from a server that they exclude.
+const (
+	anyServer = iota
+	someServers
+)
+
 type (
 	// Query describes a request that needs a slot at a server of a plain service.
 	Query struct {
@@ -44,6 +52,9 @@
 		// Repeatable is set if the request may run again at another server.
 		Repeatable bool
 		Deadline   time.Time
+		// Expires is when the slot counts as free without a report, or zero for shortly after
+		// Deadline.
+		Expires time.Time
 		// Response is the time from the grant to the answer, or 0 if that is the time for
 		// which the request holds its slot.
 		Response time.Duration
@@ -120,7 +131,9 @@
 		job     *overload.Job
 		grant   Grant
 		granted time.Time
-		expires time.Time
+		// claimed is when the slot counts as free once a call has got it, and expires when it
+		// does so now.
+		claimed, expires time.Time
 	}
 )
 
@@ -189,6 +202,9 @@
 		}
 		w = &waiter{query: q, added: now, decided: make(chan struct{})}
 		w.job = &overload.Job{ID: q.RequestID, Demand: q.Demand, Deadline: q.Deadline, Response: q.Response}
+		if len(q.Exclude) > 0 {
+			w.job.Lane = someServers
+		}
 		if err := o.queue.Add(now, w.job); err != nil {
 			o.report(Event{Step: Refused, Service: o.service, Job: w.job, Err: fault.From(err)})
 			o.dispatch(now)
@@ -210,7 +226,7 @@
 }
 
 // claim records that a slot was granted to a call, which releases it.
-func (o *Owner) claim(h *hold) { h.expires = h.job.Deadline.Add(releaseMargin) }
+func (o *Owner) claim(h *hold) { h.expires = h.claimed }
 
 // detach returns what was decided about the request of a call.
 func (o *Owner) detach(ctx context.Context, id string, w *waiter) (string, error) {
@@ -273,6 +289,7 @@
 func (o *Owner) dispatch(now time.Time) {
 	places, next := o.servers.Capacity(now)
 	o.queue.SetCapacity(now, places)
+	var blocked backlog.Lanes
 	for {
 		for _, r := range o.queue.Advance(now) {
 			w := o.waiting[r.Job.ID]
@@ -284,10 +301,16 @@
 			close(w.decided)
 			o.report(Event{Step: Dropped, Service: o.service, Job: w.job, Waited: now.Sub(w.added), Err: r.Err})
 		}
-		j := o.queue.Next()
-		if j == nil || !o.grant(now, j) {
+		j := o.queue.Next(blocked)
+		if j == nil {
 			break
 		}
+		if !o.grant(now, j) {
+			blocked.Add(j.Lane)
+			if j.Lane == anyServer {
+				break
+			}
+		}
 	}
 	if o.queue.Len() > 0 {
 		o.wake(now, next)
@@ -304,7 +327,10 @@
 	}
 	o.queue.Start(now, j)
 	delete(o.waiting, j.ID)
-	h := &hold{job: j, grant: g, granted: now, expires: now.Add(detachedTime)}
+	h := &hold{job: j, grant: g, granted: now, claimed: w.query.Expires, expires: now.Add(detachedTime)}
+	if h.claimed.IsZero() {
+		h.claimed = j.Deadline.Add(releaseMargin)
+	}
 	o.held[j.ID] = h
 	o.wake(now, h.expires)
 	close(w.decided)
--- a/edge/delegator.go
+++ b/edge/delegator.go
@@ -17,6 +17,7 @@
 	"chervilpath/core/member"
 	"chervilpath/core/relay"
 	"chervilpath/core/route"
+	"chervilpath/core/slot"
 	"chervilpath/io/peer"
 	"chervilpath/platform"
 )
@@ -53,12 +54,14 @@
 	// slotPauses holds, by address, the pauses of owners that did not answer a request for a
 	// slot.
 	slotPauses map[string]*slotPause
+	// engineQueues holds the queues of requests for engines, by service.
+	engineQueues map[string]*slot.Owner
 }
 
 func newDelegator(in *Instance) *delegator {
 	return &delegator{
 		instance: in, placers: make(map[string]*engine.Placer), dispatchers: make(map[string]*gather.Dispatcher),
-		pausedUntil: make(map[string]time.Time), computedBy: newPeerIndex(time.Now()), placedBy: newPeerIndex(time.Now()), slotPauses: make(map[string]*slotPause),
+		pausedUntil: make(map[string]time.Time), computedBy: newPeerIndex(time.Now()), placedBy: newPeerIndex(time.Now()), slotPauses: make(map[string]*slotPause), engineQueues: make(map[string]*slot.Owner),
 	}
 }
 
@@ -183,7 +186,7 @@
 	if !d.instance.state.awaitUse(ctx, service, func(u serviceUse) bool { return u.engine != nil }) {
 		return "", fault.Errorf(fault.Draining, "service %q has no engines at its owner yet", service)
 	}
-	return d.placeLocally(service, q), nil
+	return d.placeAsOwner(ctx, service, q, min(q.Demand.Wait, engineHold))
 }
 
 // runStageLocally has the pieces of a stage computed through this instance's own
@@ -283,7 +286,7 @@
 		if !ok || address == "" {
 			break
 		}
-		id, err := d.instance.peers.Place(ctx, address, service, q, time.Until(q.Expires))
+		id, err := d.placeAt(ctx, address, service, q)
 		if err == nil {
 			if id != "" {
 				d.placedBy.record(time.Now(), []string{q.RequestID}, address)
@@ -299,10 +302,15 @@
 		}
 		d.pausePeer(address, err)
 	}
-	if address, ok := d.owner(service); q.Trial != "" && (!ok || address != "") {
+	address, ok := d.owner(service)
+	owns := ok && address == ""
+	if q.Trial != "" && !owns {
 		// Each instance that places requests for itself would allow a trial of its own.
 		return "", nil
 	}
+	if owns {
+		return d.placeAsOwner(ctx, service, q, q.Demand.Wait)
+	}
 	// Without the loads that an owner knows, the choice is the one that it would
 	// make at equal loads.
 	return d.placeLocally(service, q), nil
@@ -370,5 +378,14 @@
 }
 
 func (d *delegator) settleLocally(service, requestID, serverID string, outcome balance.Outcome) {
+	d.mu.Lock()
+	queue := d.engineQueues[service]
+	d.mu.Unlock()
+	if queue != nil && requestID != "" && queue.Release(requestID, outcome, 0) {
+		return
+	}
 	d.placer(service).Settle(time.Now(), requestID, serverID, outcome)
+	if queue != nil {
+		queue.Update()
+	}
 }
--- a/edge/slots_test.go
+++ b/edge/slots_test.go
@@ -130,3 +130,19 @@
 	}
 	return sum
 }
+
+// TestRequestsWaitForEngines guards against requests that are refused although an engine has
+// room again long before they are due.
+func TestRequestsWaitForEngines(t *testing.T) {
+	engine := stand.NewServer("llm-1", "llm", "a")
+	engine.WorkTime = 50 * time.Millisecond
+	engine.NumEvents = 2
+	s := newTestSite(t, 3, configSpec(1, []string{apiKey}, routeSpec("desk", "streaming", "llm", map[string]any{"resumable": true})), engine)
+	statuses, longest := s.postAll("r", 10)
+	if statuses[http.StatusOK] != 30 {
+		t.Errorf("30 requests for an engine with 8 slots got %v", statuses)
+	}
+	if longest > time.Second {
+		t.Errorf("a request took %v", longest)
+	}
+}
