--- a/cmd/explain.go
+++ b/cmd/explain.go
@@ -9,6 +9,7 @@
 	"io"
 	"os"
 	"slices"
+	"strconv"
 	"strings"
 	"time"
 
@@ -43,11 +44,26 @@
 		Status    int       `json:"status"`
 		Ran       string    `json:"ran"`
 		Cause     string    `json:"cause"`
+		// The fields of a line about a request that needs a slot, by the owner of the service.
+		Value        float64 `json:"value"`
+		WorkMs       int64   `json:"workMs"`
+		DueMs        int64   `json:"dueMs"`
+		ForecastMs   int64   `json:"forecastMs"`
+		Ahead        int     `json:"ahead"`
+		Slots        int     `json:"slots"`
+		Late         bool    `json:"late"`
+		RetryAfterMs int64   `json:"retryAfterMs"`
+		Error        string  `json:"error"`
 	}
 )
 
-// maxLogLine is the maximum length of a log line, in bytes.
-const maxLogLine = 1 << 20
+const (
+	// maxLogLine is the maximum length of a log line, in bytes.
+	maxLogLine = 1 << 20
+
+	// slotMessage is the message of lines about requests that need a slot.
+	slotMessage = "slot"
+)
 
 func (p *program) newExplain() subcommand {
 	return subcommand{
@@ -113,13 +129,34 @@
 			continue
 		}
 		var l logLine
-		if json.Unmarshal(scanner.Bytes()[i:], &l) == nil && l.RequestID == id {
+		if json.Unmarshal(scanner.Bytes()[i:], &l) == nil && l.isOf(id) {
 			out = append(out, l)
 		}
 	}
 	return out, scanner.Err()
 }
 
+// isOf reports whether the line belongs to a request. Its later attempts have a number behind
+// its ID at the owner of their service.
+func (l logLine) isOf(id string) bool {
+	return l.RequestID == id || l.Message == slotMessage && strings.HasPrefix(l.RequestID, id+"/")
+}
+
+// formatSlot adds the fields of a line about a request that needs a slot.
+func (l logLine) formatSlot(add func(name, value string)) {
+	add("value", strconv.FormatFloat(l.Value, 'g', 3, 64))
+	add("work ms", fmt.Sprint(l.WorkMs))
+	add("due in ms", fmt.Sprint(l.DueMs))
+	add("forecast ms", fmt.Sprint(l.ForecastMs))
+	add("ahead", fmt.Sprint(l.Ahead))
+	add("slots", fmt.Sprint(l.Slots))
+	if l.Late {
+		add("", "late")
+	}
+	add("retry after ms", fmt.Sprint(l.RetryAfterMs))
+	add("cause:", l.Error)
+}
+
 // format returns the line as it is printed, with its time relative to start.
 func (l logLine) format(start time.Time) string {
 	fields := []string{fmt.Sprintf("%8.3fs", l.Time.Sub(start).Seconds()), l.Instance}
@@ -145,6 +182,9 @@
 	add("version", fmt.Sprint(l.Version))
 	add("waited ms", fmt.Sprint(l.WaitedMs))
 	add("left ms", fmt.Sprint(l.LeftMs))
+	if l.Message == slotMessage {
+		l.formatSlot(add)
+	}
 	return strings.Join(fields, "  ")
 }
 
--- a/core/status/status.go
+++ b/core/status/status.go
@@ -32,6 +32,10 @@
 		// QuarantinedParts are the parts of prompts that are held back since engines have
 		// crashed on them.
 		QuarantinedParts []QuarantinedPart `json:"quarantinedParts,omitempty"`
+		// Queues are the queues for slots that this instance keeps as the owner of a service,
+		// and DelayedOrganisations those with the most requests that had to wait there.
+		Queues               []Queue               `json:"queues,omitempty"`
+		DelayedOrganisations []DelayedOrganisation `json:"delayedOrganisations,omitempty"`
 		// CostsWaiting is the number of cost objects that are not yet stored.
 		CostsWaiting int `json:"costsWaiting"`
 	}
@@ -45,6 +49,25 @@
 		Revision      int64  `json:"revision"`
 	}
 
+	// Queue is the queue for the slots of a service.
+	Queue struct {
+		Service string `json:"service"`
+		Waiting int    `json:"waiting"`
+		InUse   int    `json:"inUse"`
+	}
+
+	// DelayedOrganisation counts the requests of an organisation that were delayed, refused
+	// immediately, refused after they had waited, and given up by their callers. Up to
+	// Uncounted further ones are missing.
+	DelayedOrganisation struct {
+		Name      string `json:"name"`
+		Delayed   int64  `json:"delayed"`
+		Refused   int64  `json:"refused"`
+		Dropped   int64  `json:"dropped"`
+		GaveUp    int64  `json:"gaveUp"`
+		Uncounted int64  `json:"uncounted,omitempty"`
+	}
+
 	// Server is a server that told an instance that it gets no requests.
 	Server struct {
 		ID      string `json:"id"`
--- a/edge/delegator.go
+++ b/edge/delegator.go
@@ -15,6 +15,7 @@
 	"chervilpath/core/fault"
 	"chervilpath/core/gather"
 	"chervilpath/core/member"
+	"chervilpath/core/overload"
 	"chervilpath/core/relay"
 	"chervilpath/core/route"
 	"chervilpath/core/slot"
@@ -56,6 +57,8 @@
 	slotPauses map[string]*slotPause
 	// engineQueues holds the queues of requests for engines, by service.
 	engineQueues map[string]*slot.Owner
+	// delayed counts requests that had to wait here or were refused, by organisation.
+	delayed overload.Top
 }
 
 func newDelegator(in *Instance) *delegator {
--- a/edge/slots.go
+++ b/edge/slots.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	mathrand "math/rand/v2"
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -11,9 +13,11 @@
 	"chervilpath/core/balance"
 	"chervilpath/core/declare"
 	"chervilpath/core/fault"
+	"chervilpath/core/overload"
 	"chervilpath/core/relay"
 	"chervilpath/core/slot"
 	"chervilpath/core/stage"
+	"chervilpath/core/status"
 	"chervilpath/io/peer"
 )
 
@@ -230,13 +234,38 @@
 	d.instance.log.Warn("owner does not answer requests for slots", zap.String("peer", address), zap.Error(err))
 }
 
+// addQueueStatus adds the queues that this instance keeps as an owner to its status.
+func (in *Instance) addQueueStatus(out *status.Instance) {
+	owners := make(map[string]*slot.Owner)
+	in.state.mu.Lock()
+	for service, o := range in.state.slotOwners {
+		owners[service] = o.Owner
+	}
+	in.state.mu.Unlock()
+	in.delegator.mu.Lock()
+	maps.Copy(owners, in.delegator.engineQueues)
+	in.delegator.mu.Unlock()
+	for _, service := range slices.Sorted(maps.Keys(owners)) {
+		waiting, inUse := owners[service].Counts()
+		out.Queues = append(out.Queues, status.Queue{Service: service, Waiting: waiting, InUse: inUse})
+	}
+	for _, c := range in.delegator.delayed.List() {
+		out.DelayedOrganisations = append(out.DelayedOrganisations, status.DelayedOrganisation{
+			Name: c.Name, Delayed: c.Delayed, Refused: c.Refused, Dropped: c.Dropped, GaveUp: c.GaveUp, Uncounted: c.Uncounted,
+		})
+	}
+}
+
 // logSlot logs a decision about a request that needs a slot at this instance as the owner,
-// and counts it.
+// and counts it. A request that gets a slot at once is only counted.
 func (in *Instance) logSlot(e slot.Event) {
 	in.metrics.recordSlot(e)
 	if e.Step == slot.Granted && e.Waited == 0 {
 		return
 	}
+	if c := countsOf(e.Step); c != (overload.Counts{}) {
+		in.delegator.delayed.Add(e.Job.Demand.Organisation, c)
+	}
 	d, f := &e.Job.Demand, e.Job.Admitted()
 	fields := []zap.Field{zap.String("step", string(e.Step)), zap.String("service", e.Service), zap.String("requestId", e.Job.ID),
 		zap.String("class", d.Class), zap.String("organisation", d.Organisation), zap.String("server", e.Server),
@@ -250,3 +279,18 @@
 	}
 	in.log.Info("slot", fields...)
 }
+
+// countsOf returns the counts of one step.
+func countsOf(step slot.Step) overload.Counts {
+	switch step {
+	case slot.Delayed:
+		return overload.Counts{Delayed: 1}
+	case slot.Refused:
+		return overload.Counts{Refused: 1}
+	case slot.Dropped:
+		return overload.Counts{Dropped: 1}
+	case slot.GaveUp:
+		return overload.Counts{GaveUp: 1}
+	}
+	return overload.Counts{}
+}
--- a/edge/status.go
+++ b/edge/status.go
@@ -27,6 +27,7 @@
 			HeldMs: now.Sub(h.Since).Milliseconds(), TrialInMs: h.TrialDue.Sub(now).Milliseconds(), Trials: h.Trials,
 		})
 	}
+	in.addQueueStatus(&out)
 	servers := in.state.servers()
 	for s := range servers.Leaving() {
 		out.Unwilling = append(out.Unwilling, status.Server{ID: s.ID, Service: s.Service, Born: s.Born, Leaving: true})
