--- a/soak/harness.go
+++ b/soak/harness.go
@@ -231,6 +231,10 @@
 	h.mu.Unlock()
 	s := &server{Server: stand.NewServer(id, service, fmt.Sprintf("d%d", h.serverCount%2))}
 	s.WorkTime, s.AnswerGap, s.Echo = 15*time.Millisecond, 10*time.Millisecond, true
+	if service == serviceAlternate {
+		// Fewer slots than instances, so that the owner of the service gives them.
+		s.Slots = 1
+	}
 	if service == serviceLLM || service == serviceLone {
 		s.NumEvents, s.EventGap = 8, 80*time.Millisecond
 		s.CrashParts, s.CrashAfter = []string{crashPart}, h.serverCount%2
