overload: accept a late request only if it is likely to be served

Cause: 0.05 to 0.09 of the requests of a burst waited for more than 300 ms, up to their deadline, and were refused then: a tenth of the places was expected for late requests where there was none, and late work of more urgent classes was not counted. Change: a fiftieth in place of a tenth, the arriving late work of more urgent levels is counted, and accepted late requests have twice the density.

--- a/core/overload/queue.go
+++ b/core/overload/queue.go
@@ -42,8 +42,13 @@
 	ratePeriod = time.Second
 
 	// minSpareFraction is the least fraction of the places that late requests are expected
-	// to get.
-	minSpareFraction = 0.1
+	// to get. With 0.1, a twentieth of the requests of a burst waited for more than 300 ms
+	// and were refused then.
+	minSpareFraction = 0.02
+
+	// lateFactor multiplies the density of a request that is planned to be late, so that it
+	// seldom gives way to later ones after it was accepted.
+	lateFactor = 2
 
 	// Refused callers wait for at most a third of their remaining time, whatever they are
 	// told. Where capacity is expected later than maxRetryFraction of it, they are told a
@@ -107,13 +112,14 @@
 		// onTime and late are the work that waits with the aim to be on time, and to be
 		// answered by the deadline, in seconds.
 		onTime, late levels
-		// arriving is the moving average of the on-time work that arrives, and refusedRate
-		// that of the work that is refused, in seconds a second, as of ratesAt.
-		arriving    levels
-		refusedRate float64
-		ratesAt     time.Time
-		epoch       time.Time
-		dropped     []Refused
+		// arriving and arrivingLate are the moving averages of the work that arrives and is
+		// planned to be on time and late, and refusedRate that of the work that is refused,
+		// in seconds a second, as of ratesAt.
+		arriving, arrivingLate levels
+		refusedRate            float64
+		ratesAt                time.Time
+		epoch                  time.Time
+		dropped                []Refused
 	}
 
 	// levels holds a quantity for each level.
@@ -236,7 +242,7 @@
 	j.state, j.plan.Deadline = aim, deadline
 	j.plan.Due = q.latestStart(j, j.Demand.Due, 1)
 	if aim == waitsForDeadline {
-		worth, j.plan.Due = j.Demand.LateWorth, deadline
+		worth, j.plan.Due = lateFactor*j.Demand.LateWorth, deadline
 	}
 	j.plan.Worth = j.density(worth) * math.Pow(densityBase, -float64(j.level)) * j.newcomerFactor * j.plan.UnitTime.Seconds()
 	q.count(now, j, 1)
@@ -263,14 +269,14 @@
 // count adds the work of a waiting request to the totals, or subtracts it if sign is -1.
 func (q *Queue) count(now time.Time, j *Job, sign float64) {
 	work := sign * j.work.Seconds()
+	waiting, arriving := &q.onTime[j.level], &q.arriving[j.level]
 	if j.state == waitsForDeadline {
-		q.late[j.level] += work
-		return
+		waiting, arriving = &q.late[j.level], &q.arrivingLate[j.level]
 	}
-	q.onTime[j.level] += work
+	*waiting += work
 	if sign > 0 {
 		q.decay(now)
-		q.arriving[j.level] += work / ratePeriod.Seconds()
+		*arriving += work / ratePeriod.Seconds()
 	}
 }
 
@@ -283,6 +289,7 @@
 	f := math.Exp(-elapsed.Seconds() / ratePeriod.Seconds())
 	for i := range q.arriving {
 		q.arriving[i] *= f
+		q.arrivingLate[i] *= f
 	}
 	q.refusedRate *= f
 	q.ratesAt = now
@@ -299,14 +306,14 @@
 
 // wait returns how long a request would wait as a late one: the on-time work of its level
 // and more urgent ones goes first, and late work is done only as fast as the on-time work
-// that arrives allows.
+// that arrives and the late work of more urgent ones allow.
 func (q *Queue) wait(now time.Time, j *Job) time.Duration {
 	if q.busy < q.places && q.plan.Len() == 0 {
 		return 0
 	}
 	q.decay(now)
 	n := float64(max(1, q.places))
-	spare := max(minSpareFraction*n, n-q.arriving.upTo(j.level))
+	spare := max(minSpareFraction*n, n-q.arriving.upTo(j.level)-q.arrivingLate.upTo(j.level-1))
 	seconds := q.onTime.upTo(j.level)/n + q.late.upTo(j.level)/spare
 	return q.lead() + time.Duration(seconds*float64(time.Second))
 }
