--- a/core/slot/slot_test.go
+++ b/core/slot/slot_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -191,3 +192,69 @@
 		}
 	})
 }
+
+// TestTwoOwners guards against requests that are lost, or servers that get much more than they
+// can run, while two instances believe that they are the owner.
+func TestTwoOwners(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const numServers, slots, tries = 3, 6, 4
+		owners := make([]*Owner, 2)
+		for i := range owners {
+			owners[i], _ = newOwner(numServers, slots, nil)
+		}
+		var mu sync.Mutex
+		running, sends, full, answered := make(map[string]int), 0, 0, 0
+		begin := func(server string) bool {
+			mu.Lock()
+			defer mu.Unlock()
+			sends++
+			if running[server] >= slots {
+				full++
+				return false
+			}
+			running[server]++
+			return true
+		}
+		end := func(server string) {
+			mu.Lock()
+			defer mu.Unlock()
+			running[server]--
+			answered++
+		}
+		serve := func(o *Owner, id string) {
+			deadline := time.Now().Add(1500 * time.Millisecond)
+			for try := range tries {
+				q := query(fmt.Sprint(id, "/", try), time.Until(deadline))
+				q.Deadline = deadline
+				server, err := o.Acquire(t.Context(), q)
+				if err != nil || server == "" {
+					return
+				}
+				if !begin(server) {
+					o.Release(q.RequestID, balance.Full, 0)
+					continue
+				}
+				time.Sleep(30 * time.Millisecond)
+				end(server)
+				o.Release(q.RequestID, balance.Succeeded, 30*time.Millisecond)
+				return
+			}
+		}
+		rng := rand.New(rand.NewPCG(7, 7))
+		var wg sync.WaitGroup
+		const requests = 2000
+		for i := range requests {
+			// 0.8 of what the servers can do.
+			time.Sleep(time.Duration(rng.ExpFloat64() * float64(30*time.Millisecond) / (0.8 * numServers * slots)))
+			wg.Go(func() { serve(owners[i%2], fmt.Sprint(i)) })
+		}
+		wg.Wait()
+		t.Logf("%d requests, %d sends, %d to full servers, %d answered", requests, sends, full, answered)
+		if answered < 0.95*requests {
+			t.Errorf("%d of %d requests were answered", answered, requests)
+		}
+		if full > requests/5 {
+			t.Errorf("%d of %d sends were to full servers", full, sends)
+		}
+	})
+}
