edge: a caller that gives up does not end the pause of a silent owner

Cause: a request given up by its caller counted as an answer of the owner, and one whose deadline had passed kept all others from asking again. Result: go test ./edge -run 'SlotPause|TestSlots|TestRequestsWait' passes.

--- a/edge/slots.go
+++ b/edge/slots.go
@@ -125,12 +125,13 @@
 		}
 		go d.releaseSlot(address, q, "", balance.Abandoned, 0)
 		if ctx.Err() != nil {
-			d.slotAnswered(address)
+			d.slotNotDecided(address)
 			return relay.Slot{}, false, ctx.Err()
 		}
 		d.pauseSlots(address, err)
 		return relay.Slot{}, false, nil
 	}
+	d.slotNotDecided(address)
 	go d.releaseSlot(address, q, "", balance.Abandoned, 0)
 	return relay.Slot{}, false, fault.Errorf(fault.DeadlineTooShort, "the request got no slot before its deadline").WithRan(fault.RanNo)
 }
@@ -215,6 +216,15 @@
 	delete(d.slotPauses, address)
 }
 
+// slotNotDecided ends a call for a slot that shows nothing of the owner.
+func (d *delegator) slotNotDecided(address string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if p := d.slotPauses[address]; p != nil {
+		p.asking = false
+	}
+}
+
 // pauseSlots keeps an owner that did not answer from being asked for slots for a while.
 func (d *delegator) pauseSlots(address string, err error) {
 	d.mu.Lock()
