Merge delay and load shedding at the owner of a service

The owner of a plain service with fewer slots than instances gives them to the requests of all instances, by one policy; requests for engines wait there for room. A replacement of a silent attempt takes its demand before the attempt, since the request's state changes beside it.

--- a/core/relay/cold.go
+++ b/core/relay/cold.go
@@ -41,11 +41,11 @@
 	return false
 }
 
-// goElsewhere gives back the grant of a server of a plain service to which the request was
+// goElsewhere gives back the slot at a server of a plain service to which the request was
 // not admitted, and reports whether another one may serve the request.
-func (e *execution) goElsewhere(ctx context.Context, s *stage.Stage, grant stage.Grant) (bool, error) {
-	name := grant.Endpoint.Name()
-	s.Release(grant, balance.Abandoned)
+func (e *execution) goElsewhere(ctx context.Context, s *stage.Stage, granted plainSlot) (bool, error) {
+	name := granted.Server
+	granted.End(balance.Abandoned, 0)
 	if ctx.Err() != nil {
 		return false, e.contextError(ctx)
 	}
--- a/core/relay/place.go
+++ b/core/relay/place.go
@@ -45,10 +45,15 @@
 		return placement{}, err
 	}
 	for {
-		p, ok, refused := e.place(ctx, e.newPlacementID(), e.triedServers)
+		d := e.demand()
+		if !e.mustGoOn() && e.trial == "" {
+			// A stream that must go on asks again and again itself.
+			d.Wait = max(0, e.nextEventDeadline().Add(-e.relay.stats.FirstEventTime(e.now(), e.route.Name)).Sub(e.now()))
+		}
+		p, ok, refused := e.place(ctx, e.newPlacementID(), e.triedServers, d)
 		if !ok && e.mustGoOn() {
 			// Any other one is better than none.
-			p, ok, refused = e.place(ctx, e.newPlacementID(), e.triedServers[len(e.triedServers)-1:])
+			p, ok, refused = e.place(ctx, e.newPlacementID(), e.triedServers[len(e.triedServers)-1:], d)
 		}
 		if ctx.Err() != nil {
 			if ok {
@@ -78,11 +83,11 @@
 // place chooses an engine that is not excluded and reports whether there is one. An error is
 // the reason why whoever places requests refused this one. It may be called while an attempt
 // is in progress.
-func (e *execution) place(ctx context.Context, id string, exclude []string) (placement, bool, error) {
+func (e *execution) place(ctx context.Context, id string, exclude []string, d overload.Demand) (placement, bool, error) {
 	q := engine.Query{
 		RequestID: id, Affinity: e.req.Affinity, Exclude: slices.Concat(exclude, e.relay.deps.Servers().Unwilling(e.now(), e.service)),
 		Weights: e.zoneWeights(), Expires: e.deadline, Repeatable: e.route.MayRunAgain(), Trial: e.trial,
-		Parts: e.req.Parts, PromptTokens: e.req.PromptTokens, OutputTokens: e.req.ExpectedTokens, Demand: e.demand(),
+		Parts: e.req.Parts, PromptTokens: e.req.PromptTokens, OutputTokens: e.req.ExpectedTokens, Demand: d,
 	}
 	if q.Affinity == "" {
 		q.Affinity = e.req.ID
@@ -103,13 +108,6 @@
 	return placement{}, false, nil
 }
 
-// demand describes the request to the instance that places it.
-func (e *execution) demand() overload.Demand {
-	return overload.Demand{
-		Class: e.route.Name, Organisation: e.orgName, Priority: e.effectivePriority(), Worth: e.worth, Due: e.due, RelativeSize: e.relativeSize,
-	}
-}
-
 func (e *execution) observe(o engine.Observation) {
 	if e.relay.deps.Observe != nil {
 		e.relay.deps.Observe(e.service, o)
--- a/core/relay/replace.go
+++ b/core/relay/replace.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"chervilpath/core/balance"
+	"chervilpath/core/overload"
 )
 
 type (
@@ -28,6 +29,8 @@
 		current placement
 		id      string
 		exclude []string
+		// demand is that of the request, which does not wait for room: an attempt is in progress.
+		demand overload.Demand
 		// resultsHeld is set if the results of the stages are held until the first event.
 		resultsHeld bool
 		// started is set if the stream had begun before the attempt in progress, with its
@@ -60,7 +63,7 @@
 		return w
 	}
 	r := &replacement{
-		exec: e, current: p, id: e.newPlacementID(), exclude: append(slices.Clone(e.triedServers), p.server.ID), resultsHeld: len(e.held) > 0,
+		exec: e, current: p, id: e.newPlacementID(), exclude: append(slices.Clone(e.triedServers), p.server.ID), resultsHeld: len(e.held) > 0, demand: e.demand(),
 		started: e.stream.started, lastEvent: e.lastEvent, decision: e.decision("silence", "", p.server.ID, 0),
 	}
 	w.suspect, w.prepare, w.commit = r.suspect, r.prepare, r.commit
@@ -88,7 +91,7 @@
 	if r.exec.isSuspected() {
 		return nil, errSuspected
 	}
-	p, ok, _ := r.exec.place(ctx, r.id, slices.Concat(r.exclude, r.exec.coldServers()))
+	p, ok, _ := r.exec.place(ctx, r.id, slices.Concat(r.exclude, r.exec.coldServers()), r.demand)
 	if !ok {
 		return nil, errNoEngine
 	}
--- a/edge/metrics.go
+++ b/edge/metrics.go
@@ -6,6 +6,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 
 	"chervilpath/core/memory"
+	"chervilpath/core/slot"
 )
 
 // metrics holds the metrics of an instance.
@@ -36,6 +37,8 @@
 	choices      *prometheus.CounterVec
 	expectedWait prometheus.Histogram
 	observations *prometheus.CounterVec
+	// slots counts the decisions about requests that need a slot at this instance as an owner.
+	slots *prometheus.CounterVec
 }
 
 var durationBuckets = []float64{.01, .025, .05, .1, .25, .5, 1, 2.5, 5, 10, 20}
@@ -63,6 +66,7 @@
 		batches:          prometheus.NewCounterVec(prometheus.CounterOpts{Name: "chervilpath_batches_total", Help: "Calls of stage servers by result."}, []string{"result"}),
 		batchPieces:      prometheus.NewHistogram(prometheus.HistogramOpts{Name: "chervilpath_batch_pieces", Help: "Pieces in a call of a stage server.", Buckets: prometheus.ExponentialBuckets(1, 2, 8)}),
 		batchDuration:    prometheus.NewHistogram(prometheus.HistogramOpts{Name: "chervilpath_batch_seconds", Help: "Time of a call of a stage server.", Buckets: durationBuckets}),
+		slots:            prometheus.NewCounterVec(prometheus.CounterOpts{Name: "chervilpath_slot_decisions_total", Help: "Decisions of this instance as the owner of the slots of a plain service, by service, class and step."}, []string{"service", "class", "step"}),
 	}
 	m.choices = prometheus.NewCounterVec(prometheus.CounterOpts{Name: "chervilpath_engine_choices_total", Help: "Engines chosen by this instance, by reason: kept, soonest, fallback or none."}, []string{"reason"})
 	m.expectedWait = prometheus.NewHistogram(prometheus.HistogramOpts{Name: "chervilpath_engine_expected_wait_seconds", Help: "Expected time until a chosen engine begins to read the prompt.", Buckets: durationBuckets})
@@ -106,6 +110,7 @@
 		m.batchPieces,
 		m.batchDuration,
 		m.coldAdmissions,
+		m.slots,
 	)
 	return m
 }
@@ -132,3 +137,8 @@
 	m.batchPieces.Observe(float64(pieces))
 	m.batchDuration.Observe(elapsed.Seconds())
 }
+
+// recordSlot records a decision about a request that needs a slot.
+func (m *metrics) recordSlot(e slot.Event) {
+	m.slots.WithLabelValues(e.Service, e.Job.Demand.Class, string(e.Step)).Inc()
+}
--- a/edge/state.go
+++ b/edge/state.go
@@ -114,6 +114,9 @@
 		// limited.
 		coldRates   atomic.Pointer[map[string]float64]
 		plainStages map[string]*stage.Stage
+		// slotOwners holds the owners of the slots of plain services for which this instance
+		// was asked.
+		slotOwners  map[string]*slotOwner
 		retryShares map[string]*retry.Share
 	}
 )
@@ -137,7 +140,7 @@
 	c := &clusterState{
 		instance: in, view: fleet.New(outageHeartbeats * in.cfg.Load().Bounds().HeartbeatInterval), numInstances: 1, changed: make(chan struct{}),
 		followsEvacuations: in.cfg.Load().Bounds().Evacuation > 0,
-		uses:               make(map[string]serviceUse), plainStages: make(map[string]*stage.Stage), retryShares: make(map[string]*retry.Share),
+		uses:               make(map[string]serviceUse), plainStages: make(map[string]*stage.Stage), slotOwners: make(map[string]*slotOwner), retryShares: make(map[string]*retry.Share),
 	}
 	c.snapshot.Store(c.view.Snapshot())
 	return c
@@ -439,7 +442,13 @@
 		s.SetDeclaration(decl)
 	}
 	s.UpdateMembership(nil, c.numInstances)
-	s.SetExcluded(c.exclusions(servers))
+	excluded := c.exclusions(servers)
+	s.SetExcluded(excluded)
+	if o, ok := c.slotOwners[name]; ok {
+		o.stage.SetDeclaration(decl)
+		o.stage.SetExcluded(excluded)
+		o.Update()
+	}
 }
 
 // exclusions returns until when servers of a plain service get nothing from this instance,
@@ -459,8 +468,13 @@
 func (c *clusterState) excludeDenied(service string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	excluded := c.exclusions(c.snapshot.Load().Service(service))
 	if s, ok := c.plainStages[service]; ok {
-		s.SetExcluded(c.exclusions(c.snapshot.Load().Service(service)))
+		s.SetExcluded(excluded)
+	}
+	if o, ok := c.slotOwners[service]; ok {
+		o.stage.SetExcluded(excluded)
+		o.Update()
 	}
 }
 
--- a/edge/status.go
+++ b/edge/status.go
@@ -27,6 +27,7 @@
 			HeldMs: now.Sub(h.Since).Milliseconds(), TrialInMs: h.TrialDue.Sub(now).Milliseconds(), Trials: h.Trials,
 		})
 	}
+	in.addQueueStatus(&out)
 	servers := in.state.servers()
 	out.EvacuatedZones = servers.Evacuations().Zones
 	for s := range servers.Leaving() {
