overload: properties for streams

Change: the properties of bursts are also tested for requests that are answered long before they give back their places.

--- a/core/overload/queue_test.go
+++ b/core/overload/queue_test.go
@@ -45,8 +45,11 @@
 		meanSize    float64
 		rng         *rand.Rand
 		target      time.Duration
-		requests    map[*Job]*simRequest
-		addedAt     map[*Job]time.Time
+		// work is the time for which a request of size 1 holds its place, and response that
+		// until it is answered, or 0 if that is at the end.
+		work, response time.Duration
+		requests       map[*Job]*simRequest
+		addedAt        map[*Job]time.Time
 	}
 )
 
@@ -63,10 +66,10 @@
 	return e
 }
 
-func newSimulation(seed uint64, places int, target time.Duration) *simulation {
+func newSimulation(seed uint64, places int, target, work, response time.Duration) *simulation {
 	rng := rand.New(rand.NewPCG(seed, 1))
 	s := &simulation{
-		now: time.Unix(1000, 0), queue: New(simWork, rng.Float64), rng: rng, meanSize: 1, target: target,
+		now: time.Unix(1000, 0), queue: New(work, rng.Float64), rng: rng, meanSize: 1, target: target, work: work, response: response,
 		requests: make(map[*Job]*simRequest), addedAt: make(map[*Job]time.Time),
 	}
 	s.setPlaces(places)
@@ -96,7 +99,7 @@
 func (s *simulation) add(r *simRequest) {
 	s.meanSize += 0.02 * (r.size - s.meanSize)
 	relative := r.size / s.meanSize
-	j := &Job{Deadline: r.arrived.Add(r.timeout), Demand: Demand{
+	j := &Job{Deadline: r.arrived.Add(r.timeout), Response: time.Duration(r.size * float64(s.response)), Demand: Demand{
 		Class: strconv.Itoa(r.class), Organisation: strconv.Itoa(r.org), Priority: r.class, RelativeSize: relative,
 		Worth: (0.3 + 0.7*min(relative, 4)) / float64(int(1)<<r.class), Due: r.arrived.Add(s.target), Returned: r.refusals > 0,
 	}}
@@ -114,7 +117,7 @@
 	delete(s.requests, j)
 	delete(s.addedAt, j)
 	left := r.arrived.Add(r.timeout).Sub(s.now)
-	if r.refusals++; r.refusals <= 2 && left > simWork {
+	if r.refusals++; r.refusals <= 2 && left > min(s.work, time.Duration(0.1*float64(r.timeout))) {
 		s.at(s.now.Add(min(retryAfter, left/3)), func() { s.add(r) })
 	}
 }
@@ -133,12 +136,15 @@
 		r.started = true
 		delete(s.requests, j)
 		delete(s.addedAt, j)
-		took := time.Duration(r.size * float64(simWork) * (0.8 + 0.4*s.rng.Float64()))
-		s.at(s.now.Add(took), func() {
-			s.queue.End(j, took)
-			r.answered = !s.now.After(r.arrived.Add(r.timeout))
-			r.onTime = !s.now.After(r.arrived.Add(s.target))
-		})
+		factor := r.size * (0.8 + 0.4*s.rng.Float64())
+		took := time.Duration(factor * float64(s.work))
+		answeredAt := s.now.Add(took)
+		if s.response > 0 {
+			answeredAt = s.now.Add(time.Duration(factor * float64(s.response)))
+		}
+		r.answered = !answeredAt.After(r.arrived.Add(r.timeout))
+		r.onTime = !answeredAt.After(r.arrived.Add(s.target))
+		s.at(s.now.Add(took), func() { s.queue.End(j, took) })
 	}
 }
 
@@ -176,12 +182,12 @@
 
 // runBurst simulates a burst of 5 s after 3 s at the given load, and returns the requests that
 // arrived in it.
-func runBurst(seed uint64, b burst, load float64, places, classes, orgs, busyClass int, timeout time.Duration) []*simRequest {
-	s := newSimulation(seed, places, 150*time.Millisecond)
+func runBurst(seed uint64, b burst, load float64, places, classes, orgs, busyClass int, timeout, target, work, response time.Duration) []*simRequest {
+	s := newSimulation(seed, places, target, work, response)
 	start := s.now
 	from, to := start.Add(3*time.Second), start.Add(8*time.Second)
 	var during []*simRequest
-	base := load * float64(places) / simWork.Seconds() / float64(classes*orgs)
+	base := load * float64(places) / work.Seconds() / float64(classes*orgs)
 	for class := range classes {
 		for org := range orgs {
 			for t := start; t.Before(to.Add(2 * time.Second)); {
@@ -225,7 +231,24 @@
 				orgs, load := rapid.IntRange(2, 20).Draw(t, "organisations"), rapid.Float64Range(0.6, 0.95).Draw(t, "load")
 				busy := rapid.IntRange(0, classes-1).Draw(t, "busyClass")
 				timeout := time.Duration(rapid.IntRange(800, 3000).Draw(t, "timeoutMs")) * time.Millisecond
-				requests := runBurst(rapid.Uint64().Draw(t, "seed"), b, load, places, classes, orgs, busy, timeout)
+				requests := runBurst(rapid.Uint64().Draw(t, "seed"), b, load, places, classes, orgs, busy, timeout, 150*time.Millisecond, simWork, 0)
+				checkServed(t, requests, classes, orgs)
+			})
+		})
+	}
+}
+
+// TestBurstsOfStreams checks the same for streams, which are answered long before they give
+// back their places.
+func TestBurstsOfStreams(t *testing.T) {
+	for _, b := range bursts {
+		t.Run(b.name, func(t *testing.T) {
+			rapid.Check(t, func(t *rapid.T) {
+				places, classes := rapid.IntRange(60, 400).Draw(t, "places"), rapid.IntRange(1, 4).Draw(t, "classes")
+				orgs, load := rapid.IntRange(2, 20).Draw(t, "organisations"), rapid.Float64Range(0.6, 0.95).Draw(t, "load")
+				busy := rapid.IntRange(0, classes-1).Draw(t, "busyClass")
+				timeout := time.Duration(rapid.IntRange(4000, 8000).Draw(t, "timeoutMs")) * time.Millisecond
+				requests := runBurst(rapid.Uint64().Draw(t, "seed"), b, load, places, classes, orgs, busy, timeout, 1100*time.Millisecond, 800*time.Millisecond, 200*time.Millisecond)
 				checkServed(t, requests, classes, orgs)
 			})
 		})
