--- a/soak/checker_test.go
+++ b/soak/checker_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"os"
 	"io"
 	"net/http"
 	"strings"
@@ -355,7 +356,7 @@
 		t.Skip("starts processes")
 	}
 	for seed := range uint64(3) {
-		o := options{Seed: 3 + seed, Duration: 8 * time.Second, Instances: 3, Callers: 6, Port: 18600, RepeatSlack: 56}
+		o := options{Seed: 3 + seed, Duration: 8 * time.Second, Instances: 3, Callers: 6, Port: 18600 + 20*(os.Getpid()%50), RepeatSlack: 56}
 		t.Run(fmt.Sprint("seed ", o.Seed), func(t *testing.T) {
 			var out strings.Builder
 			violations, err := soak(o, &out)
