--- a/core/engine/engine.go
+++ b/core/engine/engine.go
@@ -92,11 +92,12 @@
 		// engines holds the engines by index. The index of an engine that has left is
 		// nil until it is used again.
 		engines []*engineState
-		// hot holds what a choice reads of each engine, by the same index.
-		hot []hotState
-		// zones are the names of the zones, by hotState.zone.
+		// costs and ranks hold what a choice reads of each engine, by the same index.
+		costs []engineCost
+		ranks []engineRank
+		// zones are the names of the zones, by engineRank.zone.
 		zones []string
-		// choices counts the choices, so that hotState.skipped need not be reset.
+		// choices counts the choices, so that engineRank.skipped need not be reset.
 		choices     uint64
 		refreshedAt time.Time
 		kept        keptParts
@@ -130,13 +131,14 @@
 		trial string
 	}
 
-	// hotState is what a choice reads of an engine.
-	hotState struct {
-		// wait is the expected time until the engine begins to read a new prompt, or
-		// infinite if it can't take a request, and perToken the cost of reading a token
-		// of it. Both are in milliseconds.
-		wait, perToken float64
-		hash           uint64
+	// engineCost is the expected time in milliseconds until an engine begins to read a new
+	// prompt, or infinite if it can't take a request, and the cost of reading a token of it.
+	// It is small, since a choice reads that of all engines.
+	engineCost struct{ wait, perToken float64 }
+
+	// engineRank is what a choice reads of some engines.
+	engineRank struct {
+		hash uint64
 		// skipped is the number of the choice for which the engine is left out.
 		skipped uint64
 		zone    int32
@@ -186,7 +188,7 @@
 		e, ok := p.byID[s.ID]
 		if !ok {
 			e = &engineState{id: s.ID, index: p.freeIndex()}
-			p.hot[e.index] = hotState{hash: xxhash.Sum64String(s.ID)}
+			p.ranks[e.index] = engineRank{hash: xxhash.Sum64String(s.ID)}
 		} else if e.born != s.Born {
 			// Requests on the previous incarnation keep its state until they are settled.
 			p.kept.clear(e.index)
@@ -194,7 +196,7 @@
 		}
 		e.born, e.zone = s.Born, s.Zone
 		p.byID[s.ID], p.engines[e.index] = e, e
-		p.hot[e.index].zone = p.zoneIndex(s.Zone)
+		p.ranks[e.index].zone = p.zoneIndex(s.Zone)
 	}
 	for id, e := range p.byID {
 		if !listed[id] {
@@ -221,7 +223,7 @@
 			return int32(i)
 		}
 	}
-	p.engines, p.hot = append(p.engines, nil), append(p.hot, hotState{})
+	p.engines, p.costs, p.ranks = append(p.engines, nil), append(p.costs, engineCost{}), append(p.ranks, engineRank{})
 	return int32(len(p.engines) - 1)
 }
 
--- a/core/engine/place.go
+++ b/core/engine/place.go
@@ -62,7 +62,7 @@
 		if p.accepts(now, c.engine, &q) {
 			return p.assign(now, c, &q, &r)
 		}
-		p.hot[c.engine].skipped = p.choices
+		p.ranks[c.engine].skipped = p.choices
 	}
 	if q.MaxWait > 0 {
 		return Choice{Reason: ReasonNone}
@@ -84,9 +84,9 @@
 		}
 		if p.accepts(now, c.engine, &q) {
 			pace := p.engines[c.engine].pace.at(now, p.usual.value())
-			return milliseconds(p.hot[c.engine].wait + pace*(r.prompt-c.kept)/tokensPerMs)
+			return milliseconds(p.costs[c.engine].wait + pace*(r.prompt-c.kept)/tokensPerMs)
 		}
-		p.hot[c.engine].skipped = p.choices
+		p.ranks[c.engine].skipped = p.choices
 	}
 }
 
@@ -98,7 +98,7 @@
 	p.choices++
 	for _, id := range exclude {
 		if e, ok := p.byID[id]; ok {
-			p.hot[e.index].skipped = p.choices
+			p.ranks[e.index].skipped = p.choices
 		}
 	}
 }
@@ -153,9 +153,8 @@
 func (p *Placer) cheapest(r *request, maxWait float64) (candidate, float64) {
 	soonest, least := int32(-1), math.Inf(1)
 	anew := p.readAnew(r)
-	for i := range p.hot {
-		h := &p.hot[i]
-		if cost := h.wait + h.perToken*anew; cost < least && h.wait <= maxWait && h.skipped != p.choices {
+	for i, c := range p.costs {
+		if cost := c.wait + c.perToken*anew; cost < least && c.wait <= maxWait && p.ranks[i].skipped != p.choices {
 			soonest, least = int32(i), cost
 		}
 	}
@@ -163,8 +162,8 @@
 	for k := r.shared() - 1; k >= 0; k-- {
 		unread := anew - p.readingWeight*r.upTo[k]
 		for _, i := range r.keepers[k] {
-			h := &p.hot[i]
-			if cost := h.wait + h.perToken*unread; cost <= bestCost && h.wait <= maxWait && h.skipped != p.choices {
+			c := p.costs[i]
+			if cost := c.wait + c.perToken*unread; cost <= bestCost && c.wait <= maxWait && p.ranks[i].skipped != p.choices {
 				best, bestCost = candidate{i, r.upTo[k], ReasonKept}, cost
 			}
 		}
@@ -190,13 +189,13 @@
 		zoneMask = maxZones - 1
 	}
 	affinity := xxhash.Sum64String(q.Affinity)
-	for i := range p.hot {
-		h := &p.hot[i]
-		if h.wait+h.perToken*tokens > bound || h.wait > maxWait || h.skipped == p.choices {
+	for i, c := range p.costs {
+		rank := &p.ranks[i]
+		if c.wait+c.perToken*tokens > bound || c.wait > maxWait || rank.skipped == p.choices {
 			continue
 		}
-		z := h.zone & zoneMask
-		if high, low := bits.Mul64(affinity^h.hash, hashFactor); byZone[z] < 0 || high^low > highest[z] {
+		z := rank.zone & zoneMask
+		if high, low := bits.Mul64(affinity^rank.hash, hashFactor); byZone[z] < 0 || high^low > highest[z] {
 			highest[z], byZone[z] = high^low, int32(i)
 		}
 	}
@@ -274,12 +273,12 @@
 	sum, count := 0.0, 0.0
 	for i, e := range p.engines {
 		if e == nil {
-			p.hot[i].wait = math.Inf(1)
+			p.costs[i].wait = math.Inf(1)
 			continue
 		}
 		p.refresh(now, e)
-		if h := &p.hot[i]; !math.IsInf(h.wait, 1) {
-			sum, count = sum+h.wait, count+1
+		if wait := p.costs[i].wait; !math.IsInf(wait, 1) {
+			sum, count = sum+wait, count+1
 		}
 	}
 	p.readingWeight = maxReadingWeight
@@ -299,10 +298,10 @@
 		// A request of a previous incarnation ended.
 		return
 	}
-	h := &p.hot[e.index]
-	h.wait, h.perToken = p.waitAt(e, pace), pace/tokensPerMs*(1+pauseWeight*float64(e.load))
+	c := &p.costs[e.index]
+	c.wait, c.perToken = p.waitAt(e, pace), pace/tokensPerMs*(1+pauseWeight*float64(e.load))
 	if e.load >= p.slots || e.onTrial() && e.trial != "" || now.Before(e.pausedUntil) {
-		h.wait = math.Inf(1)
+		c.wait = math.Inf(1)
 	}
 }
 
