engine: a choice reads only blocks of engines that may cost less

The benchmark now reports first events after 160 ms and by the prompt's size; with 100 ms for each request it read the same paces for different work.

--- a/core/engine/bench_test.go
+++ b/core/engine/bench_test.go
@@ -13,7 +13,7 @@
 // BenchmarkServe measures a choice among 650 engines (ns/choice), and the choice together with
 // the observation and the settlement of the request (ns/op), at 3,700 requests a second.
 func BenchmarkServe(b *testing.B) {
-	const engines, running = 650, 4000
+	const engines, reading, running = 650, 600, 4000
 	p := engine.New()
 	var servers []fleet.Server
 	for i := range engines {
@@ -31,16 +31,20 @@
 		})
 	}
 	placed := make([]string, len(queries))
-	now, choosing := start, time.Duration(0)
+	now, choosing, kept := start, time.Duration(0), 0
 	step := func(i int) {
 		now = now.Add(270 * time.Microsecond)
 		q := &queries[i%len(queries)]
 		began := time.Now()
-		placed[i%len(queries)] = p.Place(now, *q)
+		c := p.Choose(now, *q)
 		choosing += time.Since(began)
-		if first := i - running/2; first >= 0 {
+		placed[i%len(queries)] = c.Server
+		if c.Reason == engine.ReasonKept {
+			kept++
+		}
+		if first := i - reading; first >= 0 {
 			q := &queries[first%len(queries)]
-			p.Observe(now, engine.Observation{RequestID: q.RequestID, Server: placed[first%len(queries)], FirstEvent: 100 * time.Millisecond})
+			p.Observe(now, engine.Observation{RequestID: q.RequestID, Server: placed[first%len(queries)], FirstEvent: time.Duration(q.Parts[1].Tokens/50+20) * time.Millisecond})
 		}
 		if done := i - running; done >= 0 {
 			q := &queries[done%len(queries)]
@@ -52,13 +56,14 @@
 		step(i)
 	}
 	b.ReportAllocs()
-	choosing = 0
+	choosing, kept = 0, 0
 	i := warm
 	for b.Loop() {
 		step(i)
 		i++
 	}
 	b.ReportMetric(float64(choosing.Nanoseconds())/float64(i-warm), "ns/choice")
+	b.ReportMetric(float64(kept)/float64(i-warm), "kept/choice")
 }
 
 // BenchmarkEstimate measures a choice alone.
--- a/core/engine/engine.go
+++ b/core/engine/engine.go
@@ -95,6 +95,9 @@
 		// costs and ranks hold what a choice reads of each engine, by the same index.
 		costs []engineCost
 		ranks []engineRank
+		// blocks hold the least wait and the least cost of a token among blockSize engines
+		// each, so that a choice need not read those that are too busy.
+		blocks []engineCost
 		// zones are the names of the zones, by engineRank.zone.
 		zones []string
 		// choices counts the choices, so that engineRank.skipped need not be reset.
@@ -224,6 +227,9 @@
 		}
 	}
 	p.engines, p.costs, p.ranks = append(p.engines, nil), append(p.costs, engineCost{}), append(p.ranks, engineRank{})
+	if len(p.blocks)*blockSize < len(p.engines) {
+		p.blocks = append(p.blocks, engineCost{})
+	}
 	return int32(len(p.engines) - 1)
 }
 
--- a/core/engine/place.go
+++ b/core/engine/place.go
@@ -34,6 +34,9 @@
 	// heard are computed again. It is short against the 600 ms for which engines are slow.
 	refreshInterval = 50 * time.Millisecond
 
+	// blockSize is the number of engines in a block.
+	blockSize = 16
+
 	// maxZones is the number of zones whose weights are told apart, a power of two.
 	maxZones = 16
 
@@ -151,27 +154,30 @@
 // time to the first event in milliseconds, with readAnew. An engine that keeps a beginning of
 // the prompt has less to read.
 func (p *Placer) cheapest(r *request, maxWait float64) (candidate, float64) {
-	soonest, least := int32(-1), math.Inf(1)
+	best, least := candidate{engine: -1}, math.Inf(1)
 	anew := p.readAnew(r)
-	for i, c := range p.costs {
-		if cost := c.wait + c.perToken*anew; cost < least && c.wait <= maxWait && p.ranks[i].skipped != p.choices {
-			soonest, least = int32(i), cost
-		}
-	}
-	best, bestCost := candidate{engine: -1}, least
+	// Those that keep a beginning come first: most of the others cost more, and whole blocks
+	// of them need not be read.
 	for k := r.shared() - 1; k >= 0; k-- {
 		unread := anew - p.readingWeight*r.upTo[k]
 		for _, i := range r.keepers[k] {
 			c := p.costs[i]
-			if cost := c.wait + c.perToken*unread; cost <= bestCost && c.wait <= maxWait && p.ranks[i].skipped != p.choices {
-				best, bestCost = candidate{i, r.upTo[k], ReasonKept}, cost
+			if cost := c.wait + c.perToken*unread; cost < least && c.wait <= maxWait && p.ranks[i].skipped != p.choices {
+				best, least = candidate{i, r.upTo[k], ReasonKept}, cost
 			}
 		}
 	}
-	if best.engine < 0 && soonest >= 0 {
-		best = candidate{soonest, 0, ReasonSoonest}
+	for b, block := range p.blocks {
+		if block.wait+block.perToken*anew >= least {
+			continue
+		}
+		for i, c := range p.block(b) {
+			if cost := c.wait + c.perToken*anew; cost < least && c.wait <= maxWait && p.ranks[b*blockSize+i].skipped != p.choices {
+				best, least = candidate{int32(b*blockSize + i), 0, ReasonSoonest}, cost
+			}
+		}
 	}
-	return best, bestCost
+	return best, least
 }
 
 // rendezvous returns the engine with the highest rank by weighted rendezvous hashing among
@@ -189,14 +195,19 @@
 		zoneMask = maxZones - 1
 	}
 	affinity := xxhash.Sum64String(q.Affinity)
-	for i, c := range p.costs {
-		rank := &p.ranks[i]
-		if c.wait+c.perToken*tokens > bound || c.wait > maxWait || rank.skipped == p.choices {
+	for b, block := range p.blocks {
+		if block.wait+block.perToken*tokens > bound {
 			continue
 		}
-		z := rank.zone & zoneMask
-		if high, low := bits.Mul64(affinity^rank.hash, hashFactor); byZone[z] < 0 || high^low > highest[z] {
-			highest[z], byZone[z] = high^low, int32(i)
+		for i, c := range p.block(b) {
+			rank := &p.ranks[b*blockSize+i]
+			if c.wait+c.perToken*tokens > bound || c.wait > maxWait || rank.skipped == p.choices {
+				continue
+			}
+			z := rank.zone & zoneMask
+			if high, low := bits.Mul64(affinity^rank.hash, hashFactor); byZone[z] < 0 || high^low > highest[z] {
+				highest[z], byZone[z] = high^low, int32(b*blockSize+i)
+			}
 		}
 	}
 	best, bestRank := int32(-1), 0.0
@@ -276,11 +287,14 @@
 			p.costs[i].wait = math.Inf(1)
 			continue
 		}
-		p.refresh(now, e)
+		p.setCost(e, now, e.pace.at(now, p.usual.value()))
 		if wait := p.costs[i].wait; !math.IsInf(wait, 1) {
 			sum, count = sum+wait, count+1
 		}
 	}
+	for b := range p.blocks {
+		p.refreshBlock(b)
+	}
 	p.readingWeight = maxReadingWeight
 	if count > 0 {
 		p.readingWeight = min(minReadingWeight+sum/count/busyWait, maxReadingWeight)
@@ -298,6 +312,11 @@
 		// A request of a previous incarnation ended.
 		return
 	}
+	p.setCost(e, now, pace)
+	p.refreshBlock(int(e.index) / blockSize)
+}
+
+func (p *Placer) setCost(e *engineState, now time.Time, pace float64) {
 	c := &p.costs[e.index]
 	c.wait, c.perToken = p.waitAt(e, pace), pace/tokensPerMs*(1+pauseWeight*float64(e.load))
 	if e.load >= p.slots || e.onTrial() && e.trial != "" || now.Before(e.pausedUntil) {
@@ -305,6 +324,24 @@
 	}
 }
 
+// block returns the costs of the engines of a block.
+func (p *Placer) block(b int) []engineCost {
+	return p.costs[b*blockSize : min((b+1)*blockSize, len(p.costs))]
+}
+
+func (p *Placer) refreshBlock(b int) {
+	least := engineCost{math.Inf(1), math.Inf(1)}
+	for _, c := range p.block(b) {
+		if c.wait < least.wait {
+			least.wait = c.wait
+		}
+		if c.perToken < least.perToken {
+			least.perToken = c.perToken
+		}
+	}
+	p.blocks[b] = least
+}
+
 // waitAt returns the expected time in milliseconds until an engine of the given pace begins to
 // read a prompt that is placed now. Requests are sent only after their stages, so the engine
 // has that time to read what was placed before: W ms of reading that arrives over D ms leaves
