--- a/core/engine/engine.go
+++ b/core/engine/engine.go
@@ -125,8 +125,10 @@
 		// read, and generating the number of tokens that it has still to generate.
 		reading, generating float64
 		// lastFirstEvent is when the latest first event was reported.
-		lastFirstEvent      time.Time
-		pace                enginePace
+		lastFirstEvent time.Time
+		pace           enginePace
+		// paceAtRefresh is the pace with which the engine's cost was computed.
+		paceAtRefresh       float64
 		consecutiveFailures int
 		pausedUntil         time.Time
 		// trial is the ID of the request that is placed on the engine after an
--- a/core/engine/place.go
+++ b/core/engine/place.go
@@ -234,10 +234,10 @@
 func (p *Placer) placeFallback(now time.Time, q *Query, r *request) Choice {
 	var best *engineState
 	for _, e := range p.engines {
-		if e == nil || e.load >= 2*p.slots || slices.Contains(q.Exclude, e.id) || p.Usable != nil && !p.Usable(now, e.id) {
+		if e == nil || e.load >= 2*p.slots || best != nil && !p.preferred(now, e, best) {
 			continue
 		}
-		if best == nil || p.preferred(now, e, best) {
+		if !slices.Contains(q.Exclude, e.id) && (p.Usable == nil || p.Usable(now, e.id)) {
 			best = e
 		}
 	}
@@ -252,8 +252,7 @@
 	if pausedA, pausedB := now.Before(a.pausedUntil), now.Before(b.pausedUntil); pausedA != pausedB {
 		return pausedB
 	}
-	usual := p.usual.value()
-	return p.waitAt(a, a.pace.at(now, usual)) < p.waitAt(b, b.pace.at(now, usual))
+	return p.waitAt(a, a.paceAtRefresh) < p.waitAt(b, b.paceAtRefresh)
 }
 
 // assign records the placement of a request and replaces its previous one.
@@ -317,6 +316,7 @@
 }
 
 func (p *Placer) setCost(e *engineState, now time.Time, pace float64) {
+	e.paceAtRefresh = pace
 	c := &p.costs[e.index]
 	c.wait, c.perToken = p.waitAt(e, pace), pace/tokensPerMs*(1+pauseWeight*float64(e.load))
 	if e.load >= p.slots || e.onTrial() && e.trial != "" || now.Before(e.pausedUntil) {
