--- a/core/engine/place.go
+++ b/core/engine/place.go
@@ -37,6 +37,9 @@
 	// blockSize is the number of engines in a block.
 	blockSize = 16
 
+	// maxRefused is the number of engines that are refused one by one.
+	maxRefused = 8
+
 	// maxZones is the number of zones whose weights are told apart, a power of two.
 	maxZones = 16
 
@@ -57,7 +60,7 @@
 	p.beginChoice(now, q.Exclude)
 	r := p.size(&q)
 	p.typical.add(&q)
-	for {
+	for refused := 0; ; refused++ {
 		c := p.choose(&q, &r)
 		if c.engine < 0 {
 			break
@@ -65,7 +68,7 @@
 		if p.accepts(now, c.engine, &q) {
 			return p.assign(now, c, &q, &r)
 		}
-		p.ranks[c.engine].skipped = p.choices
+		p.skip(now, c.engine, &q, refused)
 	}
 	if q.MaxWait > 0 {
 		return Choice{Reason: ReasonNone}
@@ -80,7 +83,7 @@
 	defer p.mu.Unlock()
 	p.beginChoice(now, q.Exclude)
 	r := p.size(&q)
-	for {
+	for refused := 0; ; refused++ {
 		c, _ := p.cheapest(&r, maxWait(&q))
 		if c.engine < 0 {
 			return NoEngine
@@ -89,7 +92,7 @@
 			pace := p.engines[c.engine].pace.at(now, p.usual.value())
 			return milliseconds(p.costs[c.engine].wait + pace*(r.prompt-c.kept)/tokensPerMs)
 		}
-		p.ranks[c.engine].skipped = p.choices
+		p.skip(now, c.engine, &q, refused)
 	}
 }
 
@@ -113,6 +116,21 @@
 	return e.takes(q) && !now.Before(e.pausedUntil) && (p.Usable == nil || p.Usable(now, e.id))
 }
 
+// skip leaves out an engine that was refused after others, and all that are refused once there
+// are maxRefused, so that a service of which most engines are not usable is not searched for
+// each of them.
+func (p *Placer) skip(now time.Time, index int32, q *Query, refused int) {
+	p.ranks[index].skipped = p.choices
+	if refused != maxRefused {
+		return
+	}
+	for i, e := range p.engines {
+		if e != nil && !p.accepts(now, int32(i), q) {
+			p.ranks[i].skipped = p.choices
+		}
+	}
+}
+
 // candidate is an engine that is chosen, or -1, and the tokens of the prompt that it keeps.
 type candidate struct {
 	engine int32
--- a/core/engine/time_test.go
+++ b/core/engine/time_test.go
@@ -287,8 +287,11 @@
 
 // Failure: a request goes to an engine that may get none now.
 func TestOnlyUsableEnginesAreChosen(t *testing.T) {
-	p := newPlacer(5)
+	p := newPlacer(50)
 	p.Usable = func(_ time.Time, id string) bool { return id == "e-4" }
+	if got := p.Estimate(start, query(0, "part")); got == engine.NoEngine {
+		t.Error("no estimate with a usable engine")
+	}
 	for i := range 16 {
 		if got := p.Place(start, query(i, fmt.Sprint("part-", i))); got != "e-4" {
 			t.Fatalf("request %d is placed on %q, want e-4", i, got)
