--- a/cmd/explain.go
+++ b/cmd/explain.go
@@ -130,6 +130,8 @@
 	}
 	if l.Step == "" {
 		add("", l.Message)
+		add("", l.Outcome)
+		add("server", l.Server)
 		add("kind", l.Kind)
 		add("status", fmt.Sprint(l.Status))
 		add("ran", l.Ran)
--- a/edge/placement.go
+++ b/edge/placement.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"fmt"
 	"time"
 
 	"go.uber.org/zap"
@@ -19,7 +20,8 @@
 	if c.Server != "" {
 		d.instance.metrics.expectedWait.Observe(c.Wait.Seconds())
 	}
-	d.instance.log.Info("engine chosen", zap.String("requestId", requestID), zap.String("service", service), zap.String("server", c.Server),
+	outcome := fmt.Sprintf("%s: expected wait of %d ms, pace %.2f of usually %.2f, keeps %d of %d tokens", c.Reason, c.Wait.Milliseconds(), c.Pace, c.UsualPace, c.KeptTokens, c.PromptTokens)
+	d.instance.log.Info("engine chosen", zap.String("requestId", requestID), zap.String("service", service), zap.String("server", c.Server), zap.String("outcome", outcome),
 		zap.String("reason", string(c.Reason)), zap.Int64("expectedWaitMs", c.Wait.Milliseconds()), zap.Int64("expectedFirstEventMs", c.FirstEvent.Milliseconds()),
 		zap.Float64("pace", c.Pace), zap.Float64("usualPace", c.UsualPace), zap.Int("keptTokens", c.KeptTokens), zap.Int("promptTokens", c.PromptTokens), zap.Int("requests", c.Requests))
 }
