--- a/core/engine/pace.go
+++ b/core/engine/pace.go
@@ -31,6 +31,11 @@
 	minPace = 0.25
 	maxPace = 8.0
 
+	// minUsualPace and maxUsualPace bound the usual pace. Since observations count relative to
+	// it, one that absurd observations had moved further would take minutes to recover.
+	minUsualPace = 0.02
+	maxUsualPace = 50.0
+
 	// maxObserved is the longest observed time that is believed.
 	maxObserved = 5 * time.Minute
 
@@ -116,7 +121,7 @@
 		return false
 	}
 	interval := inMilliseconds(o.Interval)
-	usual := p.usual.value()
+	usual := p.usualPace()
 	pace := e.pace.at(now, usual)
 	p.usualInterval.add(now, interval*usual/pace, 1)
 	ratio := interval / p.usualInterval.value()
@@ -129,7 +134,7 @@
 
 // learn records that an engine took some time for work that takes the given time at pace 1.
 func (p *Placer) learn(now time.Time, e *engineState, took, work float64) {
-	usual := p.usual.value()
+	usual := p.usualPace()
 	took = min(took, maxPace*usual*work)
 	e.pace.decay(now)
 	e.pace.short.add(took, work)
@@ -183,6 +188,9 @@
 	return m.ratio.time / m.ratio.work
 }
 
+// usualPace returns the mean pace of all engines.
+func (p *Placer) usualPace() float64 { return min(max(p.usual.value(), minUsualPace), maxUsualPace) }
+
 func decay(elapsed, constant time.Duration) float64 {
 	return math.Exp(-float64(elapsed) / float64(constant))
 }
--- a/core/engine/place.go
+++ b/core/engine/place.go
@@ -89,7 +89,7 @@
 			return NoEngine
 		}
 		if p.accepts(now, c.engine, &q) {
-			pace := p.engines[c.engine].pace.at(now, p.usual.value())
+			pace := p.engines[c.engine].pace.at(now, p.usualPace())
 			return milliseconds(p.costs[c.engine].wait + pace*(r.prompt-c.kept)/tokensPerMs)
 		}
 		p.skip(now, c.engine, &q, refused)
@@ -277,7 +277,7 @@
 func (p *Placer) assign(now time.Time, c candidate, q *Query, r *request) Choice {
 	p.drop(now, q.RequestID)
 	e := p.engines[c.engine]
-	unread, usual := r.prompt-c.kept, p.usual.value()
+	unread, usual := r.prompt-c.kept, p.usualPace()
 	pace := e.pace.at(now, usual)
 	wait := p.waitAt(e, pace)
 	e.load++
@@ -304,7 +304,7 @@
 			p.costs[i].wait = math.Inf(1)
 			continue
 		}
-		p.setCost(e, now, e.pace.at(now, p.usual.value()))
+		p.setCost(e, now, e.pace.at(now, p.usualPace()))
 		if wait := p.costs[i].wait; !math.IsInf(wait, 1) {
 			sum, count = sum+wait, count+1
 		}
@@ -320,7 +320,7 @@
 
 // refresh computes the estimates of an engine.
 func (p *Placer) refresh(now time.Time, e *engineState) {
-	p.refreshAt(e, now, e.pace.at(now, p.usual.value()))
+	p.refreshAt(e, now, e.pace.at(now, p.usualPace()))
 }
 
 // refreshAt computes the estimates of an engine that has the given pace.
--- a/core/engine/time_test.go
+++ b/core/engine/time_test.go
@@ -189,6 +189,34 @@
 	}
 }
 
+// Failure: after reports of first events that come at once, or after minutes, those that make
+// sense are taken for absurd.
+func TestUsualPaceRecoversFromAbsurdObservations(t *testing.T) {
+	for _, absurd := range []time.Duration{1, 4 * time.Minute} {
+		p := newPlacer(4)
+		now := start
+		serve := func(n int, took time.Duration) engine.Choice {
+			var c engine.Choice
+			for i := range n {
+				now = now.Add(absurd + 200*time.Millisecond)
+				q := sizedQuery(fmt.Sprint(took, i), "part")
+				q.Expires = now.Add(time.Hour)
+				c = p.Choose(now, q)
+				now = now.Add(took)
+				p.Observe(now, engine.Observation{RequestID: q.RequestID, Server: c.Server, FirstEvent: took})
+				p.Settle(now, q.RequestID, c.Server, balance.Succeeded)
+			}
+			return c
+		}
+		serve(300, absurd)
+		absurd = 0
+		serve(400, 190*time.Millisecond)
+		if c := serve(1, 190*time.Millisecond); c.UsualPace < 0.5 || c.UsualPace > 2 {
+			t.Errorf("the usual pace is %v after 400 reports, want about 1", c.UsualPace)
+		}
+	}
+}
+
 // Failure: a report changes the work of another request's engine, or counts twice.
 func TestObservationsOfOtherPlacementsAreIgnored(t *testing.T) {
 	p := newPlacer(2)
