--- a/core/engine/place.go
+++ b/core/engine/place.go
@@ -32,7 +32,13 @@
 
 	// refreshInterval is the time after which the estimates of engines of which nothing was
 	// heard are computed again. It is short against the 600 ms for which engines are slow.
-	refreshInterval = 25 * time.Millisecond
+	refreshInterval = 50 * time.Millisecond
+
+	// blockSize is the number of engines in a block.
+	blockSize = 16
+
+	// maxRefused is the number of engines that are refused one by one.
+	maxRefused = 8
 
 	// maxZones is the number of zones whose weights are told apart, a power of two.
 	maxZones = 16
@@ -54,7 +60,7 @@
 	p.beginChoice(now, q.Exclude)
 	r := p.size(&q)
 	p.typical.add(&q)
-	for {
+	for refused := 0; ; refused++ {
 		c := p.choose(&q, &r)
 		if c.engine < 0 {
 			break
@@ -62,7 +68,7 @@
 		if p.accepts(now, c.engine, &q) {
 			return p.assign(now, c, &q, &r)
 		}
-		p.hot[c.engine].skipped = p.choices
+		p.skip(now, c.engine, &q, refused)
 	}
 	if q.MaxWait > 0 {
 		return Choice{Reason: ReasonNone}
@@ -77,16 +83,16 @@
 	defer p.mu.Unlock()
 	p.beginChoice(now, q.Exclude)
 	r := p.size(&q)
-	for {
+	for refused := 0; ; refused++ {
 		c, _ := p.cheapest(&r, maxWait(&q))
 		if c.engine < 0 {
 			return NoEngine
 		}
 		if p.accepts(now, c.engine, &q) {
-			pace := p.engines[c.engine].pace.at(now, p.usual.value())
-			return milliseconds(p.hot[c.engine].wait + pace*(r.prompt-c.kept)/tokensPerMs)
+			pace := p.engines[c.engine].pace.at(now, p.usualPace())
+			return milliseconds(p.costs[c.engine].wait + pace*(r.prompt-c.kept)/tokensPerMs)
 		}
-		p.hot[c.engine].skipped = p.choices
+		p.skip(now, c.engine, &q, refused)
 	}
 }
 
@@ -98,7 +104,7 @@
 	p.choices++
 	for _, id := range exclude {
 		if e, ok := p.byID[id]; ok {
-			p.hot[e.index].skipped = p.choices
+			p.ranks[e.index].skipped = p.choices
 		}
 	}
 }
@@ -110,6 +116,21 @@
 	return e.takes(q) && !now.Before(e.pausedUntil) && (p.Usable == nil || p.Usable(now, e.id))
 }
 
+// skip leaves out an engine that was refused after others, and all that are refused once there
+// are maxRefused, so that a service of which most engines are not usable is not searched for
+// each of them.
+func (p *Placer) skip(now time.Time, index int32, q *Query, refused int) {
+	p.ranks[index].skipped = p.choices
+	if refused != maxRefused {
+		return
+	}
+	for i, e := range p.engines {
+		if e != nil && !p.accepts(now, int32(i), q) {
+			p.ranks[i].skipped = p.choices
+		}
+	}
+}
+
 // candidate is an engine that is chosen, or -1, and the tokens of the prompt that it keeps.
 type candidate struct {
 	engine int32
@@ -139,8 +160,8 @@
 // readAnew returns the tokens of a prompt that an engine reads which keeps nothing of it,
 // where those that another engine keeps are weighted.
 func (p *Placer) readAnew(r *request) float64 {
-	for k := r.parts - 1; k >= 0; k-- {
-		if len(p.kept.engines(r.keys[k])) > 0 {
+	for k := r.shared() - 1; k >= 0; k-- {
+		if len(r.keepers[k]) > 0 {
 			return r.prompt + (p.readingWeight-1)*r.upTo[k]
 		}
 	}
@@ -151,28 +172,30 @@
 // time to the first event in milliseconds, with readAnew. An engine that keeps a beginning of
 // the prompt has less to read.
 func (p *Placer) cheapest(r *request, maxWait float64) (candidate, float64) {
-	soonest, least := int32(-1), math.Inf(1)
+	best, least := candidate{engine: -1}, math.Inf(1)
 	anew := p.readAnew(r)
-	for i := range p.hot {
-		h := &p.hot[i]
-		if cost := h.wait + h.perToken*anew; cost < least && h.wait <= maxWait && h.skipped != p.choices {
-			soonest, least = int32(i), cost
-		}
-	}
-	best, bestCost := candidate{engine: -1}, least
-	for k := r.parts - 1; k >= 0; k-- {
+	// Those that keep a beginning come first: most of the others cost more, and whole blocks
+	// of them need not be read.
+	for k := r.shared() - 1; k >= 0; k-- {
 		unread := anew - p.readingWeight*r.upTo[k]
-		for _, i := range p.kept.engines(r.keys[k]) {
-			h := &p.hot[i]
-			if cost := h.wait + h.perToken*unread; cost <= bestCost && h.wait <= maxWait && h.skipped != p.choices {
-				best, bestCost = candidate{i, r.upTo[k], ReasonKept}, cost
+		for _, i := range r.keepers[k] {
+			c := p.costs[i]
+			if cost := c.wait + c.perToken*unread; cost < least && c.wait <= maxWait && p.ranks[i].skipped != p.choices {
+				best, least = candidate{i, r.upTo[k], ReasonKept}, cost
 			}
 		}
 	}
-	if best.engine < 0 && soonest >= 0 {
-		best = candidate{soonest, 0, ReasonSoonest}
+	for b, block := range p.blocks {
+		if block.wait+block.perToken*anew >= least {
+			continue
+		}
+		for i, c := range p.block(b) {
+			if cost := c.wait + c.perToken*anew; cost < least && c.wait <= maxWait && p.ranks[b*blockSize+i].skipped != p.choices {
+				best, least = candidate{int32(b*blockSize + i), 0, ReasonSoonest}, cost
+			}
+		}
 	}
-	return best, bestCost
+	return best, least
 }
 
 // rendezvous returns the engine with the highest rank by weighted rendezvous hashing among
@@ -190,14 +213,19 @@
 		zoneMask = maxZones - 1
 	}
 	affinity := xxhash.Sum64String(q.Affinity)
-	for i := range p.hot {
-		h := &p.hot[i]
-		if h.wait+h.perToken*tokens > bound || h.wait > maxWait || h.skipped == p.choices {
+	for b, block := range p.blocks {
+		if block.wait+block.perToken*tokens > bound {
 			continue
 		}
-		z := h.zone & zoneMask
-		if high, low := bits.Mul64(affinity^h.hash, hashFactor); byZone[z] < 0 || high^low > highest[z] {
-			highest[z], byZone[z] = high^low, int32(i)
+		for i, c := range p.block(b) {
+			rank := &p.ranks[b*blockSize+i]
+			if c.wait+c.perToken*tokens > bound || c.wait > maxWait || rank.skipped == p.choices {
+				continue
+			}
+			z := rank.zone & zoneMask
+			if high, low := bits.Mul64(affinity^rank.hash, hashFactor); byZone[z] < 0 || high^low > highest[z] {
+				highest[z], byZone[z] = high^low, int32(b*blockSize+i)
+			}
 		}
 	}
 	best, bestRank := int32(-1), 0.0
@@ -224,10 +252,10 @@
 func (p *Placer) placeFallback(now time.Time, q *Query, r *request) Choice {
 	var best *engineState
 	for _, e := range p.engines {
-		if e == nil || e.load >= 2*p.slots || slices.Contains(q.Exclude, e.id) || p.Usable != nil && !p.Usable(now, e.id) {
+		if e == nil || e.load >= 2*p.slots || best != nil && !p.preferred(now, e, best) {
 			continue
 		}
-		if best == nil || p.preferred(now, e, best) {
+		if !slices.Contains(q.Exclude, e.id) && (p.Usable == nil || p.Usable(now, e.id)) {
 			best = e
 		}
 	}
@@ -242,15 +270,14 @@
 	if pausedA, pausedB := now.Before(a.pausedUntil), now.Before(b.pausedUntil); pausedA != pausedB {
 		return pausedB
 	}
-	usual := p.usual.value()
-	return p.waitAt(a, a.pace.at(now, usual)) < p.waitAt(b, b.pace.at(now, usual))
+	return p.waitAt(a, a.paceAtRefresh) < p.waitAt(b, b.paceAtRefresh)
 }
 
 // assign records the placement of a request and replaces its previous one.
 func (p *Placer) assign(now time.Time, c candidate, q *Query, r *request) Choice {
 	p.drop(now, q.RequestID)
 	e := p.engines[c.engine]
-	unread, usual := r.prompt-c.kept, p.usual.value()
+	unread, usual := r.prompt-c.kept, p.usualPace()
 	pace := e.pace.at(now, usual)
 	wait := p.waitAt(e, pace)
 	e.load++
@@ -274,14 +301,17 @@
 	sum, count := 0.0, 0.0
 	for i, e := range p.engines {
 		if e == nil {
-			p.hot[i].wait = math.Inf(1)
+			p.costs[i].wait = math.Inf(1)
 			continue
 		}
-		p.refresh(now, e)
-		if h := &p.hot[i]; !math.IsInf(h.wait, 1) {
-			sum, count = sum+h.wait, count+1
+		p.setCost(e, now, e.pace.at(now, p.usualPace()))
+		if wait := p.costs[i].wait; !math.IsInf(wait, 1) {
+			sum, count = sum+wait, count+1
 		}
 	}
+	for b := range p.blocks {
+		p.refreshBlock(b)
+	}
 	p.readingWeight = maxReadingWeight
 	if count > 0 {
 		p.readingWeight = min(minReadingWeight+sum/count/busyWait, maxReadingWeight)
@@ -290,7 +320,7 @@
 
 // refresh computes the estimates of an engine.
 func (p *Placer) refresh(now time.Time, e *engineState) {
-	p.refreshAt(e, now, e.pace.at(now, p.usual.value()))
+	p.refreshAt(e, now, e.pace.at(now, p.usualPace()))
 }
 
 // refreshAt computes the estimates of an engine that has the given pace.
@@ -299,11 +329,35 @@
 		// A request of a previous incarnation ended.
 		return
 	}
-	h := &p.hot[e.index]
-	h.wait, h.perToken = p.waitAt(e, pace), pace/tokensPerMs*(1+pauseWeight*float64(e.load))
+	p.setCost(e, now, pace)
+	p.refreshBlock(int(e.index) / blockSize)
+}
+
+func (p *Placer) setCost(e *engineState, now time.Time, pace float64) {
+	e.paceAtRefresh = pace
+	c := &p.costs[e.index]
+	c.wait, c.perToken = p.waitAt(e, pace), pace/tokensPerMs*(1+pauseWeight*float64(e.load))
 	if e.load >= p.slots || e.onTrial() && e.trial != "" || now.Before(e.pausedUntil) {
-		h.wait = math.Inf(1)
+		c.wait = math.Inf(1)
+	}
+}
+
+// block returns the costs of the engines of a block.
+func (p *Placer) block(b int) []engineCost {
+	return p.costs[b*blockSize : min((b+1)*blockSize, len(p.costs))]
+}
+
+func (p *Placer) refreshBlock(b int) {
+	least := engineCost{math.Inf(1), math.Inf(1)}
+	for _, c := range p.block(b) {
+		if c.wait < least.wait {
+			least.wait = c.wait
+		}
+		if c.perToken < least.perToken {
+			least.perToken = c.perToken
+		}
 	}
+	p.blocks[b] = least
 }
 
 // waitAt returns the expected time in milliseconds until an engine of the given pace begins to
--- a/core/engine/time_test.go
+++ b/core/engine/time_test.go
@@ -189,6 +189,34 @@
 	}
 }
 
+// Failure: after reports of first events that come at once, or after minutes, those that make
+// sense are taken for absurd.
+func TestUsualPaceRecoversFromAbsurdObservations(t *testing.T) {
+	for _, absurd := range []time.Duration{1, 4 * time.Minute} {
+		p := newPlacer(4)
+		now := start
+		serve := func(n int, took time.Duration) engine.Choice {
+			var c engine.Choice
+			for i := range n {
+				now = now.Add(absurd + 200*time.Millisecond)
+				q := sizedQuery(fmt.Sprint(took, i), "part")
+				q.Expires = now.Add(time.Hour)
+				c = p.Choose(now, q)
+				now = now.Add(took)
+				p.Observe(now, engine.Observation{RequestID: q.RequestID, Server: c.Server, FirstEvent: took})
+				p.Settle(now, q.RequestID, c.Server, balance.Succeeded)
+			}
+			return c
+		}
+		serve(300, absurd)
+		absurd = 0
+		serve(400, 190*time.Millisecond)
+		if c := serve(1, 190*time.Millisecond); c.UsualPace < 0.5 || c.UsualPace > 2 {
+			t.Errorf("the usual pace is %v after 400 reports, want about 1", c.UsualPace)
+		}
+	}
+}
+
 // Failure: a report changes the work of another request's engine, or counts twice.
 func TestObservationsOfOtherPlacementsAreIgnored(t *testing.T) {
 	p := newPlacer(2)
@@ -287,8 +315,11 @@
 
 // Failure: a request goes to an engine that may get none now.
 func TestOnlyUsableEnginesAreChosen(t *testing.T) {
-	p := newPlacer(5)
+	p := newPlacer(50)
 	p.Usable = func(_ time.Time, id string) bool { return id == "e-4" }
+	if got := p.Estimate(start, query(0, "part")); got == engine.NoEngine {
+		t.Error("no estimate with a usable engine")
+	}
 	for i := range 16 {
 		if got := p.Place(start, query(i, fmt.Sprint("part-", i))); got != "e-4" {
 			t.Fatalf("request %d is placed on %q, want e-4", i, got)
