--- a/core/backlog/backlog.go
+++ b/core/backlog/backlog.go
@@ -108,6 +108,9 @@
 // Len returns the number of jobs.
 func (b *Backlog) Len() int { return b.onTime.len() + b.late.len() }
 
+// Work returns the time in which the service does all the work that waits.
+func (b *Backlog) Work() time.Duration { return b.seconds(b.onTime.total() + b.late.total()) }
+
 // Add adds a job. It may cause jobs with less worth for their processing time to be
 // late.
 func (b *Backlog) Add(now time.Time, j *Job) {
--- a/core/gather/choose.go
+++ b/core/gather/choose.go
@@ -32,10 +32,10 @@
 	prefersZone := it.prefersZone()
 	var best *server
 	for _, s := range q.servers {
-		if !q.canStart(now, s) || !q.fits(s, it.ResultBytes) {
+		if !q.canStart(now, s) || !q.fits(s, it.ResultBytes) || !q.worthStarting(now, s, it) {
 			continue
 		}
-		if best == nil || q.better(it, s, best) {
+		if best == nil || q.better(now, it, s, best) {
 			best = s
 		}
 	}
@@ -55,12 +55,12 @@
 // better reports whether a is to be preferred to b for the item. The item's zone
 // comes first, then a slowness that is lower by a factor of more than 1.5, then
 // the capacity in use.
-func (q *Queue) better(it *Item, a, b *server) bool {
+func (q *Queue) better(now time.Time, it *Item, a, b *server) bool {
 	if inA, inB := a.Zone == it.Zone, b.Zone == it.Zone; inA != inB && it.Zone != "" {
 		return inA
 	}
-	if a.slowness > 1.5*b.slowness || b.slowness > 1.5*a.slowness {
-		return a.slowness < b.slowness
+	if slowA, slowB := q.slownessAt(now, a), q.slownessAt(now, b); slowA > 1.5*slowB || slowB > 1.5*slowA {
+		return slowA < slowB
 	}
 	return a.usedBytes < b.usedBytes
 }
@@ -78,8 +78,9 @@
 		if s.Zone != it.Zone || now.Before(s.restsUntil()) || len(s.calls) == 0 {
 			continue
 		}
-		expected := time.Duration(float64(q.cfg.CallTime+q.cfg.ItemTime) * max(1, s.slowness))
-		if end := s.earliestEnd(); end.After(now) && end.Add(expected+zoneWaitMargin).Before(limit) {
+		end := s.earliestEnd()
+		expected := time.Duration(float64(q.cfg.CallTime+q.cfg.ItemTime) * max(1, s.load.Slowness(end, s.slowness)))
+		if end.After(now) && end.Add(expected+zoneWaitMargin).Before(limit) {
 			return true
 		}
 	}
@@ -87,22 +88,27 @@
 }
 
 // fill moves waiting items into a batch for the server: those of the first job in
-// any case, and others that can join while the batch is not full.
+// any case, and others that can join while the batch is not full. A batch for a server
+// that reported to be slow ends before it would make its items late.
 func (q *Queue) fill(now time.Time, s *server, b *Batch, first *backlog.Job) {
 	var blocked backlog.Lanes
-	for j := first; j != nil && len(b.Items) < q.cfg.MaxBatch; j = q.backlog.First(blocked) {
-		if j != first && !q.canJoin(now, s, q.waiting[j][0]) || !q.take(s, b, j) {
+	room := q.slowRoom(now, s, q.waiting[first][0])
+	for j := first; j != nil && len(b.Items) < room; j = q.backlog.First(blocked) {
+		if j != first {
+			room = min(room, q.slowRoom(now, s, q.waiting[j][0]))
+		}
+		if j != first && !q.canJoin(now, s, q.waiting[j][0]) || !q.take(s, b, j, room) {
 			blocked.Add(j.Lane)
 		}
 	}
 }
 
-// take moves as many items of a job into the batch as it and the server have room
-// for, and reports whether these were all.
-func (q *Queue) take(s *server, b *Batch, j *backlog.Job) bool {
+// take moves as many items of a job into the batch as room, the size of the batch, and
+// the server allow, and reports whether these were all.
+func (q *Queue) take(s *server, b *Batch, j *backlog.Job, room int) bool {
 	items := q.waiting[j]
 	n := 0
-	for n < len(items) && len(b.Items) < q.cfg.MaxBatch && (len(b.Items) == 0 || q.fits(s, items[n].ResultBytes)) {
+	for n < len(items) && len(b.Items) < room && (len(b.Items) == 0 || q.fits(s, items[n].ResultBytes)) {
 		it := items[n]
 		s.usedBytes += it.ResultBytes
 		it.attempts++
@@ -118,7 +124,7 @@
 // item that prefers another zone joins only if no better server can take it now
 // and none in its zone will be free in time.
 func (q *Queue) canJoin(now time.Time, s *server, it *Item) bool {
-	if !q.fits(s, it.ResultBytes) {
+	if !q.fits(s, it.ResultBytes) || !q.worthStarting(now, s, it) {
 		return false
 	}
 	if !it.prefersZone() || it.Zone == s.Zone {
--- a/core/gather/complete.go
+++ b/core/gather/complete.go
@@ -92,13 +92,14 @@
 }
 
 // callAnswered updates the server's slowness, and the processing times of the
-// items' classes unless the server is slow.
+// items' classes unless the server is slow or reported to be.
 func (q *Queue) callAnswered(now time.Time, s *server, b *Batch) {
 	s.consecutiveFailures, s.consecutiveRefusals = 0, 0
 	took := now.Sub(b.started).Seconds()
 	expected := q.callTime(b.Items).Seconds()
 	s.slowness += 0.3 * (took/expected - s.slowness)
-	if s.slowness > 1.5 || len(b.Items) == 0 {
+	s.load.ObserveCall(now, b.pace, took/expected)
+	if s.slowness > 1.5 || len(b.Items) == 0 || max(b.pace, s.load.Pace(now)) > slowPace {
 		return
 	}
 	if q.meanCall == 0 {
--- a/core/gather/gather.go
+++ b/core/gather/gather.go
@@ -113,6 +113,8 @@
 		server   *server
 		started  time.Time
 		expected time.Duration
+		// pace is the pace that the server had reported, or 0 if none counted.
+		pace float64
 	}
 
 	// Queue holds the waiting items and the servers of one service. Use New to
@@ -158,6 +160,8 @@
 		// slowness is the moving average of the ratio of observed to expected
 		// call duration.
 		slowness float64
+		// load is what the server reported of itself.
+		load fleet.LoadTracker
 	}
 
 	// result is a result that a server holds until it is freed or expires.
@@ -346,9 +350,9 @@
 			blocked.Add(j.Lane)
 			continue
 		}
-		b := &Batch{Server: s.Server, server: s, started: now}
+		b := &Batch{Server: s.Server, server: s, started: now, pace: s.load.Pace(now)}
 		q.fill(now, s, b, j)
-		b.expected = time.Duration(float64(q.callTime(b.Items)) * max(1, s.slowness))
+		b.expected = time.Duration(float64(q.callTime(b.Items)) * max(1, q.slownessAt(now, s)))
 		s.calls = append(s.calls, b)
 		return b, expired
 	}
@@ -424,6 +428,9 @@
 	}
 	for _, s := range q.servers {
 		consider(s.restsUntil())
+		if len(s.calls) < q.cfg.Slots && s.load.Reports(now) {
+			consider(s.load.PaceEnds())
+		}
 	}
 	due, deadline := q.backlog.NextChange()
 	for _, limit := range []time.Time{due, deadline} {
--- a/core/gather/plan.go
+++ b/core/gather/plan.go
@@ -13,13 +13,14 @@
 // duration of a call, so the work before an item delays it by its share of the
 // servers, and its own call ends a full duration later.
 func (q *Queue) updatePace(now time.Time) (free time.Duration) {
-	active := 0
+	active, slots := 0, 0.0
 	free = -1
 	for _, s := range q.servers {
 		if now.Before(s.restsUntil()) {
 			continue
 		}
 		active++
+		slots += q.parallelism(now, s)
 		ownFree := time.Duration(0)
 		if len(s.calls) >= q.cfg.Slots {
 			ownFree = max(0, s.earliestEnd().Sub(now))
@@ -32,10 +33,10 @@
 		// All servers are paused. Assume the shortest pause after a failure.
 		free = max(minFailureBackoff, q.earliestReturn(now).Sub(now))
 	}
-	slots := max(1, active*q.cfg.Slots)
+	slots = max(1, slots)
 	call := max(q.meanCall, q.cfg.CallTime)
 	q.backlog.SetPace(backlog.Pace{
-		Parallelism: float64(slots), Lead: free + call*time.Duration(slots-1)/time.Duration(slots), MinTime: q.cfg.CallTime,
+		Parallelism: slots, Lead: free + time.Duration(float64(call)*(slots-1)/slots), MinTime: q.cfg.CallTime,
 	})
 	return free
 }
