--- a/core/backlog/backlog.go
+++ b/core/backlog/backlog.go
@@ -178,6 +178,16 @@
 	return b.late.first(blocked)
 }
 
+// FirstFinishing returns the first on-time job whose lane is not in the set and that is not
+// late if it finishes at the given time. If there is none, it returns the first late job that
+// finishes by its deadline then, or nil.
+func (b *Backlog) FirstFinishing(at time.Time, blocked Lanes) *Job {
+	if j := b.onTime.firstFrom(at, blocked); j != nil {
+		return j
+	}
+	return b.late.firstFrom(at, blocked)
+}
+
 // tooLate reports whether a job that starts now finishes after the given time.
 func (b *Backlog) tooLate(now, at time.Time) bool { return now.Add(b.pace.MinTime).After(at) }
 
--- a/core/backlog/list.go
+++ b/core/backlog/list.go
@@ -114,6 +114,26 @@
 	return nil
 }
 
+// firstFrom returns the first job whose time is not before the given one and whose lane is
+// not in the set, or nil.
+func (l *list) firstFrom(at time.Time, blocked Lanes) *Job { return firstFrom(l.root, at, blocked) }
+
+func firstFrom(root *Job, at time.Time, blocked Lanes) *Job {
+	if root == nil || root.node.lanes&^blocked == 0 {
+		return nil
+	}
+	if root.node.at.Before(at) {
+		return firstFrom(root.node.right, at, blocked)
+	}
+	if j := firstFrom(root.node.left, at, blocked); j != nil {
+		return j
+	}
+	if blocked&(1<<root.Lane) == 0 {
+		return root
+	}
+	return firstFrom(root.node.right, at, blocked)
+}
+
 // secondsBefore returns the processing time, in seconds, of the jobs before a
 // time.
 func (l *list) secondsBefore(at time.Time) float64 {
--- a/core/fleet/load.go
+++ b/core/fleet/load.go
@@ -96,6 +96,14 @@
 	return learned + w*(min(maxPace, t.pace()*(1+t.residual))-learned)
 }
 
+// Expect returns what Slowness and Others do.
+func (t *LoadTracker) Expect(now time.Time, learned float64) (slowness, others float64) {
+	if t.others > 0 {
+		others = t.Others(now)
+	}
+	return t.Slowness(now, learned), others
+}
+
 // Pace returns the reported pace if it is recent enough to count, and otherwise 0.
 func (t *LoadTracker) Pace(now time.Time) float64 {
 	if t.load.Pace == 0 || t.weight(now, paceHorizon) == 0 {
--- a/core/gather/bench_test.go
+++ b/core/gather/bench_test.go
@@ -59,3 +59,56 @@
 		})
 	}
 }
+
+// BenchmarkChoice measures the choice of a server and a batch among 650 servers, of which
+// half have a free slot, and the end of its call. In the second case all servers report their
+// load with each answer.
+func BenchmarkChoice(b *testing.B) {
+	cfg := route.PieceConfig{
+		Slots: 2, MaxQueue: 2, MaxBatch: 5, CallTime: 200 * time.Millisecond, ItemTime: 3 * time.Millisecond,
+		ResultCapacity: 1 << 40, ResultTTL: 4 * time.Second,
+	}
+	for _, reports := range []bool{false, true} {
+		b.Run(fmt.Sprint("reports=", reports), func(b *testing.B) {
+			q := gather.New(cfg)
+			var list []fleet.Server
+			for i := range 650 {
+				list = append(list, fleet.Server{ID: fmt.Sprint("s-", i), Address: fmt.Sprint("10.0.0.", i, ":80"), Zone: fmt.Sprint("z-", i%5)})
+			}
+			q.SetServers(list, cfg)
+			report := func(now time.Time, s fleet.Server, i int) {
+				if reports {
+					q.ReportLoad(now, s.Incarnation(), fleet.Load{Running: 1, Slots: 2, Pace: 1 + 1.5*float64(i%7/6)})
+				}
+			}
+			for i, s := range list {
+				report(start, s, i)
+			}
+			var batches []*gather.Batch
+			for i := 0; b.Loop(); i++ {
+				now := start.Add(time.Duration(i) * 100 * time.Microsecond)
+				items := make([]*gather.Item, 5)
+				for k := range items {
+					items[k] = &gather.Item{RequestID: fmt.Sprint("r-", i), Piece: k, ResultBytes: 10, Class: "c", Worth: 1, Due: now.Add(time.Second), Deadline: now.Add(3 * time.Second)}
+				}
+				if err := q.Add(now, items); err != nil {
+					b.Fatal(err)
+				}
+				if batch, _ := q.Next(now); batch != nil {
+					batches = append(batches, batch)
+				}
+				if len(batches) > 650 {
+					done := batches[0]
+					batches = batches[1:]
+					report(now, done.Server, i)
+					completed, _ := q.Complete(now, done, gather.CallAnswered, allDone(done))
+					var handles []string
+					for _, c := range completed {
+						handles = append(handles, c.Handle)
+					}
+					q.ReleaseResults(handles)
+				}
+			}
+		})
+	}
+}
--- a/core/gather/choose.go
+++ b/core/gather/choose.go
@@ -35,7 +35,7 @@
 		if !q.canStart(now, s) || !q.fits(s, it.ResultBytes) || !q.worthStarting(now, s, it) {
 			continue
 		}
-		if best == nil || q.better(now, it, s, best) {
+		if best == nil || q.better(it, s, best) {
 			best = s
 		}
 	}
@@ -55,12 +55,12 @@
 // better reports whether a is to be preferred to b for the item. The item's zone
 // comes first, then a slowness that is lower by a factor of more than 1.5, then
 // the capacity in use.
-func (q *Queue) better(now time.Time, it *Item, a, b *server) bool {
+func (q *Queue) better(it *Item, a, b *server) bool {
 	if inA, inB := a.Zone == it.Zone, b.Zone == it.Zone; inA != inB && it.Zone != "" {
 		return inA
 	}
-	if slowA, slowB := q.slownessAt(now, a), q.slownessAt(now, b); slowA > 1.5*slowB || slowB > 1.5*slowA {
-		return slowA < slowB
+	if a.expected > 1.5*b.expected || b.expected > 1.5*a.expected {
+		return a.expected < b.expected
 	}
 	return a.usedBytes < b.usedBytes
 }
--- a/core/gather/complete.go
+++ b/core/gather/complete.go
@@ -98,6 +98,7 @@
 	took := now.Sub(b.started).Seconds()
 	expected := q.callTime(b.Items).Seconds()
 	s.slowness += 0.3 * (took/expected - s.slowness)
+	s.expected = s.slowness
 	s.load.ObserveCall(now, b.pace, took/expected)
 	if s.slowness > 1.5 || len(b.Items) == 0 || max(b.pace, s.load.Pace(now)) > slowPace {
 		return
--- a/core/gather/gather.go
+++ b/core/gather/gather.go
@@ -132,6 +132,14 @@
 		// meanCall is the moving average of the duration of calls of servers that
 		// are not slow.
 		meanCall time.Duration
+		// reportsEnd is when the last reported load of a server is worth nothing any more.
+		reportsEnd time.Time
+		// reporting is set if a server has reported its load lately, and slowServers if one
+		// reports that it is slow. usualFree holds when the first server that does not is
+		// expected to be free, by zone and for all zones under "", as far as it was asked
+		// for. All are as of the last call of updatePace.
+		reporting, slowServers bool
+		usualFree              map[string]time.Time
 		// classSeconds holds the observed processing time of an item by class.
 		classSeconds map[string]float64
 		// results holds the results that have not expired, by handle, and expiries
@@ -162,6 +170,13 @@
 		slowness float64
 		// load is what the server reported of itself.
 		load fleet.LoadTracker
+		// expected is how long a call that starts now is expected to take as a multiple
+		// of the usual time, and reportsSlow whether that is noticeably longer because of a
+		// report. Both are as of the last call of updatePace.
+		expected    float64
+		reportsSlow bool
+		// pace is as expected, without the wait for calls of others. It is at least 1.
+		pace float64
 	}
 
 	// result is a result that a server holds until it is freed or expires.
@@ -207,7 +222,7 @@
 func New(cfg route.PieceConfig) *Queue {
 	return &Queue{
 		cfg: cfg, byID: make(map[string]*server), backlog: backlog.New(backlog.Pace{}), waiting: make(map[*backlog.Job][]*Item), lanes: make(map[lane]int),
-		classSeconds: make(map[string]float64), results: make(map[string]result),
+		classSeconds: make(map[string]float64), results: make(map[string]result), usualFree: make(map[string]time.Time),
 	}
 }
 
@@ -223,7 +238,7 @@
 		listed[s.ID] = true
 		existing, ok := q.byID[s.ID]
 		if !ok || existing.Born != s.Born || existing.Address != s.Address {
-			existing = &server{slowness: 1}
+			existing = &server{slowness: 1, expected: 1, pace: 1}
 			q.byID[s.ID] = existing
 		}
 		existing.Server = s
@@ -350,13 +365,24 @@
 			blocked.Add(j.Lane)
 			continue
 		}
-		b := &Batch{Server: s.Server, server: s, started: now, pace: s.load.Pace(now)}
+		b := q.newBatch(now, s)
 		q.fill(now, s, b, j)
-		b.expected = time.Duration(float64(q.callTime(b.Items)) * max(1, q.slownessAt(now, s)))
-		s.calls = append(s.calls, b)
+		q.begin(b)
 		return b, expired
 	}
-	return nil, expired
+	return q.nextSlow(now), expired
+}
+
+// newBatch returns an empty batch for a call to the server that starts now.
+func (q *Queue) newBatch(now time.Time, s *server) *Batch {
+	return &Batch{Server: s.Server, server: s, started: now, pace: s.load.Pace(now)}
+}
+
+// begin records that the call with a batch starts.
+func (q *Queue) begin(b *Batch) {
+	s := b.server
+	b.expected = time.Duration(float64(q.callTime(b.Items)) * max(1, s.expected))
+	s.calls = append(s.calls, b)
 }
 
 // advance brings the backlog up to date, and removes and returns the items that
@@ -428,7 +454,7 @@
 	}
 	for _, s := range q.servers {
 		consider(s.restsUntil())
-		if len(s.calls) < q.cfg.Slots && s.load.Reports(now) {
+		if s.reportsSlow && len(s.calls) < q.cfg.Slots {
 			consider(s.load.PaceEnds())
 		}
 	}
--- a/core/gather/load.go
+++ b/core/gather/load.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"chervilpath/core/backlog"
 	"chervilpath/core/fleet"
 )
 
@@ -22,6 +23,9 @@
 	defer q.mu.Unlock()
 	if s, ok := q.byID[inc.ID]; ok && s.Born == inc.Born {
 		s.load.Report(now, l, len(s.calls))
+		if end := s.load.PaceEnds(); end.After(q.reportsEnd) {
+			q.reportsEnd = end
+		}
 	}
 }
 
@@ -38,92 +42,147 @@
 // of the usual time, or 0 if there was no recent report.
 func (b *Batch) Pace() float64 { return b.pace }
 
-// slownessAt returns how long a call that starts now is expected to take at a server, as a
-// multiple of the usual time, with the wait for calls of others.
-func (q *Queue) slownessAt(now time.Time, s *server) float64 {
-	if !s.load.Reports(now) {
-		return s.slowness
+// updateExpected updates how long calls are expected to take at each server.
+func (q *Queue) updateExpected(now time.Time) {
+	reported := q.reporting
+	q.reporting, q.slowServers = now.Before(q.reportsEnd), false
+	clear(q.usualFree)
+	if !q.reporting && !reported {
+		return
 	}
-	slowness := s.load.Slowness(now, s.slowness)
-	slots := float64(q.cfg.Slots)
-	if others := s.load.Others(now); others > 0 {
-		excess := others + float64(len(s.calls)) + 1 - slots
-		slowness *= 1 + min(maxQueueing, max(0, excess)/slots)
+	for _, s := range q.servers {
+		s.expected, s.pace, s.reportsSlow = s.slowness, 1, false
+		if q.reporting && s.load.Reports(now) {
+			q.expect(now, s)
+			q.slowServers = q.slowServers || s.reportsSlow
+		}
 	}
-	return slowness
 }
 
-// parallelism returns how many calls a server processes at a time, as a multiple of the
-// calls that it would at the usual pace.
-func (q *Queue) parallelism(now time.Time, s *server) float64 {
-	slots := float64(q.cfg.Slots)
-	if s.load.Pace(now) == 0 {
-		return slots
+// firstUsualFree returns when the first server of a zone, or of all if zone is "", that did
+// not report to be slow is expected to be free, or the zero time if there is none.
+func (q *Queue) firstUsualFree(now time.Time, zone string) time.Time {
+	if at, ok := q.usualFree[zone]; ok {
+		return at
 	}
-	return slots / max(1, s.load.Slowness(now, s.slowness))
+	var first time.Time
+	for _, s := range q.servers {
+		if s.reportsSlow || zone != "" && s.Zone != zone || now.Before(s.restsUntil()) {
+			continue
+		}
+		if len(s.calls) < q.cfg.Slots {
+			first = now
+			break
+		}
+		if free := s.earliestEnd(); first.IsZero() || free.Before(first) {
+			first = free
+		}
+	}
+	if !first.IsZero() && first.Before(now) {
+		first = now
+	}
+	q.usualFree[zone] = first
+	return first
 }
 
-// reportsSlow reports whether the server said lately that it is slow, so that a call there
-// is expected to take noticeably longer than usual.
-func (q *Queue) reportsSlow(now time.Time, s *server) bool {
-	return s.load.Reports(now) && q.slownessAt(now, s) > slowPace
+// expect updates how long a call that starts now is expected to take at a server that
+// reports its load.
+func (q *Queue) expect(now time.Time, s *server) {
+	slowness, others := s.load.Expect(now, s.slowness)
+	s.expected, s.pace = slowness, max(1, slowness)
+	if others > 0 {
+		slots := float64(q.cfg.Slots)
+		excess := others + float64(len(s.calls)) + 1 - slots
+		s.expected *= 1 + min(maxQueueing, max(0, excess)/slots)
+	}
+	s.reportsSlow = s.expected > slowPace
 }
 
 // worthStarting reports whether an item gains by a call to the server now. If the server
-// reported that it is slow, the item is better off at the next free server that is not as
-// long as its call ends earlier there. It waits for that if all that waits is done earlier
-// than the slow server's call, or if it would be late only here. The report is worth
-// nothing soon, and is renewed by the next answer only, so this lasts a fraction of a second.
+// reported that it is slow, the item is better off at the next free server that did not, if
+// its call ends earlier there. For an item that prefers its zone only servers there count.
+// The report is worth nothing soon and is renewed by an answer only, so a server is avoided
+// for a fraction of a second.
 func (q *Queue) worthStarting(now time.Time, s *server, it *Item) bool {
-	if !q.reportsSlow(now, s) {
+	if !s.reportsSlow {
 		return true
 	}
-	call := q.callTime([]*Item{it})
-	endHere := now.Add(time.Duration(q.slownessAt(now, s) * float64(call)))
-	next, ok := q.nextUsual(now, s, it)
-	if !ok || !endHere.After(next.Add(call)) {
-		return true
-	}
-	endElsewhere := next.Add(call)
-	if now.Add(q.backlog.Work()).Add(call).Before(endHere) {
-		return false
+	zone := ""
+	if it.prefersZone() {
+		zone = it.Zone
 	}
-	return !endHere.After(it.Due) || endElsewhere.After(it.Due) && !endHere.After(it.Deadline)
+	next := q.firstUsualFree(now, zone)
+	call := q.cfg.CallTime + time.Duration(q.itemSeconds(it.Class)*float64(time.Second))
+	return next.IsZero() || !now.Add(time.Duration(s.expected*float64(call))).After(next.Add(call))
 }
 
-// nextUsual returns when the first of the other servers that did not report to be slow is
-// expected to be free for an item, and whether there is one. For an item that prefers its
-// zone, only servers there count.
-func (q *Queue) nextUsual(now time.Time, except *server, it *Item) (at time.Time, ok bool) {
-	prefersZone := it.prefersZone()
+// nextSlow returns a batch for a server that reported to be slow, or nil if there is none.
+// Such a server gets the items that wait longer than its call takes, and of these the
+// first that it finishes in time.
+func (q *Queue) nextSlow(now time.Time) *Batch {
+	if !q.slowServers {
+		return nil
+	}
 	for _, s := range q.servers {
-		if s == except || now.Before(s.restsUntil()) || prefersZone && s.Zone != it.Zone || q.reportsSlow(now, s) {
+		if !s.reportsSlow || !q.canStart(now, s) {
 			continue
 		}
-		free := now
-		if len(s.calls) >= q.cfg.Slots {
-			if end := s.earliestEnd(); end.After(now) {
-				free = end
-			}
+		b := q.newBatch(now, s)
+		q.fillSlow(now, b)
+		if len(b.Items) > 0 {
+			q.begin(b)
+			return b
 		}
-		if !ok || free.Before(at) {
-			at, ok = free, true
+	}
+	return nil
+}
+
+// fillSlow moves items into a batch for a server that reported to be slow, as long as what
+// is left waits longer than the call takes.
+func (q *Queue) fillSlow(now time.Time, b *Batch) {
+	s := b.server
+	takes := func(items int) time.Duration {
+		return time.Duration(s.expected * float64(q.cfg.CallTime+time.Duration(items)*q.itemTime()))
+	}
+	full := takes(q.cfg.MaxBatch)
+	var blocked backlog.Lanes
+	for len(b.Items) < q.cfg.MaxBatch {
+		if q.backlog.Work()+q.cfg.CallTime < takes(len(b.Items)+1) {
+			return
 		}
+		j := q.backlog.FirstFinishing(now.Add(full), blocked)
+		if j == nil {
+			return
+		}
+		it := q.waiting[j][0]
+		if !q.fits(s, it.ResultBytes) || it.prefersZone() && it.Zone != s.Zone || !q.take(s, b, j, q.cfg.MaxBatch) {
+			blocked.Add(j.Lane)
+		}
+	}
+}
+
+// itemTime returns the mean processing time of an item over the classes that were observed.
+func (q *Queue) itemTime() time.Duration {
+	if len(q.classSeconds) == 0 {
+		return q.cfg.ItemTime
+	}
+	sum := 0.0
+	for _, t := range q.classSeconds {
+		sum += t
 	}
-	return at, ok
+	return time.Duration(sum / float64(len(q.classSeconds)) * float64(time.Second))
 }
 
 // slowRoom returns how large a batch with an item may be. A server that reported to be slow
 // gets no more than it is expected to finish by the item's due time, or by its deadline if
 // it is late anyway.
 func (q *Queue) slowRoom(now time.Time, s *server, it *Item) int {
-	if !q.reportsSlow(now, s) {
+	if !s.reportsSlow {
 		return q.cfg.MaxBatch
 	}
-	slowness := q.slownessAt(now, s)
-	left := it.Due.Sub(now).Seconds()/slowness - q.cfg.CallTime.Seconds()
+	left := it.Due.Sub(now).Seconds()/s.expected - q.cfg.CallTime.Seconds()
 	if each := q.itemSeconds(it.Class); left < each {
-		left = it.Deadline.Sub(now).Seconds()/slowness - q.cfg.CallTime.Seconds()
+		left = it.Deadline.Sub(now).Seconds()/s.expected - q.cfg.CallTime.Seconds()
 	}
 	return min(q.cfg.MaxBatch, max(1, int(left/max(1e-6, q.itemSeconds(it.Class)))))
 }
--- /dev/null
+++ b/core/gather/load_test.go
@@ -0,0 +1,216 @@
+package gather_test
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"chervilpath/core/fleet"
+	"chervilpath/core/gather"
+	"chervilpath/core/route"
+)
+
+// uneven is a small model of a stage service whose servers are slow at times: on average
+// slowShare of them take slowFactor times as long, for slowTime at a time.
+const (
+	slowShare  = 0.15
+	slowFactor = 2.5
+	slowTime   = 600 * time.Millisecond
+
+	numUneven     = 20
+	unevenTime    = 10 * time.Second
+	unevenPieces  = 5
+	unevenLoad    = 0.8
+	unevenTargets = 700 * time.Millisecond
+)
+
+var unevenCfg = route.PieceConfig{
+	Slots: 1, MaxQueue: 2, MaxBatch: 20, CallTime: 100 * time.Millisecond, ItemTime: 5 * time.Millisecond,
+	ResultCapacity: 1 << 40, ResultTTL: 4 * time.Second,
+}
+
+// slowSpells returns when a server becomes slow, over the time of the model.
+func slowSpells(rng *rand.Rand) (out []time.Duration) {
+	gap := float64(slowTime) * (1 - slowShare) / slowShare
+	for at := time.Duration(rng.ExpFloat64() * gap); at < unevenTime+10*time.Second; at += slowTime + time.Duration(rng.ExpFloat64()*gap) {
+		out = append(out, at)
+	}
+	return out
+}
+
+// unevenEvent is an arrival, the end of a call if batch is set, or a time to look again.
+type unevenEvent struct {
+	at    time.Duration
+	seq   int
+	batch *gather.Batch
+	wake  bool
+}
+
+type unevenEvents []unevenEvent
+
+func (h unevenEvents) Len() int { return len(h) }
+func (h unevenEvents) Less(i, k int) bool {
+	return h[i].at < h[k].at || h[i].at == h[k].at && h[i].seq < h[k].seq
+}
+func (h unevenEvents) Swap(i, k int) { h[i], h[k] = h[k], h[i] }
+func (h *unevenEvents) Push(x any)   { *h = append(*h, x.(unevenEvent)) }
+func (h *unevenEvents) Pop() any {
+	last := (*h)[len(*h)-1]
+	*h = (*h)[:len(*h)-1]
+	return last
+}
+
+// unevenResult counts the requests of a run and what slow servers did of it.
+type unevenResult struct {
+	requests, onTime, refused int
+	pieces, slowPieces        int
+	busy, slowBusy            time.Duration
+}
+
+func (r *unevenResult) add(o unevenResult) {
+	r.requests, r.onTime, r.refused = r.requests+o.requests, r.onTime+o.onTime, r.refused+o.refused
+	r.pieces, r.slowPieces = r.pieces+o.pieces, r.slowPieces+o.slowPieces
+	r.busy, r.slowBusy = r.busy+o.busy, r.slowBusy+o.slowBusy
+}
+
+func (r unevenResult) String() string {
+	return fmt.Sprintf("%d requests, %.4f on time, %.4f refused, %.4f of the pieces and %.4f of the servers' time at slow servers, %.1f s busy",
+		r.requests, float64(r.onTime)/float64(r.requests), float64(r.refused)/float64(r.requests),
+		float64(r.slowPieces)/float64(r.pieces), float64(r.slowBusy)/float64(r.busy), r.busy.Seconds())
+}
+
+// runUneven runs the model. reports returns what a server reports at the end of a call,
+// given its pace, and whether it reports anything. load is in multiples of the capacity.
+func runUneven(seed uint64, load float64, reports func(now time.Duration, pace float64) (fleet.Load, bool)) (out unevenResult) {
+	rng := rand.New(rand.NewPCG(seed, 1))
+	var list []fleet.Server
+	spells := make(map[string][]time.Duration)
+	for i := range numUneven {
+		s := fleet.Server{ID: fmt.Sprint("s-", i), Address: fmt.Sprint("10.0.0.", i, ":80")}
+		list = append(list, s)
+		spells[s.ID] = slowSpells(rng)
+	}
+	pace := func(id string, at time.Duration) float64 {
+		for _, from := range spells[id] {
+			if at >= from && at < from+slowTime {
+				return slowFactor
+			}
+		}
+		return 1
+	}
+	q := gather.New(unevenCfg)
+	q.SetServers(list, unevenCfg)
+	var events unevenEvents
+	seq := 0
+	push := func(e unevenEvent) {
+		seq++
+		e.seq = seq
+		heap.Push(&events, e)
+	}
+	// At full batches, and without slow times, a server does this many pieces a second.
+	perServer := float64(unevenCfg.MaxBatch) / (unevenCfg.CallTime + time.Duration(unevenCfg.MaxBatch)*unevenCfg.ItemTime).Seconds()
+	capacity := perServer * numUneven * (1 - slowShare + slowShare/slowFactor)
+	rate := load * capacity / unevenPieces
+	for at := time.Duration(0); at < unevenTime; at += time.Duration(rng.ExpFloat64() / rate * float64(time.Second)) {
+		push(unevenEvent{at: at})
+	}
+	nextWake := time.Duration(0)
+	left := make(map[string]int)
+	end := func(it *gather.Item, now time.Time, err error) {
+		left[it.RequestID]--
+		if err != nil {
+			left[it.RequestID] = -unevenPieces
+		}
+		if left[it.RequestID] == 0 && !now.After(it.Due) {
+			out.onTime++
+		}
+	}
+	for len(events) > 0 {
+		e := heap.Pop(&events).(unevenEvent)
+		now := start.Add(e.at)
+		switch {
+		case e.batch != nil:
+			s := e.batch.Server
+			if l, ok := reports(e.at, pace(s.ID, e.at)); ok {
+				q.ReportLoad(now, s.Incarnation(), l)
+			}
+			completed, _ := q.Complete(now, e.batch, gather.CallAnswered, allDone(e.batch))
+			handles := []string{}
+			for _, c := range completed {
+				end(c.Item, now, c.Err)
+				handles = append(handles, c.Handle)
+			}
+			q.ReleaseResults(handles)
+		case !e.wake:
+			id := fmt.Sprint("r-", out.requests)
+			out.requests++
+			left[id] = unevenPieces
+			due := now.Add(unevenTargets/2 + time.Duration(rng.Int64N(int64(unevenTargets))))
+			items := make([]*gather.Item, unevenPieces)
+			for i := range items {
+				items[i] = &gather.Item{RequestID: id, Piece: i, ResultBytes: 10, Class: "c", Worth: 1, Due: due, Deadline: due.Add(1500 * time.Millisecond), Done: func(string, error) {}}
+			}
+			if q.Add(now, items) != nil {
+				out.refused++
+			}
+		}
+		for {
+			b, expired := q.Next(now)
+			for _, it := range expired {
+				end(it, now, fmt.Errorf("expired"))
+			}
+			if b == nil {
+				break
+			}
+			p := pace(b.Server.ID, e.at)
+			took := time.Duration(p * float64(unevenCfg.CallTime+time.Duration(len(b.Items))*unevenCfg.ItemTime))
+			out.pieces += len(b.Items)
+			out.busy += took
+			if p > 1 {
+				out.slowPieces += len(b.Items)
+				out.slowBusy += took
+			}
+			push(unevenEvent{at: e.at + took, batch: b})
+		}
+		if at := q.NextWakeup(now); !at.IsZero() {
+			wake := max(e.at+time.Millisecond, at.Sub(start))
+			if nextWake <= e.at || wake < nextWake {
+				nextWake = wake
+				push(unevenEvent{at: wake, wake: true})
+			}
+		}
+	}
+	return out
+}
+
+func reportNothing(time.Duration, float64) (fleet.Load, bool) { return fleet.Load{}, false }
+
+func reportPace(_ time.Duration, pace float64) (fleet.Load, bool) {
+	return fleet.Load{Running: 1, Slots: 1, Pace: pace}, true
+}
+
+// Guards against loss by the reported pace, and against its being of no use: with servers
+// that are slow for 600 ms at a time, no smaller share of requests may be in time than
+// without it, and less of the work may be done where it takes 2.5 times as long.
+func TestReportedPaceKeepsWorkFromSlowServers(t *testing.T) {
+	for _, load := range []float64{0.4, unevenLoad, 0.95, 1.2} {
+		var before, after unevenResult
+		for seed := range uint64(8) {
+			before.add(runUneven(seed, load, reportNothing))
+			after.add(runUneven(seed, load, reportPace))
+		}
+		t.Logf("load %.2f, without reports: %v", load, before)
+		t.Logf("load %.2f, with reports:    %v", load, after)
+		if before.requests != after.requests {
+			t.Fatalf("%d and %d requests, want the same", before.requests, after.requests)
+		}
+		if after.onTime < before.onTime {
+			t.Errorf("load %.2f: %d requests on time with reports, %d without", load, after.onTime, before.onTime)
+		}
+		if after.slowPieces >= before.slowPieces || after.slowBusy >= before.slowBusy {
+			t.Errorf("load %.2f: %d pieces and %v at slow servers with reports, %d and %v without", load, after.slowPieces, after.slowBusy, before.slowPieces, before.slowBusy)
+		}
+	}
+}
--- a/core/gather/plan.go
+++ b/core/gather/plan.go
@@ -14,13 +14,16 @@
 // servers, and its own call ends a full duration later.
 func (q *Queue) updatePace(now time.Time) (free time.Duration) {
 	active, slots := 0, 0.0
+	q.updateExpected(now)
 	free = -1
 	for _, s := range q.servers {
 		if now.Before(s.restsUntil()) {
 			continue
 		}
 		active++
-		slots += q.parallelism(now, s)
+		if q.slowServers {
+			slots += float64(q.cfg.Slots) / s.pace
+		}
 		ownFree := time.Duration(0)
 		if len(s.calls) >= q.cfg.Slots {
 			ownFree = max(0, s.earliestEnd().Sub(now))
@@ -33,6 +36,9 @@
 		// All servers are paused. Assume the shortest pause after a failure.
 		free = max(minFailureBackoff, q.earliestReturn(now).Sub(now))
 	}
+	if !q.slowServers {
+		slots = float64(active * q.cfg.Slots)
+	}
 	slots = max(1, slots)
 	call := max(q.meanCall, q.cfg.CallTime)
 	q.backlog.SetPace(backlog.Pace{
