--- a/core/gather/choose.go
+++ b/core/gather/choose.go
@@ -8,7 +8,12 @@
 
 // canStart reports whether a call to the server can start now.
 func (q *Queue) canStart(now time.Time, s *server) bool {
-	return len(s.calls) < q.cfg.Slots && !now.Before(s.restsUntil())
+	return len(s.calls) < q.cfg.Slots && !s.rests(now)
+}
+
+// rests reports whether the server gets no calls now.
+func (s *server) rests(now time.Time) bool {
+	return now.Before(s.pausedUntil) || now.Before(s.ExcludedUntil)
 }
 
 // restsUntil returns until when the server gets no calls, after failures or because it
@@ -32,7 +37,7 @@
 	prefersZone := it.prefersZone()
 	var best *server
 	for _, s := range q.servers {
-		if !q.canStart(now, s) || !q.fits(s, it.ResultBytes) || !q.worthStarting(now, s, it) {
+		if !q.canStart(now, s) || !q.fits(s, it.ResultBytes) || s.reportsSlow && !q.worthStarting(now, s, it) {
 			continue
 		}
 		if best == nil || q.better(it, s, best) {
@@ -75,7 +80,7 @@
 		limit = it.Deadline
 	}
 	for _, s := range q.servers {
-		if s.Zone != it.Zone || now.Before(s.restsUntil()) || len(s.calls) == 0 {
+		if s.Zone != it.Zone || s.rests(now) || len(s.calls) == 0 {
 			continue
 		}
 		end := s.earliestEnd()
@@ -92,9 +97,12 @@
 // that reported to be slow ends before it would make its items late.
 func (q *Queue) fill(now time.Time, s *server, b *Batch, first *backlog.Job) {
 	var blocked backlog.Lanes
-	room := q.slowRoom(now, s, q.waiting[first][0])
+	room := q.cfg.MaxBatch
+	if s.reportsSlow {
+		room = q.slowRoom(now, s, q.waiting[first][0])
+	}
 	for j := first; j != nil && len(b.Items) < room; j = q.backlog.First(blocked) {
-		if j != first {
+		if j != first && s.reportsSlow {
 			room = min(room, q.slowRoom(now, s, q.waiting[j][0]))
 		}
 		if j != first && !q.canJoin(now, s, q.waiting[j][0]) || !q.take(s, b, j, room) {
@@ -124,7 +132,7 @@
 // item that prefers another zone joins only if no better server can take it now
 // and none in its zone will be free in time.
 func (q *Queue) canJoin(now time.Time, s *server, it *Item) bool {
-	if !q.fits(s, it.ResultBytes) || !q.worthStarting(now, s, it) {
+	if !q.fits(s, it.ResultBytes) || s.reportsSlow && !q.worthStarting(now, s, it) {
 		return false
 	}
 	if !it.prefersZone() || it.Zone == s.Zone {
--- a/core/gather/gather.go
+++ b/core/gather/gather.go
@@ -168,8 +168,6 @@
 		// slowness is the moving average of the ratio of observed to expected
 		// call duration.
 		slowness float64
-		// load is what the server reported of itself.
-		load fleet.LoadTracker
 		// expected is how long a call that starts now is expected to take as a multiple
 		// of the usual time, and reportsSlow whether that is noticeably longer because of a
 		// report. Both are as of the last call of updatePace.
@@ -177,6 +175,8 @@
 		reportsSlow bool
 		// pace is as expected, without the wait for calls of others. It is at least 1.
 		pace float64
+		// load is what the server reported of itself.
+		load fleet.LoadTracker
 	}
 
 	// result is a result that a server holds until it is freed or expires.
--- a/core/gather/load.go
+++ b/core/gather/load.go
@@ -67,7 +67,7 @@
 	}
 	var first time.Time
 	for _, s := range q.servers {
-		if s.reportsSlow || zone != "" && s.Zone != zone || now.Before(s.restsUntil()) {
+		if s.reportsSlow || zone != "" && s.Zone != zone || s.rests(now) {
 			continue
 		}
 		if len(s.calls) < q.cfg.Slots {
@@ -98,15 +98,12 @@
 	s.reportsSlow = s.expected > slowPace
 }
 
-// worthStarting reports whether an item gains by a call to the server now. If the server
-// reported that it is slow, the item is better off at the next free server that did not, if
+// worthStarting reports whether an item gains by a call now to a server that reported to be
+// slow. The item is better off at the next free server that did not, if
 // its call ends earlier there. For an item that prefers its zone only servers there count.
 // The report is worth nothing soon and is renewed by an answer only, so a server is avoided
 // for a fraction of a second.
 func (q *Queue) worthStarting(now time.Time, s *server, it *Item) bool {
-	if !s.reportsSlow {
-		return true
-	}
 	zone := ""
 	if it.prefersZone() {
 		zone = it.Zone
@@ -173,13 +170,10 @@
 	return time.Duration(sum / float64(len(q.classSeconds)) * float64(time.Second))
 }
 
-// slowRoom returns how large a batch with an item may be. A server that reported to be slow
-// gets no more than it is expected to finish by the item's due time, or by its deadline if
+// slowRoom returns how large a batch with an item may be for a server that reported to be
+// slow. It gets no more than it is expected to finish by the item's due time, or by its deadline if
 // it is late anyway.
 func (q *Queue) slowRoom(now time.Time, s *server, it *Item) int {
-	if !s.reportsSlow {
-		return q.cfg.MaxBatch
-	}
 	left := it.Due.Sub(now).Seconds()/s.expected - q.cfg.CallTime.Seconds()
 	if each := q.itemSeconds(it.Class); left < each {
 		left = it.Deadline.Sub(now).Seconds()/s.expected - q.cfg.CallTime.Seconds()
--- a/core/gather/plan.go
+++ b/core/gather/plan.go
@@ -17,7 +17,7 @@
 	q.updateExpected(now)
 	free = -1
 	for _, s := range q.servers {
-		if now.Before(s.restsUntil()) {
+		if s.rests(now) {
 			continue
 		}
 		active++
