--- a/soak/faults.go
+++ b/soak/faults.go
@@ -71,6 +71,8 @@
 var calmFaults = []fault{
 	{"server silence", 3, silenceServer},
 	{"server failure after runs", 2, failAfterRuns},
+	{"noisy neighbour", 3, slowServer},
+	{"odd load", 2, sayOddLoad},
 	{"configuration", 1, func(h *harness, rng *rand.Rand) string {
 		service := []string{serviceDesk, serviceAlternate}[rng.IntN(2)]
 		h.putConfig(service)
