soak, stand: evacuations of zones

Without the option nothing changes. The literals of notices in checker_test.go name their fields, since there is a new one.

--- a/soak/checker.go
+++ b/soak/checker.go
@@ -105,6 +105,8 @@
 		// instance and of the process.
 		stoppedAt map[[2]int]time.Time
 		silences  []silence
+		// evacuations are those of zones, in order.
+		evacuations []*evacuation
 		// failedAfterRun holds the IDs of the requests that a server failed, after a run, with a
 		// status that promises that they have not run.
 		failedAfterRun map[string]bool
@@ -199,6 +201,7 @@
 	}
 	c.checkPieces(report)
 	c.checkNotices(report)
+	c.checkEvacuations(report)
 	c.checkRetryBudget(report)
 	c.checkCrashes(report)
 	c.checkMemory(report)
--- a/soak/checker_test.go
+++ b/soak/checker_test.go
@@ -121,15 +121,24 @@
 			first := &request{id: "first", route: routeStatus, key: "k", sent: r.sent.Add(-3 * time.Second), ended: r.sent.Add(-3 * time.Second), status: 200, valid: true}
 			c.requests[first.id] = first
 			c.notices = append(c.notices,
-				notice{"s", stand.Arrival{At: first.sent, RequestID: first.id, Leaving: true}}, notice{"s", stand.Arrival{At: r.sent, RequestID: r.id}})
+				notice{server: "s", Arrival: stand.Arrival{At: first.sent, RequestID: first.id, Leaving: true}}, notice{server: "s", Arrival: stand.Arrival{At: r.sent, RequestID: r.id}})
 		}},
 		"server told that it wants nothing": {routeStatus, "before it wants requests from instance 0", func(c *checker, r *request) {
 			until := r.sent.Add(time.Second)
-			c.notices = append(c.notices, notice{"s", stand.Arrival{At: r.sent.Add(-time.Second), RequestID: r.id, RefusesUntil: until}})
+			c.notices = append(c.notices, notice{server: "s", Arrival: stand.Arrival{At: r.sent.Add(-time.Second), RequestID: r.id, RefusesUntil: until}})
 			for range maxEarlyRequests + 1 {
-				c.notices = append(c.notices, notice{"s", stand.Arrival{At: r.sent, RequestID: r.id}})
+				c.notices = append(c.notices, notice{server: "s", Arrival: stand.Arrival{At: r.sent, RequestID: r.id}})
 			}
 		}},
+		"request to an evacuated zone": {routeStatus, "of zone d0", func(c *checker, r *request) {
+			c.evacuations = append(c.evacuations, &evacuation{zone: "d0", acked: r.sent.Add(-evacuationBound - time.Second)})
+			c.notices = append(c.notices, notice{server: "s", zone: "d0", Arrival: stand.Arrival{At: r.sent, RequestID: r.id}})
+			c.disturbances[r.instance] = append(c.disturbances[r.instance], &disturbance{from: r.sent.Add(-time.Second), server: "other"})
+		}},
+		"stage call to an evacuated zone": {routeStatus, "a stage call reached server s of zone d0", func(c *checker, r *request) {
+			c.evacuations = append(c.evacuations, &evacuation{zone: "d0", acked: r.sent.Add(-evacuationBound - time.Second)})
+			c.notices = append(c.notices, notice{server: "s", zone: "d0", Arrival: stand.Arrival{At: r.sent, Path: pathStageRun}})
+		}},
 		"too many repeats": {routeStatus, "retries in", func(c *checker, r *request) {
 			for range 70 {
 				c.arrivals = append(c.arrivals, arrival{id: r.id, server: "s", service: serviceDesk, at: r.sent})
@@ -149,6 +158,37 @@
 	}
 }
 
+// TestCheckerExcusesArrivalsInEvacuations tests that what may reach an evacuated zone is not
+// reported: within the bound, after the end, in another zone, while the instance is disturbed,
+// late because the server was silent, and to free results.
+func TestCheckerExcusesArrivalsInEvacuations(t *testing.T) {
+	for name, change := range map[string]func(c *checker, r *request, e *evacuation, n *notice){
+		"within the bound": func(_ *checker, r *request, e *evacuation, _ *notice) {
+			e.acked = r.sent.Add(-evacuationBound + time.Millisecond)
+		},
+		"after the end": func(_ *checker, r *request, e *evacuation, _ *notice) { e.to = r.sent.Add(-time.Millisecond) },
+		"another zone":  func(_ *checker, _ *request, _ *evacuation, n *notice) { n.zone = "d1" },
+		"disturbed": func(c *checker, r *request, e *evacuation, _ *notice) {
+			c.disturbances[r.instance] = append(c.disturbances[r.instance], &disturbance{from: e.acked, to: e.acked.Add(time.Second)})
+		},
+		"silent server": func(c *checker, r *request, e *evacuation, _ *notice) {
+			c.silences = append(c.silences, silence{"s", e.acked, r.sent.Add(-time.Millisecond)})
+		},
+		"free": func(_ *checker, _ *request, _ *evacuation, n *notice) { n.RequestID, n.Path = "", "/stage-free" },
+	} {
+		t.Run(name, func(t *testing.T) {
+			c, r := undisturbedRequest(routeStatus)
+			e := &evacuation{zone: "d0", acked: r.sent.Add(-evacuationBound - time.Second)}
+			n := notice{server: "s", zone: "d0", Arrival: stand.Arrival{At: r.sent, RequestID: r.id}}
+			change(c, r, e, &n)
+			c.evacuations, c.notices = append(c.evacuations, e), append(c.notices, n)
+			if got := c.violations(); len(got) != 0 {
+				t.Errorf("violations: %v", got)
+			}
+		})
+	}
+}
+
 // cutOff returns a checker with a request that reached server s and was cut off after 1 s.
 func cutOff() (*checker, *request) {
 	c, r := undisturbedRequest(routeChat)
--- a/soak/harness.go
+++ b/soak/harness.go
@@ -53,6 +53,8 @@
 		dir, binary string
 		checker     *checker
 		store       *stand.Store
+		// evacuations is set if the instances follow evacuations.
+		evacuations bool
 
 		mu        sync.Mutex
 		instances []*instance
@@ -99,7 +101,7 @@
 // newHarness starts the stand-ins, writes the first version of the configuration, and
 // starts the instances.
 func newHarness(dir, binary string, o options) (*harness, error) {
-	h := &harness{dir: dir, binary: binary, checker: newChecker(o.RepeatSlack), store: stand.NewStore()}
+	h := &harness{dir: dir, binary: binary, checker: newChecker(o.RepeatSlack), store: stand.NewStore(), evacuations: o.Evacuations}
 	for _, service := range []string{serviceDesk, serviceDesk, serviceDesk, serviceAlternate, serviceAlternate, serviceLLM, serviceLLM, serviceLLM, serviceLone, servicePhotos, servicePhotos} {
 		if _, err := h.addServer(service); err != nil {
 			return nil, err
@@ -153,6 +155,9 @@
 repeatWindow = %v
 `, in.number, in.number%2, in.callerAddress, in.peerAddress, in.operatorAddress, strings.Join(seeds, ", "), in.storeLink.address(),
 		drainTimeout, configPropagation, gracePeriod, retryRatio, h.checker.retrySlack, retryWindow)
+	if h.evacuations {
+		text += fmt.Sprintf("evacuation = %v\n", evacuationBound)
+	}
 	return os.WriteFile(h.settingsFile(in), []byte(text), 0o600)
 }
 
@@ -229,7 +234,7 @@
 	h.serverCount++
 	id := fmt.Sprintf("s-%d", h.serverCount)
 	h.mu.Unlock()
-	s := &server{Server: stand.NewServer(id, service, fmt.Sprintf("d%d", h.serverCount%2))}
+	s := &server{Server: stand.NewServer(id, service, zoneOf(h.serverCount))}
 	s.WorkTime, s.AnswerGap, s.Echo = 15*time.Millisecond, 10*time.Millisecond, true
 	if service == serviceLLM || service == serviceLone {
 		s.NumEvents, s.EventGap = 8, 80*time.Millisecond
@@ -342,7 +347,7 @@
 			}
 			h.checker.pieceRuns = append(h.checker.pieceRuns, s.PieceRuns()...)
 			for _, a := range s.Arrivals() {
-				h.checker.notices = append(h.checker.notices, notice{s.ID, a})
+				h.checker.notices = append(h.checker.notices, notice{s.ID, a, s.Zone})
 			}
 		}
 	})
--- a/soak/main.go
+++ b/soak/main.go
@@ -33,6 +33,7 @@
 	Port        int           `long:"port" default:"18000" description:"First port to use; each instance takes three"`
 	RepeatSlack int           `long:"repeat-slack" default:"56" description:"Retries of all instances in 10 s beyond a fifth of the calls"`
 	Faults      []string      `long:"fault" description:"Name of a fault to inject, all if none is given; may be repeated"`
+	Evacuations bool          `long:"evacuations" description:"Have the instances follow evacuations, and evacuate zones"`
 	Keep        bool          `long:"keep" description:"Keep the directory with settings and logs"`
 	Quiet       bool          `long:"quiet" description:"Do not print the injected faults"`
 }
@@ -117,6 +118,14 @@
 	return violations, nil
 }
 
+// calmFaults returns the faults that disturb nothing.
+func (o options) calmFaults() []fault {
+	if !o.Evacuations {
+		return calmFaults
+	}
+	return append(slices.Clone(calmFaults), fault{"evacuation", 2, evacuateZone})
+}
+
 // chosen returns the faults of a list that are to be injected.
 func (o options) chosen(all []fault) []fault {
 	if len(o.Faults) == 0 {
@@ -143,7 +152,7 @@
 		}
 	}
 	wg.Go(func() {
-		h.injectFaults(faultCtx, rand.New(rand.NewPCG(o.Seed, calmStream)), o.chosen(calmFaults), calmPause, logf)
+		h.injectFaults(faultCtx, rand.New(rand.NewPCG(o.Seed, calmStream)), o.chosen(o.calmFaults()), calmPause, logf)
 	})
 	done := make(chan struct{})
 	go h.watchMemory(done)
--- a/soak/notices.go
+++ b/soak/notices.go
@@ -18,6 +18,8 @@
 	notice struct {
 		server string
 		stand.Arrival
+		// zone is that of the server.
+		zone string
 	}
 
 	// told is what a server has told one process of an instance.
