--- a/core/gather/load_test.go
+++ b/core/gather/load_test.go
@@ -214,3 +214,85 @@
 		}
 	}
 }
+
+func reportOf(q *gather.Queue, now time.Time, i int, l fleet.Load) {
+	q.ReportLoad(now, servers("a", "a", "a")[i].Incarnation(), l)
+}
+
+// Guards against items that wait for ever for a server that is not slow: one that reports to
+// be slow is avoided while another one will be free earlier, and not for longer than its
+// report counts. If there is no other one it is used at once.
+func TestSlowServerIsAvoidedForAWhileOnly(t *testing.T) {
+	q := newQueue(t, "a", "a")
+	add(t, q, item("busy", 2*time.Second))
+	busy, _ := q.Next(start)
+	slow := 0
+	if busy.Server.ID == "s-0" {
+		slow = 1
+	}
+	now := start.Add(100 * time.Millisecond)
+	reportOf(q, now, slow, fleet.Load{Slots: 1, Pace: 2.5})
+	if err := q.Add(now, []*gather.Item{item("next", 3*time.Second)}); err != nil {
+		t.Fatal(err)
+	}
+	if b, _ := q.Next(now); b != nil {
+		t.Fatalf("the slow server got %d items, though the other one will be free earlier", len(b.Items))
+	}
+	at := q.NextWakeup(now)
+	if at.IsZero() || at.After(now.Add(600*time.Millisecond)) {
+		t.Fatalf("next wake-up %v later, want 600 ms at most", at.Sub(now))
+	}
+	if b, _ := q.Next(now.Add(600 * time.Millisecond)); b == nil {
+		t.Error("the server got nothing after its report had become worthless")
+	}
+	alone := newQueue(t, "a")
+	alone.ReportLoad(start, fleet.Incarnation{ID: "s-0"}, fleet.Load{Slots: 1, Pace: 2.5})
+	add(t, alone, item("only", 2*time.Second))
+	if b, _ := alone.Next(start); b == nil || b.Expected() != time.Duration(2.5*float64(cfg.CallTime+cfg.ItemTime)) || b.Pace() != 2.5 {
+		t.Errorf("batch %+v, want one that is expected to take 2.5 times as long", b)
+	}
+}
+
+// Guards against harm by absurd reports: they lengthen the expected time of a call, and so its
+// time-out, to ten times the usual at most, and another incarnation's report counts for nothing.
+func TestAbsurdReportIsBounded(t *testing.T) {
+	q := newQueue(t, "a")
+	q.ReportLoad(start, fleet.Incarnation{ID: "s-0"}, fleet.Load{Running: 1_000_000, Waiting: 1_000_000, Slots: 1, Pace: 1000})
+	q.ReportLoad(start, fleet.Incarnation{ID: "unknown"}, fleet.Load{Slots: 1, Pace: 1})
+	add(t, q, item("only", 20*time.Second))
+	if b, _ := q.Next(start); b == nil || b.Expected() > 10*(cfg.CallTime+cfg.ItemTime) {
+		t.Errorf("batch %+v, want one that is expected to take ten times as long at most", b)
+	}
+	other := newQueue(t, "a")
+	other.ReportLoad(start, fleet.Incarnation{ID: "s-0", Born: 7}, fleet.Load{Slots: 1, Pace: 2.5})
+	add(t, other, item("only", 2*time.Second))
+	if b, _ := other.Next(start); b == nil || b.Pace() != 0 {
+		t.Errorf("batch %+v, want one without a report", b)
+	}
+}
+
+// Guards against calls that wait behind those of other clients: a server that reports one is
+// chosen after one that reports none.
+func TestServerWithCallsOfOthersIsChosenLast(t *testing.T) {
+	q := newQueue(t, "a", "a")
+	reportOf(q, start, 0, fleet.Load{Running: 1, Waiting: 1, Slots: 1, Pace: 1})
+	reportOf(q, start, 1, fleet.Load{Slots: 1, Pace: 1})
+	add(t, q, item("next", 2*time.Second))
+	if b, _ := q.Next(start); b == nil || b.Server.ID != "s-1" {
+		t.Errorf("batch %+v, want one for s-1", b)
+	}
+}
+
+// Guards against batches that make their items late at a slow server: it gets no more items than
+// it is expected to finish by their due time.
+func TestBatchesOfSlowServersAreSmaller(t *testing.T) {
+	q := newQueue(t, "a")
+	q.ReportLoad(start, fleet.Incarnation{ID: "s-0"}, fleet.Load{Slots: 1, Pace: 2.5})
+	for i := range cfg.MaxBatch {
+		add(t, q, item(fmt.Sprint(i), 560*time.Millisecond))
+	}
+	// Two items take 550 ms, three 575 ms.
+	if b, _ := q.Next(start); b == nil || len(b.Items) != 2 {
+		t.Errorf("batch %+v, want one of 2 items", b)
+	}
+}
