--- a/core/fleet/load.go
+++ b/core/fleet/load.go
@@ -57,11 +57,6 @@
 	t.others = max(0, l.Running+l.Waiting-own)
 }
 
-// Last returns the last report and its age, and false if there is none.
-func (t *LoadTracker) Last(now time.Time) (l Load, age time.Duration, ok bool) {
-	return t.load, now.Sub(t.at), !t.at.IsZero()
-}
-
 // Reports reports whether the server has reported anything that still counts.
 func (t *LoadTracker) Reports(now time.Time) bool {
 	return !t.at.IsZero() && now.Sub(t.at) < paceHorizon
--- a/core/gather/load.go
+++ b/core/gather/load.go
@@ -95,14 +95,15 @@
 		excess := others + float64(len(s.calls)) + 1 - slots
 		s.expected *= 1 + min(maxQueueing, max(0, excess)/slots)
 	}
-	s.reportsSlow = s.expected > slowPace
+	// A server that reports no pace is not avoided for what was learned of it alone.
+	s.reportsSlow = s.expected > slowPace && (s.load.Pace(now) > 0 || s.expected > slowPace*slowness)
 }
 
 // worthStarting reports whether an item gains by a call now to a server that reported to be
-// slow. The item is better off at the next free server that did not, if
-// its call ends earlier there. For an item that prefers its zone only servers there count.
-// The report is worth nothing soon and is renewed by an answer only, so a server is avoided
-// for a fraction of a second.
+// slow. The item is better off at the next free server that did not, if its call ends earlier
+// there. For an item that prefers its zone only servers there count. The report is worth
+// nothing soon and is renewed by an answer only, so a server is avoided for a fraction of a
+// second.
 func (q *Queue) worthStarting(now time.Time, s *server, it *Item) bool {
 	zone := ""
 	if it.prefersZone() {
@@ -138,8 +139,9 @@
 // is left waits longer than the call takes.
 func (q *Queue) fillSlow(now time.Time, b *Batch) {
 	s := b.server
+	itemTime := q.itemTime()
 	takes := func(items int) time.Duration {
-		return time.Duration(s.expected * float64(q.cfg.CallTime+time.Duration(items)*q.itemTime()))
+		return time.Duration(s.expected * float64(q.cfg.CallTime+time.Duration(items)*itemTime))
 	}
 	full := takes(q.cfg.MaxBatch)
 	var blocked backlog.Lanes
@@ -171,8 +173,8 @@
 }
 
 // slowRoom returns how large a batch with an item may be for a server that reported to be
-// slow. It gets no more than it is expected to finish by the item's due time, or by its deadline if
-// it is late anyway.
+// slow. It gets no more than it is expected to finish by the item's due time, or by its
+// deadline if it is late anyway.
 func (q *Queue) slowRoom(now time.Time, s *server, it *Item) int {
 	left := it.Due.Sub(now).Seconds()/s.expected - q.cfg.CallTime.Seconds()
 	if each := q.itemSeconds(it.Class); left < each {
--- a/core/gather/load_test.go
+++ b/core/gather/load_test.go
@@ -283,6 +283,43 @@
 	}
 }
 
+// Guards against another treatment of servers that report no pace: one that was learned to be
+// slow is used when it is free, as without reports.
+func TestServerWithoutAPaceIsUsedAsBefore(t *testing.T) {
+	for _, reports := range []bool{false, true} {
+		q := newQueue(t, "a", "a")
+		now := start
+		batch := func(name string) *gather.Batch {
+			if err := q.Add(now, []*gather.Item{item(name, 60*time.Second)}); err != nil {
+				t.Fatal(err)
+			}
+			b, _ := q.Next(now)
+			if b == nil {
+				t.Fatalf("reports %v: %s: a free server got nothing", reports, name)
+			}
+			return b
+		}
+		for i := range 5 {
+			usual, slow := batch(fmt.Sprint("a-", i)), batch(fmt.Sprint("b-", i))
+			if usual.Server.ID != "s-0" {
+				usual, slow = slow, usual
+			}
+			now = now.Add(210 * time.Millisecond)
+			q.Complete(now, usual, gather.CallAnswered, allDone(usual))
+			now = now.Add(420 * time.Millisecond)
+			q.Complete(now, slow, gather.CallAnswered, allDone(slow))
+		}
+		if reports {
+			reportOf(q, now, 0, fleet.Load{Slots: 1})
+			reportOf(q, now, 1, fleet.Load{Slots: 1})
+		}
+		if b := batch("first"); b.Server.ID != "s-0" {
+			t.Errorf("reports %v: the slower server comes first", reports)
+		}
+		batch("second")
+	}
+}
+
 // Guards against batches that make their items late at a slow server: it gets no more items than
 // it is expected to finish by their due time.
 func TestBatchesOfSlowServersAreSmaller(t *testing.T) {
