--- a/core/backlog/backlog.go
+++ b/core/backlog/backlog.go
@@ -110,6 +110,9 @@
 // Len returns the number of jobs.
 func (b *Backlog) Len() int { return b.onTime.len() + b.late.len() }
 
+// Work returns the time in which the service does all the work that waits.
+func (b *Backlog) Work() time.Duration { return b.seconds(b.onTime.total() + b.late.total()) }
+
 // Add adds a job. It may cause jobs with less worth for their processing time to be
 // late.
 func (b *Backlog) Add(now time.Time, j *Job) {
@@ -188,6 +191,16 @@
 	return b.late.first(blocked)
 }
 
+// FirstFinishing returns the first on-time job whose lane is not in the set and that is not
+// late if it finishes at the given time. If there is none, it returns the first late job that
+// finishes by its deadline then, or nil.
+func (b *Backlog) FirstFinishing(at time.Time, blocked Lanes) *Job {
+	if j := b.onTime.firstFrom(at, blocked); j != nil {
+		return j
+	}
+	return b.late.firstFrom(at, blocked)
+}
+
 // tooLate reports whether a job that starts now finishes after the given time.
 func (b *Backlog) tooLate(now, at time.Time) bool { return now.Add(b.pace.MinTime).After(at) }
 
--- a/core/relay/plain.go
+++ b/core/relay/plain.go
@@ -69,6 +69,8 @@
 type plainSlot struct {
 	Slot
 	reason string
+	// slowness and pace are those of a grant of the instance's own stage.
+	slowness, pace float64
 }
 
 // acquireSlot waits for a slot that the owner of the service gives or, without an owner that
@@ -94,7 +96,7 @@
 		}
 		s.Release(grant, outcome)
 	}
-	return plainSlot{Slot: Slot{Server: grant.Endpoint.Name(), End: end}, reason: grant.Reason.String()}, nil
+	return plainSlot{Slot: Slot{Server: grant.Endpoint.Name(), End: end}, reason: grant.Reason.String(), slowness: grant.Slowness, pace: grant.Pace}, nil
 }
 
 // acquire waits until the stage grants a server. The first attempt fails at once
@@ -131,7 +133,9 @@
 	e.attempt++
 	e.triedServers = append(e.triedServers, server.ID)
 	start := e.now()
-	e.log("send", granted.reason, server.ID)
+	d := e.decision("send", granted.reason, server.ID, 0)
+	d.Slowness, d.Pace = granted.slowness, granted.pace
+	e.relay.deps.Log(d)
 	resp, err := e.relay.deps.Send(ctx, e.newAttempt(server, nil))
 	e.begun = err == nil
 	var body []byte
--- a/edge/metrics.go
+++ b/edge/metrics.go
@@ -20,6 +20,9 @@
 	refusedNotices prometheus.Counter
 	refusedEntries prometheus.Counter
 	evacuatedZones prometheus.Gauge
+	// loads and refusedLoads count load headers of servers, and serverPace has their paces.
+	loads, refusedLoads prometheus.Counter
+	serverPace          prometheus.Histogram
 	// quarantinedParts and quarantineEvents concern parts of prompts that crash engines.
 	quarantinedParts prometheus.Gauge
 	quarantineEvents *prometheus.CounterVec
@@ -56,6 +59,9 @@
 		refusedNotices:   prometheus.NewCounter(prometheus.CounterOpts{Name: "chervilpath_server_retry_after_refused_total", Help: "Retry-After headers of servers that could not be used."}),
 		refusedEntries:   prometheus.NewCounter(prometheus.CounterOpts{Name: "chervilpath_server_entries_refused_total", Help: "Entries in the list of servers that name no server to use, once for each revision of an entry."}),
 		evacuatedZones:   prometheus.NewGauge(prometheus.GaugeOpts{Name: "chervilpath_evacuated_zones", Help: "Failure domains whose servers get nothing because the operator evacuates them."}),
+		loads:            prometheus.NewCounter(prometheus.CounterOpts{Name: "chervilpath_server_loads_total", Help: "Loads that servers reported in answers."}),
+		refusedLoads:     prometheus.NewCounter(prometheus.CounterOpts{Name: "chervilpath_server_loads_refused_total", Help: "Load headers of servers that could not be used."}),
+		serverPace:       prometheus.NewHistogram(prometheus.HistogramOpts{Name: "chervilpath_server_pace", Help: "How long work takes at a server as it reports in an answer, as a multiple of the usual time.", Buckets: []float64{.5, .8, 1.1, 1.5, 2, 3, 5}}),
 		quarantinedParts: prometheus.NewGauge(prometheus.GaugeOpts{Name: "chervilpath_quarantined_parts", Help: "Parts of prompts that are held back because engines crashed on them."}),
 		quarantineEvents: prometheus.NewCounterVec(prometheus.CounterOpts{Name: "chervilpath_quarantine_events_total", Help: "Parts of prompts held back, released, tried again, forgotten, or too common to be held back, and crashes of engines that speak against parts, seen or refuted."}, []string{"event"}),
 		coldAdmissions:   prometheus.NewCounterVec(prometheus.CounterOpts{Name: "chervilpath_cold_admissions_total", Help: "Requests to cold servers: granted or denied by this instance as the owner, undecided because no owner decided, or held since an earlier denial still counts."}, []string{"result"}),
@@ -111,6 +117,9 @@
 		m.batchDuration,
 		m.coldAdmissions,
 		m.slots,
+		m.loads,
+		m.refusedLoads,
+		m.serverPace,
 	)
 	return m
 }
--- a/soak/checker.go
+++ b/soak/checker.go
@@ -107,6 +107,8 @@
 		silences  []silence
 		// coldPeriods are the times for which servers are cold.
 		coldPeriods []coldPeriod
+		// evacuations are those of zones, in order.
+		evacuations []*evacuation
 		// failedAfterRun holds the IDs of the requests that a server failed, after a run, with a
 		// status that promises that they have not run.
 		failedAfterRun map[string]bool
@@ -201,6 +203,7 @@
 	}
 	c.checkPieces(report)
 	c.checkNotices(report)
+	c.checkEvacuations(report)
 	c.checkRetryBudget(report)
 	c.checkCrashes(report)
 	c.checkMemory(report)
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -74,6 +74,8 @@
 	{"server failure after runs", 2, failAfterRuns},
 	{"noisy engines", 3, slowEngines},
 	{"server reading", 2, readSlowly},
+	{"noisy neighbour", 3, slowServer},
+	{"odd load", 2, sayOddLoad},
 	{"configuration", 1, func(h *harness, rng *rand.Rand) string {
 		service := []string{serviceDesk, serviceAlternate}[rng.IntN(2)]
 		h.putConfig(service)
@@ -81,15 +83,9 @@
 	}},
 }
 
-// enginePaces are the paces of the engines by index, as in docs/design/load.md. A slow engine
-// takes slowFactor times as long for slowTime.
+// enginePaces are the paces of the engines by index, as in docs/design/load.md.
 var enginePaces = []float64{0.7, 0.7, 1.7}
 
-const (
-	slowFactor = 2.5
-	slowTime   = 600 * time.Millisecond
-)
-
 // slowEngines makes one in seven of the engines slow for a moment, and one at least. They stay
 // sound: it disturbs nothing.
 func slowEngines(h *harness, rng *rand.Rand) string {
