--- a/io/front/listener.go
+++ b/io/front/listener.go
@@ -94,6 +94,12 @@
 // Write implements net.Conn.
 func (c *callerConn) Write(p []byte) (int, error) { return c.writer.write(p) }
 
+// Close implements net.Conn.
+func (c *callerConn) Close() error {
+	c.writer.close()
+	return c.Conn.Close()
+}
+
 // TrackState is an http.Server.ConnState.
 func TrackState(nc net.Conn, state http.ConnState) {
 	c, ok := nc.(*callerConn)
--- a/io/front/slow.go
+++ b/io/front/slow.go
@@ -112,6 +112,13 @@
 	_ = w.conn.Close()
 }
 
+// close gives up the room that a request has left, which it only has if serving it panicked.
+func (w *callerWriter) close() {
+	if w.waiting != nil {
+		w.waiting.Drop(w.reader)
+	}
+}
+
 // failure returns why the connection was ended, or nil.
 func (w *callerWriter) failure() error {
 	w.mu.Lock()
