--- a/soak/checker_test.go
+++ b/soak/checker_test.go
@@ -194,7 +194,7 @@
 		c, start := newChecker(56), time.Now()
 		c.addColdPeriod(coldPeriod{server: "s", from: start, until: start.Add(5 * time.Second), started: !test.again})
 		for i := range test.n {
-			c.notices = append(c.notices, notice{"s", stand.Arrival{At: start.Add(test.after + time.Duration(i)*test.space)}})
+			c.notices = append(c.notices, notice{server: "s", Arrival: stand.Arrival{At: start.Add(test.after + time.Duration(i)*test.space)}})
 		}
 		if test.plant != nil {
 			test.plant(c, start.Add(test.after))
