--- a/edge/placement.go
+++ b/edge/placement.go
@@ -11,8 +11,9 @@
 )
 
 // maxReports is how many reports of observations may be on their way to other instances at
-// a time. Further ones are dropped: the next ones tell the same.
-const maxReports = 16
+// a time. Further ones are dropped: the next ones tell the same, and while an instance is that
+// busy, the settlements of its placements must not wait for processor time behind them.
+const maxReports = 4
 
 // recordChoice logs why this instance chose an engine for a request.
 func (d *delegator) recordChoice(service, requestID string, c engine.Choice) {
