engine: bounded number of requests by pace beside the expected time

Under bursts at a deployment with even engines the most urgent class was on time less often than with placement by count: kept parts drew requests to engines that many others ran on. The number of requests is bounded by the pace again, and a kept part weighs up to twice as much, not ten times.

--- a/core/engine/engine.go
+++ b/core/engine/engine.go
@@ -103,8 +103,12 @@
 		// choices counts the choices, so that engineRank.skipped need not be reset.
 		choices     uint64
 		refreshedAt time.Time
-		kept        keptParts
-		usual       meanPace
+		// totalLoad is the number of requests on all engines, and speeds the sum of the speeds
+		// of those that take requests.
+		totalLoad int
+		speeds    float64
+		kept      keptParts
+		usual     meanPace
 		// usualInterval is the mean time between two events at pace 1.
 		usualInterval meanPace
 		typical       typicalRequest
@@ -126,7 +130,9 @@
 		reading, generating float64
 		// lastFirstEvent is when the latest first event was reported.
 		lastFirstEvent time.Time
-		pace           enginePace
+		// speed is the reciprocal of the pace relative to the usual one, as of the last refresh.
+		speed float64
+		pace  enginePace
 		// paceAtRefresh is the pace with which the engine's cost was computed.
 		paceAtRefresh       float64
 		consecutiveFailures int
--- a/core/engine/place.go
+++ b/core/engine/place.go
@@ -15,7 +15,7 @@
 	// one more for each busyWait ms of mean wait, up to maxReadingWeight. Otherwise a busy
 	// service would spread each shared part over ever more engines and be busy with reading it.
 	minReadingWeight = 1.5
-	maxReadingWeight = 10.0
+	maxReadingWeight = 2.0
 	busyWait         = 50.0
 
 	// Reading a prompt pauses the streams that run on the engine, so its time weighs
@@ -30,6 +30,13 @@
 	spreadFactor = 1.25
 	spreadExtra  = 15.0
 
+	// An engine is passed over, whatever it keeps, while its requests are at least
+	// loadBoundFactor times its share by its pace, plus loadBoundExtra: the time that
+	// requests take grows with the number that run beside them, which the work that is
+	// outstanding does not tell.
+	loadBoundFactor = 1.5
+	loadBoundExtra  = 1.5
+
 	// refreshInterval is the time after which the estimates of engines of which nothing was
 	// heard are computed again. It is short against the 600 ms for which engines are slow.
 	refreshInterval = 50 * time.Millisecond
@@ -113,7 +120,16 @@
 // health and its other limits allow to place the request on it.
 func (p *Placer) accepts(now time.Time, index int32, q *Query) bool {
 	e := p.engines[index]
-	return e.takes(q) && !now.Before(e.pausedUntil) && (p.Usable == nil || p.Usable(now, e.id))
+	return e.takes(q) && !now.Before(e.pausedUntil) && float64(e.load) < p.loadBound(e) && (p.Usable == nil || p.Usable(now, e.id))
+}
+
+// loadBound returns the number of requests from which on an engine gets no more: a multiple of its
+// share, by its pace, of the requests that all engines have.
+func (p *Placer) loadBound(e *engineState) float64 {
+	if p.speeds == 0 {
+		return math.Inf(1)
+	}
+	return loadBoundFactor*float64(p.totalLoad)*e.speed/p.speeds + loadBoundExtra
 }
 
 // skip leaves out an engine that was refused after others, and all that are refused once there
@@ -281,6 +297,7 @@
 	pace := e.pace.at(now, usual)
 	wait := p.waitAt(e, pace)
 	e.load++
+	p.totalLoad++
 	e.reading += unread
 	e.generating += r.output
 	if e.onTrial() {
@@ -299,12 +316,19 @@
 func (p *Placer) refreshAll(now time.Time) {
 	p.refreshedAt = now
 	sum, count := 0.0, 0.0
+	p.speeds, p.totalLoad = 0, 0
+	repeatable := Query{Repeatable: true}
 	for i, e := range p.engines {
 		if e == nil {
 			p.costs[i].wait = math.Inf(1)
 			continue
 		}
 		p.setCost(e, now, e.pace.at(now, p.usualPace()))
+		p.totalLoad += e.load
+		if e.takes(&repeatable) && !now.Before(e.pausedUntil) {
+			e.speed = min(max(p.usualPace()/e.paceAtRefresh, 0.25), 4)
+			p.speeds += e.speed
+		}
 		if wait := p.costs[i].wait; !math.IsInf(wait, 1) {
 			sum, count = sum+wait, count+1
 		}
--- a/core/engine/settle.go
+++ b/core/engine/settle.go
@@ -81,6 +81,7 @@
 	}
 	e := placed.engine
 	e.load--
+	p.totalLoad--
 	e.generating -= placed.generates
 	if !placed.begun {
 		e.reading -= placed.unread
