--- a/soak/harness.go
+++ b/soak/harness.go
@@ -101,7 +101,7 @@
 // newHarness starts the stand-ins, writes the first version of the configuration, and
 // starts the instances.
 func newHarness(dir, binary string, o options) (*harness, error) {
-	h := &harness{dir: dir, binary: binary, checker: newChecker(o.RepeatSlack), store: stand.NewStore(), evacuations: o.Evacuations}
+	h := &harness{dir: dir, binary: binary, checker: newChecker(o.RepeatSlack), store: stand.NewStore(), evacuations: !o.NoEvacuation}
 	for _, service := range []string{serviceDesk, serviceDesk, serviceDesk, serviceAlternate, serviceAlternate, serviceLLM, serviceLLM, serviceLLM, serviceLone, servicePhotos, servicePhotos} {
 		if _, err := h.addServer(service); err != nil {
 			return nil, err
--- a/soak/main.go
+++ b/soak/main.go
@@ -26,16 +26,16 @@
 )
 
 type options struct {
-	Seed        uint64        `long:"seed" default:"1" description:"Seed for the faults and the callers' requests"`
-	Duration    time.Duration `long:"duration" default:"30s" description:"Duration of fault injection"`
-	Instances   int           `long:"instances" default:"4" description:"Number of instances"`
-	Callers     int           `long:"callers" default:"24" description:"Number of concurrent callers"`
-	Port        int           `long:"port" default:"18000" description:"First port to use; each instance takes three"`
-	RepeatSlack int           `long:"repeat-slack" default:"56" description:"Retries of all instances in 10 s beyond a fifth of the calls"`
-	Faults      []string      `long:"fault" description:"Name of a fault to inject, all if none is given; may be repeated"`
-	Evacuations bool          `long:"evacuations" description:"Have the instances follow evacuations, and evacuate zones"`
-	Keep        bool          `long:"keep" description:"Keep the directory with settings and logs"`
-	Quiet       bool          `long:"quiet" description:"Do not print the injected faults"`
+	Seed         uint64        `long:"seed" default:"1" description:"Seed for the faults and the callers' requests"`
+	Duration     time.Duration `long:"duration" default:"30s" description:"Duration of fault injection"`
+	Instances    int           `long:"instances" default:"4" description:"Number of instances"`
+	Callers      int           `long:"callers" default:"24" description:"Number of concurrent callers"`
+	Port         int           `long:"port" default:"18000" description:"First port to use; each instance takes three"`
+	RepeatSlack  int           `long:"repeat-slack" default:"56" description:"Retries of all instances in 10 s beyond a fifth of the calls"`
+	Faults       []string      `long:"fault" description:"Name of a fault to inject, all if none is given; may be repeated"`
+	NoEvacuation bool          `long:"no-evacuation" description:"Have the instances not follow evacuations, and evacuate no zone"`
+	Keep         bool          `long:"keep" description:"Keep the directory with settings and logs"`
+	Quiet        bool          `long:"quiet" description:"Do not print the injected faults"`
 }
 
 const (
@@ -120,7 +120,7 @@
 
 // calmFaults returns the faults that disturb nothing.
 func (o options) calmFaults() []fault {
-	if !o.Evacuations {
+	if o.NoEvacuation {
 		return calmFaults
 	}
 	return append(slices.Clone(calmFaults), fault{"evacuation", 2, evacuateZone})
