--- a/core/settings/site.go
+++ b/core/settings/site.go
@@ -21,6 +21,7 @@
 		logLevel        string
 		store           string
 		bounds          Bounds
+		sharedSlots     bool
 		weight          float64
 		memory          int64
 	}
@@ -94,6 +95,13 @@
 				{Key: "coldSlack", Kind: option.Number, Default: "0", Min: 0, Max: 100000, Doc: "Requests to a cold server that are allowed within a second in addition to that multiple."},
 			},
 		},
+		{
+			Kind: "overload",
+			Doc:  "Who is delayed or refused when a service has too little room.",
+			Options: []option.Option{
+				{Key: "sharedSlots", Kind: option.Flag, Default: "no", Doc: "Whether the owner of a plain service that has fewer slots than there are instances gives its slots to the requests of all instances."},
+			},
+		},
 		{
 			Kind: "machine",
 			Doc:  "Resources of the machine on which the instance runs. Instances with more resources do more work for other instances.",
@@ -141,8 +149,9 @@
 		name: site.Text("name"), failureDomain: site.Text("failureDomain"),
 		callerAddress: site.Text("callerAddress"), peerAddress: site.Text("peerAddress"), operatorAddress: site.Text("operatorAddress"),
 		seeds: site.List("seeds"), logLevel: site.Text("logLevel"), store: sections["store"].Text("address"),
-		weight: min(machine.Number("cores"), machine.Number("linkMbps")/mbpsPerCore),
-		memory: int64(machine.Number("memoryMb")) << 20,
+		weight:      min(machine.Number("cores"), machine.Number("linkMbps")/mbpsPerCore),
+		memory:      int64(machine.Number("memoryMb")) << 20,
+		sharedSlots: sections["overload"].Flag("sharedSlots"),
 		bounds: Bounds{
 			Drain: bounds.Duration("drain"), ConfigPropagation: bounds.Duration("config"), HeartbeatInterval: bounds.Duration("heartbeat"),
 			Grace: bounds.Duration("grace"), RetryRatio: bounds.Number("repeatRatio"),
@@ -177,6 +186,10 @@
 // Store returns the address of the platform's store.
 func (s Site) Store() string { return s.store }
 
+// SharesSlots reports whether owners of plain services give their slots to the requests of all
+// instances.
+func (s Site) SharesSlots() bool { return s.sharedSlots }
+
 // Memory returns the memory of the machine in bytes.
 func (s Site) Memory() int64 { return s.memory }
 
--- a/edge/slots.go
+++ b/edge/slots.go
@@ -51,9 +51,13 @@
 	stage *stage.Stage
 }
 
-// sharesSlots reports whether the slots of a plain service are given by its owner: there
-// are fewer than instances, so that an instance's own share would be less than one.
+// sharesSlots reports whether the slots of a plain service are given by its owner: the settings
+// ask for it and there are fewer than instances, so that an instance's own share would be less
+// than one.
 func (c *clusterState) sharesSlots(service string) bool {
+	if !c.instance.cfg.Load().SharesSlots() {
+		return false
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if use := c.uses[service]; !use.plain || use.engine != nil || use.pieces != nil {
--- a/edge/slots_test.go
+++ b/edge/slots_test.go
@@ -28,7 +28,9 @@
 		server.Run(w, r)
 		return true
 	}
-	s = newTestSite(t, numInstances, configSpec(1, []string{apiKey}, routeSpec("desk", "idempotent", "desk", nil)), server)
+	s = newTestSite(t, 0, configSpec(1, []string{apiKey}, routeSpec("desk", "idempotent", "desk", nil)), server)
+	s.bounds = "[overload]\nsharedSlots = yes"
+	startLinkedFleet(t, s, numInstances, 0)
 	entry := server.Entry("ready")
 	entry["slots"] = 2
 	s.store.Put("servers", server.ID, entry)
--- a/soak/harness.go
+++ b/soak/harness.go
@@ -160,6 +160,7 @@
 	if h.evacuations {
 		text += fmt.Sprintf("evacuation = %v\n", evacuationBound)
 	}
+	text += "[overload]\nsharedSlots = yes\n"
 	return os.WriteFile(h.settingsFile(in), []byte(text), 0o600)
 }
 
