--- a/review/testdata/drive2/shifted.go
+++ b/review/testdata/drive2/shifted.go
@@ -184,8 +184,9 @@
 	return map[string]any{"service": service, "address": address, "zone": zone, "version": "v1", "slots": slots, "state": "ready", "coldLeftMs": 0, "seq": 1, "born": 1}
 }
 
-func (d *drive) startInstances(n int, zones []string, store string) ([]*instance, error) {
-	var addresses [][3]string
+// freeAddresses returns three free addresses for each of n instances.
+func freeAddresses(n int) ([][3]string, error) {
+	var out [][3]string
 	for range n {
 		var a [3]string
 		for k := range a {
@@ -196,7 +197,16 @@
 			a[k] = l.Addr().String()
 			defer func() { _ = l.Close() }()
 		}
-		addresses = append(addresses, a)
+		out = append(out, a)
+	}
+	return out, nil
+}
+
+// startInstances prepares n instances in the given zones.
+func (d *drive) startInstances(n int, zones []string, store string) ([]*instance, error) {
+	addresses, err := freeAddresses(n)
+	if err != nil {
+		return nil, err
 	}
 	seeds := []string{addresses[0][1], addresses[1][1], addresses[2][1]}
 	var out []*instance
