--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -4,4 +4,4 @@
 set -e
 cd "$(dirname "$0")/.."
 mkdir -p target
-go build -buildvcs=false -o target/review-drive2 ./review/testdata/drive2
+go build -buildvcs=false -o target/review-drive2 ./review/6/testdata/drive2
