io/http1: an answer without a status of a response is a failure of its server

What callers saw: a server in trouble answered with status 000. In a resumed stream the rest of it was relayed as a sound answer. A plain request ended with a closed connection, since net/http panics when it is to write that status. With Chervilpath-Not-Executed the answer was believed: a request that must not run twice reached the server four times and its caller got 503, which promises that it has not run. A 101 was relayed as it came.

Cause: net/http, which reads the answers, accepts any three characters that make a number of zero or more ("000", "-00", "+20", "999"), any version ("HTTP/2.0"), control bytes in the reason, and takes 101 for the final response. Nothing after it looked at the status: core/relay tells failures by "500 and above" and platform.Store successes by "below 300", so that 000 confirmed a write.

Fix: io/http1 checks the bytes of a head below net/http, on the connections to servers, stage servers, the store, other instances and endpoints. A broken status line is an error of the send, so that everything that holds for bytes that are no answer holds here: the request may have run, the server has failed, the connection is closed. Nothing of the answer is observed.

--- a/cmd/lint.go
+++ b/cmd/lint.go
@@ -5,12 +5,12 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"net/http"
 	"os"
 	"strings"
 	"time"
 
 	"chervilpath/core/lint"
+	"chervilpath/io/http1"
 	"chervilpath/platform"
 )
 
@@ -107,7 +107,7 @@
 	}
 	ctx, cancel := context.WithTimeout(c.ctx, lintStoreTimeout)
 	defer cancel()
-	store := platform.NewStore(strings.TrimSuffix(c.Platform, "/"), http.DefaultClient)
+	store := platform.NewStore(strings.TrimSuffix(c.Platform, "/"), http1.NewClient())
 	objects, _, err := store.ListConfig(ctx)
 	if err != nil {
 		return nil, nil, &exitError{exitUnavailable, fmt.Errorf("reading the configuration in force: %w", err)}
--- a/cmd/publish.go
+++ b/cmd/publish.go
@@ -6,7 +6,6 @@
 	"crypto/rand"
 	"encoding/json"
 	"fmt"
-	"net/http"
 	"os/user"
 	"strings"
 	"time"
@@ -15,6 +14,7 @@
 
 	"chervilpath/core/fault"
 	"chervilpath/core/publish"
+	"chervilpath/io/http1"
 	"chervilpath/io/objects"
 	"chervilpath/io/operator"
 	"chervilpath/platform"
@@ -101,7 +101,7 @@
 }
 
 func (o platformOptions) client() *objects.Client {
-	store := platform.NewStore(strings.TrimSuffix(o.Platform, "/"), http.DefaultClient)
+	store := platform.NewStore(strings.TrimSuffix(o.Platform, "/"), http1.NewClient())
 	return objects.New(store.Objects(objects.WatchWait), operatorRate, operatorRate)
 }
 
--- /dev/null
+++ b/io/http1/http1_test.go
@@ -0,0 +1,150 @@
+package http1_test
+
+import (
+	"bufio"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"chervilpath/io/http1"
+)
+
+// repeats is how often each response is sent.
+const repeats = 50
+
+// newServer returns the address of a server that answers each request with a text, written
+// in parts of the given size, and the number of its connections.
+func newServer(t *testing.T, text string, partBytes int) (address string, conns *atomic.Int32) {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	conns = new(atomic.Int32)
+	go func() {
+		for {
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			conns.Add(1)
+			go func() {
+				defer func() { _ = conn.Close() }()
+				for r := bufio.NewReader(conn); ; {
+					req, err := http.ReadRequest(r)
+					if err != nil {
+						return
+					}
+					if _, err := io.Copy(io.Discard, req.Body); err != nil {
+						return
+					}
+					for rest := text; rest != ""; {
+						n := min(partBytes, len(rest))
+						if _, err := io.WriteString(conn, rest[:n]); err != nil {
+							return
+						}
+						rest = rest[n:]
+					}
+				}
+			}()
+		}
+	}()
+	return l.Addr().String(), conns
+}
+
+// exchange sends a request with a body, which net/http does not repeat.
+func exchange(client *http.Client, address string) (status int, body string, err error) {
+	resp, err := client.Post("http://"+address, "text/plain", strings.NewReader("body"))
+	if err != nil {
+		return 0, "", err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	data, err := io.ReadAll(resp.Body)
+	return resp.StatusCode, string(data), err
+}
+
+func newClient(t *testing.T) *http.Client {
+	t.Helper()
+	client := &http.Client{Transport: http1.NewTransport(&http.Transport{DisableCompression: true}), Timeout: 10 * time.Second}
+	t.Cleanup(client.CloseIdleConnections)
+	return client
+}
+
+// checkBroken checks that a response is an error, whole or byte by byte, and that its
+// connection carries no other request.
+func checkBroken(t *testing.T, text string) {
+	t.Helper()
+	for _, partBytes := range []int{1, 7, len(text)} {
+		address, conns := newServer(t, text, partBytes)
+		client := newClient(t)
+		for range repeats {
+			if status, body, err := exchange(client, address); !errors.Is(err, http1.ErrMalformed) {
+				t.Fatalf("in parts of %d bytes: status %d, body %q, error %v; want ErrMalformed", partBytes, status, body, err)
+			}
+		}
+		if n := conns.Load(); n != repeats {
+			t.Errorf("in parts of %d bytes: %d connections for %d requests", partBytes, n, repeats)
+		}
+	}
+}
+
+func TestStatusLineThatIsBroken(t *testing.T) {
+	t.Parallel()
+	for _, line := range []string{
+		"HTTP/1.1 000 OK", "HTTP/1.1 099 OK", "HTTP/1.1 600 OK", "HTTP/1.1 999 OK", "HTTP/1.1 -00 OK", "HTTP/1.1 +20 OK",
+		"HTTP/1.1 101 Switching Protocols", "HTTP/1.1  200 OK", "HTTP/1.1 200\tOK", "HTTP/1.1 20 OK", "HTTP/1.1 2000 OK",
+		"HTTP/0.9 200 OK", "HTTP/2.0 200 OK", "HTTP/1.1 200 O\x00K", "HTTP/1.1 200 OK\r", "http/1.1 200 OK", "", " HTTP/1.1 200 OK",
+	} {
+		t.Run(fmt.Sprintf("%q", line), func(t *testing.T) {
+			t.Parallel()
+			checkBroken(t, line+"\r\nContent-Length: 2\r\n\r\nok")
+			checkBroken(t, "HTTP/1.1 103 Early Hints\r\n\r\n"+line+"\r\nContent-Length: 2\r\n\r\nok")
+		})
+	}
+}
+
+// Guards against checks that refuse a sound response or close its connection.
+func TestSoundResponsesKeepTheirConnection(t *testing.T) {
+	t.Parallel()
+	for name, tt := range map[string]struct {
+		text   string
+		status int
+		body   string
+	}{
+		"length":                 {"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", 200, "ok"},
+		"chunks":                 {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n", 200, "ok"},
+		"trailers":               {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nTrailer: X-Sum\r\n\r\n2\r\nok\r\n0\r\nX-Sum: 1\r\n\r\n", 200, "ok"},
+		"no body":                {"HTTP/1.1 204 No Content\r\n\r\n", 204, ""},
+		"interim responses":      {"HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\nHTTP/1.1 102 Processing\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", 200, "ok"},
+		"no reason":              {"HTTP/1.1 200 \r\nContent-Length: 2\r\n\r\nok", 200, "ok"},
+		"no space and no reason": {"HTTP/1.1 200\r\nContent-Length: 2\r\n\r\nok", 200, "ok"},
+		"reason in Latin-1":      {"HTTP/1.1 200 tr\xe8s bien\r\nContent-Length: 2\r\n\r\nok", 200, "ok"},
+		"lines without CR":       {"HTTP/1.1 200 OK\nContent-Length: 2\n\nok", 200, "ok"},
+		"an unusual status":      {"HTTP/1.1 599 Odd\r\nContent-Length: 2\r\n\r\nok", 599, "ok"},
+		"fields":                 {"HTTP/1.1 200 OK\r\nX!#$%&'*+-.^_`|~9: \t a \xe8 \t b\t \r\nX-Empty:\r\nX-Colon: a:b\r\nContent-Length:2\r\n\r\nok", 200, "ok"},
+		"a body like a head":     {"HTTP/1.1 200 OK\r\nContent-Length: 18\r\n\r\n\r\nHTTP/1.1 000\r\n :", 200, "\r\nHTTP/1.1 000\r\n :"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			for _, partBytes := range []int{1, 7, len(tt.text)} {
+				address, conns := newServer(t, tt.text, partBytes)
+				client := newClient(t)
+				for range repeats {
+					if status, body, err := exchange(client, address); status != tt.status || body != tt.body || err != nil {
+						t.Fatalf("in parts of %d bytes: status %d, body %q, error %v; want %d and %q", partBytes, status, body, err, tt.status, tt.body)
+					}
+				}
+				if n := conns.Load(); n != 1 {
+					t.Errorf("in parts of %d bytes: %d connections, want 1", partBytes, n)
+				}
+			}
+		})
+	}
+}
--- a/io/operator/operator.go
+++ b/io/operator/operator.go
@@ -17,6 +17,7 @@
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
 	"chervilpath/core/status"
+	"chervilpath/io/http1"
 )
 
 type (
@@ -45,6 +46,9 @@
 // back.
 const ReleasePath = "/quarantine/release"
 
+// client makes the calls to instances for commands.
+var client = http1.NewClient()
+
 // New returns a server for operators.
 func New(deps Deps) *Server { return &Server{deps: deps} }
 
@@ -134,5 +138,5 @@
 	if token != "" {
 		req.Header.Set("Authorization", "Bearer "+token)
 	}
-	return http.DefaultClient.Do(req)
+	return client.Do(req)
 }
--- a/io/peer/peer.go
+++ b/io/peer/peer.go
@@ -25,6 +25,7 @@
 	"chervilpath/core/fault"
 	"chervilpath/core/member"
 	"chervilpath/core/once"
+	"chervilpath/io/http1"
 	"chervilpath/io/peer/peerpb"
 )
 
@@ -80,7 +81,7 @@
 	// authTransport adds the shared secret to requests and limits replies.
 	authTransport struct {
 		secret string
-		next   http.RoundTripper
+		next   *http1.Transport
 	}
 )
 
@@ -101,7 +102,7 @@
 		c.scheme = "https://"
 		configureTLS(transport)
 	}
-	c.http = &http.Client{Transport: authTransport{secret: secret, next: transport}}
+	c.http = &http.Client{Transport: authTransport{secret: secret, next: http1.NewTransport(transport)}}
 	return c
 }
 
@@ -139,11 +140,7 @@
 
 // CloseIdleConnections lets http.Client close the idle connections of the
 // underlying transport.
-func (t authTransport) CloseIdleConnections() {
-	if t, ok := t.next.(*http.Transport); ok {
-		t.CloseIdleConnections()
-	}
-}
+func (t authTransport) CloseIdleConnections() { t.next.CloseIdleConnections() }
 
 // For returns the client for an address. It creates one if there is none.
 func (c *Clients) For(address string) peerpb.Peer {
--- a/io/upstream/conn.go
+++ b/io/upstream/conn.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"chervilpath/io/http1"
 )
 
 const (
@@ -71,7 +73,7 @@
 		return ctx
 	}
 	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
-		if c, ok := info.Conn.(*countingConn); ok {
+		if c, ok := http1.NetConn(info.Conn).(*countingConn); ok {
 			c.sendBefore.Store(&at)
 		}
 	}})
--- a/io/upstream/upstream.go
+++ b/io/upstream/upstream.go
@@ -22,6 +22,7 @@
 
 	"chervilpath/core/fleet"
 	"chervilpath/core/relay"
+	"chervilpath/io/http1"
 )
 
 const (
@@ -44,10 +45,10 @@
 	// Client sends requests to servers. Use New to create one. It is safe for
 	// concurrent use.
 	Client struct {
-		transport *http.Transport
+		transport *http1.Transport
 		// singleUse has the same settings as transport, and uses each connection
 		// for one request.
-		singleUse      *http.Transport
+		singleUse      *http1.Transport
 		outgoingHeader func(relay.Attempt) http.Header
 		readResponse   func(resp *http.Response, id string) (*relay.Response, error)
 		// observe is called with the head of each response, before it is read.
@@ -97,13 +98,13 @@
 	}
 }
 
-// New returns a client. outgoingHeader returns the header to send with an
+// New returns a client that uses the settings of transport, which it takes over. outgoingHeader returns the header to send with an
 // attempt, and readResponse decodes the head of the response to the request with
 // the given ID. observe is called with the server and the head of each response.
 func New(transport *http.Transport, outgoingHeader func(relay.Attempt) http.Header, readResponse func(*http.Response, string) (*relay.Response, error), observe func(fleet.Server, *http.Response)) *Client {
 	singleUse := transport.Clone()
 	singleUse.DisableKeepAlives = true
-	return &Client{transport: transport, singleUse: singleUse, outgoingHeader: outgoingHeader, readResponse: readResponse, observe: observe}
+	return &Client{transport: http1.NewTransport(transport), singleUse: http1.NewTransport(singleUse), outgoingHeader: outgoingHeader, readResponse: readResponse, observe: observe}
 }
 
 // Send makes one attempt. An error is a *relay.SendError.
@@ -188,7 +189,7 @@
 			t.mu.Lock()
 			defer t.mu.Unlock()
 			t.conn, t.reused = info.Conn, info.Reused
-			if c, ok := info.Conn.(*countingConn); ok {
+			if c, ok := http1.NetConn(info.Conn).(*countingConn); ok {
 				t.writtenBefore = c.written.Load()
 				c.sendBefore.Store(nil)
 			}
@@ -203,7 +204,7 @@
 	if t.conn == nil {
 		return true
 	}
-	c, ok := t.conn.(*countingConn)
+	c, ok := http1.NetConn(t.conn).(*countingConn)
 	return ok && c.written.Load() == t.writtenBefore
 }
 
--- a/node/node.go
+++ b/node/node.go
@@ -32,6 +32,7 @@
 	"chervilpath/core/stage"
 	"chervilpath/io/caller"
 	"chervilpath/io/endpoint"
+	"chervilpath/io/http1"
 	"chervilpath/io/objects"
 	"chervilpath/io/peer"
 	"chervilpath/platform"
@@ -92,8 +93,8 @@
 	if err != nil {
 		return nil, err
 	}
-	in.endpoints = endpoint.New(&http.Client{Transport: security.endpointTransport}, in.recordLoad)
-	in.platformStore = platform.NewStore(strings.TrimSuffix(cfg.PlatformURL(), "/"), &http.Client{Transport: security.platformTransport})
+	in.endpoints = endpoint.New(&http.Client{Transport: http1.NewTransport(security.endpointTransport)}, in.recordLoad)
+	in.platformStore = platform.NewStore(strings.TrimSuffix(cfg.PlatformURL(), "/"), &http.Client{Transport: http1.NewTransport(security.platformTransport)})
 	in.objectClient = objects.New(in.platformStore.Objects(objects.WatchWait), cfg.ReadsPerSecond(), cfg.WritesPerSecond())
 	in.ledger = cost.New(time.Now(), cfg.Name(), in.owner.Incarnation)
 	in.metrics = newMetrics(in)
