io/http1: an answer with a broken field line is a failure of its server

What callers saw: an answer in whose head the name of a field held a blank was relayed as a sound one, with that line. A line that began with a blank or a tab was joined to the value before it: callers got "Content-Type: text/event-stream X-Extra: 1". With "Content-Length : 3" the length was lost, and with a Transfer-Encoding beside a Content-Length, or in HTTP/1.0, the bytes that callers got as the body were not the server's. Engines were given results of such an answer to a stage call.

Cause: net/http accepts blanks in the names of response fields and continued lines, and lets chunks win over a length. It refuses control bytes within a name by itself; a tab before the name is the control byte that passes.

Fix: io/http1 checks each line of a head: a name is a token that ends at the colon, a value holds no control byte, a line begins with its name, and one field at most says where the body ends. What no sender may send any more (continued lines) is refused as well, since it cannot be told from a name that begins with a blank. One stand-in, standin.Raw, sends such answers in all tests.

--- a/edge/brokenanswer_test.go
+++ b/edge/brokenanswer_test.go
@@ -215,3 +215,26 @@
 		}
 	}
 }
+
+// Guards against an answer in whose head the name of a field holds a blank or a control byte, and
+// whose lines are passed on, or whose body is not the server's.
+func TestAnswerWithABrokenFieldIsAFailure(t *testing.T) {
+	t.Parallel()
+	for name, lines := range map[string]string{
+		"blank in a name":        "X Extra: 1\r\n",
+		"blank after a name":     "X-Extra : 1\r\n",
+		"blank before a name":    " X-Extra: 1\r\n",
+		"tab before a name":      "\tX-Extra: 1\r\n",
+		"control byte in a name": "X-\x01Extra: 1\r\n",
+		"length with a blank":    "Content-Length : 3\r\n",
+		"chunks beside a length": "Transfer-Encoding: chunked\r\n",
+		"a refusal with a blank": "X-Extra : 1\r\n" + stand.HeaderNotExecuted + ": 1\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			checkBrokenAnswers(t, func(id, body string) string {
+				return rawAnswerWith(soundStatusLine, id, eventStream+lines, body)
+			})
+		})
+	}
+}
--- a/io/http1/head.go
+++ b/io/http1/head.go
@@ -3,6 +3,9 @@
 import (
 	"bytes"
 	"fmt"
+	"strings"
+
+	"golang.org/x/net/http/httpguts"
 )
 
 const (
@@ -22,6 +25,10 @@
 	open bool
 	// inFields is set after the status line, and interim if that is one of an interim response.
 	inFields, interim bool
+	// minorVersion is the digit after "HTTP/1.", and hasLength and isEncoded are set if the head
+	// has a Content-Length and a Transfer-Encoding.
+	minorVersion         byte
+	hasLength, isEncoded bool
 	// partial is the beginning of a line whose end has not come. net/http limits the
 	// size of a head, and so that of a line.
 	partial []byte
@@ -58,9 +65,32 @@
 		if !isStatusLine(line) {
 			return fmt.Errorf("%w: status line %.*q", ErrMalformed, maxQuotedBytes, line)
 		}
-		h.inFields, h.interim = true, line[len(statusLinePrefix)+2] == '1'
+		h.inFields, h.interim, h.minorVersion = true, line[len(statusLinePrefix)+2] == '1', line[len(statusLinePrefix)]
+		h.hasLength, h.isEncoded = false, false
+		return nil
 	case len(line) == 0:
 		h.inFields, h.open = false, h.interim
+		return h.checkFraming()
+	}
+	return h.checkField(line)
+}
+
+// checkField checks a field line. One that begins with a blank would continue the value of the
+// line before, which is not allowed any more: it may as well be a field whose name begins with one.
+func (h *headChecker) checkField(line []byte) error {
+	name, value, ok := strings.Cut(string(line), ":")
+	if !ok || !httpguts.ValidHeaderFieldName(name) || !isText(value) {
+		return fmt.Errorf("%w: field line %.*q", ErrMalformed, maxQuotedBytes, line)
+	}
+	h.hasLength = h.hasLength || strings.EqualFold(name, "Content-Length")
+	h.isEncoded = h.isEncoded || strings.EqualFold(name, "Transfer-Encoding")
+	return nil
+}
+
+// checkFraming checks that a head does not say in two ways where its body ends.
+func (h *headChecker) checkFraming() error {
+	if h.isEncoded && (h.hasLength || h.minorVersion == '0') {
+		return fmt.Errorf("%w: a Transfer-Encoding beside a Content-Length or in HTTP/1.0", ErrMalformed)
 	}
 	return nil
 }
@@ -74,15 +104,15 @@
 	}
 	version, space, status, reason := line[len(statusLinePrefix)], line[len(statusLinePrefix)+1], line[len(statusLinePrefix)+2:statusLineBytes], line[statusLineBytes:]
 	return isDigit(version) && space == ' ' && '1' <= status[0] && status[0] <= '5' && isDigit(status[1]) && isDigit(status[2]) &&
-		string(status) != "101" && (len(reason) == 0 || reason[0] == ' ' && isText(reason))
+		string(status) != "101" && (len(reason) == 0 || reason[0] == ' ' && isText(string(reason)))
 }
 
 func isDigit(c byte) bool { return '0' <= c && c <= '9' }
 
 // isText reports whether all bytes are allowed in a reason phrase or the value of a field.
-func isText(b []byte) bool {
-	for _, c := range b {
-		if c < ' ' && c != '\t' || c == 0x7f {
+func isText(s string) bool {
+	for i := range len(s) {
+		if c := s[i]; c < ' ' && c != '\t' || c == 0x7f {
 			return false
 		}
 	}
--- a/io/http1/http1_test.go
+++ b/io/http1/http1_test.go
@@ -1,62 +1,31 @@
 package http1_test
 
 import (
-	"bufio"
 	"errors"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"strings"
-	"sync/atomic"
 	"testing"
 	"time"
 
 	"chervilpath/io/http1"
+	"chervilpath/io/standin"
 )
 
 // repeats is how often each response is sent.
 const repeats = 50
 
-// newServer returns the address of a server that answers each request with a text, written
-// in parts of the given size, and the number of its connections.
-func newServer(t *testing.T, text string, partBytes int) (address string, conns *atomic.Int32) {
+// newServer returns a server that answers each request with a text, written in parts of the
+// given size.
+func newServer(t *testing.T, text string, partBytes int) *standin.Raw {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	s, err := standin.NewRaw(text, partBytes)
 	if err != nil {
 		t.Fatal(err)
 	}
-	t.Cleanup(func() { _ = l.Close() })
-	conns = new(atomic.Int32)
-	go func() {
-		for {
-			conn, err := l.Accept()
-			if err != nil {
-				return
-			}
-			conns.Add(1)
-			go func() {
-				defer func() { _ = conn.Close() }()
-				for r := bufio.NewReader(conn); ; {
-					req, err := http.ReadRequest(r)
-					if err != nil {
-						return
-					}
-					if _, err := io.Copy(io.Discard, req.Body); err != nil {
-						return
-					}
-					for rest := text; rest != ""; {
-						n := min(partBytes, len(rest))
-						if _, err := io.WriteString(conn, rest[:n]); err != nil {
-							return
-						}
-						rest = rest[n:]
-					}
-				}
-			}()
-		}
-	}()
-	return l.Addr().String(), conns
+	t.Cleanup(s.Close)
+	return s
 }
 
 // exchange sends a request with a body, which net/http does not repeat.
@@ -82,14 +51,14 @@
 func checkBroken(t *testing.T, text string) {
 	t.Helper()
 	for _, partBytes := range []int{1, 7, len(text)} {
-		address, conns := newServer(t, text, partBytes)
+		server := newServer(t, text, partBytes)
 		client := newClient(t)
 		for range repeats {
-			if status, body, err := exchange(client, address); !errors.Is(err, http1.ErrMalformed) {
+			if status, body, err := exchange(client, server.Address()); !errors.Is(err, http1.ErrMalformed) {
 				t.Fatalf("in parts of %d bytes: status %d, body %q, error %v; want ErrMalformed", partBytes, status, body, err)
 			}
 		}
-		if n := conns.Load(); n != repeats {
+		if n := server.Conns(); n != repeats {
 			t.Errorf("in parts of %d bytes: %d connections for %d requests", partBytes, n, repeats)
 		}
 	}
@@ -110,6 +79,38 @@
 	}
 }
 
+func TestFieldsThatAreBroken(t *testing.T) {
+	t.Parallel()
+	for _, lines := range []string{
+		"X-Name : 1", "X Name: 1", " X-Name: 1", "\tX-Name: 1", "X-Name\t: 1", "X-\x01Name: 1", "X-Name\x00: 1", "X-\x7fName: 1", "X-\rName: 1",
+		"X-N\xe8me: 1", "X-(Name): 1", ": 1", "X-Name", " ", "X-Name: 1\x00", "X-Name: a\rb", "X-Name: 1\r",
+		"Content-Length : 1", "\tContent-Length: 1", "Content-Length: 2\r\n folded", "Transfer-Encoding : chunked",
+	} {
+		t.Run(fmt.Sprintf("%q", lines), func(t *testing.T) {
+			t.Parallel()
+			checkBroken(t, "HTTP/1.1 200 OK\r\n"+lines+"\r\nContent-Length: 2\r\n\r\nok")
+			checkBroken(t, "HTTP/1.1 200 OK\r\nX-Before: 1\r\n"+lines+"\r\nContent-Length: 2\r\n\r\nok")
+			checkBroken(t, "HTTP/1.1 103 Early Hints\r\n"+lines+"\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+		})
+	}
+}
+
+// Guards against chunks that are taken for the body, or a body whose end is told in two ways.
+func TestFramingThatIsBroken(t *testing.T) {
+	t.Parallel()
+	const chunks = "\r\n2\r\nok\r\n0\r\n\r\n"
+	for _, head := range []string{
+		"HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n",
+		"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nContent-Length: 12\r\n",
+		"HTTP/1.1 200 OK\r\ncontent-length: 12\r\ntransfer-encoding: chunked\r\n",
+	} {
+		t.Run(fmt.Sprintf("%q", head), func(t *testing.T) {
+			t.Parallel()
+			checkBroken(t, head+chunks)
+		})
+	}
+}
+
 // Guards against checks that refuse a sound response or close its connection.
 func TestSoundResponsesKeepTheirConnection(t *testing.T) {
 	t.Parallel()
@@ -134,14 +135,14 @@
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			for _, partBytes := range []int{1, 7, len(tt.text)} {
-				address, conns := newServer(t, tt.text, partBytes)
+				server := newServer(t, tt.text, partBytes)
 				client := newClient(t)
 				for range repeats {
-					if status, body, err := exchange(client, address); status != tt.status || body != tt.body || err != nil {
+					if status, body, err := exchange(client, server.Address()); status != tt.status || body != tt.body || err != nil {
 						t.Fatalf("in parts of %d bytes: status %d, body %q, error %v; want %d and %q", partBytes, status, body, err, tt.status, tt.body)
 					}
 				}
-				if n := conns.Load(); n != 1 {
+				if n := server.Conns(); n != 1 {
 					t.Errorf("in parts of %d bytes: %d connections, want 1", partBytes, n)
 				}
 			}
