io/http1: an answer that is reset beside its upload is not complete

What callers saw: a server answered a long upload at once with a 200 that had no length, sent a part and reset the connection while the request was still being written. The caller got the part as a complete answer, from plain servers and as the end of a stream from engines.

Cause: the system reports a reset once, to the first read or write that notices. If that is the write of the upload, the read that follows returns 0 bytes, which is what it returns after a server has ended its side. An answer that ends with its connection is complete then. The same holds for every error that a connection reports once, such as a time-out of sent data.

Fix: io/http1 remembers the error of the first write that failed. A read that finds the end of the stream on a connection that is closed in both directions waits for a write in progress, which is about to fail, and returns that error in place of the end. EPIPE means that the server's end came before the reset, and stays an end. On a connection that is still open for sending the end is the server's, as before, and nothing waits.

--- a/io/http1/http1.go
+++ b/io/http1/http1.go
@@ -9,6 +9,7 @@
 	"context"
 	"crypto/tls"
 	"errors"
+	"io"
 	"net"
 	"net/http"
 	"net/http/httptrace"
@@ -28,6 +29,11 @@
 		// mu guards head.
 		mu   sync.Mutex
 		head headChecker
+
+		// writing is held by a write in progress, and guards writeErr, the error of the first
+		// write that failed.
+		writing  sync.Mutex
+		writeErr error
 	}
 
 	dialFunc = func(ctx context.Context, network, address string) (net.Conn, error)
@@ -95,6 +101,9 @@
 // CloseIdleConnections closes the connections that are not in use.
 func (t *Transport) CloseIdleConnections() { t.base.CloseIdleConnections() }
 
+// ErrReset is wrapped by the errors of responses whose connection failed before their end.
+var ErrReset = errors.New("the connection failed before the end of the response")
+
 // NetConn returns the connection that a connection of a Transport checks, or c itself if it
 // is another one.
 func NetConn(c net.Conn) net.Conn {
@@ -120,6 +129,9 @@
 		return 0, err
 	}
 	n, err := c.Conn.Read(p)
+	if errors.Is(err, io.EOF) {
+		err = c.endError()
+	}
 	if headErr := c.checkHead(p[:n]); headErr != nil {
 		return 0, headErr
 	}
--- a/io/peer/peer.go
+++ b/io/peer/peer.go
@@ -110,6 +110,9 @@
 // peers are counted by the peers.
 func (c *Clients) Bytes() int64 { return c.transferred.Load() }
 
+// NetConn returns the connection whose bytes are counted.
+func (c *countingConn) NetConn() net.Conn { return c.Conn }
+
 // Read implements net.Conn.
 func (c *countingConn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
--- a/io/upstream/conn.go
+++ b/io/upstream/conn.go
@@ -81,6 +81,9 @@
 
 var errNoTCPInfo = errors.New("the state of the connection is not available")
 
+// NetConn returns the connection whose bytes are counted.
+func (c *countingConn) NetConn() net.Conn { return c.Conn }
+
 // Write implements net.Conn.
 func (c *countingConn) Write(b []byte) (int, error) {
 	if at := c.sendBefore.Swap(nil); at != nil && time.Now().After(*at) {
