soak: servers that send broken answers

The soak had no server that sends such answers, so it could not find them, and its proxies turned a reset into an orderly end.

Proxies pass a reset on. The faults have random numbers of their own, so that seeds draw the others as before. Broken answers excuse the end of a request that reached their server and no bound in time.

--- a/soak/checker.go
+++ b/soak/checker.go
@@ -76,10 +76,12 @@
 
 	// disturbance is a period in which an instance or the store is subject to a
 	// fault. It has not ended while to is zero. server is the server at fault, if it is
-	// the fault of one.
+	// the fault of one, and answersOnly is set if that affects the answers to requests that
+	// reach it and nothing else.
 	disturbance struct {
-		from, to time.Time
-		server   string
+		from, to    time.Time
+		server      string
+		answersOnly bool
 	}
 
 	// checker records what callers, servers and the operator observe, and determines
@@ -172,7 +174,7 @@
 func (c *checker) undisturbed(instance int, from, to time.Time) bool {
 	for _, number := range []int{instance, storeNumber} {
 		for _, d := range c.disturbances[number] {
-			if d.overlaps(from, to) {
+			if !d.answersOnly && d.overlaps(from, to) {
 				return false
 			}
 		}
--- a/soak/checker_test.go
+++ b/soak/checker_test.go
@@ -1,11 +1,14 @@
 package main
 
 import (
+	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"os"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -368,6 +371,65 @@
 	}
 }
 
+// TestBrokenAnswersExcuseNoTimeBound tests that a server that sends broken answers excuses the end of a
+// request that reached it, and neither that of another one nor a time bound.
+func TestBrokenAnswersExcuseNoTimeBound(t *testing.T) {
+	for reached, want := range map[string]string{"s": "", "other": "cut off after"} {
+		c, r := undisturbedRequest(routeBook)
+		r.status, r.written = 0, r.sent
+		r.ended = r.sent.Add(time.Second)
+		c.arrivals = append(c.arrivals, arrival{id: r.id, server: reached, service: serviceDesk, at: r.sent})
+		end := c.beginBrokenAnswers([]*instance{{number: r.instance}}, "s")
+		end()
+		c.disturbances[r.instance][0].from, c.disturbances[r.instance][0].to = r.sent, r.ended
+		if got := strings.Join(c.violations(), "\n"); (want == "") != (got == "") || !strings.Contains(got, want) {
+			t.Errorf("reached %s: violations %q, want %q", reached, got, want)
+		}
+	}
+	c, r := undisturbedRequest(routeStatus)
+	c.withdrawnAt["s"] = r.sent.Add(-3 * time.Second)
+	c.arrivals = append(c.arrivals, arrival{id: r.id, server: "s", service: serviceDesk, at: r.sent})
+	c.disturbances[r.instance] = []*disturbance{{from: r.sent.Add(-4 * time.Second), to: r.ended, server: "s", answersOnly: true}}
+	if got := c.violations(); len(got) == 0 {
+		t.Error("no violation reported, though answers alone were broken")
+	}
+}
+
+// TestBrokenAnswersAreBroken tests that a server sends each kind of broken answer, and that a reset
+// passes through a proxy as one.
+func TestBrokenAnswersAreBroken(t *testing.T) {
+	s := stand.NewServer("s", serviceDesk, "a")
+	defer s.Close()
+	link, err := newProxy(s.Address())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer link.close()
+	for _, kind := range stand.BrokenAnswers {
+		s.SendBroken(kind, time.Minute)
+		for range 20 {
+			conn, err := net.Dial("tcp", link.address())
+			if err != nil {
+				t.Fatal(err)
+			}
+			_ = conn.SetDeadline(time.Now().Add(200 * time.Millisecond))
+			_, _ = io.WriteString(conn, "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\nok")
+			answer, err := io.ReadAll(conn)
+			_ = conn.Close()
+			if kind == stand.ResetAfterAPart {
+				if !errors.Is(err, syscall.ECONNRESET) {
+					t.Errorf("%s: %q, error %v; want a reset", kind, answer, err)
+				}
+				continue
+			}
+			if !strings.Contains(string(answer), "answer to ") {
+				t.Errorf("%s: %q, error %v; want a whole answer", kind, answer, err)
+			}
+			break
+		}
+	}
+}
+
 // TestDisturbanceExcusesTimeBounds tests that a time bound is not checked while the
 // instance or the store is disturbed or recovering, but is checked while only another
 // instance is.
--- a/soak/main.go
+++ b/soak/main.go
@@ -154,6 +154,9 @@
 	wg.Go(func() {
 		h.injectFaults(faultCtx, rand.New(rand.NewPCG(o.Seed, calmStream)), o.chosen(o.calmFaults()), calmPause, logf)
 	})
+	wg.Go(func() {
+		h.injectFaults(faultCtx, rand.New(rand.NewPCG(o.Seed, brokenStream)), o.chosen(brokenFaults), brokenPause, logf)
+	})
 	done := make(chan struct{})
 	go h.watchMemory(done)
 	defer close(done)
--- a/soak/proxy.go
+++ b/soak/proxy.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"io"
 	"net"
 	"sync"
 	"time"
@@ -120,10 +121,14 @@
 	}
 }
 
-// forward copies data until one side closes its connection. response is set for the
-// direction from the target to the client.
+// forward copies data until one side closes its connection, and passes a reset on as one. response is
+// set for the direction from the target to the client.
 func (p *proxy) forward(from, to net.Conn, response bool) {
+	failed := false
 	defer func() {
+		if failed {
+			_, _ = from.(*net.TCPConn).SetLinger(0), to.(*net.TCPConn).SetLinger(0)
+		}
 		_, _ = from.Close(), to.Close()
 		p.mu.Lock()
 		delete(p.conns, from)
@@ -150,10 +155,12 @@
 		}
 		if n > 0 {
 			if _, werr := to.Write(buf[:n]); werr != nil {
+				failed = true
 				return
 			}
 		}
 		if err != nil {
+			failed = err != io.EOF
 			return
 		}
 	}
