scenario, edge: broken answers to pipelines and to cancelled requests

What callers saw: at the pipelines' interface, too, an answer of an endpoint whose head had a blank in the name of a field was a success.

TestBrokenAnswerToACancelledRequestReachesNobody, where the answer comes before or after the caller has gone, passed on as well: net/http closes the connection of a cancelled request. The test is kept.

--- a/edge/brokenanswer_test.go
+++ b/edge/brokenanswer_test.go
@@ -1,6 +1,7 @@
 package edge_test
 
 import (
+	"context"
 	"fmt"
 	"net"
 	"net/http"
@@ -238,3 +239,58 @@
 		})
 	}
 }
+
+// Guards against a broken answer to a request whose caller has gone that ends the instance or reaches
+// the next request.
+func TestBrokenAnswerToACancelledRequestReachesNobody(t *testing.T) {
+	t.Parallel()
+	for service, target := range map[string]string{"desk": "/book/1", "llm": "/draft/1"} {
+		t.Run(service, func(t *testing.T) {
+			t.Parallel()
+			arrived, answer, answered := make(chan struct{}), make(chan struct{}), make(chan struct{})
+			server := newRawServer(t, func(_ *rawServer, conn net.Conn, next func() (*http.Request, string, bool)) {
+				for {
+					req, _, ok := next()
+					if !ok {
+						return
+					}
+					id := stand.RequestID(req)
+					text := rawAnswerWith(soundStatusLine, id, eventStream, firstEvent)
+					if strings.HasPrefix(id, "cancelled") {
+						arrived <- struct{}{}
+						<-answer
+						text = rawAnswerWith("HTTP/1.1 000 OK", id, eventStream+"X Extra: 1\r\n", firstEvent)
+					}
+					// The connection of a cancelled request is closed.
+					_, _ = conn.Write([]byte(text))
+					if strings.HasPrefix(id, "cancelled") {
+						answered <- struct{}{}
+					}
+				}
+			})
+			s := startSiteWith(t, configSpec(1, apiKeys, routeSpec("book", "non_idempotent", "desk", nil), routeSpec("draft", "streaming", "llm", nil)), map[string]string{service: server.address})
+			for i := range brokenAnswerRepeats {
+				ctx, cancel := context.WithCancel(t.Context())
+				ended := make(chan response, 1)
+				go func() {
+					ended <- s.send(ctx, 0, http.MethodPost, target, fmt.Sprint("cancelled-", i), nil, "body")
+				}()
+				<-arrived
+				if i%2 == 0 {
+					// The answer comes after the end of the request.
+					cancel()
+					<-ended
+					answer <- struct{}{}
+				} else {
+					answer <- struct{}{}
+					cancel()
+					<-ended
+				}
+				<-answered
+				if got := s.post(0, target, fmt.Sprint("r-", i)); got.err != nil || got.status != http.StatusOK || got.body != firstEvent {
+					t.Errorf("status %d, body %q, error %v; want the sound answer", got.status, got.body, got.err)
+				}
+			}
+		})
+	}
+}
--- a/io/standin/engine.go
+++ b/io/standin/engine.go
@@ -143,7 +143,7 @@
 		load.Loaded = slices.Concat(state.Models, state.Adapters)
 		writeJSON(w, load)
 	})
-	mux.HandleFunc("POST /v1/chat/completions", e.serve)
+	mux.HandleFunc("POST /v1/chat/completions", e.withBrokenHeads(e.serve))
 	mux.HandleFunc("GET /cache-events", e.serveEvents)
 	mux.HandleFunc("POST /orders", e.serveOrder)
 	mux.HandleFunc("GET /state", func(w http.ResponseWriter, r *http.Request) { writeJSON(w, e.State()) })
--- a/io/standin/stage.go
+++ b/io/standin/stage.go
@@ -37,6 +37,8 @@
 		// StallAfter stalls each stream after this many tokens without closing
 		// it; 0 means never.
 		StallAfter int `json:"stallAfter"`
+		// BrokenHead breaks the heads of answers: "status" or "field", or "" for sound ones.
+		BrokenHead string `json:"brokenHead"`
 		// Truncate ends answers early without aborting the connection.
 		Truncate bool `json:"truncate"`
 	}
@@ -148,7 +150,7 @@
 	mux := http.NewServeMux()
 	s.registerControl(mux)
 	mux.HandleFunc("GET "+pathLoad, func(w http.ResponseWriter, r *http.Request) { writeJSON(w, s.load(time.Now())) })
-	mux.HandleFunc("POST /run/{stage}", s.serve)
+	mux.HandleFunc("POST /run/{stage}", s.withBrokenHeads(s.serve))
 	return mux
 }
 
