--- a/io/upstream/upstream.go
+++ b/io/upstream/upstream.go
@@ -98,9 +98,10 @@
 	}
 }
 
-// New returns a client that uses the settings of transport, which it takes over. outgoingHeader returns the header to send with an
-// attempt, and readResponse decodes the head of the response to the request with
-// the given ID. observe is called with the server and the head of each response.
+// New returns a client with the settings of transport, which must not be used otherwise.
+// outgoingHeader returns the header to send with an attempt, and readResponse decodes the
+// head of the response to the request with the given ID. observe is called with the server
+// and the head of each response.
 func New(transport *http.Transport, outgoingHeader func(relay.Attempt) http.Header, readResponse func(*http.Response, string) (*relay.Response, error), observe func(fleet.Server, *http.Response)) *Client {
 	singleUse := transport.Clone()
 	singleUse.DisableKeepAlives = true
--- a/soak/broken.go
+++ b/soak/broken.go
@@ -29,23 +29,3 @@
 	time.AfterFunc(d, end)
 	return fmt.Sprintf("%s for %v: %s", s.ID, d.Round(time.Millisecond), kind)
 }
-
-// beginBrokenAnswers records that a server begins to send broken answers to all instances. It returns
-// a function that records the end.
-func (c *checker) beginBrokenAnswers(instances []*instance, server string) (end func()) {
-	var begun []*disturbance
-	c.locked(func() {
-		for _, in := range instances {
-			d := &disturbance{from: time.Now(), server: server, answersOnly: true}
-			c.disturbances[in.number] = append(c.disturbances[in.number], d)
-			begun = append(begun, d)
-		}
-	})
-	return func() {
-		c.locked(func() {
-			for _, d := range begun {
-				d.to = time.Now()
-			}
-		})
-	}
-}
--- a/soak/checker.go
+++ b/soak/checker.go
@@ -146,21 +146,31 @@
 // beginDisturbance records that a disturbance of an instance begins. It returns a
 // function that records its end.
 func (c *checker) beginDisturbance(instance int) (end func()) {
-	return c.beginDisturbanceBy(instance, "")
+	return c.begin(instance, disturbance{})
 }
 
-func (c *checker) beginDisturbanceBy(instance int, server string) (end func()) {
-	d := &disturbance{from: time.Now(), server: server}
-	c.locked(func() { c.disturbances[instance] = append(c.disturbances[instance], d) })
+// begin does the same for a disturbance with the given properties.
+func (c *checker) begin(instance int, d disturbance) (end func()) {
+	d.from = time.Now()
+	c.locked(func() { c.disturbances[instance] = append(c.disturbances[instance], &d) })
 	return func() { c.locked(func() { d.to = time.Now() }) }
 }
 
 // beginDisturbances does the same as beginDisturbance for several instances, which a
 // server disturbs.
 func (c *checker) beginDisturbances(instances []*instance, server string) (end func()) {
+	return c.beginAll(instances, disturbance{server: server})
+}
+
+// beginBrokenAnswers does the same for a server that begins to send broken answers.
+func (c *checker) beginBrokenAnswers(instances []*instance, server string) (end func()) {
+	return c.beginAll(instances, disturbance{server: server, answersOnly: true})
+}
+
+func (c *checker) beginAll(instances []*instance, d disturbance) (end func()) {
 	var ends []func()
 	for _, in := range instances {
-		ends = append(ends, c.beginDisturbanceBy(in.number, server))
+		ends = append(ends, c.begin(in.number, d))
 	}
 	return func() {
 		for _, end := range ends {
