--- a/io/endpoint/brokenanswer_test.go
+++ b/io/endpoint/brokenanswer_test.go
@@ -1,11 +1,13 @@
 package endpoint_test
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"net/http"
 	"testing"
 
+	"chervilpath/core/declare"
 	"chervilpath/core/fault"
 	"chervilpath/core/pipeline"
 	"chervilpath/io/endpoint"
@@ -55,3 +57,43 @@
 		}
 	}
 }
+
+// Guards against a broken answer that confirms an order, or is taken for a load or a state.
+func TestBrokenAnswerToAProbeOrAnOrderIsAnError(t *testing.T) {
+	t.Parallel()
+	calls := map[string]func(ctx context.Context, c *endpoint.Client, e *declare.Endpoint) error{
+		"load": func(ctx context.Context, c *endpoint.Client, e *declare.Endpoint) error {
+			_, err := c.Load(ctx, e)
+			return err
+		},
+		"state": func(ctx context.Context, c *endpoint.Client, e *declare.Endpoint) error {
+			_, err := c.State(ctx, e)
+			return err
+		},
+		"order": func(ctx context.Context, c *endpoint.Client, e *declare.Endpoint) error {
+			return c.SendOrder(ctx, e, endpoint.Order{Fence: 1, Models: []string{"m"}})
+		},
+	}
+	for head, line := range map[string]string{"status 000": "HTTP/1.1 000 OK\r\n", "blank in a name": "HTTP/1.1 200 OK\r\nX Name: 1\r\n"} {
+		for name, call := range calls {
+			t.Run(name+", "+head, func(t *testing.T) {
+				t.Parallel()
+				answer := line + "Content-Length: 2\r\n\r\n{}"
+				server, err := standin.NewRaw(answer, len(answer))
+				if err != nil {
+					t.Fatal(err)
+				}
+				t.Cleanup(server.Close)
+				client := &http.Client{Transport: http1.NewTransport(endpoint.NewTransport())}
+				t.Cleanup(client.CloseIdleConnections)
+				c := endpoint.New(client, func(string, float64) {})
+				e := newAttempt(t, "engine", "http://"+server.Address()).Endpoint
+				for range 20 {
+					if err := call(t.Context(), c, e); !errors.Is(err, http1.ErrMalformed) {
+						t.Fatalf("error %v, want ErrMalformed", err)
+					}
+				}
+			})
+		}
+	}
+}
