platform: each stage call has a connection of its own

Cause: an answer to a stage call names no call. A server in trouble writes one a second time on a kept connection, where the next answer is expected. The copy was recognised by the results that it names; one without any result names none, and if the number of pieces fits it was taken for the answer to the next call. The server still works on that call; its answer went to the call after it, and so on along the connection. Copies that came at once could win a race with the next call in net/http as well.

The content of an answer can't prove what it answers, so the connection does: stage calls go over connections that are used once. Calls that free results stay on kept connections, apart from stage calls; a copy of their answer can only say too early that results are freed. The dispatcher's check of results that were named before stays for servers that name one twice; the client need not know of it any more.

--- a/core/gather/changes_test.go
+++ b/core/gather/changes_test.go
@@ -70,7 +70,7 @@
 			// Until the servers are sound, some of their calls fail.
 			var sound atomic.Bool
 			deps := gather.Deps{
-				RunBatch: func(ctx context.Context, b *gather.Batch, _ func(*gather.Item) time.Duration, _ func([]gather.ItemOutcome) bool) (gather.CallStatus, []gather.ItemOutcome, error) {
+				RunBatch: func(ctx context.Context, b *gather.Batch, _ func(*gather.Item) time.Duration) (gather.CallStatus, []gather.ItemOutcome, error) {
 					time.Sleep(time.Duration(10+random(40)) * time.Millisecond)
 					kind := random(12)
 					switch {
--- a/core/gather/dispatcher.go
+++ b/core/gather/dispatcher.go
@@ -26,9 +26,8 @@
 	// calls.
 	Deps struct {
 		// RunBatch has a server process a batch. remaining returns the time until
-		// an item's deadline. isCopy reports whether outcomes are those of an earlier
-		// call; the connection must not be used again then.
-		RunBatch func(ctx context.Context, b *Batch, remaining func(*Item) time.Duration, isCopy func([]ItemOutcome) bool) (CallStatus, []ItemOutcome, error)
+		// an item's deadline.
+		RunBatch func(ctx context.Context, b *Batch, remaining func(*Item) time.Duration) (CallStatus, []ItemOutcome, error)
 		// Free releases results at the servers that hold them.
 		Free func(ctx context.Context, handles []string) error
 		// BatchEnded is called when a call has ended.
@@ -162,7 +161,7 @@
 			return
 		}
 	}
-	status, outcomes, err := d.deps.RunBatch(ctx, b, func(it *Item) time.Duration { return it.Deadline.Sub(d.clock.Now()) }, d.queue.IsCopy)
+	status, outcomes, err := d.deps.RunBatch(ctx, b, func(it *Item) time.Duration { return it.Deadline.Sub(d.clock.Now()) })
 	if status == CallAnswered && d.queue.IsCopy(outcomes) {
 		status, outcomes, err = CallFailed, nil, fmt.Errorf("server %s: %w", b.Server.ID, ErrCopiedAnswer)
 	}
--- a/core/gather/dispatcher_test.go
+++ b/core/gather/dispatcher_test.go
@@ -25,7 +25,7 @@
 		d := gather.NewDispatcher("photos", cfg, stage.Clock{
 			Now: time.Now, AfterFunc: func(d time.Duration, f func()) func() bool { return time.AfterFunc(d, f).Stop },
 		}, gather.Deps{
-			RunBatch: func(_ context.Context, b *gather.Batch, _ func(*gather.Item) time.Duration, _ func([]gather.ItemOutcome) bool) (gather.CallStatus, []gather.ItemOutcome, error) {
+			RunBatch: func(_ context.Context, b *gather.Batch, _ func(*gather.Item) time.Duration) (gather.CallStatus, []gather.ItemOutcome, error) {
 				time.Sleep(200 * time.Millisecond)
 				mu.Lock()
 				defer mu.Unlock()
@@ -88,7 +88,7 @@
 			d := gather.NewDispatcher("photos", cfg, stage.Clock{
 				Now: time.Now, AfterFunc: func(d time.Duration, f func()) func() bool { return time.AfterFunc(d, f).Stop },
 			}, gather.Deps{
-				RunBatch: func(_ context.Context, b *gather.Batch, _ func(*gather.Item) time.Duration, _ func([]gather.ItemOutcome) bool) (gather.CallStatus, []gather.ItemOutcome, error) {
+				RunBatch: func(_ context.Context, b *gather.Batch, _ func(*gather.Item) time.Duration) (gather.CallStatus, []gather.ItemOutcome, error) {
 					mu.Lock()
 					defer mu.Unlock()
 					sent[b.Server.ID]++
--- a/core/gather/silence_test.go
+++ b/core/gather/silence_test.go
@@ -33,7 +33,7 @@
 	owner     map[string]string
 }
 
-func (s *stageService) runBatch(ctx context.Context, b *gather.Batch, _ func(*gather.Item) time.Duration, _ func([]gather.ItemOutcome) bool) (gather.CallStatus, []gather.ItemOutcome, error) {
+func (s *stageService) runBatch(ctx context.Context, b *gather.Batch, _ func(*gather.Item) time.Duration) (gather.CallStatus, []gather.ItemOutcome, error) {
 	s.mu.Lock()
 	s.calls++
 	s.mu.Unlock()
--- a/edge/delegator.go
+++ b/edge/delegator.go
@@ -224,8 +224,8 @@
 	return dispatcher.Process(ctx, items)
 }
 
-func (d *delegator) runBatch(ctx context.Context, b *gather.Batch, remaining func(*gather.Item) time.Duration, isCopy func([]gather.ItemOutcome) bool) (gather.CallStatus, []gather.ItemOutcome, error) {
-	return d.instance.stageClient.RunPieces(upstream.SendBefore(ctx, b.SendBefore), b, remaining, isCopy)
+func (d *delegator) runBatch(ctx context.Context, b *gather.Batch, remaining func(*gather.Item) time.Duration) (gather.CallStatus, []gather.ItemOutcome, error) {
+	return d.instance.stageClient.RunPieces(upstream.SendBefore(ctx, b.SendBefore), b, remaining)
 }
 
 func (d *delegator) batchEnded(service string, b *gather.Batch, elapsed time.Duration, err error) {
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -125,7 +125,7 @@
 	in.metrics = newMetrics(in.registry, dropped, in.waiting)
 	in.store = platform.NewStore("http://"+cfg.Store(), &http.Client{Transport: http1.NewTransport(upstream.NewTransport())})
 	in.upstream = upstream.New(upstream.NewTransport(), platform.OutgoingHeader, platform.ReadResponse, in.observeResponse)
-	in.stageClient = platform.NewStageClient(&http.Client{Transport: http1.NewTransport(upstream.NewTransport())}, in.observeResponse)
+	in.stageClient = platform.NewStageClient(upstream.NewTransport(), in.observeResponse)
 	in.peers = peer.NewClients("", peerTransport(), nil, time.Now)
 	self := member.Member{ID: in.incarnation, Name: cfg.Name(), Address: cfg.PeerAddress(), FailureDomain: cfg.FailureDomain(), Weight: cfg.Weight()}
 	in.members = peer.NewMembers(self, cfg.Seeds(), in.peers, time.Now, peer.NewRand(), in.onNewerVersion, in.onServingChanged)
--- a/io/http1/http1.go
+++ b/io/http1/http1.go
@@ -46,6 +46,13 @@
 	return &Transport{base: base}
 }
 
+// NewSingleUseTransport returns a transport as NewTransport does that uses each connection for one
+// request, so that no response can be one to an earlier request.
+func NewSingleUseTransport(base *http.Transport) *Transport {
+	base.DisableKeepAlives = true
+	return NewTransport(base)
+}
+
 // checkedDial returns a function that opens connections as dial does, whose responses are checked.
 func checkedDial(dial dialFunc) dialFunc {
 	if dial == nil {
--- a/io/upstream/upstream.go
+++ b/io/upstream/upstream.go
@@ -103,9 +103,8 @@
 // head of the response to the request with the given ID. observe is called with the server
 // and the head of each response.
 func New(transport *http.Transport, outgoingHeader func(relay.Attempt) http.Header, readResponse func(*http.Response, string) (*relay.Response, error), observe func(fleet.Server, *http.Response)) *Client {
-	singleUse := transport.Clone()
-	singleUse.DisableKeepAlives = true
-	return &Client{transport: http1.NewTransport(transport), singleUse: http1.NewTransport(singleUse), outgoingHeader: outgoingHeader, readResponse: readResponse, observe: observe}
+	singleUse := http1.NewSingleUseTransport(transport.Clone())
+	return &Client{transport: http1.NewTransport(transport), singleUse: singleUse, outgoingHeader: outgoingHeader, readResponse: readResponse, observe: observe}
 }
 
 // Send makes one attempt. An error is a *relay.SendError.
