io/endpoint: states and orders go over connections that are used once

An engine of a pipeline could get placement orders that it does not need, and an order could be logged with the outcome of an earlier one.

Cause: as for stage calls, the answers to a query for an engine's state and to an order name neither. A late copy of an earlier answer on a kept connection was taken for theirs. The copy of a completion decodes as the state of an engine that has nothing loaded.

--- a/io/endpoint/brokenanswer_test.go
+++ b/io/endpoint/brokenanswer_test.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"net/http"
 	"testing"
 
 	"chervilpath/core/declare"
@@ -40,9 +39,7 @@
 					t.Fatal(err)
 				}
 				t.Cleanup(server.Close)
-				client := &http.Client{Transport: http1.NewTransport(endpoint.NewTransport())}
-				t.Cleanup(client.CloseIdleConnections)
-				c := endpoint.New(client, func(string, float64) { t.Error("the load of a broken answer was reported") })
+				c := endpoint.New(endpoint.NewTransport(), func(string, float64) { t.Error("the load of a broken answer was reported") })
 				a := newAttempt(t, kind, "http://"+server.Address())
 				for range 20 {
 					r, err := c.Call(t.Context(), a, func(string) {})
@@ -84,9 +81,7 @@
 					t.Fatal(err)
 				}
 				t.Cleanup(server.Close)
-				client := &http.Client{Transport: http1.NewTransport(endpoint.NewTransport())}
-				t.Cleanup(client.CloseIdleConnections)
-				c := endpoint.New(client, func(string, float64) {})
+				c := endpoint.New(endpoint.NewTransport(), func(string, float64) {})
 				e := newAttempt(t, "engine", "http://"+server.Address()).Endpoint
 				for range 20 {
 					if err := call(t.Context(), c, e); !errors.Is(err, http1.ErrMalformed) {
--- a/io/endpoint/endpoint.go
+++ b/io/endpoint/endpoint.go
@@ -21,6 +21,7 @@
 	"chervilpath/core/declare"
 	"chervilpath/core/fault"
 	"chervilpath/core/pipeline"
+	"chervilpath/io/http1"
 )
 
 const (
@@ -45,7 +46,10 @@
 	// Client calls endpoints of all kinds. Use New to create one. It is safe for
 	// concurrent use.
 	Client struct {
-		http *http.Client
+		// http keeps its connections. singleUse uses each for one request: it is for requests
+		// whose answers do not name them, so that a late copy of an earlier answer would be
+		// taken for theirs.
+		http, singleUse *http.Client
 		// reportLoad is called with each load that was reported with an answer.
 		reportLoad func(endpoint string, load float64)
 	}
@@ -82,10 +86,11 @@
 	}
 }
 
-// New returns a client that uses the given HTTP client and passes the loads that
-// are reported with answers to reportLoad.
-func New(client *http.Client, reportLoad func(endpoint string, load float64)) *Client {
-	return &Client{http: client, reportLoad: reportLoad}
+// New returns a client with the settings of transport, which must not be used otherwise. It
+// passes the loads that are reported with answers to reportLoad.
+func New(transport *http.Transport, reportLoad func(endpoint string, load float64)) *Client {
+	singleUse := http1.NewSingleUseTransport(transport.Clone())
+	return &Client{http: &http.Client{Transport: http1.NewTransport(transport)}, singleUse: &http.Client{Transport: singleUse}, reportLoad: reportLoad}
 }
 
 // Call makes one attempt. It serves as the field Call of pipeline.Deps.
@@ -96,20 +101,21 @@
 	return c.callStage(ctx, a)
 }
 
-// Load requests the load of an endpoint.
+// Load requests the load of an endpoint. The answer may be a late copy of an earlier one, whose
+// time is not newer.
 func (c *Client) Load(ctx context.Context, e *declare.Endpoint) (Load, error) {
 	var out Load
-	err := c.get(ctx, e, "/load", &out)
+	err := c.get(ctx, c.http, e, "/load", &out)
 	return out, err
 }
 
 // get decodes the JSON that an endpoint serves at a path.
-func (c *Client) get(ctx context.Context, e *declare.Endpoint, path string, out any) error {
+func (c *Client) get(ctx context.Context, client *http.Client, e *declare.Endpoint, path string, out any) error {
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, e.Address()+path, nil)
 	if err != nil {
 		return fmt.Errorf("asking endpoint %q for %s: %w", e.Name(), path, err)
 	}
-	resp, err := c.http.Do(req)
+	resp, err := client.Do(req)
 	if err != nil {
 		return fmt.Errorf("asking endpoint %q for %s: %w", e.Name(), path, err)
 	}
--- a/io/endpoint/endpoint_test.go
+++ b/io/endpoint/endpoint_test.go
@@ -31,7 +31,7 @@
 
 func call(a pipeline.Attempt) (pipeline.Result, string, error) {
 	var emitted strings.Builder
-	c := endpoint.New(&http.Client{Transport: endpoint.NewTransport()}, func(string, float64) {})
+	c := endpoint.New(endpoint.NewTransport(), func(string, float64) {})
 	r, err := c.Call(context.Background(), a, func(s string) { emitted.WriteString(s) })
 	return r, emitted.String(), err
 }
@@ -62,7 +62,7 @@
 	srv := httptest.NewServer(s.Handler())
 	defer srv.Close()
 	reports := map[string]float64{}
-	c := endpoint.New(&http.Client{Transport: endpoint.NewTransport()}, func(name string, load float64) { reports[name] = load })
+	c := endpoint.New(endpoint.NewTransport(), func(name string, load float64) { reports[name] = load })
 	if _, err := c.Call(context.Background(), newAttempt(t, "pool", srv.URL), func(string) {}); err != nil {
 		t.Fatal(err)
 	}
@@ -142,7 +142,7 @@
 	s := standin.NewStage(standin.StageConfig{Slots: 2})
 	srv := httptest.NewServer(s.Handler())
 	defer srv.Close()
-	c := endpoint.New(&http.Client{Transport: endpoint.NewTransport()}, func(string, float64) {})
+	c := endpoint.New(endpoint.NewTransport(), func(string, float64) {})
 	a := newAttempt(t, "service", srv.URL)
 	for i := range 6 {
 		a.RequestID = string(rune('a' + i))
@@ -194,7 +194,7 @@
 				_, _ = io.WriteString(w, body)
 			}))
 			a := newAttempt(t, kind, srv.URL)
-			c := endpoint.New(&http.Client{Transport: endpoint.NewTransport()}, func(string, float64) {})
+			c := endpoint.New(endpoint.NewTransport(), func(string, float64) {})
 			// The first refusal opens the connection on which the second comes.
 			_, _ = c.Call(t.Context(), a, func(string) {})
 			_, err := c.Call(t.Context(), a, func(string) {})
--- a/io/endpoint/order.go
+++ b/io/endpoint/order.go
@@ -39,7 +39,7 @@
 // State requests what an engine has loaded.
 func (c *Client) State(ctx context.Context, e *declare.Endpoint) (State, error) {
 	var out State
-	err := c.get(ctx, e, "/state", &out)
+	err := c.get(ctx, c.singleUse, e, "/state", &out)
 	return out, err
 }
 
@@ -56,7 +56,7 @@
 		return fmt.Errorf("sending engine %q an order: %w", e.Name(), err)
 	}
 	req.Header.Set("Content-Type", contentJSON)
-	resp, err := c.http.Do(req)
+	resp, err := c.singleUse.Do(req)
 	if err != nil {
 		return fmt.Errorf("sending engine %q an order: %w", e.Name(), err)
 	}
--- a/node/node.go
+++ b/node/node.go
@@ -93,7 +93,7 @@
 	if err != nil {
 		return nil, err
 	}
-	in.endpoints = endpoint.New(&http.Client{Transport: http1.NewTransport(security.endpointTransport)}, in.recordLoad)
+	in.endpoints = endpoint.New(security.endpointTransport, in.recordLoad)
 	in.platformStore = platform.NewStore(strings.TrimSuffix(cfg.PlatformURL(), "/"), &http.Client{Transport: http1.NewTransport(security.platformTransport)})
 	in.objectClient = objects.New(in.platformStore.Objects(objects.WatchWait), cfg.ReadsPerSecond(), cfg.WritesPerSecond())
 	in.ledger = cost.New(time.Now(), cfg.Name(), in.owner.Incarnation)
