--- a/core/relay/silence_test.go
+++ b/core/relay/silence_test.go
@@ -403,8 +403,8 @@
 	}
 }
 
-// Guards against a request that is refused because its silent server was given up for one
-// that turned out to be full.
+// Guards against a refusal where a request is moved from a silent engine to one that is full,
+// although the silent engine may still answer.
 func TestRequestReturnsFromAFullEngine(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		st := &streamTest{engines: 2, full: 2, parts: [][]part{{event(1, time.Hour)}, nil, {event(1, 0), event(2, 0)}}}
