edge, core/confirm: confirmations by the store name their origin and hops

Replies between instances carry which instance the store answered and how many have passed that on. Gauges show age and hops of the last confirmation, a line names each new source of changes, and refused changes of peers are counted. Before, logs could not tell a confirmation that goes in a circle from a recent one, nor that one was recorded although what came with it was refused. No change of what an instance does.

--- a/core/fleet/source.go
+++ b/core/fleet/source.go
@@ -55,8 +55,13 @@
 // asked without a wait for changes.
 func (s *Sources) Searching() bool { return s.rounds > 0 }
 
-// Found records that a source has a recent confirmation.
-func (s *Sources) Found(source string) { s.current, s.rounds = source, 0 }
+// Found records that a source has a recent confirmation, and reports whether it is another
+// one than before.
+func (s *Sources) Found(source string) (changed bool) {
+	changed = source != s.current
+	s.current, s.rounds = source, 0
+	return changed
+}
 
 // Failed records that none of the sources asked has a recent confirmation, and
 // returns the pause before the next round, at most maxPause.
--- a/edge/confirmation.go
+++ b/edge/confirmation.go
@@ -4,6 +4,10 @@
 	"math"
 	"time"
 
+	"github.com/prometheus/client_golang/prometheus"
+	"go.uber.org/zap"
+
+	"chervilpath/core/confirm"
 	"chervilpath/core/fleet"
 )
 
@@ -16,7 +20,7 @@
 func (c *clusterState) configFresh() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return !c.confirmed.config.IsZero() && time.Since(c.confirmed.config) < c.propagationTime(freshFraction)
+	return !c.confirmed.config.IsZero() && time.Since(c.confirmed.config.At) < c.propagationTime(freshFraction)
 }
 
 // watchTime returns how long the store may hold a watch: well below the propagation
@@ -27,31 +31,36 @@
 	return min(c.propagationTime(watchFraction), time.Duration(watchOutageFraction*float64(outageAfter)))
 }
 
-// confirmations are when the store confirmed what is known of each kind of object. Zero stands
-// for never, or for no news.
+// confirmations are the store's confirmations of what is known of each kind of object. Zero
+// stands for none, or for no news.
 type confirmations struct {
-	config, servers, evacuations time.Time
+	config, servers, evacuations confirm.Confirmation
+}
+
+// byStore returns a confirmation that the store gave to this instance.
+func (c *clusterState) byStore(at time.Time) confirm.Confirmation {
+	return confirm.Confirmation{At: at, Origin: c.instance.name}
 }
 
-// recordConfirmations records when the store confirmed what is known. from is the source,
-// for the log.
-func (c *clusterState) recordConfirmations(from string, at confirmations) {
+// recordConfirmations records confirmations of what is known, unless they are older than
+// those that are known. from is the source, for the log.
+func (c *clusterState) recordConfirmations(from string, news confirmations) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	old := c.confirmedAt()
-	for _, confirmation := range []struct {
-		at     time.Time
-		latest *time.Time
-	}{{at.config, &c.confirmed.config}, {at.servers, &c.confirmed.servers}, {at.evacuations, &c.confirmed.evacuations}} {
-		if !confirmation.at.IsZero() {
-			c.view.StoreAnswered(confirmation.at)
+	old := c.confirmation()
+	for _, kind := range []struct {
+		new    confirm.Confirmation
+		latest *confirm.Confirmation
+	}{{news.config, &c.confirmed.config}, {news.servers, &c.confirmed.servers}, {news.evacuations, &c.confirmed.evacuations}} {
+		if !kind.new.IsZero() {
+			c.view.StoreAnswered(kind.new.At)
 		}
-		if confirmation.at.After(*confirmation.latest) {
-			*confirmation.latest = confirmation.at
+		if kind.new.At.After(kind.latest.At) {
+			*kind.latest = kind.new
 		}
 	}
 	c.logServerEvents(from)
-	if c.confirmedAt().After(old) {
+	if c.confirmation().At.After(old.At) {
 		c.notifyWaiters()
 	}
 }
@@ -65,30 +74,67 @@
 	c.logServerEvents(from)
 }
 
-// confirmedAt returns when the store last confirmed all of the configuration, the servers
-// and, where they are followed, the evacuations, or the zero time if it never did. The caller
-// holds mu.
-func (c *clusterState) confirmedAt() time.Time {
-	at := c.confirmed.config
-	if c.confirmed.servers.Before(at) {
-		at = c.confirmed.servers
-	}
-	if c.followsEvacuations && c.confirmed.evacuations.Before(at) {
-		at = c.confirmed.evacuations
+// confirmation returns the store's last confirmation of all of the configuration, the servers
+// and, where they are followed, the evacuations. The caller holds mu.
+func (c *clusterState) confirmation() confirm.Confirmation {
+	if c.followsEvacuations {
+		return confirm.Oldest(c.confirmed.config, c.confirmed.servers, c.confirmed.evacuations)
 	}
-	return at
+	return confirm.Oldest(c.confirmed.config, c.confirmed.servers)
 }
 
-// confirmationAge returns the time since confirmedAt, or math.MaxInt64 if the store never
-// confirmed everything.
-func (c *clusterState) confirmationAge() time.Duration {
+// lastConfirmation is confirmation for callers that do not hold mu.
+func (c *clusterState) lastConfirmation() confirm.Confirmation {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	at := c.confirmedAt()
-	if at.IsZero() {
+	return c.confirmation()
+}
+
+// confirmationAge returns the time since the last confirmation, or math.MaxInt64 if the
+// store never confirmed everything.
+func (c *clusterState) confirmationAge() time.Duration {
+	last := c.lastConfirmation()
+	if last.IsZero() {
 		return math.MaxInt64
 	}
-	return time.Since(at)
+	return time.Since(last.At)
+}
+
+// confirmationFields describes a confirmation in the log.
+func confirmationFields(c confirm.Confirmation) []zap.Field {
+	if c.IsZero() {
+		return nil
+	}
+	return []zap.Field{zap.Int64("confirmedAgoMs", time.Since(c.At).Milliseconds()), zap.String("origin", c.Origin), zap.Int("hops", c.Hops)}
+}
+
+// logSource logs from which peer changes come from now on, and what that peer's confirmation
+// by the store rests on.
+func (c *clusterState) logSource(peer string) {
+	fields := append([]zap.Field{zap.String("peer", peer)}, confirmationFields(c.lastConfirmation())...)
+	if t := c.table(); t != nil {
+		fields = append(fields, zap.Int64("version", t.Version()))
+	}
+	c.instance.log.Info("changes come from another peer", fields...)
+}
+
+// registerMetrics registers the gauges that show the last confirmation.
+func (c *clusterState) registerMetrics(r *prometheus.Registry) {
+	r.MustRegister(
+		prometheus.NewGaugeFunc(
+			prometheus.GaugeOpts{Name: "chervilpath_confirmation_age_seconds", Help: "Time since the store confirmed what this instance knows, through any instance, or +Inf if it never did."},
+			func() float64 {
+				if age := c.confirmationAge(); age < math.MaxInt64 {
+					return age.Seconds()
+				}
+				return math.Inf(1)
+			},
+		),
+		prometheus.NewGaugeFunc(
+			prometheus.GaugeOpts{Name: "chervilpath_confirmation_hops", Help: "Number of instances that passed the last confirmation by the store on, 0 at an instance that the store answered itself."},
+			func() float64 { return float64(c.lastConfirmation().Hops) },
+		),
+	)
 }
 
 // storeAnswered records that the store answered this instance now.
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -132,6 +132,7 @@
 	in.quarantine, in.quarantineChanged = quarantine.New(in.incarnation), make(chan struct{}, 1)
 	in.members.ShareQuarantine(peer.Quarantine{Digest: in.quarantine.Digest, Whole: in.wholeQuarantine, Merge: in.mergeQuarantine})
 	in.state = newClusterState(in)
+	in.state.registerMetrics(in.registry)
 	in.delegator = newDelegator(in)
 	in.cold = newColdAdmission(in)
 	in.relay = relay.New(in.relayDeps())
--- a/edge/evacuation.go
+++ b/edge/evacuation.go
@@ -46,7 +46,7 @@
 	}
 	w.set = fleet.NewEvacuations(zones, revision)
 	w.instance.state.offerEvacuations(w.set, sourceStore)
-	w.instance.state.recordConfirmations(sourceStore, confirmations{evacuations: requestedAt})
+	w.instance.state.recordConfirmations(sourceStore, confirmations{evacuations: w.instance.state.byStore(requestedAt)})
 	return revision, nil
 }
 
@@ -73,7 +73,7 @@
 	}
 	w.set = w.set.After(added, removed, revision)
 	w.instance.state.offerEvacuations(w.set, sourceStore)
-	w.instance.state.recordConfirmations(sourceStore, confirmations{evacuations: answeredAt})
+	w.instance.state.recordConfirmations(sourceStore, confirmations{evacuations: w.instance.state.byStore(answeredAt)})
 	return max(after, revision), nil
 }
 
@@ -132,7 +132,7 @@
 		err = e.Validate()
 	}
 	if err != nil {
-		c.instance.log.Warn("evacuations from peer refused", zap.String("from", from), zap.Error(err))
+		c.logRefused("evacuations", from, err)
 		return false
 	}
 	c.offerEvacuations(e, from)
--- a/edge/follow.go
+++ b/edge/follow.go
@@ -61,7 +61,9 @@
 			in.sleep(ctx, chooser.Failed(in.state.propagationTime(followFraction)))
 			continue
 		}
-		chooser.Found(source)
+		if chooser.Found(source) {
+			in.state.logSource(source)
+		}
 		if !watches && in.watchingStore.CompareAndSwap(true, false) {
 			in.log.Info("following peers", zap.String("source", source))
 		}
@@ -164,10 +166,10 @@
 		in.members.MergeDirectory(reply.Directory)
 	}
 	in.state.applyReply(address, reply)
-	if !reply.Confirmed || reply.Age >= in.state.propagationTime(unconfirmedFraction) {
+	if !reply.Confirmed || reply.Confirmation.Age >= in.state.propagationTime(unconfirmedFraction) {
 		in.metrics.staleSources.Inc()
 		in.log.Info("peer has no recent confirmation", zap.String("peer", address), zap.Bool("confirmed", reply.Confirmed),
-			zap.Duration("peerAge", reply.Age), zap.Duration("age", in.state.confirmationAge()))
+			zap.Duration("peerAge", reply.Confirmation.Age), zap.String("origin", reply.Confirmation.Origin), zap.Int("hops", reply.Confirmation.Hops), zap.Duration("age", in.state.confirmationAge()))
 		return false
 	}
 	return true
--- a/edge/follow_test.go
+++ b/edge/follow_test.go
@@ -7,6 +7,7 @@
 	"testing"
 	"time"
 
+	"chervilpath/core/confirm"
 	"chervilpath/core/fleet"
 	"chervilpath/io/peer"
 )
@@ -17,17 +18,20 @@
 // stale although the store had confirmed it.
 func TestNewerConfirmationIsSentAtOnce(t *testing.T) {
 	now := time.Now()
-	c := &clusterState{view: fleet.New(time.Second), changed: make(chan struct{}), confirmed: confirmations{config: now, servers: now}}
+	c := &clusterState{view: fleet.New(time.Second), changed: make(chan struct{}), confirmed: confirmations{config: confirm.Confirmation{At: now}, servers: confirm.Confirmation{At: now}}}
 	const wait = 800 * time.Millisecond
 	got := c.serveFollow(t.Context(), peer.FollowRequest{Confirmed: true, Age: time.Second, Wait: wait})
 	if elapsed := time.Since(now); !got.Confirmed || elapsed > wait/2 {
 		t.Errorf("later confirmation: reply after %v, want it at once", elapsed)
 	}
 	start := time.Now()
-	time.AfterFunc(wait/4, func() { c.recordConfirmations(sourceStore, confirmations{config: time.Now(), servers: time.Now()}) })
+	time.AfterFunc(wait/4, func() {
+		now := confirm.Confirmation{At: time.Now()}
+		c.recordConfirmations(sourceStore, confirmations{config: now, servers: now})
+	})
 	got = c.serveFollow(t.Context(), peer.FollowRequest{Confirmed: true, Age: time.Since(now), Wait: wait})
-	if elapsed := time.Since(start); elapsed < wait/8 || elapsed > wait*3/4 || got.Age > wait/4 {
-		t.Errorf("confirmation during the wait: reply after %v with age %v, want it as soon as the store confirms", elapsed, got.Age)
+	if elapsed := time.Since(start); elapsed < wait/8 || elapsed > wait*3/4 || got.Confirmation.Age > wait/4 {
+		t.Errorf("confirmation during the wait: reply after %v with age %v, want it as soon as the store confirms", elapsed, got.Confirmation.Age)
 	}
 }
 
--- a/edge/metrics.go
+++ b/edge/metrics.go
@@ -19,6 +19,7 @@
 	serverEvents   *prometheus.CounterVec
 	refusedNotices prometheus.Counter
 	refusedEntries prometheus.Counter
+	refusedChanges *prometheus.CounterVec
 	evacuatedZones prometheus.Gauge
 	// loads and refusedLoads count load headers of servers, and serverPace has their paces.
 	loads, refusedLoads prometheus.Counter
@@ -58,6 +59,7 @@
 		serverEvents:     prometheus.NewCounterVec(prometheus.CounterOpts{Name: "chervilpath_server_events_total", Help: "Servers found leaving, gone, missing, excluded or returned, by source: store, peer, answer or lapse."}, []string{"event", "source"}),
 		refusedNotices:   prometheus.NewCounter(prometheus.CounterOpts{Name: "chervilpath_server_retry_after_refused_total", Help: "Retry-After headers of servers that could not be used."}),
 		refusedEntries:   prometheus.NewCounter(prometheus.CounterOpts{Name: "chervilpath_server_entries_refused_total", Help: "Entries in the list of servers that name no server to use, once for each revision of an entry."}),
+		refusedChanges:   prometheus.NewCounterVec(prometheus.CounterOpts{Name: "chervilpath_peer_changes_refused_total", Help: "Changes that another instance sent and that could not be taken over, by kind: configuration, difference, servers or evacuations."}, []string{"kind"}),
 		evacuatedZones:   prometheus.NewGauge(prometheus.GaugeOpts{Name: "chervilpath_evacuated_zones", Help: "Failure domains whose servers get nothing because the operator evacuates them."}),
 		loads:            prometheus.NewCounter(prometheus.CounterOpts{Name: "chervilpath_server_loads_total", Help: "Loads that servers reported in answers."}),
 		refusedLoads:     prometheus.NewCounter(prometheus.CounterOpts{Name: "chervilpath_server_loads_refused_total", Help: "Load headers of servers that could not be used."}),
@@ -107,6 +109,7 @@
 		m.quarantineEvents,
 		m.refusedNotices,
 		m.refusedEntries,
+		m.refusedChanges,
 		m.evacuatedZones,
 		m.requests,
 		m.faults,
--- a/edge/state.go
+++ b/edge/state.go
@@ -176,7 +176,7 @@
 func (c *clusterState) offerCompressedConfig(compressed []byte, from string) {
 	spec, err := peer.Decompress(compressed, maxConfigBytes)
 	if err != nil {
-		c.instance.log.Warn("configuration from peer refused", zap.String("from", from), zap.Error(err))
+		c.logRefused("configuration", from, err)
 		return
 	}
 	c.offerConfig(spec, from)
@@ -194,7 +194,7 @@
 		d, err = delta.Apply(old, d, maxConfigBytes)
 	}
 	if err != nil {
-		c.instance.log.Warn("configuration difference from peer refused", zap.String("from", from), zap.Error(err))
+		c.logRefused("difference", from, err)
 		c.mu.Lock()
 		c.needWhole = true
 		c.mu.Unlock()
@@ -239,7 +239,12 @@
 	c.notifyWaiters()
 	c.mu.Unlock()
 	c.instance.cold.logOddRates(table)
-	c.instance.log.Info("configuration in force", zap.Int64("version", table.Version()), zap.String("from", from))
+	fields := []zap.Field{zap.Int64("version", table.Version()), zap.String("from", from)}
+	if current != nil {
+		fields = append(fields, zap.Int64("after", current.Version()))
+		fields = append(fields, confirmationFields(c.lastConfirmation())...)
+	}
+	c.instance.log.Info("configuration in force", fields...)
 	c.instance.metrics.configVersion.Set(float64(table.Version()))
 	c.updateReady()
 	go c.instance.members.SetRevision(c.instance.loopCtx, table.Version())
@@ -299,9 +304,7 @@
 func (c *clusterState) logServerEvents(from string) {
 	for _, e := range c.view.TakeEvents() {
 		fields := []zap.Field{zap.String("from", from), zap.Int64("revision", c.view.Revision())}
-		if at := c.confirmedAt(); !at.IsZero() {
-			fields = append(fields, zap.Int64("confirmedAgoMs", time.Since(at).Milliseconds()))
-		}
+		fields = append(fields, confirmationFields(c.confirmation())...)
 		if e.Kind == fleet.OutageEnded {
 			c.instance.log.Warn("store answered after an outage", append(fields, zap.Int64("outageMs", e.Gap.Milliseconds()))...)
 			continue
@@ -539,12 +542,12 @@
 func (c *clusterState) followReply(req peer.FollowRequest) (out peer.FollowReply, ok bool, changed <-chan struct{}) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	confirmedAt := c.confirmedAt()
-	out.Confirmed, out.Age = !confirmedAt.IsZero(), time.Since(confirmedAt)
+	last := c.confirmation()
+	out.Confirmed, out.Confirmation = !last.IsZero(), last.Report(time.Now())
 	if answers := c.view.Answers(); !answers.To.IsZero() {
 		out.AnswersFromAge, out.AnswersToAge = time.Since(answers.From), time.Since(answers.To)
 	}
-	ok = out.Confirmed && (!req.Confirmed || req.Age-out.Age > minAgeGain)
+	ok = out.Confirmed && (!req.Confirmed || req.Age-out.Confirmation.Age > minAgeGain)
 	if t := c.currentTable.Load(); t != nil && t.Version() > req.Version {
 		out.Configuration, out.ConfigurationDelta = c.history.forPeer(req.ConfigurationDigest)
 		ok = true
@@ -606,8 +609,8 @@
 		c.recordAnswers(from, fleet.Period{From: now.Add(-reply.AnswersFromAge), To: now.Add(-reply.AnswersToAge)})
 	}
 	if reply.Confirmed {
-		at := now.Add(-reply.Age)
-		c.recordConfirmations(from, confirmations{config: at, servers: at, evacuations: at})
+		received := reply.Confirmation.Received(now)
+		c.recordConfirmations(from, confirmations{config: received, servers: received, evacuations: received})
 	}
 	servers, err := reply.Servers, error(nil)
 	if len(reply.CompressedServers) > 0 {
@@ -622,7 +625,7 @@
 		err = json.Unmarshal(servers, &changes)
 	}
 	if err != nil {
-		c.instance.log.Warn("server changes from peer refused", zap.String("from", from), zap.Error(err))
+		c.logRefused("servers", from, err)
 		return
 	}
 	refused := c.instance.refuseInvalid(from, &changes)
@@ -638,6 +641,13 @@
 	})
 }
 
+// logRefused logs and counts changes of a kind that a peer sent and that could not be taken
+// over.
+func (c *clusterState) logRefused(kind, from string, err error) {
+	c.instance.metrics.refusedChanges.WithLabelValues(kind).Inc()
+	c.instance.log.Warn("changes from peer refused", zap.String("kind", kind), zap.String("from", from), zap.Error(err))
+}
+
 // notifyWaiters wakes the Follow requests that wait for a change. The caller
 // holds mu.
 func (c *clusterState) notifyWaiters() {
--- a/edge/storewatch.go
+++ b/edge/storewatch.go
@@ -154,7 +154,7 @@
 	for _, o := range objects {
 		in.applyConfig(o)
 	}
-	in.state.recordConfirmations(sourceStore, confirmations{config: requestedAt})
+	in.state.recordConfirmations(sourceStore, confirmations{config: in.state.byStore(requestedAt)})
 	return revision, nil
 }
 
@@ -169,7 +169,7 @@
 			in.applyConfig(c.Object)
 		}
 	}
-	in.state.recordConfirmations(sourceStore, confirmations{config: answeredAt})
+	in.state.recordConfirmations(sourceStore, confirmations{config: in.state.byStore(answeredAt)})
 	return max(after, revision), nil
 }
 
@@ -208,7 +208,7 @@
 	}
 	in.refused.retain(refused)
 	in.state.updateServers(sourceStore, func(v *fleet.View, now time.Time) { v.Replace(now, servers, revision) })
-	in.state.recordConfirmations(sourceStore, confirmations{servers: requestedAt})
+	in.state.recordConfirmations(sourceStore, confirmations{servers: in.state.byStore(requestedAt)})
 	return revision, nil
 }
 
@@ -223,7 +223,7 @@
 		events = append(events, in.serverUpdate(c))
 	}
 	in.state.updateServers(sourceStore, func(v *fleet.View, now time.Time) { v.ApplyWatch(now, events, revision) })
-	in.state.recordConfirmations(sourceStore, confirmations{servers: answeredAt})
+	in.state.recordConfirmations(sourceStore, confirmations{servers: in.state.byStore(answeredAt)})
 	return max(after, revision), nil
 }
 
--- a/io/peer/platform.go
+++ b/io/peer/platform.go
@@ -9,6 +9,7 @@
 	"github.com/twitchtv/twirp"
 
 	"chervilpath/core/balance"
+	"chervilpath/core/confirm"
 	"chervilpath/core/engine"
 	"chervilpath/core/fault"
 	"chervilpath/core/member"
@@ -38,10 +39,10 @@
 		// are none. CompressedServers is the same compressed by Compress, of which
 		// the caller gets only one.
 		Servers, CompressedServers []byte
-		// Confirmed is set if the store has ever confirmed the configuration,
-		// and Age is the time since it last did.
-		Confirmed bool
-		Age       time.Duration
+		// Confirmed is set if the store has ever confirmed what the replying instance has,
+		// and Confirmation then says when it last did.
+		Confirmed    bool
+		Confirmation confirm.Report
 		// AnswersFromAge and AnswersToAge are the times since the beginning and the
 		// end of the latest period in which the store is known to have answered some
 		// instance, without an outage. Both are 0 if there is none.
@@ -124,7 +125,8 @@
 	})
 	out := &peerpb.FollowReply{Configuration: reply.Configuration, Servers: reply.Servers, CompressedServers: reply.CompressedServers, AgeMicros: -1, Directory: s.Members.directoryIfChanged(req.Directory), ConfigurationDelta: reply.ConfigurationDelta, Evacuations: reply.Evacuations}
 	if reply.Confirmed {
-		out.AgeMicros = reply.Age.Microseconds()
+		c := reply.Confirmation
+		out.AgeMicros, out.Origin, out.Hops = c.Age.Microseconds(), c.Origin, int32(c.Hops)
 	}
 	out.AnswersFromMicros, out.AnswersToMicros = reply.AnswersFromAge.Microseconds(), reply.AnswersToAge.Microseconds()
 	return out, nil
@@ -211,7 +213,7 @@
 	}
 	return FollowReply{
 		Configuration: resp.Configuration, ConfigurationDelta: resp.ConfigurationDelta, Servers: resp.Servers, CompressedServers: resp.CompressedServers,
-		Confirmed: resp.AgeMicros >= 0, Age: microseconds(resp.AgeMicros),
+		Confirmed: resp.AgeMicros >= 0, Confirmation: confirm.Report{Age: microseconds(resp.AgeMicros), Origin: resp.Origin, Hops: int(resp.Hops)},
 		AnswersFromAge: microseconds(resp.AnswersFromMicros), AnswersToAge: microseconds(resp.AnswersToMicros),
 		Directory: membersFromProto(resp.Directory), Evacuations: resp.Evacuations,
 	}, nil
