--- a/edge/edge.go
+++ b/edge/edge.go
@@ -107,6 +107,11 @@
 // New returns an instance and adds its services to the kernel. dropped returns
 // the number of log lines that were dropped.
 func New(k *kernel.Kernel, cfg settings.Site, log *zap.Logger, dropped func() int64) (*Instance, error) {
+	return newInstance(k, cfg, log, dropped, peerTransport())
+}
+
+// newInstance is New with the transport of calls to other instances.
+func newInstance(k *kernel.Kernel, cfg settings.Site, log *zap.Logger, dropped func() int64, peers *http.Transport) (*Instance, error) {
 	in := &Instance{
 		name: cfg.Name(), incarnation: cfg.Name() + "-" + rand.Text()[:10], peerAddress: cfg.PeerAddress(),
 		log:      log.With(zap.String("instance", cfg.Name()), zap.String("failureDomain", cfg.FailureDomain())),
@@ -126,7 +131,7 @@
 	in.store = platform.NewStore("http://"+cfg.Store(), &http.Client{Transport: http1.NewTransport(upstream.NewTransport())})
 	in.upstream = upstream.New(upstream.NewTransport(), platform.OutgoingHeader, platform.ReadResponse, in.observeResponse)
 	in.stageClient = platform.NewStageClient(upstream.NewTransport(), in.observeResponse)
-	in.peers = peer.NewClients("", peerTransport(), nil, time.Now)
+	in.peers = peer.NewClients("", peers, nil, time.Now)
 	self := member.Member{ID: in.incarnation, Name: cfg.Name(), Address: cfg.PeerAddress(), FailureDomain: cfg.FailureDomain(), Weight: cfg.Weight()}
 	in.members = peer.NewMembers(self, cfg.Seeds(), in.peers, time.Now, peer.NewRand(), in.onNewerVersion, in.onServingChanged)
 	in.quarantine, in.quarantineChanged = quarantine.New(in.incarnation), make(chan struct{}, 1)
--- /dev/null
+++ b/edge/virtual_test.go
@@ -0,0 +1,207 @@
+package edge
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"go.uber.org/zap"
+
+	"chervilpath/core/kernel"
+	"chervilpath/core/settings"
+	"chervilpath/platform"
+	"chervilpath/platform/stand"
+)
+
+// virtualBound is the bound on configurations and leaving servers in a virtualFleet.
+const virtualBound = 3 * time.Second
+
+type (
+	// virtualFleet runs instances in the time and in the memory of a synctest bubble, without
+	// what serves callers.
+	virtualFleet struct {
+		t         *testing.T
+		store     *stand.Store
+		instances []*Instance
+		servers   []*http.Server
+		// hop returns how long the next message between two instances takes.
+		hop func() time.Duration
+
+		mu        sync.Mutex
+		listeners map[string]*virtualListener
+		// refused holds the names of the instances that the store refuses.
+		refused map[string]bool
+	}
+
+	// virtualListener accepts connections in memory.
+	virtualListener struct {
+		address string
+		conns   chan net.Conn
+		closed  chan struct{}
+		once    sync.Once
+	}
+
+	// delayedConn is a connection whose writes arrive later.
+	delayedConn struct {
+		net.Conn
+		delay func() time.Duration
+	}
+
+	// storeTransport sends the calls of an instance to the store in memory.
+	storeTransport struct {
+		fleet *virtualFleet
+		name  string
+	}
+)
+
+// newVirtualFleet starts instances that know each other and the store's content. It must be
+// called in a synctest bubble, and stop before its end.
+func newVirtualFleet(t *testing.T, n int, hop func() time.Duration) *virtualFleet {
+	t.Helper()
+	f := &virtualFleet{t: t, store: stand.New(time.Now), hop: hop, listeners: make(map[string]*virtualListener), refused: make(map[string]bool)}
+	f.putVersion(1)
+	f.store.PutServer("i-1", "10.0.1.1:80", "a", "ready")
+	for i := range n {
+		f.start(fmt.Sprintf("edge-%d", i), virtualAddress(i))
+	}
+	return f
+}
+
+func virtualAddress(i int) string { return fmt.Sprintf("10.0.0.%d:70", i+1) }
+
+// putVersion writes a version of the configuration to the store.
+func (f *virtualFleet) putVersion(version int) {
+	f.store.Put("config", "main", map[string]any{"version": version, "routes": []any{}, "services": []any{map[string]any{"name": "desk"}}})
+}
+
+func (f *virtualFleet) start(name, address string) {
+	f.t.Helper()
+	ini := fmt.Sprintf("[site]\nname = %s\nfailureDomain = a\ncallerAddress = 10.0.0.1:1\npeerAddress = %s\noperatorAddress = 10.0.0.1:2\nseeds = %s\n[store]\naddress = 10.0.0.1:3\n[bounds]\nconfig = %v\ndrain = %v\nevacuation = %v\n",
+		name, address, virtualAddress(0), virtualBound, virtualBound, virtualBound)
+	cfg, err := settings.ParseSite("virtual.ini", []byte(ini))
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	transport := &http.Transport{DialContext: f.dial}
+	in, err := newInstance(kernel.New(), cfg, zap.NewNop(), func() int64 { return 0 }, transport)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	in.store = platform.NewStore("http://store", &http.Client{Transport: storeTransport{f, name}})
+	ln := &virtualListener{address: address, conns: make(chan net.Conn), closed: make(chan struct{})}
+	f.mu.Lock()
+	f.listeners[address] = ln
+	f.mu.Unlock()
+	server := &http.Server{Handler: in.peerHandler()}
+	go func() { _ = server.Serve(ln) }()
+	f.instances, f.servers = append(f.instances, in), append(f.servers, server)
+	if err := in.startLoops(in.members.Run, in.followPeers, in.followConfig, in.followServers, in.followEvacuations)(f.t.Context()); err != nil {
+		f.t.Fatal(err)
+	}
+}
+
+// stop ends all instances.
+func (f *virtualFleet) stop() {
+	for _, in := range f.instances {
+		in.cancelLoops()
+		in.cancelShutdownCtx()
+	}
+	for i, in := range f.instances {
+		in.loops.Wait()
+		in.peers.CloseIdle()
+		_ = f.servers[i].Close()
+	}
+	// Messages that are on their way arrive.
+	time.Sleep(time.Second)
+	synctest.Wait()
+}
+
+// setRefused sets whether the store refuses instances.
+func (f *virtualFleet) setRefused(refused bool, instances ...*Instance) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, in := range instances {
+		f.refused[in.name] = refused
+	}
+}
+
+func (f *virtualFleet) isRefused(name string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.refused[name]
+}
+
+// watchers returns the instances that watch the store on behalf of all.
+func (f *virtualFleet) watchers() []*Instance {
+	var out []*Instance
+	for _, in := range f.instances {
+		if _, watches := in.sources(); watches {
+			out = append(out, in)
+		}
+	}
+	return out
+}
+
+func (f *virtualFleet) dial(ctx context.Context, _, address string) (net.Conn, error) {
+	f.mu.Lock()
+	ln := f.listeners[address]
+	f.mu.Unlock()
+	if ln == nil {
+		return nil, &net.OpError{Op: "dial", Err: errors.New("connection refused")}
+	}
+	client, server := net.Pipe()
+	select {
+	case ln.conns <- delayedConn{server, f.hop}:
+		return delayedConn{client, f.hop}, nil
+	case <-ln.closed:
+		return nil, &net.OpError{Op: "dial", Err: net.ErrClosed}
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+}
+
+func (l *virtualListener) Accept() (net.Conn, error) {
+	select {
+	case c := <-l.conns:
+		return c, nil
+	case <-l.closed:
+		return nil, net.ErrClosed
+	}
+}
+
+func (l *virtualListener) Close() error {
+	l.once.Do(func() { close(l.closed) })
+	return nil
+}
+
+func (l *virtualListener) Addr() net.Addr { return &net.TCPAddr{} }
+
+func (c delayedConn) Write(p []byte) (int, error) {
+	time.Sleep(c.delay())
+	return c.Conn.Write(p)
+}
+
+func (t storeTransport) RoundTrip(r *http.Request) (*http.Response, error) {
+	const latency = 4 * time.Millisecond
+	time.Sleep(latency)
+	w := httptest.NewRecorder()
+	if !t.fleet.isRefused(t.name) {
+		t.fleet.store.ServeHTTP(w, r)
+	}
+	if t.fleet.isRefused(t.name) {
+		// A watch that waits is refused too.
+		w = httptest.NewRecorder()
+		w.WriteHeader(http.StatusTooManyRequests)
+	}
+	if err := r.Context().Err(); err != nil {
+		return nil, err
+	}
+	return w.Result(), nil
+}
