edge, core/confirm: a confirmation is never younger than the store's answer

Cause: the age of a confirmation in a reply counted from the reply's arrival, so that each hop made it younger by the time that the reply was on its way. A later confirmation wakes all that wait for one. Instances that follow each other in a circle therefore kept an old confirmation as young as it was when the circle closed, no instance read the store, and what nobody knows no ping can spread.

Ages in a reply now count from a time that is surely not later than its making: that of the request, plus the time for which the peer held it, which the reply says (0 from an instance of an earlier version, whose news are older then). The end of the period in which the store answered is dated in the same way, its beginning still by the arrival, which is surely not earlier.

--- a/core/confirm/confirm.go
+++ b/core/confirm/confirm.go
@@ -1,8 +1,10 @@
 // Package confirm owns what an instance knows of when the platform's store last
 // confirmed what the instance has of it, through whichever instance.
 //
-// A Confirmation passes from instance to instance in Reports. The package sends
-// nothing and reads no clock.
+// A Confirmation passes from instance to instance in Reports. However often and in
+// whatever circles it is passed on, and however long messages take, no instance
+// believes that it is younger than it is: see AsOf. The package sends nothing and
+// reads no clock.
 package confirm
 
 import "time"
@@ -36,9 +38,21 @@
 	return Report{Age: now.Sub(c.At), Origin: c.Origin, Hops: c.Hops}
 }
 
-// Received returns the confirmation of a report that has arrived now.
-func (r Report) Received(now time.Time) Confirmation {
-	return Confirmation{At: now.Add(-r.Age), Origin: r.Origin, Hops: r.Hops + 1}
+// Received returns the confirmation of a report that was made at a time or later, see AsOf.
+func (r Report) Received(asOf time.Time) Confirmation {
+	return Confirmation{At: asOf.Add(-max(0, r.Age)), Origin: r.Origin, Hops: r.Hops + 1}
+}
+
+// AsOf returns a time by the clock of an instance at which the reply to a request of its own
+// had surely not been made yet, or was just being made. The instance sent the request at a
+// time, and the other one held it for some time before it made the reply. Ages in a reply
+// count from this time: by when it arrived, all ages are higher by an unknown time.
+func AsOf(sentAt time.Time, held time.Duration, arrivedAt time.Time) time.Time {
+	at := sentAt.Add(max(0, held))
+	if at.After(arrivedAt) {
+		return arrivedAt
+	}
+	return at
 }
 
 // Oldest returns the oldest one of confirmations of what is needed together.
--- a/edge/follow.go
+++ b/edge/follow.go
@@ -153,6 +153,7 @@
 	req.EvacuationsRevision = in.state.evacuationsRevision()
 	req.DirectoryDigest, req.ConfigurationDigest = in.directoryDigests.get(address), in.state.deltaBase()
 	in.metrics.followRequests.Inc()
+	sentAt := time.Now()
 	reply, err := in.peers.Follow(ctx, address, req)
 	if err != nil {
 		in.metrics.staleSources.Inc()
@@ -165,7 +166,7 @@
 		in.directoryDigests.set(address, member.Digest(reply.Directory))
 		in.members.MergeDirectory(reply.Directory)
 	}
-	in.state.applyReply(address, reply)
+	in.state.applyReply(address, sentAt, reply)
 	if !reply.Confirmed || reply.Confirmation.Age >= in.state.propagationTime(unconfirmedFraction) {
 		in.metrics.staleSources.Inc()
 		in.log.Info("peer has no recent confirmation", zap.String("peer", address), zap.Bool("confirmed", reply.Confirmed),
--- a/edge/state.go
+++ b/edge/state.go
@@ -12,6 +12,7 @@
 
 	"go.uber.org/zap"
 
+	"chervilpath/core/confirm"
 	"chervilpath/core/declare"
 	"chervilpath/core/delta"
 	"chervilpath/core/fleet"
@@ -522,7 +523,8 @@
 // there is nothing, it waits for a change or a later confirmation of the store,
 // up to the time that the request gives.
 func (c *clusterState) serveFollow(ctx context.Context, req peer.FollowRequest) peer.FollowReply {
-	out, ok, changed := c.followReply(req)
+	arrivedAt := time.Now()
+	out, ok, changed := c.followReply(req, arrivedAt)
 	if ok {
 		return out
 	}
@@ -533,19 +535,19 @@
 	case <-timer.C:
 	case <-ctx.Done():
 	}
-	out, _, _ = c.followReply(req)
+	out, _, _ = c.followReply(req, arrivedAt)
 	return out
 }
 
 // followReply returns what the peer does not know yet, whether there is anything,
 // and a channel that is closed at the next change.
-func (c *clusterState) followReply(req peer.FollowRequest) (out peer.FollowReply, ok bool, changed <-chan struct{}) {
+func (c *clusterState) followReply(req peer.FollowRequest, arrivedAt time.Time) (out peer.FollowReply, ok bool, changed <-chan struct{}) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	last := c.confirmation()
-	out.Confirmed, out.Confirmation = !last.IsZero(), last.Report(time.Now())
+	now, last := time.Now(), c.confirmation()
+	out.Held, out.Confirmed, out.Confirmation = now.Sub(arrivedAt), !last.IsZero(), last.Report(now)
 	if answers := c.view.Answers(); !answers.To.IsZero() {
-		out.AnswersFromAge, out.AnswersToAge = time.Since(answers.From), time.Since(answers.To)
+		out.AnswersFromAge, out.AnswersToAge = now.Sub(answers.From), now.Sub(answers.To)
 	}
 	ok = out.Confirmed && (!req.Confirmed || req.Age-out.Confirmation.Age > minAgeGain)
 	if t := c.currentTable.Load(); t != nil && t.Version() > req.Version {
@@ -591,8 +593,8 @@
 	return c.encodedServers.plain, c.encodedServers.compressed
 }
 
-// applyReply applies the reply of a peer to a Follow request.
-func (c *clusterState) applyReply(from string, reply peer.FollowReply) {
+// applyReply applies the reply of a peer to a Follow request that was sent at the given time.
+func (c *clusterState) applyReply(from string, sentAt time.Time, reply peer.FollowReply) {
 	if len(reply.Configuration) > 0 {
 		c.offerCompressedConfig(reply.Configuration, from)
 	}
@@ -604,12 +606,13 @@
 		return
 	}
 	now := time.Now()
+	asOf := confirm.AsOf(sentAt, reply.Held, now)
 	if reply.AnswersFromAge > 0 {
 		// Before the confirmation, which by itself may look like the end of an outage.
-		c.recordAnswers(from, fleet.Period{From: now.Add(-reply.AnswersFromAge), To: now.Add(-reply.AnswersToAge)})
+		c.recordAnswers(from, fleet.Period{From: now.Add(-reply.AnswersFromAge), To: asOf.Add(-reply.AnswersToAge)})
 	}
 	if reply.Confirmed {
-		received := reply.Confirmation.Received(now)
+		received := reply.Confirmation.Received(asOf)
 		c.recordConfirmations(from, confirmations{config: received, servers: received, evacuations: received})
 	}
 	servers, err := reply.Servers, error(nil)
--- a/edge/virtual_test.go
+++ b/edge/virtual_test.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"fmt"
@@ -48,10 +49,15 @@
 		once    sync.Once
 	}
 
-	// delayedConn is a connection whose writes arrive later.
+	// delayedConn is a connection whose writes arrive later. A write does not wait, since
+	// whoever holds a lock meanwhile keeps the time of a bubble from passing.
 	delayedConn struct {
 		net.Conn
-		delay func() time.Duration
+		delay  func() time.Duration
+		mu     sync.Mutex
+		closed bool
+		// writes holds what has not arrived yet.
+		writes chan []byte
 	}
 
 	// storeTransport sends the calls of an instance to the store in memory.
@@ -158,8 +164,8 @@
 	}
 	client, server := net.Pipe()
 	select {
-	case ln.conns <- delayedConn{server, f.hop}:
-		return delayedConn{client, f.hop}, nil
+	case ln.conns <- newDelayedConn(server, f.hop):
+		return newDelayedConn(client, f.hop), nil
 	case <-ln.closed:
 		return nil, &net.OpError{Op: "dial", Err: net.ErrClosed}
 	case <-ctx.Done():
@@ -183,9 +189,47 @@
 
 func (l *virtualListener) Addr() net.Addr { return &net.TCPAddr{} }
 
-func (c delayedConn) Write(p []byte) (int, error) {
-	time.Sleep(c.delay())
-	return c.Conn.Write(p)
+func newDelayedConn(conn net.Conn, delay func() time.Duration) *delayedConn {
+	c := &delayedConn{Conn: conn, delay: delay, writes: make(chan []byte, 1000)}
+	go func() {
+		for p := range c.writes {
+			time.Sleep(c.delay())
+			if _, err := c.Conn.Write(p); err != nil {
+				break
+			}
+		}
+		_ = c.Conn.Close()
+	}()
+	return c
+}
+
+// Write implements net.Conn. It fails once the connection is closed, or does not take what
+// is written to it.
+func (c *delayedConn) Write(p []byte) (int, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.closed {
+		return 0, net.ErrClosed
+	}
+	select {
+	case c.writes <- bytes.Clone(p):
+		return len(p), nil
+	default:
+		return 0, errors.New("too many writes are on their way")
+	}
+}
+
+// Close implements net.Conn. What was written before arrives.
+func (c *delayedConn) Close() error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.closed {
+		return nil
+	}
+	c.closed = true
+	close(c.writes)
+	// The other end may read no more.
+	return c.Conn.SetWriteDeadline(time.Now().Add(time.Second))
 }
 
 func (t storeTransport) RoundTrip(r *http.Request) (*http.Response, error) {
--- a/io/peer/platform.go
+++ b/io/peer/platform.go
@@ -29,6 +29,9 @@
 	// FollowReply holds the changes of the configuration and of the servers since
 	// the state that the requesting instance has.
 	FollowReply struct {
+		// Held is the time from the arrival of the request to the making of the reply. All
+		// ages in the reply are as of the latter.
+		Held time.Duration
 		// Configuration is compressed by Compress. It is empty unless it is
 		// newer than that of the requesting instance.
 		Configuration []byte
@@ -123,7 +126,7 @@
 		Confirmed: req.AgeMicros >= 0, Age: microseconds(req.AgeMicros),
 		ConfigurationDigest: req.Configuration, CompressedServers: req.CompressedServers, EvacuationsRevision: req.EvacuationsRevision,
 	})
-	out := &peerpb.FollowReply{Configuration: reply.Configuration, Servers: reply.Servers, CompressedServers: reply.CompressedServers, AgeMicros: -1, Directory: s.Members.directoryIfChanged(req.Directory), ConfigurationDelta: reply.ConfigurationDelta, Evacuations: reply.Evacuations}
+	out := &peerpb.FollowReply{Configuration: reply.Configuration, Servers: reply.Servers, CompressedServers: reply.CompressedServers, AgeMicros: -1, Directory: s.Members.directoryIfChanged(req.Directory), ConfigurationDelta: reply.ConfigurationDelta, Evacuations: reply.Evacuations, HeldMicros: reply.Held.Microseconds()}
 	if reply.Confirmed {
 		c := reply.Confirmation
 		out.AgeMicros, out.Origin, out.Hops = c.Age.Microseconds(), c.Origin, int32(c.Hops)
@@ -212,6 +215,7 @@
 		return FollowReply{}, fmt.Errorf("asking %s for changes: %w", address, err)
 	}
 	return FollowReply{
+		Held:          microseconds(resp.HeldMicros),
 		Configuration: resp.Configuration, ConfigurationDelta: resp.ConfigurationDelta, Servers: resp.Servers, CompressedServers: resp.CompressedServers,
 		Confirmed: resp.AgeMicros >= 0, Confirmation: confirm.Report{Age: microseconds(resp.AgeMicros), Origin: resp.Origin, Hops: int(resp.Hops)},
 		AnswersFromAge: microseconds(resp.AnswersFromMicros), AnswersToAge: microseconds(resp.AnswersToMicros),
