edge: what was not taken over from another instance is not confirmed

What callers could see: an instance that could not take over a configuration went on with the one before, believed that it had the newest, denied what only the newer one allows with 401 or 404 in place of 503, and asked nobody else.

Cause: applyReply recorded the confirmation of a reply for all kinds of objects, whether or not the configuration, the difference or the list of servers in it could be read, and for servers before it had tried. For evacuations it ended early and confirmed none of the kinds.

A reply now confirms each kind alone of which this instance has what the peer has. The functions that read a reply have a file of their own.

--- a/edge/evacuation.go
+++ b/edge/evacuation.go
@@ -132,7 +132,7 @@
 		err = e.Validate()
 	}
 	if err != nil {
-		c.logRefused("evacuations", from, err)
+		c.logRefused(changeEvacuations, from, err)
 		return false
 	}
 	c.offerEvacuations(e, from)
--- a/edge/state.go
+++ b/edge/state.go
@@ -12,9 +12,7 @@
 
 	"go.uber.org/zap"
 
-	"chervilpath/core/confirm"
 	"chervilpath/core/declare"
-	"chervilpath/core/delta"
 	"chervilpath/core/fleet"
 	"chervilpath/core/retry"
 	"chervilpath/core/route"
@@ -172,38 +170,6 @@
 	return time.Duration(fraction * float64(shortest))
 }
 
-// offerCompressedConfig decompresses a configuration from a peer and passes it to
-// offerConfig.
-func (c *clusterState) offerCompressedConfig(compressed []byte, from string) {
-	spec, err := peer.Decompress(compressed, maxConfigBytes)
-	if err != nil {
-		c.logRefused("configuration", from, err)
-		return
-	}
-	c.offerConfig(spec, from)
-}
-
-// offerConfigDelta applies the compressed difference that a peer sent to the
-// configuration in force, and passes the result to offerConfig. If this fails, the
-// next request asks for the whole.
-func (c *clusterState) offerConfigDelta(compressed []byte, from string) {
-	c.mu.Lock()
-	old := c.history.current()
-	c.mu.Unlock()
-	d, err := peer.Decompress(compressed, maxConfigBytes)
-	if err == nil {
-		d, err = delta.Apply(old, d, maxConfigBytes)
-	}
-	if err != nil {
-		c.logRefused("difference", from, err)
-		c.mu.Lock()
-		c.needWhole = true
-		c.mu.Unlock()
-		return
-	}
-	c.offerConfig(d, from)
-}
-
 // deltaBase returns the digest of the configuration to which a difference can be
 // applied, or 0 if the whole is needed.
 func (c *clusterState) deltaBase() uint64 {
@@ -216,18 +182,19 @@
 }
 
 // offerConfig puts a configuration in force if it is valid and newer than the
-// one in force. from is its source, for the log.
-func (c *clusterState) offerConfig(spec []byte, from string) {
+// one in force. from is its source, for the log. It reports whether that version or
+// a newer one is in force now.
+func (c *clusterState) offerConfig(spec []byte, from string) bool {
 	table, err := platform.DecodeConfig(spec)
 	if err != nil {
 		c.instance.log.Warn("configuration refused", zap.String("from", from), zap.Error(err))
-		return
+		return false
 	}
 	c.mu.Lock()
 	current := c.currentTable.Load()
 	if current != nil && table.Version() <= current.Version() {
 		c.mu.Unlock()
-		return
+		return true
 	}
 	// A request must not find a version whose services have no servers yet.
 	c.recordUses(table)
@@ -249,6 +216,7 @@
 	c.instance.metrics.configVersion.Set(float64(table.Version()))
 	c.updateReady()
 	go c.instance.members.SetRevision(c.instance.loopCtx, table.Version())
+	return true
 }
 
 // updateReady marks the instance as ready as soon as it is settled and knows a
@@ -593,64 +561,6 @@
 	return c.encodedServers.plain, c.encodedServers.compressed
 }
 
-// applyReply applies the reply of a peer to a Follow request that was sent at the given time.
-func (c *clusterState) applyReply(from string, sentAt time.Time, reply peer.FollowReply) {
-	if len(reply.Configuration) > 0 {
-		c.offerCompressedConfig(reply.Configuration, from)
-	}
-	if len(reply.ConfigurationDelta) > 0 {
-		c.offerConfigDelta(reply.ConfigurationDelta, from)
-	}
-	if len(reply.Evacuations) > 0 && c.followsEvacuations && !c.offerEncodedEvacuations(reply.Evacuations, from) {
-		// Its confirmation would hold for what was not taken over.
-		return
-	}
-	now := time.Now()
-	asOf := confirm.AsOf(sentAt, reply.Held, now)
-	if reply.AnswersFromAge > 0 {
-		// Before the confirmation, which by itself may look like the end of an outage.
-		c.recordAnswers(from, fleet.Period{From: now.Add(-reply.AnswersFromAge), To: asOf.Add(-reply.AnswersToAge)})
-	}
-	if reply.Confirmed {
-		received := reply.Confirmation.Received(asOf)
-		c.recordConfirmations(from, confirmations{config: received, servers: received, evacuations: received})
-	}
-	servers, err := reply.Servers, error(nil)
-	if len(reply.CompressedServers) > 0 {
-		servers, err = peer.Decompress(reply.CompressedServers, maxServersBytes)
-	}
-	if err == nil && len(servers) == 0 {
-		c.expireMissing()
-		return
-	}
-	var changes fleet.Changes
-	if err == nil {
-		err = json.Unmarshal(servers, &changes)
-	}
-	if err != nil {
-		c.logRefused("servers", from, err)
-		return
-	}
-	refused := c.instance.refuseInvalid(from, &changes)
-	c.updateServers(from, func(v *fleet.View, now time.Time) {
-		if changes.Revision <= v.Revision() {
-			return
-		}
-		c.logChanges(from, v.Revision(), changes)
-		v.Apply(now, changes)
-		for _, id := range refused {
-			v.Remove(now, id)
-		}
-	})
-}
-
-// logRefused logs and counts changes of a kind that a peer sent and that could not be taken
-// over.
-func (c *clusterState) logRefused(kind, from string, err error) {
-	c.instance.metrics.refusedChanges.WithLabelValues(kind).Inc()
-	c.instance.log.Warn("changes from peer refused", zap.String("kind", kind), zap.String("from", from), zap.Error(err))
-}
-
 // notifyWaiters wakes the Follow requests that wait for a change. The caller
 // holds mu.
 func (c *clusterState) notifyWaiters() {
