edge, core/delta: a difference that comes from two peers is not refused

Cause: who hears of a newer version asks for it while its usual request waits, so that two peers send the same difference, and the second one no longer fits.

A difference names the digest of what it yields. If that configuration is in force, or was before the one in force, there is nothing to take over.

--- a/core/delta/delta.go
+++ b/core/delta/delta.go
@@ -110,6 +110,15 @@
 	w.insert(end)
 }
 
+// Target returns the digest of the text that a delta yields, and reports false if the delta
+// has no header.
+func Target(delta []byte) (uint64, bool) {
+	if len(delta) < headerBytes {
+		return 0, false
+	}
+	return binary.BigEndian.Uint64(delta[8:]), true
+}
+
 // Apply returns the new text, given the old one. It returns an error if the delta
 // is invalid, was made for another old text, or yields more than limit bytes.
 func Apply(old, delta []byte, limit int) ([]byte, error) {
--- a/edge/confighistory.go
+++ b/edge/confighistory.go
@@ -1,6 +1,8 @@
 package edge
 
 import (
+	"slices"
+
 	"chervilpath/core/delta"
 	"chervilpath/io/peer"
 )
@@ -62,6 +64,11 @@
 	return h.versions[len(h.versions)-1].digest
 }
 
+// has reports whether the configuration with the given digest is in force, or was before it.
+func (h *configHistory) has(digest uint64) bool {
+	return slices.ContainsFunc(h.versions, func(v configText) bool { return v.digest == digest })
+}
+
 // forPeer returns the configuration in force for a peer that has the one with the
 // given digest: the difference if the peer's is known and the difference is
 // smaller, and the whole otherwise. Both are compressed.
--- a/edge/reply.go
+++ b/edge/reply.go
@@ -61,7 +61,9 @@
 		spec, err = peer.Decompress(reply.Configuration, maxConfigBytes)
 	case len(reply.ConfigurationDelta) > 0:
 		kind = changeDifference
-		spec, err = c.applyConfigDelta(reply.ConfigurationDelta)
+		if spec, err = c.applyConfigDelta(reply.ConfigurationDelta); err == nil && spec == nil {
+			return true
+		}
 	default:
 		return true
 	}
@@ -72,13 +74,18 @@
 	return c.offerConfig(spec, from)
 }
 
-// applyConfigDelta applies a compressed difference to the configuration in force. If this
-// fails, the next request asks for the whole.
+// applyConfigDelta applies a compressed difference to the configuration in force. It returns
+// nil if what the difference yields is known already: several peers may answer at the same
+// time. If it fails, the next request asks for the whole.
 func (c *clusterState) applyConfigDelta(compressed []byte) ([]byte, error) {
+	d, err := peer.Decompress(compressed, maxConfigBytes)
+	target, ok := delta.Target(d)
 	c.mu.Lock()
-	current := c.history.current()
+	current, known := c.history.current(), ok && c.history.has(target)
 	c.mu.Unlock()
-	d, err := peer.Decompress(compressed, maxConfigBytes)
+	if known {
+		return nil, nil
+	}
 	if err == nil {
 		d, err = delta.Apply(current, d, maxConfigBytes)
 	}
--- a/edge/reply_test.go
+++ b/edge/reply_test.go
@@ -59,3 +59,23 @@
 		})
 	}
 }
+
+// Guards against a difference that counts as refused because another peer was faster, so that
+// the whole configuration is asked for and what is known is not confirmed.
+func TestDifferenceThatComesTwiceIsTakenOver(t *testing.T) {
+	in, _ := newIdleInstance(t)
+	specs := [][]byte{[]byte(`{"version": 1}`), []byte(`{"version": 2}`), []byte(`{"version": 3}`)}
+	in.state.applyReply("peer", time.Now(), peer.FollowReply{Configuration: peer.Compress(specs[0])})
+	for _, step := range []struct{ from, to int }{{0, 1}, {0, 1}, {1, 2}, {0, 1}} {
+		difference := peer.Compress(delta.Make(specs[step.from], specs[step.to]))
+		confirmation := confirm.Report{Age: time.Second}
+		in.state.confirmed = confirmations{}
+		in.state.applyReply("peer", time.Now(), peer.FollowReply{ConfigurationDelta: difference, Confirmed: true, Confirmation: confirmation})
+		if in.state.confirmed.config.IsZero() || in.state.deltaBase() == 0 {
+			t.Errorf("version %d after %d: not confirmed, or asked for the whole", step.to+1, step.from+1)
+		}
+	}
+	if got := in.state.table().Version(); got != 3 {
+		t.Errorf("version %d is in force, want 3", got)
+	}
+}
