edge: an answer of the store that comes late is no recent confirmation

What callers could see: an instance that reads an answer which was held up (by a freeze, a lost packet or a slow store) took what it says for the state of that moment, denied requests by it, and told others so.

Cause: the answer to a watch was dated by its arrival, as ages in replies were.

A watch that ends without changes is dated by the end of its wait, one with changes by when it was sent. The next watch is shorter by that much, so that confirmations stay as recent as they were.

TestLateAnswerOfTheStoreIsNoRecentConfirmation fails with the old date; TestConfirmationsStayRecentBesideChanges fails without the shorter watches (2.1 s old, 1.8 s is the age at which others are asked).

--- a/edge/circle_test.go
+++ b/edge/circle_test.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"fmt"
 	"math/rand/v2"
 	"testing"
 	"testing/synctest"
@@ -68,3 +69,63 @@
 		}
 	}
 }
+
+// Guards against an answer of the store that comes late and counts as a recent confirmation: that
+// of a watch that ended with a change, and which a freeze or a lost packet held up.
+func TestLateAnswerOfTheStoreIsNoRecentConfirmation(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newVirtualFleet(t, 4, func() time.Duration { return rand.N(5 * time.Millisecond) })
+		defer f.stop()
+		time.Sleep(5 * time.Second)
+		f.setAnswerDelay(func() time.Duration {
+			if rand.N(3) == 0 {
+				return rand.N(2 * time.Second)
+			}
+			return 0
+		})
+		for step := range 300 {
+			time.Sleep(100 * time.Millisecond)
+			switch step % 10 {
+			case 2:
+				f.putVersion(step)
+			case 5:
+				f.store.PutServer("i-1", "10.0.1.1:80", "a", []string{"ready", "draining"}[step/10%2])
+			case 7:
+				f.store.Put("evacuations", fmt.Sprint("zone-", step), map[string]any{})
+			}
+			for _, in := range f.instances {
+				in.state.mu.Lock()
+				known := in.state.confirmed
+				in.state.mu.Unlock()
+				for kind, c := range map[string]confirm.Confirmation{"config": known.config, "servers": known.servers, "evacuations": known.evacuations} {
+					if last := f.lastAnswer(kind); c.At.After(last) {
+						t.Fatalf("%s believes that the store confirmed the %s %v after the latest answer that has arrived was made (origin %s, %d hops)",
+							in.name, kind, c.At.Sub(last), c.Origin, c.Hops)
+					}
+				}
+			}
+		}
+	})
+}
+
+// Guards against watches that end with changes all the time and confirm only what held when they
+// were sent, so that all instances look for other sources.
+func TestConfirmationsStayRecentBesideChanges(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newVirtualFleet(t, 4, func() time.Duration { return rand.N(5 * time.Millisecond) })
+		defer f.stop()
+		time.Sleep(5 * time.Second)
+		for version := 2; version < 300; version++ {
+			time.Sleep(rand.N(200 * time.Millisecond))
+			if rand.N(10) == 0 {
+				time.Sleep(time.Second)
+			}
+			f.putVersion(version)
+			for _, in := range f.instances {
+				if age, longest := in.state.confirmationAge(), in.state.propagationTime(unconfirmedFraction); age > longest {
+					t.Fatalf("%s: the last confirmation is %v old, %v is the age from which another source is looked for", in.name, age, longest)
+				}
+			}
+		}
+	})
+}
--- a/edge/confirmation.go
+++ b/edge/confirmation.go
@@ -31,6 +31,18 @@
 	return min(c.propagationTime(watchFraction), time.Duration(watchOutageFraction*float64(outageAfter)))
 }
 
+// untilConfirmationDue returns how long the next watch of a kind of object may last, so that
+// the kind is confirmed again watchTime after its last confirmation: a watch that ends with a
+// change confirms only what held when it was sent.
+func (c *clusterState) untilConfirmationDue(of func(confirmations) confirm.Confirmation) time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	longest := c.watchTime()
+	shortest := time.Duration(minWatchFraction * float64(longest))
+	// The store counts whole milliseconds.
+	return min(longest, max(shortest, longest-time.Since(of(c.confirmed).At))).Truncate(time.Millisecond)
+}
+
 // confirmations are the store's confirmations of what is known of each kind of object. Zero
 // stands for none, or for no news.
 type confirmations struct {
--- a/edge/evacuation.go
+++ b/edge/evacuation.go
@@ -7,6 +7,7 @@
 
 	"go.uber.org/zap"
 
+	"chervilpath/core/confirm"
 	"chervilpath/core/fleet"
 )
 
@@ -51,8 +52,9 @@
 }
 
 func (w *evacuationWatch) watch(ctx context.Context, after int64) (int64, error) {
-	changes, revision, err := w.instance.store.WatchEvacuations(ctx, after, w.instance.state.watchTime())
-	answeredAt := time.Now()
+	wait, sentAt := w.instance.state.untilConfirmationDue(func(c confirmations) confirm.Confirmation { return c.evacuations }), time.Now()
+	changes, revision, err := w.instance.store.WatchEvacuations(ctx, after, wait)
+	answeredAt := watchAnsweredAt(sentAt, wait, len(changes) > 0, time.Now())
 	if err != nil {
 		return 0, err
 	}
--- a/edge/storewatch.go
+++ b/edge/storewatch.go
@@ -9,6 +9,7 @@
 
 	"go.uber.org/zap"
 
+	"chervilpath/core/confirm"
 	"chervilpath/core/fleet"
 	"chervilpath/core/object"
 	"chervilpath/platform"
@@ -20,6 +21,9 @@
 	watchFraction       = 0.5
 	watchOutageFraction = 0.75
 
+	// minWatchFraction is the shortest watch, as a fraction of the longest one.
+	minWatchFraction = 0.1
+
 	// watchCheckInterval is the time between two checks of whether this instance
 	// has to watch the store.
 	watchCheckInterval = 100 * time.Millisecond
@@ -145,6 +149,16 @@
 	f.instance.sleep(ctx, d/2+mathrand.N(d/2+1))
 }
 
+// watchAnsweredAt returns a time at which the store had surely not answered a watch yet, or was
+// just answering it. Without changes it answers at the end of the wait; with changes it may have
+// answered as soon as the watch was sent. The answer may have been on its way ever since.
+func watchAnsweredAt(sentAt time.Time, wait time.Duration, changed bool, arrivedAt time.Time) time.Time {
+	if end := sentAt.Add(wait); !changed && !end.After(arrivedAt) {
+		return end
+	}
+	return sentAt
+}
+
 func (in *Instance) readConfig(ctx context.Context) (int64, error) {
 	requestedAt := time.Now()
 	objects, revision, err := in.store.ListConfig(ctx)
@@ -159,8 +173,9 @@
 }
 
 func (in *Instance) watchConfig(ctx context.Context, after int64) (int64, error) {
-	changes, revision, err := in.store.WatchConfig(ctx, after, in.state.watchTime())
-	answeredAt := time.Now()
+	wait, sentAt := in.state.untilConfirmationDue(func(c confirmations) confirm.Confirmation { return c.config }), time.Now()
+	changes, revision, err := in.store.WatchConfig(ctx, after, wait)
+	answeredAt := watchAnsweredAt(sentAt, wait, len(changes) > 0, time.Now())
 	if err != nil {
 		return 0, err
 	}
@@ -213,8 +228,9 @@
 }
 
 func (in *Instance) watchServers(ctx context.Context, after int64) (int64, error) {
-	changes, revision, err := in.store.WatchServers(ctx, after, in.state.watchTime())
-	answeredAt := time.Now()
+	wait, sentAt := in.state.untilConfirmationDue(func(c confirmations) confirm.Confirmation { return c.servers }), time.Now()
+	changes, revision, err := in.store.WatchServers(ctx, after, wait)
+	answeredAt := watchAnsweredAt(sentAt, wait, len(changes) > 0, time.Now())
 	if err != nil {
 		return 0, err
 	}
--- a/edge/virtual_test.go
+++ b/edge/virtual_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"path"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -39,6 +40,11 @@
 		listeners map[string]*virtualListener
 		// refused holds the names of the instances that the store refuses.
 		refused map[string]bool
+		// answerDelay, unless it is nil, returns how long the next answer of the store is on
+		// its way. answeredAt holds when the store made the latest answer that has arrived, by
+		// kind of object.
+		answerDelay func() time.Duration
+		answeredAt  map[string]time.Time
 	}
 
 	// virtualListener accepts connections in memory.
@@ -71,7 +77,7 @@
 // called in a synctest bubble, and stop before its end.
 func newVirtualFleet(t *testing.T, n int, hop func() time.Duration) *virtualFleet {
 	t.Helper()
-	f := &virtualFleet{t: t, store: stand.New(time.Now), hop: hop, listeners: make(map[string]*virtualListener), refused: make(map[string]bool)}
+	f := &virtualFleet{t: t, store: stand.New(time.Now), hop: hop, listeners: make(map[string]*virtualListener), refused: make(map[string]bool), answeredAt: make(map[string]time.Time)}
 	f.putVersion(1)
 	f.store.PutServer("i-1", "10.0.1.1:80", "a", "ready")
 	for i := range n {
@@ -244,8 +250,43 @@
 		w = httptest.NewRecorder()
 		w.WriteHeader(http.StatusTooManyRequests)
 	}
+	return t.fleet.deliver(r, w)
+}
+
+// deliver returns an answer of the store after its delay.
+func (f *virtualFleet) deliver(r *http.Request, w *httptest.ResponseRecorder) (*http.Response, error) {
+	madeAt := time.Now()
+	f.mu.Lock()
+	delay := f.answerDelay
+	f.mu.Unlock()
+	if delay != nil {
+		select {
+		case <-time.After(delay()):
+		case <-r.Context().Done():
+		}
+	}
 	if err := r.Context().Err(); err != nil {
 		return nil, err
 	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if kind := path.Base(r.URL.Path); madeAt.After(f.answeredAt[kind]) {
+		f.answeredAt[kind] = madeAt
+	}
 	return w.Result(), nil
 }
+
+// setAnswerDelay sets how long answers of the store are on their way.
+func (f *virtualFleet) setAnswerDelay(delay func() time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.answerDelay = delay
+}
+
+// lastAnswer returns when the store made the latest answer about a kind of object that has
+// arrived anywhere.
+func (f *virtualFleet) lastAnswer(kind string) time.Time {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.answeredAt[kind]
+}
