edge, io/boottime: confirmations count the time for which a machine was suspended

What callers could see: a machine that goes on after it was suspended for seconds denies what a version of meanwhile allows, and tells others that what it knows is recent. The platform's pages say that a machine may be suspended and that the monotonic clock doesn't count that time while CLOCK_BOOTTIME does.

Cause: confirmations were dated by the clock of package time, which is the monotonic one.

Confirmations are dated by the boot time, wherever they are compared.

TestSuspendedMachineKnowsThatItsConfirmationsAreOld fails with the old clock: after 4 s the last confirmation counts as 0.4 s old.

--- a/edge/circle_test.go
+++ b/edge/circle_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"chervilpath/core/confirm"
+	"chervilpath/io/peer"
 )
 
 // Guards against a fleet that takes an old confirmation for a recent one: instances that follow
@@ -129,3 +130,29 @@
 		}
 	})
 }
+
+// Guards against a machine that was suspended and takes what it knew before for recent, since its
+// monotonic clock stood still: it denies requests by it and tells others so.
+func TestSuspendedMachineKnowsThatItsConfirmationsAreOld(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newVirtualFleet(t, 4, func() time.Duration { return rand.N(5 * time.Millisecond) })
+		defer f.stop()
+		in := f.instances[3]
+		time.Sleep(5 * time.Second)
+		if !in.state.configFresh() {
+			t.Fatal("the configuration is not fresh before the machine is suspended")
+		}
+		const pause = 4 * time.Second
+		f.suspend(in, pause)
+		reply, _, _ := in.state.followReply(peer.FollowRequest{}, in.bootTime())
+		if age := in.state.confirmationAge(); age < pause || reply.Confirmation.Age < pause || in.state.configFresh() {
+			t.Errorf("after a pause of %v: the last confirmation is %v old, others are told %v, the configuration is fresh: %v",
+				pause, age, reply.Confirmation.Age, in.state.configFresh())
+		}
+		// What was on its way to it when it was suspended is as old.
+		time.Sleep(time.Second)
+		if age, longest := in.state.confirmationAge(), in.state.propagationTime(unconfirmedFraction); age > longest {
+			t.Errorf("a second later: the last confirmation is %v old, want at most %v", age, longest)
+		}
+	})
+}
--- a/edge/confirmation.go
+++ b/edge/confirmation.go
@@ -20,7 +20,7 @@
 func (c *clusterState) configFresh() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return !c.confirmed.config.IsZero() && time.Since(c.confirmed.config.At) < c.propagationTime(freshFraction)
+	return !c.confirmed.config.IsZero() && c.age(c.confirmed.config) < c.propagationTime(freshFraction)
 }
 
 // watchTime returns how long the store may hold a watch: well below the propagation
@@ -40,7 +40,7 @@
 	longest := c.watchTime()
 	shortest := time.Duration(minWatchFraction * float64(longest))
 	// The store counts whole milliseconds.
-	return min(longest, max(shortest, longest-time.Since(of(c.confirmed).At))).Truncate(time.Millisecond)
+	return min(longest, max(shortest, longest-c.age(of(c.confirmed)))).Truncate(time.Millisecond)
 }
 
 // confirmations are the store's confirmations of what is known of each kind of object. Zero
@@ -49,7 +49,7 @@
 	config, servers, evacuations confirm.Confirmation
 }
 
-// byStore returns a confirmation that the store gave to this instance.
+// byStore returns a confirmation that the store gave to this instance, at a bootTime.
 func (c *clusterState) byStore(at time.Time) confirm.Confirmation {
 	return confirm.Confirmation{At: at, Origin: c.instance.name}
 }
@@ -65,7 +65,7 @@
 		latest *confirm.Confirmation
 	}{{news.config, &c.confirmed.config}, {news.servers, &c.confirmed.servers}, {news.evacuations, &c.confirmed.evacuations}} {
 		if !kind.new.IsZero() {
-			c.view.StoreAnswered(kind.new.At)
+			c.view.StoreAnswered(time.Now().Add(-c.age(kind.new)))
 		}
 		if kind.new.At.After(kind.latest.At) {
 			*kind.latest = kind.new
@@ -109,21 +109,26 @@
 	if last.IsZero() {
 		return math.MaxInt64
 	}
-	return time.Since(last.At)
+	return c.age(last)
+}
+
+// age returns the time since a confirmation, also that for which the machine was suspended.
+func (c *clusterState) age(of confirm.Confirmation) time.Duration {
+	return c.instance.bootTime().Sub(of.At)
 }
 
 // confirmationFields describes a confirmation in the log.
-func confirmationFields(c confirm.Confirmation) []zap.Field {
-	if c.IsZero() {
+func (c *clusterState) confirmationFields(of confirm.Confirmation) []zap.Field {
+	if of.IsZero() {
 		return nil
 	}
-	return []zap.Field{zap.Int64("confirmedAgoMs", time.Since(c.At).Milliseconds()), zap.String("origin", c.Origin), zap.Int("hops", c.Hops)}
+	return []zap.Field{zap.Int64("confirmedAgoMs", c.age(of).Milliseconds()), zap.String("origin", of.Origin), zap.Int("hops", of.Hops)}
 }
 
 // logSource logs from which peer changes come from now on, and what that peer's confirmation
 // by the store rests on.
 func (c *clusterState) logSource(peer string) {
-	fields := append([]zap.Field{zap.String("peer", peer)}, confirmationFields(c.lastConfirmation())...)
+	fields := append([]zap.Field{zap.String("peer", peer)}, c.confirmationFields(c.lastConfirmation())...)
 	if t := c.table(); t != nil {
 		fields = append(fields, zap.Int64("version", t.Version()))
 	}
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -26,6 +26,7 @@
 	"chervilpath/core/relay"
 	"chervilpath/core/settings"
 	"chervilpath/core/stage"
+	"chervilpath/io/boottime"
 	"chervilpath/io/front"
 	"chervilpath/io/http1"
 	"chervilpath/io/peer"
@@ -44,8 +45,11 @@
 		peerAddress string
 		log         *zap.Logger
 		clock       stage.Clock
-		registry    *prometheus.Registry
-		metrics     *metrics
+		// bootTime returns the time by a clock that also runs while the machine is
+		// suspended. Confirmations by the store are dated by it.
+		bootTime func() time.Time
+		registry *prometheus.Registry
+		metrics  *metrics
 
 		store      *platform.Store
 		upstream   *upstream.Client
@@ -116,6 +120,7 @@
 		name: cfg.Name(), incarnation: cfg.Name() + "-" + rand.Text()[:10], peerAddress: cfg.PeerAddress(),
 		log:      log.With(zap.String("instance", cfg.Name()), zap.String("failureDomain", cfg.FailureDomain())),
 		registry: prometheus.NewRegistry(), refused: newRefusedEntries(), refusedZones: newRefusedEntries(), ready: make(chan struct{}), listeners: make(map[string]*listener), startedAt: time.Now(),
+		bootTime: boottime.Now,
 		clock: stage.Clock{
 			Now:       time.Now,
 			AfterFunc: func(d time.Duration, f func()) func() bool { return time.AfterFunc(d, f).Stop },
--- a/edge/evacuation.go
+++ b/edge/evacuation.go
@@ -34,7 +34,7 @@
 }
 
 func (w *evacuationWatch) read(ctx context.Context) (int64, error) {
-	requestedAt := time.Now()
+	requestedAt := w.instance.bootTime()
 	objects, revision, err := w.instance.store.ListEvacuations(ctx)
 	if err != nil {
 		return 0, err
@@ -52,9 +52,9 @@
 }
 
 func (w *evacuationWatch) watch(ctx context.Context, after int64) (int64, error) {
-	wait, sentAt := w.instance.state.untilConfirmationDue(func(c confirmations) confirm.Confirmation { return c.evacuations }), time.Now()
+	wait, sentAt := w.instance.state.untilConfirmationDue(func(c confirmations) confirm.Confirmation { return c.evacuations }), w.instance.bootTime()
 	changes, revision, err := w.instance.store.WatchEvacuations(ctx, after, wait)
-	answeredAt := watchAnsweredAt(sentAt, wait, len(changes) > 0, time.Now())
+	answeredAt := watchAnsweredAt(sentAt, wait, len(changes) > 0, w.instance.bootTime())
 	if err != nil {
 		return 0, err
 	}
--- a/edge/follow.go
+++ b/edge/follow.go
@@ -153,7 +153,7 @@
 	req.EvacuationsRevision = in.state.evacuationsRevision()
 	req.DirectoryDigest, req.ConfigurationDigest = in.directoryDigests.get(address), in.state.deltaBase()
 	in.metrics.followRequests.Inc()
-	sentAt := time.Now()
+	sentAt := in.bootTime()
 	reply, err := in.peers.Follow(ctx, address, req)
 	if err != nil {
 		in.metrics.staleSources.Inc()
--- a/edge/follow_test.go
+++ b/edge/follow_test.go
@@ -18,7 +18,7 @@
 // stale although the store had confirmed it.
 func TestNewerConfirmationIsSentAtOnce(t *testing.T) {
 	now := time.Now()
-	c := &clusterState{view: fleet.New(time.Second), changed: make(chan struct{}), confirmed: confirmations{config: confirm.Confirmation{At: now}, servers: confirm.Confirmation{At: now}}}
+	c := &clusterState{instance: &Instance{bootTime: time.Now}, view: fleet.New(time.Second), changed: make(chan struct{}), confirmed: confirmations{config: confirm.Confirmation{At: now}, servers: confirm.Confirmation{At: now}}}
 	const wait = 800 * time.Millisecond
 	got := c.serveFollow(t.Context(), peer.FollowRequest{Confirmed: true, Age: time.Second, Wait: wait})
 	if elapsed := time.Since(now); !got.Confirmed || elapsed > wait/2 {
@@ -49,7 +49,7 @@
 		})
 	}
 	view.Replace(now, servers, 3000)
-	c := &clusterState{view: view, changed: make(chan struct{})}
+	c := &clusterState{instance: &Instance{bootTime: time.Now}, view: view, changed: make(chan struct{})}
 	first := c.serveFollow(t.Context(), peer.FollowRequest{CompressedServers: true}).CompressedServers
 	const maxBytes = 150 << 10
 	if len(first) == 0 || len(first) > maxBytes {
--- a/edge/refused_test.go
+++ b/edge/refused_test.go
@@ -74,7 +74,7 @@
 			t.Fatal(err)
 		}
 		for range 3 {
-			in.state.applyReply("peer", time.Now(), peer.FollowReply{Servers: data})
+			in.state.applyReply("peer", in.bootTime(), peer.FollowReply{Servers: data})
 		}
 		var got []string
 		for id := range in.state.servers().All() {
@@ -88,7 +88,7 @@
 		}
 		// An older reply must not remove a server whose entry has become sound since.
 		in.state.updateServers(sourceStore, func(v *fleet.View, now time.Time) { v.Advance(6); v.Set(sound("1", 6)) })
-		in.state.applyReply("peer", time.Now(), peer.FollowReply{Servers: data})
+		in.state.applyReply("peer", in.bootTime(), peer.FollowReply{Servers: data})
 		if _, ok := in.state.servers().Server("1"); !ok {
 			t.Errorf("whole %v: an older reply removed a sound server", whole)
 		}
--- a/edge/reply.go
+++ b/edge/reply.go
@@ -21,15 +21,16 @@
 	changeEvacuations = "evacuations"
 )
 
-// applyReply applies the reply of a peer to a Follow request that was sent at the given time.
-// The reply's confirmation holds for those kinds of objects alone of which this instance has
+// applyReply applies the reply of a peer to a Follow request that was sent at a bootTime. The
+// reply's confirmation holds for those kinds of objects alone of which this instance has
 // what the peer has.
 func (c *clusterState) applyReply(from string, sentAt time.Time, reply peer.FollowReply) {
-	now := time.Now()
+	now := c.instance.bootTime()
 	asOf := confirm.AsOf(sentAt, reply.Held, now)
 	if reply.AnswersFromAge > 0 {
 		// Before the changes, which may look like the end of an outage without that.
-		c.recordAnswers(from, fleet.Period{From: now.Add(-reply.AnswersFromAge), To: asOf.Add(-reply.AnswersToAge)})
+		arrivedAt := time.Now()
+		c.recordAnswers(from, fleet.Period{From: arrivedAt.Add(-reply.AnswersFromAge), To: arrivedAt.Add(-reply.AnswersToAge - now.Sub(asOf))})
 	}
 	hasConfig := c.takeConfig(from, reply)
 	hasEvacuations := !c.followsEvacuations || len(reply.Evacuations) == 0 || c.offerEncodedEvacuations(reply.Evacuations, from)
--- a/edge/reply_test.go
+++ b/edge/reply_test.go
@@ -42,7 +42,7 @@
 			in, _ := newIdleInstance(t)
 			in.state.followsEvacuations = true
 			tt.reply.Confirmed, tt.reply.Confirmation = true, confirm.Report{Age: time.Second, Origin: "edge-9"}
-			in.state.applyReply("peer", time.Now(), tt.reply)
+			in.state.applyReply("peer", in.bootTime(), tt.reply)
 			got := in.state.confirmed
 			for _, kind := range []struct {
 				name string
@@ -65,12 +65,12 @@
 func TestDifferenceThatComesTwiceIsTakenOver(t *testing.T) {
 	in, _ := newIdleInstance(t)
 	specs := [][]byte{[]byte(`{"version": 1}`), []byte(`{"version": 2}`), []byte(`{"version": 3}`)}
-	in.state.applyReply("peer", time.Now(), peer.FollowReply{Configuration: peer.Compress(specs[0])})
+	in.state.applyReply("peer", in.bootTime(), peer.FollowReply{Configuration: peer.Compress(specs[0])})
 	for _, step := range []struct{ from, to int }{{0, 1}, {0, 1}, {1, 2}, {0, 1}} {
 		difference := peer.Compress(delta.Make(specs[step.from], specs[step.to]))
 		confirmation := confirm.Report{Age: time.Second}
 		in.state.confirmed = confirmations{}
-		in.state.applyReply("peer", time.Now(), peer.FollowReply{ConfigurationDelta: difference, Confirmed: true, Confirmation: confirmation})
+		in.state.applyReply("peer", in.bootTime(), peer.FollowReply{ConfigurationDelta: difference, Confirmed: true, Confirmation: confirmation})
 		if in.state.confirmed.config.IsZero() || in.state.deltaBase() == 0 {
 			t.Errorf("version %d after %d: not confirmed, or asked for the whole", step.to+1, step.from+1)
 		}
--- a/edge/state.go
+++ b/edge/state.go
@@ -210,7 +210,7 @@
 	fields := []zap.Field{zap.Int64("version", table.Version()), zap.String("from", from)}
 	if current != nil {
 		fields = append(fields, zap.Int64("after", current.Version()))
-		fields = append(fields, confirmationFields(c.lastConfirmation())...)
+		fields = append(fields, c.confirmationFields(c.lastConfirmation())...)
 	}
 	c.instance.log.Info("configuration in force", fields...)
 	c.instance.metrics.configVersion.Set(float64(table.Version()))
@@ -273,7 +273,7 @@
 func (c *clusterState) logServerEvents(from string) {
 	for _, e := range c.view.TakeEvents() {
 		fields := []zap.Field{zap.String("from", from), zap.Int64("revision", c.view.Revision())}
-		fields = append(fields, confirmationFields(c.confirmation())...)
+		fields = append(fields, c.confirmationFields(c.confirmation())...)
 		if e.Kind == fleet.OutageEnded {
 			c.instance.log.Warn("store answered after an outage", append(fields, zap.Int64("outageMs", e.Gap.Milliseconds()))...)
 			continue
@@ -491,7 +491,7 @@
 // there is nothing, it waits for a change or a later confirmation of the store,
 // up to the time that the request gives.
 func (c *clusterState) serveFollow(ctx context.Context, req peer.FollowRequest) peer.FollowReply {
-	arrivedAt := time.Now()
+	arrivedAt := c.instance.bootTime()
 	out, ok, changed := c.followReply(req, arrivedAt)
 	if ok {
 		return out
@@ -512,10 +512,10 @@
 func (c *clusterState) followReply(req peer.FollowRequest, arrivedAt time.Time) (out peer.FollowReply, ok bool, changed <-chan struct{}) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	now, last := time.Now(), c.confirmation()
+	now, last := c.instance.bootTime(), c.confirmation()
 	out.Held, out.Confirmed, out.Confirmation = now.Sub(arrivedAt), !last.IsZero(), last.Report(now)
 	if answers := c.view.Answers(); !answers.To.IsZero() {
-		out.AnswersFromAge, out.AnswersToAge = now.Sub(answers.From), now.Sub(answers.To)
+		out.AnswersFromAge, out.AnswersToAge = time.Since(answers.From), time.Since(answers.To)
 	}
 	ok = out.Confirmed && (!req.Confirmed || req.Age-out.Confirmation.Age > minAgeGain)
 	if t := c.currentTable.Load(); t != nil && t.Version() > req.Version {
--- a/edge/storewatch.go
+++ b/edge/storewatch.go
@@ -160,7 +160,7 @@
 }
 
 func (in *Instance) readConfig(ctx context.Context) (int64, error) {
-	requestedAt := time.Now()
+	requestedAt := in.bootTime()
 	objects, revision, err := in.store.ListConfig(ctx)
 	if err != nil {
 		return 0, err
@@ -173,9 +173,9 @@
 }
 
 func (in *Instance) watchConfig(ctx context.Context, after int64) (int64, error) {
-	wait, sentAt := in.state.untilConfirmationDue(func(c confirmations) confirm.Confirmation { return c.config }), time.Now()
+	wait, sentAt := in.state.untilConfirmationDue(func(c confirmations) confirm.Confirmation { return c.config }), in.bootTime()
 	changes, revision, err := in.store.WatchConfig(ctx, after, wait)
-	answeredAt := watchAnsweredAt(sentAt, wait, len(changes) > 0, time.Now())
+	answeredAt := watchAnsweredAt(sentAt, wait, len(changes) > 0, in.bootTime())
 	if err != nil {
 		return 0, err
 	}
@@ -195,7 +195,7 @@
 }
 
 func (in *Instance) readServers(ctx context.Context) (int64, error) {
-	requestedAt := time.Now()
+	requestedAt := in.bootTime()
 	objects, revision, err := in.store.ListServers(ctx)
 	if err != nil {
 		return 0, err
@@ -228,9 +228,9 @@
 }
 
 func (in *Instance) watchServers(ctx context.Context, after int64) (int64, error) {
-	wait, sentAt := in.state.untilConfirmationDue(func(c confirmations) confirm.Confirmation { return c.servers }), time.Now()
+	wait, sentAt := in.state.untilConfirmationDue(func(c confirmations) confirm.Confirmation { return c.servers }), in.bootTime()
 	changes, revision, err := in.store.WatchServers(ctx, after, wait)
-	answeredAt := watchAnsweredAt(sentAt, wait, len(changes) > 0, time.Now())
+	answeredAt := watchAnsweredAt(sentAt, wait, len(changes) > 0, in.bootTime())
 	if err != nil {
 		return 0, err
 	}
--- a/edge/virtual_test.go
+++ b/edge/virtual_test.go
@@ -45,6 +45,8 @@
 		// kind of object.
 		answerDelay func() time.Duration
 		answeredAt  map[string]time.Time
+		// suspended holds for how long the machines of instances were suspended, by name.
+		suspended map[string]time.Duration
 	}
 
 	// virtualListener accepts connections in memory.
@@ -77,7 +79,7 @@
 // called in a synctest bubble, and stop before its end.
 func newVirtualFleet(t *testing.T, n int, hop func() time.Duration) *virtualFleet {
 	t.Helper()
-	f := &virtualFleet{t: t, store: stand.New(time.Now), hop: hop, listeners: make(map[string]*virtualListener), refused: make(map[string]bool), answeredAt: make(map[string]time.Time)}
+	f := &virtualFleet{t: t, store: stand.New(time.Now), hop: hop, listeners: make(map[string]*virtualListener), refused: make(map[string]bool), answeredAt: make(map[string]time.Time), suspended: make(map[string]time.Duration)}
 	f.putVersion(1)
 	f.store.PutServer("i-1", "10.0.1.1:80", "a", "ready")
 	for i := range n {
@@ -106,6 +108,7 @@
 	if err != nil {
 		f.t.Fatal(err)
 	}
+	in.bootTime = func() time.Time { return time.Now().Add(f.suspension(name)) }
 	in.store = platform.NewStore("http://store", &http.Client{Transport: storeTransport{f, name}})
 	ln := &virtualListener{address: address, conns: make(chan net.Conn), closed: make(chan struct{})}
 	f.mu.Lock()
@@ -150,6 +153,20 @@
 	return f.refused[name]
 }
 
+func (f *virtualFleet) suspension(name string) time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.suspended[name]
+}
+
+// suspend lets the machine of an instance have been suspended, which its monotonic clock does
+// not count.
+func (f *virtualFleet) suspend(in *Instance, d time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.suspended[in.name] += d
+}
+
 // watchers returns the instances that watch the store on behalf of all.
 func (f *virtualFleet) watchers() []*Instance {
 	var out []*Instance
