--- a/core/confirm/confirm.go
+++ b/core/confirm/confirm.go
@@ -38,15 +38,15 @@
 	return Report{Age: now.Sub(c.At), Origin: c.Origin, Hops: c.Hops}
 }
 
-// Received returns the confirmation of a report that was made at a time or later, see AsOf.
+// Received returns the confirmation of a report that was not made before asOf, see AsOf.
 func (r Report) Received(asOf time.Time) Confirmation {
 	return Confirmation{At: asOf.Add(-max(0, r.Age)), Origin: r.Origin, Hops: r.Hops + 1}
 }
 
-// AsOf returns a time by the clock of an instance at which the reply to a request of its own
-// had surely not been made yet, or was just being made. The instance sent the request at a
-// time, and the other one held it for some time before it made the reply. Ages in a reply
-// count from this time: by when it arrived, all ages are higher by an unknown time.
+// AsOf returns a time that is not later than the making of a reply, by the clock of the instance
+// that sent the request at sentAt and got the reply at arrivedAt. held is the time for which the
+// other instance says that it held the request. Ages in a reply have to count from this time:
+// counted from the arrival they would be too low by the time for which the reply was on its way.
 func AsOf(sentAt time.Time, held time.Duration, arrivedAt time.Time) time.Time {
 	at := sentAt.Add(max(0, held))
 	if at.After(arrivedAt) {
--- a/edge/confirmation.go
+++ b/edge/confirmation.go
@@ -49,7 +49,7 @@
 	config, servers, evacuations confirm.Confirmation
 }
 
-// byStore returns a confirmation that the store gave to this instance, at a bootTime.
+// byStore returns a confirmation that the store itself gave to this instance at a bootTime.
 func (c *clusterState) byStore(at time.Time) confirm.Confirmation {
 	return confirm.Confirmation{At: at, Origin: c.instance.name}
 }
@@ -125,8 +125,7 @@
 	return []zap.Field{zap.Int64("confirmedAgoMs", c.age(of).Milliseconds()), zap.String("origin", of.Origin), zap.Int("hops", of.Hops)}
 }
 
-// logSource logs from which peer changes come from now on, and what that peer's confirmation
-// by the store rests on.
+// logSource logs from which peer changes come from now on, and the last confirmation.
 func (c *clusterState) logSource(peer string) {
 	fields := append([]zap.Field{zap.String("peer", peer)}, c.confirmationFields(c.lastConfirmation())...)
 	if t := c.table(); t != nil {
