edge: the test of alerting rules asks an instance for its metrics

TestAlertsUseExistingMetrics did not find chervilpath_confirmation_age_seconds and chervilpath_confirmation_hops, which ClusterStateUnconfirmed and ConfirmationsGoRound use.

The cause: the test gathered the metrics of newMetrics alone. The two gauges are registered by the state of an instance, and instances do export them.

The test now gathers the registry of an instance, all of what it exports.

--- a/edge/metrics_test.go
+++ b/edge/metrics_test.go
@@ -4,18 +4,13 @@
 	"os"
 	"regexp"
 	"testing"
-
-	"github.com/prometheus/client_golang/prometheus"
-
-	"chervilpath/core/memory"
 )
 
 // Guards against alerting rules that refer to metrics which no instance exports.
 func TestAlertsUseExistingMetrics(t *testing.T) {
-	registry := prometheus.NewRegistry()
-	m := newMetrics(registry, func() int64 { return 0 }, memory.NewWaiting(1<<20))
-	m.quarantineEvents.WithLabelValues("event").Inc()
-	families, err := registry.Gather()
+	in, _ := newIdleInstance(t)
+	in.metrics.quarantineEvents.WithLabelValues("event").Inc()
+	families, err := in.registry.Gather()
 	if err != nil {
 		t.Fatal(err)
 	}
